--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,7 @@
+export default {
+    files: ["packages/*/test/**/*.test.ts"],
+    extensions: { ts: "module" },
+    nodeArguments: ["--import=tsx", "--conditions=drumpaddle-source"],
+    workerThreads: false,
+    timeout: "60s",
+};
--- /dev/null
+++ b/packages/host/src/callers.ts
@@ -0,0 +1,142 @@
+/**
+ * The callers' port: completions, models, and plain services.
+ *
+ * @module
+ */
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import { randomUUID } from "node:crypto";
+import { type ApiError, errorBody, errorHeaders, writeError } from "./answer.js";
+import type { Directory } from "./directory.js";
+import { generate } from "./generate.js";
+import type { Host } from "./host.js";
+import { servePlain } from "./plain.js";
+
+/** Bodies above this are never read, whatever a workspace is allowed. */
+const LARGEST_BODY = 100_000_000;
+/** A stopping host asks callers to come back at once: the balancer sends them elsewhere. */
+const STOPPING_RETRY_MS = 0;
+
+const UNAUTHORIZED: ApiError = { status: 401, code: "invalid_api_key", message: "no valid key was given", ran: "no" };
+const STOPPING: ApiError = {
+    status: 503,
+    code: "host_stopping",
+    message: "this host is stopping",
+    ran: "no",
+    retryAfterMs: STOPPING_RETRY_MS,
+};
+const NOT_READY: ApiError = {
+    ...STOPPING,
+    code: "host_not_ready",
+    message: "this host has no settings yet",
+    retryAfterMs: 1_000,
+};
+
+/** Builds the callers' server; it does not listen yet. */
+export function createCallers(host: Host, tls: { cert: string; key: string } | undefined): FastifyInstance {
+    const app = Fastify({
+        bodyLimit: LARGEST_BODY,
+        requestTimeout: host.cfg["callers.body-timeout"],
+        genReqId: () => randomUUID(),
+        // Typed for plain HTTP: the two kinds of server have the same interface here.
+        ...(tls ? { https: tls } as object : {}),
+        http: { maxHeaderSize: host.cfg["callers.header-bytes"] },
+        forceCloseConnections: "idle",
+    });
+    app.removeAllContentTypeParsers();
+    app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
+    app.setErrorHandler((err: Error & { statusCode?: number; code?: string }, req, reply) => {
+        const status = err.statusCode ?? 500;
+        const code = status === 413 ? "body_too_large" : status < 500 ? "bad_request" : "internal";
+        if (status >= 500) {
+            host.log.error({ req: req.id, err: err.code ?? err.name, detail: err.message }, "request_error");
+        }
+        const api: ApiError = {
+            status,
+            code,
+            message: status < 500 ? err.message : "an error of this host",
+            ran: status < 500 ? "no" : "unknown",
+        };
+        return reply.code(status).headers(errorHeaders(api)).send(errorBody(api));
+    });
+    app.setNotFoundHandler((req, reply) => {
+        const api: ApiError = { status: 404, code: "not_found", message: "no such path", ran: "no" };
+        return reply.code(404).headers({ "x-request-id": req.id, ...errorHeaders(api) }).send(errorBody(api));
+    });
+    app.post("/v1/chat/completions", (req, reply) => completion(host, req, reply, true));
+    app.post("/v1/completions", (req, reply) => completion(host, req, reply, false));
+    app.get("/v1/models", (req, reply) => listModels(host, req, reply));
+    app.all<{ Params: { service: string } }>("/services/:service/*", (req, reply) => {
+        const admitted = admitCaller(host, req, reply);
+        if (admitted) servePlain(host, { ...admitted, id: req.id, service: req.params.service, req, out: reply.raw });
+    });
+    return app;
+}
+
+/** Checks the host's state and the caller's key; answers by itself where either is not good. */
+function admitCaller(
+    host: Host,
+    req: FastifyRequest,
+    reply: FastifyReply,
+): { directory: Directory; workspace: string } | undefined {
+    reply.hijack();
+    const refuse = (err: ApiError): undefined => {
+        host.metrics.countOutcome(err === UNAUTHORIZED ? "unauthorized" : "host_stopping", "no");
+        writeError(reply.raw, err, { "x-request-id": req.id });
+        return undefined;
+    };
+    if (host.runs.stopping) return refuse(STOPPING);
+    const directory = host.feed.directory;
+    if (!directory) return refuse(NOT_READY);
+    const secret = /^Bearer (\S+)$/.exec(req.headers.authorization ?? "")?.[1];
+    const workspace = secret === undefined ? undefined : directory.workspaceOf(secret, Date.now());
+    return workspace === undefined ? refuse(UNAUTHORIZED) : { directory, workspace };
+}
+
+function completion(host: Host, req: FastifyRequest, reply: FastifyReply, chat: boolean): void {
+    const admitted = admitCaller(host, req, reply);
+    if (!admitted) return;
+    const raw = Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0);
+    const headers = { "x-request-id": req.id };
+    const most = admitted.directory.settingsFor(admitted.workspace, undefined)["max-body"];
+    if (raw.length > most) {
+        writeError(reply.raw, {
+            status: 413,
+            code: "body_too_large",
+            message: `at most ${most} bytes are allowed`,
+            ran: "no",
+        }, headers);
+        return;
+    }
+    const body = parseJson(raw);
+    if (body === undefined) {
+        writeError(
+            reply.raw,
+            { status: 400, code: "bad_request", message: "the body is not JSON", ran: "no" },
+            headers,
+        );
+        return;
+    }
+    generate(host, { ...admitted, id: req.id, body, bytes: raw.length, headers: req.headers, out: reply.raw, chat });
+}
+
+function parseJson(raw: Buffer): unknown {
+    try {
+        return JSON.parse(raw.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function listModels(host: Host, req: FastifyRequest, reply: FastifyReply): void {
+    const admitted = admitCaller(host, req, reply);
+    if (!admitted) return;
+    const data = [...admitted.directory.models].map(([id, service]) => ({
+        id,
+        object: "model",
+        created: 0,
+        owned_by: service,
+    }));
+    reply.raw.writeHead(200, { "content-type": "application/json", "x-request-id": req.id });
+    reply.raw.end(JSON.stringify({ object: "list", data }));
+}
--- /dev/null
+++ b/packages/host/src/config.ts
@@ -0,0 +1,217 @@
+/**
+ * The daemon's own settings: INI file, then environment, then flags, checked against a table of keys.
+ *
+ * @module
+ */
+import { choice, count, duration, flag, list, NAME, text, type ValueType } from "@drumpaddle/settings";
+import { parse } from "ini";
+
+const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
+const address = text(ADDRESS, "an IP number and a port, such as 127.0.0.1:8080");
+const url = text(/^https?:\/\/[^\s]+$/, "an http or https URL");
+const path = text(/^\S.*$/, "a file's path");
+
+interface KeyDef<T> {
+    readonly type: ValueType<T>;
+    readonly fallback?: string;
+    readonly secret?: boolean;
+    readonly optional?: boolean;
+    readonly doc: string;
+}
+
+const KEYS = {
+    "host.name": { type: text(NAME, "a name"), doc: "This host's name, unique among hosts." },
+    "host.hall": { type: text(NAME, "a name"), doc: "The hall that this host stands in." },
+    "callers.listen": { type: address, fallback: "127.0.0.1:8080", doc: "Where callers are served." },
+    "callers.header-bytes": { type: count(1_000, 1_000_000), fallback: "16384", doc: "Largest head of a request." },
+    "callers.body-timeout": {
+        type: duration(10, 600_000),
+        fallback: "10s",
+        doc: "Time for a caller to send its request.",
+    },
+    "operators.listen": { type: address, fallback: "127.0.0.1:9080", doc: "Where operators and metrics are served." },
+    "operators.bootstrap-hash": {
+        type: text(/^[a-f0-9]{64}$/, "a SHA-256 in 64 hexadecimal digits"),
+        optional: true,
+        doc: "Hash of a token that may edit while the tree names no operator.",
+    },
+    "peers.listen": { type: address, fallback: "127.0.0.1:7080", doc: "Where other hosts connect." },
+    "peers.secrets": {
+        type: list(/^\S{16,}$/, "secrets of at least 16 characters, the first one used, the others also accepted"),
+        fallback: "",
+        secret: true,
+        doc: "Shared by all hosts; two while one replaces the other.",
+    },
+    "peers.seeds": { type: list(ADDRESS, "IP:port"), fallback: "", doc: "Hosts to ask where the host list is away." },
+    "platform.key-value": { type: url, doc: "The platform's key-value service." },
+    "platform.host-list": { type: url, optional: true, doc: "The platform's host list." },
+    "platform.prefix": {
+        type: text(/^[a-z0-9/-]+$/, "lower-case letters, digits, / and -"),
+        fallback: "drumpaddle",
+        doc: "Start of all keys.",
+    },
+    "platform.timeout": { type: duration(1, 60_000), fallback: "2s", doc: "Time for one call to the platform." },
+    "tls.certificate": {
+        type: path,
+        optional: true,
+        doc: "PEM file; with the key it turns TLS on for callers and operators.",
+    },
+    "tls.key": { type: path, optional: true, doc: "PEM file of the private key." },
+    "log.level": {
+        type: choice(["debug", "info", "warn", "error"]),
+        fallback: "info",
+        doc: "Least level that is written.",
+    },
+    "log.requests": { type: flag, fallback: "true", doc: "Whether each request is logged." },
+    "control.load-interval": {
+        type: duration(10, 60_000),
+        fallback: "500ms",
+        doc: "How often an endpoint's load is asked for.",
+    },
+    "control.heartbeat": {
+        type: duration(10, 60_000),
+        fallback: "500ms",
+        doc: "How often peers are told that this host lives.",
+    },
+} as const satisfies Record<string, KeyDef<unknown>>;
+
+/** Name of a key, as `section.key`. */
+export type ConfigKey = keyof typeof KEYS;
+type ValueOf<K extends ConfigKey> = typeof KEYS[K]["type"] extends ValueType<infer T> ? T : never;
+type Optional = { [K in ConfigKey]: typeof KEYS[K] extends { optional: true } ? K : never }[ConfigKey];
+
+/** The daemon's settings, read and checked. */
+export type HostCfg =
+    & { readonly [K in Exclude<ConfigKey, Optional>]: ValueOf<K> }
+    & { readonly [K in Optional]?: ValueOf<K> | undefined };
+
+/** What is wrong with the daemon's settings. */
+export type ConfigError =
+    | { readonly kind: "unknownKey"; readonly source: string; readonly key: string }
+    | { readonly kind: "missingKey"; readonly key: string; readonly allowed: string }
+    | {
+        readonly kind: "badValue";
+        readonly source: string;
+        readonly key: string;
+        readonly found: string;
+        readonly allowed: string;
+    };
+
+/** Where settings come from. `flags` are `section.key` to text; later sources go before earlier ones. */
+export interface ConfigSources {
+    readonly file?: { readonly name: string; readonly text: string } | undefined;
+    readonly env?: Readonly<Record<string, string | undefined>>;
+    readonly flags?: Readonly<Record<string, string>>;
+}
+
+/** Settings or all that is wrong with them. */
+export type ConfigResult =
+    | { readonly ok: true; readonly cfg: HostCfg; readonly said: ReadonlyMap<ConfigKey, Said> }
+    | { readonly ok: false; readonly errors: readonly ConfigError[] };
+
+/** A value as it was written, and by which source. */
+export interface Said {
+    readonly text: string;
+    readonly source: string;
+}
+
+const ENV_START = "DRUMPADDLE_";
+
+/** Name of the environment variable of a key: `host.name` is `DRUMPADDLE_HOST_NAME`. */
+export function envName(key: ConfigKey): string {
+    return ENV_START + key.replace(/[.-]/g, "_").toUpperCase();
+}
+
+/**
+ * Reads the daemon's settings.
+ *
+ * @example
+ * ```ts
+ * const read = readConfig({ file: { name: "host.ini", text }, env: process.env });
+ * if (!read.ok) read.errors.map(describeConfigError);
+ * ```
+ */
+export function readConfig(sources: ConfigSources): ConfigResult {
+    const errors: ConfigError[] = [];
+    const said = new Map<ConfigKey, Said>();
+    const take = (key: string, value: string, source: string): void => {
+        if (Object.hasOwn(KEYS, key)) said.set(key as ConfigKey, { text: value, source });
+        else errors.push({ kind: "unknownKey", source, key });
+    };
+    if (sources.file) takeFile(sources.file, take);
+    for (const key of Object.keys(KEYS) as ConfigKey[]) {
+        const value = sources.env?.[envName(key)];
+        if (value !== undefined) take(key, value, `environment ${envName(key)}`);
+    }
+    for (const [key, value] of Object.entries(sources.flags ?? {})) take(key, value, `flag --${key}`);
+    const cfg = readValues(said, errors);
+    return errors.length > 0 ? { ok: false, errors } : { ok: true, cfg: cfg as unknown as HostCfg, said };
+}
+
+function takeFile(
+    file: { name: string; text: string },
+    take: (key: string, value: string, source: string) => void,
+): void {
+    const sections = parse(file.text, { bracketedArray: false }) as Record<string, unknown>;
+    for (const [section, node] of Object.entries(sections)) {
+        if (typeof node !== "object" || node === null) take(section, String(node), file.name);
+        else {for (const [key, value] of Object.entries(node)) {
+                take(`${section}.${key}`, String(value), `${file.name} [${section}]`);
+            }}
+    }
+}
+
+function readValues(said: ReadonlyMap<ConfigKey, Said>, errors: ConfigError[]): Record<string, unknown> {
+    const cfg: Record<string, unknown> = {};
+    for (const [key, def] of Object.entries(KEYS) as [ConfigKey, KeyDef<unknown>][]) {
+        const value = said.get(key)
+            ?? (def.fallback === undefined ? undefined : { text: def.fallback, source: "default" });
+        if (!value) {
+            if (!def.optional) errors.push({ kind: "missingKey", key, allowed: def.type.allowed });
+            continue;
+        }
+        const read = def.type.read(value.text);
+        if (read.ok) cfg[key] = read.value;
+        else {errors.push({
+                kind: "badValue",
+                source: value.source,
+                key,
+                found: def.secret ? "(secret)" : value.text,
+                allowed: def.type.allowed,
+            });}
+    }
+    return cfg;
+}
+
+const DESCRIBE: { readonly [K in ConfigError["kind"]]: (err: Extract<ConfigError, { kind: K }>) => string } = {
+    unknownKey: err => `${err.source}: ${err.key}: unknown key; known: ${Object.keys(KEYS).join(", ")}`,
+    missingKey: err => `${err.key}: must be given: ${err.allowed}`,
+    badValue: err => `${err.source}: ${err.key}: found ${JSON.stringify(err.found)}, allowed: ${err.allowed}`,
+};
+
+/** An error in one line, for people. */
+export function describeConfigError(err: ConfigError): string {
+    return DESCRIBE[err.kind](err as never);
+}
+
+/**
+ * The settings in force as INI, secrets masked, each with its source.
+ *
+ * @example
+ * ```ts
+ * printConfig(read.said); // "[host]\nname = k1-a ; host.ini [host]\n..."
+ * ```
+ */
+export function printConfig(said: ReadonlyMap<ConfigKey, Said>): string {
+    const lines: string[] = [];
+    let section = "";
+    for (const [key, def] of Object.entries(KEYS) as [ConfigKey, KeyDef<unknown>][]) {
+        const [head, name] = key.split(".") as [string, string];
+        const value = said.get(key) ?? { text: def.fallback ?? "", source: "default" };
+        if (head !== section) lines.push(`[${head}]`);
+        section = head;
+        const shown = def.secret && value.text !== "" ? "********" : value.text;
+        lines.push(`; ${def.doc} (${value.source})`, `${name} = ${shown}`);
+    }
+    return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/packages/host/src/daemon.ts
@@ -0,0 +1,119 @@
+/**
+ * The daemon of one entry host: builds its parts, starts them, and stops them without cutting a request.
+ *
+ * @module
+ */
+import { DEFAULT_VARIANT } from "@drumpaddle/policy";
+import { createEtcd } from "@drumpaddle/protocol";
+import type { FastifyInstance } from "fastify";
+import { readFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
+import { Agent } from "undici";
+import { createCallers } from "./callers.js";
+import type { HostCfg } from "./config.js";
+import { type Host, LimitBook, OpenRuns } from "./host.js";
+import type { Log } from "./log.js";
+import { Metrics } from "./metrics.js";
+import { createOperators } from "./operators.js";
+import { Placement } from "./placement.js";
+import { SettingsFeed } from "./settings-feed.js";
+import { SettingsStore } from "./settings-store.js";
+import { watchEndpoints } from "./watch-endpoints.js";
+
+/** A running daemon. */
+export interface Daemon {
+    readonly host: Host;
+    /** Where callers are served, as `http://ip:port`. */
+    readonly callersUrl: string;
+    readonly operatorsUrl: string;
+    /** Refuses new requests, finishes those that run, then ends. */
+    stop(): Promise<void>;
+    /** Ends at once; requests are cut. */
+    kill(): Promise<void>;
+}
+
+const CONNECTIONS_PER_ENDPOINT = 512;
+const KEEP_ALIVE_MS = 30_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Time for the platform's balancer to see that readiness is off before requests are refused outright. */
+const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
+
+/**
+ * Starts a daemon; resolves when its ports listen. It is ready when it has settings.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startDaemon(cfg, createLog("info", process.stdout));
+ * await daemon.stop();
+ * ```
+ */
+export async function startDaemon(cfg: HostCfg, log: Log): Promise<Daemon> {
+    const own = new AbortController();
+    const { signal } = own;
+    const kv = createEtcd({ url: cfg["platform.key-value"], timeoutMs: cfg["platform.timeout"] });
+    const store = new SettingsStore(kv, cfg["platform.prefix"]);
+    const metrics = new Metrics();
+    const feed = new SettingsFeed({ kv, store, hall: cfg["host.hall"], log, metrics, signal });
+    const dispatcher = new Agent({
+        connections: CONNECTIONS_PER_ENDPOINT,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        pipelining: 1,
+    });
+    const host: Host = {
+        cfg,
+        log,
+        metrics,
+        feed,
+        store,
+        dispatcher,
+        signal,
+        engines: new Placement(signal),
+        plain: new Placement(signal, PLAIN_VARIANT),
+        runs: new OpenRuns(),
+        limits: new LimitBook(),
+    };
+    watchEndpoints(host);
+    feed.setWatching(true);
+    const tls = readTls(cfg);
+    const servers = { callers: createCallers(host, tls), operators: createOperators(host, tls) };
+    const callersUrl = await listen(servers.callers, cfg["callers.listen"], tls !== undefined);
+    const operatorsUrl = await listen(servers.operators, cfg["operators.listen"], tls !== undefined);
+    log.info({
+        host: cfg["host.name"],
+        hall: cfg["host.hall"],
+        callers: callersUrl,
+        operators: operatorsUrl,
+        tls: tls !== undefined,
+    }, "listening");
+    const end = async (): Promise<void> => {
+        own.abort();
+        await Promise.all([servers.callers.close(), servers.operators.close()]);
+        await dispatcher.destroy();
+    };
+    const stop = async (): Promise<void> => {
+        log.info({ open: host.runs.size }, "stopping");
+        await host.runs.drain();
+        await end();
+        log.info({}, "stopped");
+    };
+    const kill = async (): Promise<void> => {
+        servers.callers.server.closeAllConnections();
+        await end();
+    };
+    return { host, callersUrl, operatorsUrl, stop, kill };
+}
+
+function readTls(cfg: HostCfg): { cert: string; key: string } | undefined {
+    const { "tls.certificate": cert, "tls.key": key } = cfg;
+    if (cert === undefined || key === undefined) return undefined;
+    return { cert: readFileSync(cert, "utf8"), key: readFileSync(key, "utf8") };
+}
+
+async function listen(app: FastifyInstance, address: string, tls: boolean): Promise<string> {
+    const at = address.lastIndexOf(":");
+    const ip = address.slice(0, at).replace(/^\[|\]$/g, "");
+    await app.listen({ host: ip, port: Number(address.slice(at + 1)) });
+    const { port } = app.server.address() as AddressInfo;
+    return `${tls ? "https" : "http"}://${address.slice(0, at)}:${port}`;
+}
--- /dev/null
+++ b/packages/host/src/generate.ts
@@ -0,0 +1,268 @@
+/**
+ * Serves one generation: from the caller's body to the last token.
+ *
+ * @module
+ */
+import {
+    type Job,
+    type JobPolicy,
+    type LimitRefusal,
+    quantileLength,
+    reserve,
+    settle,
+    survivalOf,
+    type WorkspaceLimits,
+} from "@drumpaddle/policy";
+import {
+    type BodyFacts,
+    ChatBody,
+    checkBody,
+    CompletionBody,
+    factsOf,
+    type GenerationBody,
+} from "@drumpaddle/protocol";
+import { FailCode } from "@drumpaddle/request";
+import type { Settings } from "@drumpaddle/settings";
+import type { ServerResponse } from "node:http";
+import { type ApiError, streamReply, wholeReply, writeError } from "./answer.js";
+import type { Directory } from "./directory.js";
+import { type EnginePiece, engineRunner } from "./engine-runner.js";
+import type { Host } from "./host.js";
+import { Run, type RunEnd } from "./run.js";
+
+/** A caller's request after it was read and its key was checked. */
+export interface Incoming {
+    readonly id: string;
+    readonly workspace: string;
+    readonly directory: Directory;
+    readonly body: unknown;
+    readonly bytes: number;
+    readonly headers: NodeJS.Dict<string | string[]>;
+    readonly out: ServerResponse;
+    readonly chat: boolean;
+}
+
+/** Settings as decisions use them. */
+export function policyOf(settings: Settings): JobPolicy {
+    return {
+        priority: settings.priority,
+        quantile: settings["admission-quantile"],
+        gapTargetMs: settings["gap-target"],
+        weightTail: settings["weight-tail"],
+        weightStall: settings["weight-stall"],
+        weightPrefix: settings["weight-prefix"],
+        maxWaitMs: settings["max-wait"],
+        queueLimit: settings["queue-limit"],
+        retryShare: settings["retry-share"],
+    };
+}
+
+/** Settings as limits use them. */
+export function limitsOf(settings: Settings): WorkspaceLimits {
+    return {
+        requestsPerMinute: settings["requests-per-minute"],
+        tokensPerMinute: settings["tokens-per-minute"],
+        openStreams: settings["open-streams"],
+    };
+}
+
+/** A limit's refusal as the caller sees it: which limit, its use, and when it has room. */
+export function limitError({ limit, allowed, used, resetMs }: LimitRefusal): ApiError {
+    return {
+        status: 429,
+        code: FailCode.LimitReached,
+        message: `the workspace's limit ${limit} of ${allowed} is reached`,
+        ran: "no",
+        retryAfterMs: resetMs,
+        facts: { limit, allowed, used, retryable: resetMs !== undefined },
+    };
+}
+
+/** Share of outputs that a reservation covers; what it misses is settled at the end. */
+const RESERVE_QUANTILE = 0.5;
+
+/** Serves a generation; every way out writes an answer. */
+export function generate(host: Host, incoming: Incoming): void {
+    const { directory, workspace, out } = incoming;
+    const headers = { "x-request-id": incoming.id };
+    const refuse = (err: ApiError): void => {
+        host.metrics.countOutcome(err.code as FailCode, err.ran);
+        host.log.info(
+            { req: incoming.id, workspace, code: err.code, ran: err.ran, detail: err.message },
+            "request_refused",
+        );
+        writeError(out, err, headers);
+    };
+    const checked = checkBody(incoming.chat ? ChatBody : CompletionBody, incoming.body);
+    if (!checked.ok) {
+        return refuse({
+            status: 400,
+            code: "bad_request",
+            message: checked.err.detail,
+            ran: "no",
+            field: checked.err.field,
+        });
+    }
+    const facts = factsOf(checked.body, incoming.bytes);
+    const service = directory.models.get(facts.model);
+    if (service === undefined) {
+        return refuse({ status: 404, code: "model_not_found", message: `no such model`, ran: "no", field: "/model" });
+    }
+    const settings = directory.settingsFor(workspace, service);
+    const most = settings["max-output-tokens"];
+    if ((facts.maxTokens ?? 0) > most) {
+        return refuse({
+            status: 400,
+            code: "bad_request",
+            message: `at most ${most} output tokens are allowed`,
+            ran: "no",
+            field: "/max_tokens",
+        });
+    }
+    const job = jobOf(incoming, facts, service, settings);
+    const taken = reserveLimits(host, job, settings);
+    if (taken) return refuse(limitError(taken));
+    start(host, incoming, checked.body, facts, job, settings);
+}
+
+function jobOf(incoming: Incoming, facts: BodyFacts, service: string, settings: Settings): Job {
+    return {
+        id: incoming.id,
+        group: { workspace: incoming.workspace, service, model: facts.model },
+        promptTokens: facts.promptTokens,
+        maxTokens: facts.maxTokens ?? settings["max-output-tokens"],
+        prefix: facts.prefix === "" ? "" : `${incoming.workspace}/${facts.prefix}`,
+        prefixTokens: Math.floor(facts.promptTokens / 2),
+        policy: policyOf(settings),
+    };
+}
+
+function reserveLimits(host: Host, job: Job, settings: Settings): LimitRefusal | undefined {
+    const lengths = survivalOf(host.engines.view.estimates, job.group, job.maxTokens);
+    const tokens = job.promptTokens + quantileLength(lengths, 0, RESERVE_QUANTILE);
+    const taken = reserve(
+        host.limits.state,
+        job.id,
+        job.group.workspace,
+        limitsOf(settings),
+        tokens,
+        performance.now(),
+    );
+    if (!taken.ok) return taken.refusal;
+    host.limits.state = taken.state;
+    return undefined;
+}
+
+function isNotRepeatable(incoming: Incoming, settings: Settings): boolean {
+    return incoming.headers["x-not-repeatable"] === "true" || !settings.repeatable;
+}
+
+/** What the engine is sent: the caller's body, always streamed, with the priority that was decided. */
+function engineBody(body: GenerationBody, priority: number): string {
+    return JSON.stringify({ ...body, stream: true, priority });
+}
+
+function start(
+    host: Host,
+    incoming: Incoming,
+    body: GenerationBody,
+    facts: BodyFacts,
+    job: Job,
+    settings: Settings,
+): void {
+    const { out, directory, id, chat } = incoming;
+    const headers = { "x-request-id": id, "x-settings-version": String(directory.version) };
+    const stall = createStallWatch(out, settings["caller-stall-timeout"], () => run.event({ kind: "callerGone" }));
+    host.metrics.open.inc();
+    const run: Run<EnginePiece> = new Run<EnginePiece>({
+        cfg: {
+            id,
+            repeatable: !isNotRepeatable(incoming, settings),
+            streamed: facts.stream,
+            maxAttempts: settings.attempts,
+            maxResumes: settings.resumes,
+            deadline: performance.now() + settings["request-deadline"],
+        },
+        job,
+        placement: host.engines,
+        runner: engineRunner({
+            dispatcher: host.dispatcher,
+            urlOf: endpoint =>
+                host.feed.directory?.endpoints.get(endpoint)?.url ?? directory.endpoints.get(endpoint)?.url,
+            path: chat ? "/v1/chat/completions" : "/v1/completions",
+            requestId: id,
+            bodyWith: priority => engineBody(body, priority),
+            limits: { firstTokenMs: settings["first-token-timeout"], idleMs: settings["idle-timeout"] },
+            ready: stall.ready,
+        }),
+        reply: facts.stream ? streamReply(out, headers) : wholeReply(out, headers, chat, facts.promptTokens),
+        onGap: ms => host.metrics.betweenTokens.record(ms),
+        onDispatch: kind => host.metrics.countDispatch(kind),
+        onEnd: end => {
+            stall.end();
+            queueMicrotask(() => host.runs.delete(run));
+            settleRun(host, job, end);
+        },
+    });
+    if (run.ended) return;
+    host.runs.add(run);
+    out.on("close", () => run.event({ kind: "callerGone" }));
+}
+
+/** What ran is paid for; what provably did not is given back. */
+function settleRun(host: Host, job: Job, end: RunEnd): void {
+    const ran = end.err?.ran ?? "yes";
+    const settlement = ran === "no"
+        ? { kind: "notRun" as const }
+        : { kind: "ran" as const, ranTokens: ran === "yes" ? job.promptTokens + end.tokens : undefined };
+    host.limits.state = settle(host.limits.state, job.id, settlement);
+    host.metrics.open.dec();
+    host.metrics.countOutcome(end.err?.code ?? "whole", ran);
+    host.metrics.countDiscards({ ...end.state.discards });
+    if (end.firstTokenMs !== undefined) {
+        host.metrics.firstToken.record(end.firstTokenMs);
+        host.metrics.stall.record(end.stallMs);
+    }
+    if (!host.cfg["log.requests"]) return;
+    const { workspace, service, model } = job.group;
+    host.log.info({
+        req: job.id,
+        workspace,
+        service,
+        model,
+        endpoint: end.endpoint,
+        outcome: end.err?.code ?? "whole",
+        ran,
+        detail: end.err?.detail,
+        attempts: end.state.attempts,
+        tokens: end.tokens,
+        first_token_ms: end.firstTokenMs === undefined ? undefined : Math.round(end.firstTokenMs),
+        stall_ms: Math.round(end.stallMs),
+    }, "request_ended");
+}
+
+/** Back pressure from the caller: while it does not read, nothing is read for it; after too long it counts as gone. */
+function createStallWatch(
+    out: ServerResponse,
+    limitMs: number,
+    onStall: () => void,
+): { ready: () => Promise<void> | undefined; end: () => void } {
+    let timer: NodeJS.Timeout | undefined;
+    return {
+        ready: () => {
+            if (!out.writableNeedDrain) return undefined;
+            return new Promise(resolve => {
+                timer = setTimeout(onStall, limitMs);
+                const go = (): void => {
+                    clearTimeout(timer);
+                    out.off("drain", go);
+                    out.off("close", go);
+                    resolve();
+                };
+                out.on("drain", go);
+                out.on("close", go);
+            });
+        },
+        end: () => clearTimeout(timer),
+    };
+}
--- /dev/null
+++ b/packages/host/src/host.ts
@@ -0,0 +1,72 @@
+/**
+ * What the servers of one daemon share.
+ *
+ * @module
+ */
+import { createLimits, type LimitState } from "@drumpaddle/policy";
+import type { Dispatcher } from "undici";
+import type { HostCfg } from "./config.js";
+import type { Directory } from "./directory.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import type { Placement } from "./placement.js";
+import type { SettingsFeed } from "./settings-feed.js";
+import type { SettingsStore } from "./settings-store.js";
+
+/** The parts of a daemon that requests use. */
+export interface Host {
+    readonly cfg: HostCfg;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly feed: SettingsFeed;
+    readonly store: SettingsStore;
+    readonly engines: Placement;
+    readonly plain: Placement;
+    readonly dispatcher: Dispatcher;
+    readonly signal: AbortSignal;
+    readonly runs: OpenRuns;
+    readonly limits: LimitBook;
+}
+
+/** A request that can be told that the host stops. */
+export interface OpenRun {
+    event(event: { readonly kind: "stopping" }): void;
+}
+
+/** Requests that are being served. */
+export class OpenRuns {
+    private readonly runs = new Set<OpenRun>();
+    private emptied: (() => void) | undefined;
+    /** True from the moment that the host was told to stop. */
+    stopping = false;
+
+    get size(): number {
+        return this.runs.size;
+    }
+
+    add(run: OpenRun): void {
+        this.runs.add(run);
+    }
+
+    delete(run: OpenRun): void {
+        this.runs.delete(run);
+        if (this.runs.size === 0) this.emptied?.();
+    }
+
+    /** Tells every request that the host stops: waiting ones end, running ones go on. Resolves when none is left. */
+    drain(): Promise<void> {
+        this.stopping = true;
+        for (const run of [...this.runs]) run.event({ kind: "stopping" });
+        return this.runs.size === 0 ? Promise.resolve() : new Promise(resolve => this.emptied = resolve);
+    }
+}
+
+/** Holds the value of the limits' state. */
+export class LimitBook {
+    state: LimitState = createLimits();
+}
+
+/** The directory in force, where a host that is ready always has one. */
+export function directoryOf(host: Host): Directory | undefined {
+    return host.feed.directory;
+}
--- /dev/null
+++ b/packages/host/src/log.ts
@@ -0,0 +1,60 @@
+/**
+ * Structured logs by bunyan, written as one line of key=value pairs an event.
+ *
+ * @module
+ */
+import bunyan from "bunyan";
+import type { Writable } from "node:stream";
+
+/** A logger; fields first, then a short event name. */
+export type Log = bunyan;
+
+const LEVEL_NAME: Readonly<Record<number, string>> = bunyan.nameFromLevel;
+const PLAIN = /^[A-Za-z0-9_.:/@+-]+$/;
+const MAX_VALUE = 500;
+
+/** A value as it stands in a line: quoted unless it is plain, so that no value can forge a pair or a line. */
+function written(value: unknown): string {
+    const text = typeof value === "string" ? value : JSON.stringify(value) ?? "undefined";
+    const short = text.length > MAX_VALUE ? `${text.slice(0, MAX_VALUE)}...` : text;
+    if (PLAIN.test(short)) return short;
+    return JSON.stringify(short).replace(
+        /[\u007f-\uffff]/g,
+        char => `\\u${char.charCodeAt(0).toString(16).padStart(4, "0")}`,
+    );
+}
+
+/**
+ * One record as a line.
+ *
+ * @example
+ * ```ts
+ * formatRecord({ time: new Date(0), level: 30, msg: "started", port: 8080 });
+ * // "time=1970-01-01T00:00:00.000Z level=info event=started port=8080"
+ * ```
+ */
+export function formatRecord(record: Record<string, unknown>): string {
+    const { time, level, msg, name: _name, hostname: _hostname, pid: _pid, v: _v, ...fields } = record;
+    const at = time instanceof Date ? time.toISOString() : String(time);
+    const pairs = Object.entries(fields).filter(([, value]) => value !== undefined)
+        .map(([key, value]) => `${key.replace(/[^A-Za-z0-9_.-]/g, "_")}=${written(value)}`);
+    return [`time=${at}`, `level=${LEVEL_NAME[Number(level)] ?? String(level)}`, `event=${written(msg)}`, ...pairs]
+        .join(" ");
+}
+
+/**
+ * A logger that writes to a stream.
+ *
+ * @example
+ * ```ts
+ * createLog("info", process.stdout).info({ port: 8080 }, "listening");
+ * ```
+ */
+export function createLog(level: bunyan.LogLevelString, out: Writable): Log {
+    const stream = { write: (record: unknown) => out.write(`${formatRecord(record as Record<string, unknown>)}\n`) };
+    return bunyan.createLogger({
+        name: "drumpaddled",
+        level,
+        streams: [{ type: "raw", level, stream: stream as never }],
+    });
+}
--- /dev/null
+++ b/packages/host/src/main.ts
@@ -0,0 +1,83 @@
+#!/usr/bin/env node
+/**
+ * The binary `drumpaddled`.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import sade from "sade";
+import { type ConfigResult, describeConfigError, printConfig, readConfig } from "./config.js";
+import { startDaemon } from "./daemon.js";
+import { createLog } from "./log.js";
+
+const EXIT = { done: 0, failed: 1, usage: 2 } as const;
+
+interface Options {
+    readonly config?: string;
+    readonly check?: boolean;
+    readonly print?: boolean;
+    readonly set?: string | string[];
+}
+
+function flagsOf(set: string | string[] | undefined): Record<string, string> {
+    const pairs = set === undefined ? [] : Array.isArray(set) ? set : [set];
+    return Object.fromEntries(pairs.map(pair => {
+        const at = pair.indexOf("=");
+        return at < 0 ? [pair, ""] : [pair.slice(0, at), pair.slice(at + 1)];
+    }));
+}
+
+function load({ config, set }: Options): ConfigResult {
+    const file = config === undefined ? undefined : { name: config, text: readFileSync(config, "utf8") };
+    return readConfig({ file, env: process.env, flags: flagsOf(set) });
+}
+
+async function run(options: Options): Promise<void> {
+    let read: ConfigResult;
+    try {
+        read = load(options);
+    }
+    catch (err) {
+        process.stderr.write(`${options.config}: ${(err as Error).message}\n`);
+        process.exitCode = EXIT.usage;
+        return;
+    }
+    if (!read.ok) {
+        for (const err of read.errors) process.stderr.write(`${describeConfigError(err)}\n`);
+        process.exitCode = EXIT.usage;
+        return;
+    }
+    if (options.print) process.stdout.write(printConfig(read.said));
+    if (options.print || options.check) return;
+    const log = createLog(read.cfg["log.level"], process.stdout);
+    if (read.cfg["tls.certificate"] === undefined) log.warn({}, "tls_is_off");
+    const daemon = await startDaemon(read.cfg, log);
+    let stopping = false;
+    const onSignal = (name: string): void => {
+        if (stopping) {
+            log.warn({ signal: name, open: daemon.host.runs.size }, "ending_at_once");
+            process.exit(EXIT.failed);
+        }
+        stopping = true;
+        void daemon.stop().then(() => process.exit(EXIT.done));
+    };
+    process.on("SIGTERM", () => onSignal("SIGTERM"));
+    process.on("SIGINT", () => onSignal("SIGINT"));
+}
+
+sade("drumpaddled", true)
+    .version("0.1.0")
+    .describe("The drumpaddle daemon of an entry host.")
+    .option("-c, --config", "INI file of daemon settings")
+    .option("--set", "One setting as section.key=value; may be given several times")
+    .option("--check", "Only check the settings")
+    .option("--print", "Print the settings in force, secrets masked")
+    .example("--config /etc/drumpaddle/host.ini")
+    .example("--config host.ini --set host.name=k1-a --check")
+    .action((options: Options) => {
+        run(options).catch((err: unknown) => {
+            process.stderr.write(`${(err as Error).message}\n`);
+            process.exitCode = EXIT.failed;
+        });
+    })
+    .parse(process.argv);
--- /dev/null
+++ b/packages/host/src/metrics.ts
@@ -0,0 +1,149 @@
+/**
+ * What the daemon measures: HDR histograms for the three measures and the first token, counters for the rest, told in
+ * the Prometheus text form.
+ *
+ * @module
+ */
+import type { FailCode, Ran } from "@drumpaddle/request";
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+/** Histograms count in tenths of a millisecond, so that gaps of a few milliseconds keep their shape. */
+const UNITS_PER_MS = 10;
+const LONGEST_MS = 3_600_000;
+
+/** A distribution of times in milliseconds. */
+export class Timing {
+    private readonly histogram: Histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: LONGEST_MS * UNITS_PER_MS,
+        numberOfSignificantValueDigits: 3,
+    });
+    private total = 0;
+
+    /** Counts one time. */
+    record(ms: number): void {
+        const bounded = Math.min(Math.max(ms, 0), LONGEST_MS);
+        this.histogram.recordValue(Math.round(bounded * UNITS_PER_MS));
+        this.total += bounded;
+    }
+
+    /** The time that a share of all counted ones does not pass, in milliseconds. */
+    quantile(share: number): number {
+        return this.histogram.getValueAtPercentile(share * 100) / UNITS_PER_MS;
+    }
+
+    get count(): number {
+        return this.histogram.totalCount;
+    }
+
+    /** Sum of all counted times, in milliseconds. */
+    get sum(): number {
+        return this.total;
+    }
+}
+
+/** How a request ended, as counted. */
+export type Outcome = "whole" | FailCode | "bad_request" | "unauthorized";
+
+/** All measures of one daemon. */
+export class Metrics {
+    readonly firstToken = new Timing();
+    readonly betweenTokens = new Timing();
+    readonly stall = new Timing();
+    private readonly registry = new Registry();
+    private readonly outcomes = this.counter("drumpaddle_requests_total", "Requests by how they ended.", [
+        "outcome",
+        "ran",
+    ]);
+    private readonly discards = this.counter("drumpaddle_discarded_tokens_total", "Tokens that did not fit.", [
+        "reason",
+    ]);
+    private readonly dispatches = this.counter("drumpaddle_dispatches_total", "Attempts, first and repeated.", [
+        "kind",
+    ]);
+    private readonly preemptions = this.counter("drumpaddle_preemptions_total", "Preemptions that engines reported.", [
+        "endpoint",
+    ]);
+    private readonly settings = this.counter(
+        "drumpaddle_settings_offers_total",
+        "Versions of settings offered, by what became of them.",
+        ["result"],
+    );
+    private readonly peers = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", ["direction"]);
+    readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
+    readonly waiting = this.gauge("drumpaddle_waiting_requests", "Requests that wait for room.");
+    readonly version = this.gauge("drumpaddle_settings_version", "Version of settings in force.");
+
+    constructor() {
+        this.summary("drumpaddle_first_token_ms", "Time from acceptance to the first token.", this.firstToken);
+        this.summary("drumpaddle_between_tokens_ms", "Time between tokens.", this.betweenTokens);
+        this.summary("drumpaddle_stall_ms", "Stall time of a request: what its gaps lie above the target.", this.stall);
+    }
+
+    countOutcome(outcome: Outcome, ran: Ran): void {
+        this.outcomes.inc({ outcome, ran });
+    }
+
+    countDispatch(kind: "first" | "retry" | "resume"): void {
+        this.dispatches.inc({ kind });
+    }
+
+    countDiscards(discards: Readonly<Record<string, number>>): void {
+        for (const [reason, number] of Object.entries(discards)) if (number > 0) this.discards.inc({ reason }, number);
+    }
+
+    countPreemptions(endpoint: string, number: number): void {
+        if (number > 0) this.preemptions.inc({ endpoint }, number);
+    }
+
+    countOffer(result: string): void {
+        this.settings.inc({ result });
+    }
+
+    countPeerBytes(direction: "in" | "out", bytes: number): void {
+        this.peers.inc({ direction }, bytes);
+    }
+
+    /** Everything in the Prometheus text form. */
+    text(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    private counter<L extends string>(name: string, help: string, labelNames: readonly L[]): Counter<L> {
+        return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+    }
+
+    private gauge(name: string, help: string): Gauge {
+        return new Gauge({ name, help, registers: [this.registry] });
+    }
+
+    private summary(name: string, help: string, timing: Timing): void {
+        new Gauge({
+            name,
+            help,
+            labelNames: ["quantile"],
+            registers: [this.registry],
+            collect() {
+                for (const share of QUANTILES) this.set({ quantile: String(share) }, timing.quantile(share));
+            },
+        });
+        new Gauge({
+            name: `${name}_count`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(timing.count);
+            },
+        });
+        new Gauge({
+            name: `${name}_sum`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(timing.sum);
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/host/src/operators.ts
@@ -0,0 +1,230 @@
+/**
+ * The operators' port: health, metrics, and the settings with their audit trail.
+ *
+ * @module
+ */
+import {
+    type AuditEntry,
+    type Change,
+    diff,
+    EMPTY,
+    explain,
+    INHERITED,
+    type InheritedKey,
+    lineage,
+    replay,
+    type Tree,
+    writeTree,
+} from "@drumpaddle/settings";
+import { type Static, Type } from "@sinclair/typebox";
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import { hashSecret, type Role } from "./directory.js";
+import type { Host } from "./host.js";
+import type { EditResult } from "./settings-store.js";
+
+const EditBody = Type.Object({
+    editId: Type.String({ pattern: "^[A-Za-z0-9-]{8,64}$" }),
+    why: Type.String({ maxLength: 500 }),
+    onlyAt: Type.Optional(Type.Integer({ minimum: 0 })),
+    changes: Type.Array(
+        Type.Object({
+            path: Type.String(),
+            key: Type.String(),
+            before: Type.Optional(Type.String()),
+            after: Type.Optional(Type.String()),
+        }),
+        { minItems: 1, maxItems: 50_000 },
+    ),
+});
+
+const PlaceQuery = Type.Object({
+    key: Type.Optional(Type.String()),
+    workspace: Type.Optional(Type.String()),
+    service: Type.Optional(Type.String()),
+    hall: Type.Optional(Type.String()),
+});
+
+const EDIT_STATUS: { readonly [K in EditResult["kind"]]: number } = {
+    accepted: 200,
+    noChange: 200,
+    conflict: 409,
+    invalid: 422,
+    away: 503,
+    unknown: 504,
+};
+
+/** Bytes of a whole tree with room to spare. */
+const LARGEST_EDIT = 16_000_000;
+
+/** Builds the operators' server; it does not listen yet. */
+export function createOperators(host: Host, tls: { cert: string; key: string } | undefined): FastifyInstance {
+    const app = Fastify({
+        bodyLimit: LARGEST_EDIT,
+        forceCloseConnections: true,
+        ...(tls ? { https: tls } as object : {}),
+    });
+    health(host, app);
+    settingsRoutes(host, app);
+    trailRoutes(host, app);
+    return app;
+}
+
+function health(host: Host, app: FastifyInstance): void {
+    app.get("/healthz", () => ({ ok: true }));
+    app.get("/readyz", (_req, reply) => {
+        const why = host.runs.stopping ? "stopping" : host.feed.directory ? undefined : "no settings yet";
+        return reply.code(why === undefined ? 200 : 503).send({ ready: why === undefined, why });
+    });
+    app.get("/metrics", async (_req, reply) => {
+        host.metrics.waiting.set(host.engines.view.waiting.length + host.plain.view.waiting.length);
+        return reply.type("text/plain; version=0.0.4").send(await host.metrics.text());
+    });
+}
+
+interface Operator {
+    readonly name: string;
+    readonly role: Role;
+}
+
+/** Who asks: an operator of the tree, or the bootstrap token while the tree names none. */
+function operatorOf(host: Host, req: FastifyRequest): Operator | undefined {
+    const token = /^Bearer (\S+)$/.exec(req.headers.authorization ?? "")?.[1];
+    if (token === undefined) return undefined;
+    const directory = host.feed.directory;
+    const known = directory?.operatorOf(token, Date.now());
+    if (known) return known;
+    const bootstrap = host.cfg["operators.bootstrap-hash"];
+    const open = bootstrap !== undefined && directory?.hasOperators !== true;
+    return open && hashSecret(token) === bootstrap ? { name: "bootstrap", role: "edit" } : undefined;
+}
+
+function allow(host: Host, req: FastifyRequest, reply: FastifyReply, role: Role): Operator | undefined {
+    const operator = operatorOf(host, req);
+    if (!operator) void reply.code(401).send({ kind: "unauthorized" });
+    else if (role === "edit" && operator.role !== "edit") {
+        void reply.code(403).send({ kind: "forbidden", role: operator.role });
+    }
+    else return operator;
+    return undefined;
+}
+
+function treeOf(host: Host): Tree {
+    return host.feed.inForce?.tree ?? EMPTY;
+}
+
+function settingsRoutes(host: Host, app: FastifyInstance): void {
+    app.get("/settings", (req, reply) => {
+        if (!allow(host, req, reply, "read")) return reply;
+        const head = host.feed.inForce?.snapshot.head;
+        return { version: head?.version ?? 0, hash: head?.hash, tree: treeOf(host), ini: writeTree(treeOf(host)) };
+    });
+    app.get<{ Querystring: Static<typeof PlaceQuery> }>(
+        "/settings/explain",
+        { schema: { querystring: PlaceQuery } },
+        (req, reply) => {
+            if (!allow(host, req, reply, "read")) return reply;
+            const { key, ...place } = req.query;
+            if (key !== undefined && !Object.hasOwn(INHERITED, key)) {
+                return reply.code(422).send({
+                    kind: "unknownKey",
+                    key,
+                });
+            }
+            const keys = key === undefined ? Object.keys(INHERITED) as InheritedKey[] : [key as InheritedKey];
+            return { lineage: lineage(place), values: keys.map(name => explain(treeOf(host), name, place)) };
+        },
+    );
+    app.get("/status", (req, reply) => {
+        if (!allow(host, req, reply, "read")) return reply;
+        return statusOf(host);
+    });
+    app.post<{ Body: Static<typeof EditBody> }>(
+        "/settings/edits",
+        { schema: { body: EditBody } },
+        async (req, reply) => {
+            const operator = allow(host, req, reply, "edit");
+            if (!operator) return reply;
+            const { editId, why, onlyAt, changes } = req.body;
+            const result = await host.store.edit(
+                { editId, why, onlyAt, changes: changes as Change[], who: operator.name, at: Date.now() },
+                host.feed.inForce,
+                host.signal,
+            );
+            if (result.kind === "accepted") {
+                if (result.snapshot) host.feed.offer(result.snapshot, "edit");
+                else await host.feed.refresh();
+            }
+            host.log.info({
+                edit: editId,
+                who: operator.name,
+                result: result.kind,
+                version: "version" in result ? result.version : undefined,
+            }, "settings_edit");
+            return reply.code(EDIT_STATUS[result.kind]).send({ ...result, snapshot: undefined });
+        },
+    );
+    app.get<{ Params: { id: string } }>("/settings/outcome/:id", async (req, reply) => {
+        if (!allow(host, req, reply, "read")) return reply;
+        const found = await host.store.outcome(req.params.id, host.signal);
+        if (!found.ok) return reply.code(503).send({ kind: "away" });
+        return found.value === undefined ? { kind: "notAccepted" } : { kind: "accepted", version: found.value };
+    });
+}
+
+/** What this host knows of itself. */
+export function statusOf(host: Host): object {
+    const inForce = host.feed.inForce;
+    return {
+        host: host.cfg["host.name"],
+        hall: host.cfg["host.hall"],
+        version: inForce?.snapshot.head.version ?? 0,
+        since: inForce?.since,
+        stopping: host.runs.stopping,
+        open: host.runs.size,
+        waiting: host.engines.view.waiting.length,
+        endpoints: [...host.engines.view.endpoints.values(), ...host.plain.view.endpoints.values()].map(view => ({
+            id: view.cfg.id,
+            streams: view.streams.size,
+            others: view.others.streams,
+            leavingBy: view.leavingBy,
+            ejected: view.breaker.openUntil > 0,
+        })),
+    };
+}
+
+/** The trail up to a version, or an answer that says why there is none. */
+async function readTrail(
+    host: Host,
+    req: FastifyRequest,
+    reply: FastifyReply,
+): Promise<readonly AuditEntry[] | undefined> {
+    if (!allow(host, req, reply, "read")) return undefined;
+    const found = await host.store.trail(host.signal);
+    if (found.ok) return found.value;
+    await reply.code(503).send({ kind: "away" });
+    return undefined;
+}
+
+function trailRoutes(host: Host, app: FastifyInstance): void {
+    app.get("/settings/log", async (req, reply) => {
+        const trail = await readTrail(host, req, reply);
+        return trail ? { entries: trail } : reply;
+    });
+    app.get<{ Params: { version: string } }>("/settings/version/:version", async (req, reply) => {
+        const trail = await readTrail(host, req, reply);
+        if (!trail) return reply;
+        const version = Number(req.params.version);
+        const replayed = replay(trail.slice(0, version));
+        if (!replayed.ok || !(version >= 1 && version <= trail.length)) {
+            return reply.code(404).send({ kind: "noSuchVersion" });
+        }
+        return { version, tree: replayed.tree, ini: writeTree(replayed.tree) };
+    });
+    app.get("/settings/verify", async (req, reply) => {
+        const trail = await readTrail(host, req, reply);
+        if (!trail) return reply;
+        const replayed = replay(trail);
+        const differences = replayed.ok ? diff(replayed.tree, treeOf(host)) : [];
+        return { complete: replayed.ok && differences.length === 0, versions: trail.length, differences };
+    });
+}
--- /dev/null
+++ b/packages/host/src/placement.ts
@@ -0,0 +1,96 @@
+/**
+ * The shell around the decisions on where requests run: keeps their state, hands in time, carries out what they ask.
+ *
+ * @module
+ */
+import {
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
+    type EndpointCfg,
+    type Job,
+    type LeavingSource,
+    type LoadReport,
+    type RefuseReason,
+    type SchedulerAction,
+    type SchedulerEvent,
+    type SchedulerState,
+    type Variant,
+} from "@drumpaddle/policy";
+
+/** Told what was decided for a request. */
+export interface Placed {
+    onDispatch(endpoint: string, priority: number): void;
+    onRefuse(reason: RefuseReason, detail: string, retryAfterMs: number): void;
+}
+
+/** Waiting requests are looked at this often even when nothing happens. */
+const TICK_MS = 50;
+
+/** Decisions of one host for one kind of service. */
+export class Placement {
+    private state: SchedulerState;
+    private readonly asking = new Map<string, Placed>();
+    private readonly timer: NodeJS.Timeout;
+
+    constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT) {
+        this.state = createScheduler(variant);
+        this.timer = setInterval(() => {
+            if (this.state.waiting.length > 0) this.handle({ kind: "tick" });
+        }, TICK_MS);
+        signal.addEventListener("abort", () => clearInterval(this.timer), { once: true });
+    }
+
+    /** The decisions' state, to be read only. */
+    get view(): SchedulerState {
+        return this.state;
+    }
+
+    setEndpoints(endpoints: readonly EndpointCfg[]): void {
+        this.handle({ kind: "endpoints", endpoints });
+    }
+
+    setLeaving(endpoint: string, source: LeavingSource, leaving: boolean): void {
+        const known = this.state.endpoints.get(endpoint);
+        if (known && known.leavingBy.includes(source) !== leaving) {
+            this.handle({ kind: "leaving", endpoint, source, leaving });
+        }
+    }
+
+    report(endpoint: string, report: LoadReport): void {
+        this.handle({ kind: "report", endpoint, report });
+    }
+
+    /** Asks for an endpoint; the answer comes at once or later, once. */
+    submit(job: Job, avoid: readonly string[], retry: boolean, placed: Placed): void {
+        this.asking.set(job.id, placed);
+        this.handle({ kind: "arrive", job, avoid, retry });
+    }
+
+    /** Takes back a request that waits. */
+    withdraw(job: string): void {
+        this.asking.delete(job);
+        this.handle({ kind: "withdraw", job });
+    }
+
+    progress(job: string, produced: number, meanGapMs: number, maxGapMs: number): void {
+        this.handle({ kind: "progress", job, produced, meanGapMs, maxGapMs });
+    }
+
+    ended(job: string, outcome: "whole" | "cancelled" | "refused" | "failed", produced: number): void {
+        this.handle({ kind: "ended", job, outcome, produced });
+    }
+
+    private handle(event: SchedulerEvent): void {
+        const { state, actions } = decide(this.state, event, performance.now());
+        this.state = state;
+        for (const action of actions) this.carryOut(action);
+    }
+
+    private carryOut(action: SchedulerAction): void {
+        const placed = this.asking.get(action.job);
+        this.asking.delete(action.job);
+        if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority);
+        else placed?.onRefuse(action.reason, action.detail, action.retryAfterMs);
+    }
+}
--- /dev/null
+++ b/packages/host/src/run.ts
@@ -0,0 +1,237 @@
+/**
+ * One request as it is served: the shell around the request's state machine. It owns the attempt's connection, the
+ * timers and the way to the caller; every decision is the machine's.
+ *
+ * @module
+ */
+import type { Job, RefuseReason } from "@drumpaddle/policy";
+import {
+    createRequest,
+    FailCode,
+    Phase,
+    type RequestAction,
+    type RequestCfg,
+    type RequestError,
+    type RequestEvent,
+    type RequestState,
+    step,
+} from "@drumpaddle/request";
+import type { Placement } from "./placement.js";
+
+/** Where an answer goes. All calls are made in order; after `finish` or `fail` there are none. */
+export interface Reply<T> {
+    /** Passes one piece on. */
+    forward(piece: T): void;
+    /** Forgets all that was passed on, which the caller has not seen. */
+    drop(): void;
+    finish(last: T | undefined, tokens: number): void;
+    fail(err: RequestError): void;
+}
+
+/** What an attempt reports to the run that started it. */
+export interface AttemptSink<T> {
+    event(event: RequestEvent, piece?: T): void;
+}
+
+/** How attempts of one protocol are made. */
+export interface AttemptRunner<T> {
+    /** Starts an attempt and reports until the signal ends it. Reports `sending` before its first byte leaves. */
+    start(attempt: string, endpoint: string, priority: number, sink: AttemptSink<T>, signal: AbortSignal): void;
+    resume(
+        attempt: string,
+        endpoint: string,
+        generation: string,
+        from: number,
+        sink: AttemptSink<T>,
+        signal: AbortSignal,
+    ): void;
+    cancel(attempt: string, endpoint: string, generation: string | undefined): void;
+}
+
+/** What a run is told of itself when it has ended. */
+export interface RunEnd {
+    readonly state: RequestState;
+    readonly tokens: number;
+    readonly err?: RequestError | undefined;
+    readonly endpoint?: string | undefined;
+    /** Stall time: the sum of what its gaps lie above the target, in milliseconds. */
+    readonly stallMs: number;
+    readonly firstTokenMs?: number | undefined;
+}
+
+/** What a run needs. */
+export interface RunDeps<T> {
+    readonly cfg: RequestCfg;
+    readonly job: Job;
+    readonly placement: Placement;
+    readonly runner: AttemptRunner<T>;
+    readonly reply: Reply<T>;
+    readonly onGap: (ms: number) => void;
+    readonly onDispatch: (kind: "first" | "retry" | "resume") => void;
+    readonly onEnd: (end: RunEnd) => void;
+}
+
+/** Tokens between two reports of progress to the decisions. */
+const PROGRESS_EVERY = 16;
+
+const REFUSE_CODE: { readonly [K in RefuseReason]: FailCode } = {
+    noEndpoint: FailCode.NoEndpoint,
+    queueFull: FailCode.Overloaded,
+    waitTooLong: FailCode.WaitTooLong,
+    retryBudget: FailCode.Overloaded,
+};
+
+/** A running request. */
+export class Run<T> {
+    private state: RequestState;
+    private piece: T | undefined;
+    private connection: AbortController | undefined;
+    private placedAt: string | undefined;
+    private priority = 0;
+    private readonly startedAt = performance.now();
+    private readonly deadlineTimer: NodeJS.Timeout;
+    private lastTokenAt = 0;
+    private firstTokenMs: number | undefined;
+    private stallMs = 0;
+    private sinceProgress = { tokens: 0, sum: 0, max: 0 };
+
+    constructor(private readonly deps: RunDeps<T>) {
+        const { state, actions } = createRequest(deps.cfg);
+        this.state = state;
+        this.deadlineTimer = setTimeout(() => this.event({ kind: "deadline" }), deps.cfg.deadline - this.startedAt);
+        for (const action of actions) this.carryOut(action);
+    }
+
+    /** Whether it has ended. */
+    get ended(): boolean {
+        return this.state.phase === Phase.Ended;
+    }
+
+    /** Whether it waits for an endpoint. */
+    get waiting(): boolean {
+        return this.state.phase === Phase.Waiting;
+    }
+
+    /** Takes in an event, with the piece of an answer that belongs to it. */
+    event(event: RequestEvent, piece?: T): void {
+        this.piece = piece;
+        const { state, actions } = step(this.state, event);
+        this.state = state;
+        for (const action of actions) this.carryOut(action);
+    }
+
+    private carryOut(action: RequestAction): void {
+        const handler = this.actions[action.kind] as (action: RequestAction) => void;
+        handler(action);
+    }
+
+    private readonly actions: {
+        readonly [K in RequestAction["kind"]]: (action: Extract<RequestAction, { kind: K }>) => void;
+    } = {
+        admit: ({ avoid, retry }) => {
+            this.leave(retry ? "failed" : "cancelled");
+            this.deps.placement.submit(this.deps.job, avoid, retry, {
+                onDispatch: (endpoint, priority) => {
+                    this.placedAt = endpoint;
+                    this.priority = priority;
+                    this.event({ kind: "admitted", endpoint });
+                },
+                onRefuse: (reason, detail, retryAfterMs) => {
+                    this.event({ kind: "notAdmitted", code: REFUSE_CODE[reason], detail, retryAfterMs });
+                },
+            });
+        },
+        dispatch: ({ attempt, endpoint }) => {
+            this.deps.onDispatch(this.state.attempts === 1 ? "first" : "retry");
+            this.deps.runner.start(attempt, endpoint, this.priority, this.sink(attempt), this.connect());
+        },
+        resume: ({ attempt, endpoint, generation, from }) => {
+            this.deps.onDispatch("resume");
+            this.deps.runner.resume(attempt, endpoint, generation, from, this.sink(attempt), this.connect());
+        },
+        cancel: ({ attempt, endpoint, generation }) => {
+            this.connection?.abort();
+            if (this.state.record.sent.includes(attempt)) this.deps.runner.cancel(attempt, endpoint, generation);
+        },
+        forward: ({ index }) => {
+            this.measureToken(index);
+            this.deps.reply.forward(this.piece!);
+        },
+        dropHeld: () => this.deps.reply.drop(),
+        complete: ({ tokens }) => {
+            this.leave("whole");
+            this.deps.reply.finish(this.piece, tokens);
+            this.end(undefined);
+        },
+        fail: ({ err }) => {
+            this.deps.placement.withdraw(this.deps.job.id);
+            this.leave(OUTCOME_OF[err.code] ?? "failed");
+            this.deps.reply.fail(err);
+            this.end(err);
+        },
+    };
+
+    /** A sink that goes quiet when a newer connection takes the attempt over. */
+    private sink(attempt: string): AttemptSink<T> {
+        const connection = this.connection;
+        return {
+            event: (event, piece) => {
+                if (this.connection === connection && this.state.attempt?.id === attempt) this.event(event, piece);
+            },
+        };
+    }
+
+    private connect(): AbortSignal {
+        this.connection?.abort();
+        this.connection = new AbortController();
+        return this.connection.signal;
+    }
+
+    private measureToken(index: number): void {
+        const now = performance.now();
+        if (index === 0) this.firstTokenMs = now - this.startedAt;
+        else {
+            const gap = now - this.lastTokenAt;
+            this.deps.onGap(gap);
+            this.stallMs += Math.max(0, gap - this.deps.job.policy.gapTargetMs);
+            this.sinceProgress.tokens += 1;
+            this.sinceProgress.sum += gap;
+            this.sinceProgress.max = Math.max(this.sinceProgress.max, gap);
+        }
+        this.lastTokenAt = now;
+        if (index === 0 || this.sinceProgress.tokens >= PROGRESS_EVERY) this.reportProgress(index + 1);
+    }
+
+    private reportProgress(produced: number): void {
+        const { tokens, sum, max } = this.sinceProgress;
+        this.sinceProgress = { tokens: 0, sum: 0, max: 0 };
+        this.deps.placement.progress(this.deps.job.id, produced, tokens === 0 ? 0 : sum / tokens, max);
+    }
+
+    private leave(outcome: "whole" | "cancelled" | "refused" | "failed"): void {
+        if (this.placedAt === undefined) return;
+        this.placedAt = undefined;
+        this.deps.placement.ended(this.deps.job.id, outcome, this.state.attempt?.next ?? 0);
+    }
+
+    private end(err: RequestError | undefined): void {
+        clearTimeout(this.deadlineTimer);
+        this.connection?.abort();
+        const { state, stallMs, firstTokenMs } = this;
+        this.deps.onEnd({
+            state,
+            tokens: state.attempt?.next ?? 0,
+            err,
+            endpoint: state.attempt?.endpoint,
+            stallMs,
+            firstTokenMs,
+        });
+    }
+}
+
+/** What a failure says of its endpoint, where it does not say that the endpoint failed. */
+const OUTCOME_OF: Partial<Record<FailCode, "cancelled" | "refused">> = {
+    [FailCode.CallerGone]: "cancelled",
+    [FailCode.DeadlinePassed]: "cancelled",
+    [FailCode.EndpointRefused]: "refused",
+};
--- /dev/null
+++ b/packages/policy/src/breaker.ts
@@ -0,0 +1,54 @@
+/**
+ * Outlier ejection per endpoint: after failures in a row it gets nothing for a while, then one probe.
+ *
+ * @module
+ */
+
+/** What is known of an endpoint's failures. */
+export interface Breaker {
+    /** Failures since the last success. */
+    readonly failures: number;
+    /** Not used until then, in milliseconds on the caller's clock; 0 while closed. */
+    readonly openUntil: number;
+    /** A probe is on its way. */
+    readonly probing: boolean;
+}
+
+const FAILURES_TO_OPEN = 3;
+const FIRST_OPEN_MS = 1_000;
+const LONGEST_OPEN_MS = 30_000;
+
+/** A breaker that lets everything through. */
+export const CLOSED: Breaker = { failures: 0, openUntil: 0, probing: false };
+
+/** Whether a breaker lets a request through: closed, or open long enough that one probe may go. */
+export function mayUse(breaker: Breaker, now: number): boolean {
+    if (breaker.openUntil === 0) return true;
+    return now >= breaker.openUntil && !breaker.probing;
+}
+
+/** The breaker after a request was sent: an open one has its probe on the way. */
+export function onUse(breaker: Breaker): Breaker {
+    return breaker.openUntil === 0 ? breaker : { ...breaker, probing: true };
+}
+
+/**
+ * The breaker after an endpoint served or failed a request.
+ *
+ * @example
+ * ```ts
+ * onResult(CLOSED, false, 1000).failures; // 1
+ * ```
+ */
+export function onResult(breaker: Breaker, good: boolean, now: number): Breaker {
+    if (good) return CLOSED;
+    const failures = breaker.failures + 1;
+    if (failures < FAILURES_TO_OPEN) return { failures, openUntil: 0, probing: false };
+    const open = Math.min(LONGEST_OPEN_MS, FIRST_OPEN_MS * 2 ** (failures - FAILURES_TO_OPEN));
+    return { failures, openUntil: now + open, probing: false };
+}
+
+/** The breaker after a probe ended with nothing learnt, as when its caller left. */
+export function onUnused(breaker: Breaker): Breaker {
+    return breaker.probing ? { ...breaker, probing: false } : breaker;
+}
--- /dev/null
+++ b/packages/policy/src/choose.ts
@@ -0,0 +1,95 @@
+/**
+ * Which endpoint, if any, a request goes to: admission by the memory peak and the pace, then a weighted score.
+ *
+ * @module
+ */
+import { probit } from "simple-statistics";
+import { mayUse } from "./breaker.js";
+import { addCurve, peakOf, streamCurve } from "./curve.js";
+import { type EndpointView, streamCount } from "./endpoint.js";
+import type { Survival } from "./estimate.js";
+import type { Job, Variant } from "./job.js";
+import { batchWithin } from "./pace.js";
+
+/** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
+const MEMORY_RESERVE = 0.03;
+/** A new or returning endpoint takes this many streams at once, and more as it proves itself. */
+const RAMP_START = 8;
+const RAMP_MS = 10_000;
+const RAMP_FULL = 256;
+/** Endpoints of a model that are ejected at the same time, at most; beyond that ejection is ignored. */
+const MOST_EJECTED_SHARE = 0.5;
+
+/** An endpoint that would take a request, with what speaks for it; a lower score is better. */
+export interface Candidate {
+    readonly id: string;
+    readonly score: number;
+}
+
+/**
+ * Endpoints that may be given a request at all: they run the model, are not leaving and not ejected. Where more than
+ * half of a model's endpoints are ejected, ejection is ignored: the fault is then hardly theirs.
+ *
+ * @example
+ * ```ts
+ * usable(views, job, [], now).length;
+ * ```
+ */
+export function usable(
+    views: Iterable<EndpointView>,
+    job: Job,
+    avoid: readonly string[],
+    now: number,
+): readonly EndpointView[] {
+    const serving = [...views].filter(view => view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model));
+    const closed = serving.filter(view => mayUse(view.breaker, now));
+    const kept = closed.length >= serving.length * (1 - MOST_EJECTED_SHARE) ? closed : serving;
+    const fresh = kept.filter(view => !avoid.includes(view.cfg.id));
+    return fresh.length > 0 ? fresh : kept;
+}
+
+/** How many streams an endpoint may have now, by pace and by how long it has been there. */
+function streamLimit(view: EndpointView, job: Job, variant: Variant, now: number): number {
+    const ramp = RAMP_START + (RAMP_FULL - RAMP_START) * Math.max(0, now - view.since) / RAMP_MS;
+    const pace = variant.pace ? batchWithin(view.pace, job.policy.gapTargetMs) : Number.MAX_SAFE_INTEGER;
+    return Math.min(ramp, pace);
+}
+
+/**
+ * The endpoint as a candidate, or undefined where the request must not be added to it now.
+ *
+ * @example
+ * ```ts
+ * assess(view, job, lengths, DEFAULT_VARIANT, now)?.score;
+ * ```
+ */
+export function assess(
+    view: EndpointView,
+    job: Job,
+    survival: Survival,
+    variant: Variant,
+    now: number,
+): Candidate | undefined {
+    if (variant.admission === "none") return { id: view.cfg.id, score: streamCount(view) };
+    const limit = streamLimit(view, job, variant, now);
+    const streams = streamCount(view) + 1;
+    if (streams > limit) return undefined;
+    const room = view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
+    const peak = peakWith(view, job, survival, variant);
+    // A request that is larger than any plan allows still runs, alone.
+    if (peak > room && streams > 1) return undefined;
+    const { weightTail, weightStall, weightPrefix } = job.policy;
+    const cached = variant.prefix && view.prefixes.has(job.prefix)
+        ? job.prefixTokens / Math.max(1, job.promptTokens)
+        : 0;
+    const score = weightTail * streams / Math.min(limit, RAMP_FULL) + weightStall * peak / room - weightPrefix * cached;
+    return { id: view.cfg.id, score };
+}
+
+/** The planned peak with the request added, by the variant's rule. */
+function peakWith(view: EndpointView, job: Job, survival: Survival, variant: Variant): number {
+    const running = addCurve(view.curve, view.others.curve, 1);
+    if (variant.admission === "free") return running.mean[0]! + job.promptTokens;
+    const total = addCurve(running, streamCurve(survival, job.promptTokens, 0), 1);
+    return peakOf(total, probit(job.policy.quantile), 0);
+}
--- /dev/null
+++ b/packages/policy/src/curve.ts
@@ -0,0 +1,80 @@
+/**
+ * What running streams will hold of an engine's memory, as a curve over the tokens to come.
+ *
+ * At each point of the horizon a stream holds its prompt, what it has produced and what it will have produced, if it is
+ * still running then; a sum over streams has a mean and a variance, and the peak is asked for at a quantile by the normal
+ * approximation.
+ *
+ * @module
+ */
+import { chanceToReach, type Survival } from "./estimate.js";
+
+/** Points of the horizon, in tokens from now. Streams of one engine advance together, a token a step. */
+export const HORIZON: readonly number[] = [0, 32, 96, 224, 480, 992, 2_016, 4_064, 8_160];
+
+/** Mean and variance of the tokens held at each point of the horizon. */
+export interface Curve {
+    readonly mean: Float64Array;
+    readonly variance: Float64Array;
+}
+
+/** Nothing held. */
+export function zeroCurve(): Curve {
+    return { mean: new Float64Array(HORIZON.length), variance: new Float64Array(HORIZON.length) };
+}
+
+/**
+ * The curve of one stream.
+ *
+ * @param held Tokens it holds now: prompt and produced output.
+ * @param produced Output tokens so far.
+ *
+ * @example
+ * ```ts
+ * streamCurve(lengths, 1200, 40).mean[0]; // 1200
+ * ```
+ */
+export function streamCurve(survival: Survival, held: number, produced: number): Curve {
+    const curve = zeroCurve();
+    for (const [at, ahead] of HORIZON.entries()) {
+        const alive = chanceToReach(survival, produced, produced + ahead);
+        const size = held + ahead;
+        curve.mean[at] = alive * size;
+        curve.variance[at] = alive * (1 - alive) * size * size;
+    }
+    return curve;
+}
+
+/**
+ * The sum of two curves, the second one weighted (`-1` takes it away).
+ *
+ * @example
+ * ```ts
+ * addCurve(total, streamCurve(lengths, 100, 0), 1);
+ * ```
+ */
+export function addCurve(a: Curve, b: Curve, weight: number): Curve {
+    const sum = zeroCurve();
+    for (let at = 0; at < HORIZON.length; at++) {
+        sum.mean[at] = a.mean[at]! + weight * b.mean[at]!;
+        sum.variance[at] = Math.max(0, a.variance[at]! + weight * b.variance[at]!);
+    }
+    return sum;
+}
+
+/**
+ * The largest memory over the horizon at `z` standard deviations, with `extra` tokens held throughout.
+ *
+ * @example
+ * ```ts
+ * peakOf(addCurve(running, candidate, 1), 2.05, 0) <= memoryTokens;
+ * ```
+ */
+export function peakOf(curve: Curve, z: number, extra: number): number {
+    let peak = 0;
+    for (let at = 0; at < HORIZON.length; at++) {
+        const size = curve.mean[at]! + z * Math.sqrt(curve.variance[at]!) + extra;
+        if (size > peak) peak = size;
+    }
+    return peak;
+}
--- /dev/null
+++ b/packages/policy/src/endpoint.ts
@@ -0,0 +1,209 @@
+/**
+ * What one host knows of one endpoint, as a value: its own streams there, the last load report, the fitted pace, what
+ * is cached, and who says that it is leaving.
+ *
+ * @module
+ */
+import { type Breaker, CLOSED } from "./breaker.js";
+import { addCurve, type Curve, HORIZON, streamCurve, zeroCurve } from "./curve.js";
+import type { Survival } from "./estimate.js";
+import type { Job } from "./job.js";
+import { createPace, type PaceFit } from "./pace.js";
+
+/** Sources that may say that an endpoint is leaving; each takes back only its own word. */
+export type LeavingSource = "settings" | "hostList" | "endpoint";
+
+/** What is declared of an endpoint. */
+export interface EndpointCfg {
+    readonly id: string;
+    readonly hall: string;
+    readonly models: readonly string[];
+    readonly memoryTokens: number;
+}
+
+/** One of this host's streams on an endpoint. */
+export interface Running {
+    readonly job: Job;
+    readonly survival: Survival;
+    readonly produced: number;
+    readonly dispatchedAt: number;
+    readonly started: boolean;
+    readonly curve: Curve;
+}
+
+/** A load report, which the endpoint made at `at` on this host's clock and which may be seconds old. */
+export interface LoadReport {
+    readonly at: number;
+    readonly running: number;
+    readonly waiting: number;
+    readonly memoryUsed: number;
+}
+
+/** A stream that ended lately, kept until load reports that still count it are past. */
+interface LatelyEnded {
+    readonly dispatchedAt: number;
+    readonly endedAt: number;
+    readonly held: number;
+}
+
+/** What other hosts have on the endpoint. */
+export interface Others {
+    readonly streams: number;
+    readonly curve: Curve;
+}
+
+/** One endpoint as this host sees it. */
+export interface EndpointView {
+    readonly cfg: EndpointCfg;
+    readonly since: number;
+    readonly leavingBy: readonly LeavingSource[];
+    readonly streams: ReadonlyMap<string, Running>;
+    /** Sum over own streams. */
+    readonly curve: Curve;
+    readonly others: Others;
+    readonly pace: PaceFit;
+    readonly breaker: Breaker;
+    readonly latelyEnded: readonly LatelyEnded[];
+    /** Prompt starts that the endpoint has probably cached, the latest use last. */
+    readonly prefixes: ReadonlyMap<string, number>;
+}
+
+const NO_OTHERS: Others = { streams: 0, curve: zeroCurve() };
+/** Reports are at most this old: letter 1's engines lag by 0.5 to 5 s. */
+const LONGEST_LAG_MS = 6_000;
+const MAX_PREFIXES = 64;
+/** How streams of other hosts are taken to grow where too few own streams tell. */
+const ASSUMED_GROWTH = 1.1;
+const LEAST_OWN_FOR_GROWTH = 4;
+const GROWTH_BOUNDS = [0.1, 1.6] as const;
+
+/** A newly seen endpoint. */
+export function createEndpoint(cfg: EndpointCfg, now: number): EndpointView {
+    return {
+        cfg,
+        since: now,
+        leavingBy: [],
+        streams: new Map(),
+        curve: zeroCurve(),
+        others: NO_OTHERS,
+        pace: createPace(),
+        breaker: CLOSED,
+        latelyEnded: [],
+        prefixes: new Map(),
+    };
+}
+
+/** Own and other hosts' streams. */
+export function streamCount(view: EndpointView): number {
+    return view.streams.size + view.others.streams;
+}
+
+/**
+ * The endpoint after a request was given to it.
+ *
+ * @example
+ * ```ts
+ * addStream(view, job, lengths, now).streams.size;
+ * ```
+ */
+export function addStream(view: EndpointView, job: Job, survival: Survival, now: number): EndpointView {
+    const curve = streamCurve(survival, job.promptTokens, 0);
+    const running: Running = { job, survival, produced: 0, dispatchedAt: now, started: false, curve };
+    return {
+        ...view,
+        streams: new Map(view.streams).set(job.id, running),
+        curve: addCurve(view.curve, curve, 1),
+        prefixes: job.prefix === "" ? view.prefixes : touchPrefix(view.prefixes, job),
+    };
+}
+
+function touchPrefix(prefixes: ReadonlyMap<string, number>, job: Job): ReadonlyMap<string, number> {
+    const next = new Map(prefixes);
+    next.delete(job.prefix);
+    next.set(job.prefix, job.prefixTokens);
+    const oldest = next.keys().next().value;
+    if (next.size > MAX_PREFIXES && oldest !== undefined) next.delete(oldest);
+    return next;
+}
+
+/** The endpoint after one of its streams went on to `produced` tokens, with its survival as known now. */
+export function moveStream(view: EndpointView, id: string, produced: number, survival: Survival): EndpointView {
+    const running = view.streams.get(id);
+    if (!running) return view;
+    const curve = streamCurve(survival, running.job.promptTokens + produced, produced);
+    const next: Running = { ...running, produced, survival, curve, started: true };
+    return {
+        ...view,
+        streams: new Map(view.streams).set(id, next),
+        curve: addCurve(addCurve(view.curve, running.curve, -1), curve, 1),
+    };
+}
+
+/** The endpoint after one of its streams ended, however it did. */
+export function removeStream(view: EndpointView, id: string, now: number): EndpointView {
+    const running = view.streams.get(id);
+    if (!running) return view;
+    const streams = new Map(view.streams);
+    streams.delete(id);
+    const ended: LatelyEnded = {
+        dispatchedAt: running.dispatchedAt,
+        endedAt: now,
+        held: running.job.promptTokens + running.produced,
+    };
+    const kept = view.latelyEnded.filter(old => now - old.endedAt < LONGEST_LAG_MS);
+    // With no stream left the sum is set to zero, so that rounding does not add up over days.
+    const curve = streams.size === 0 ? zeroCurve() : addCurve(view.curve, running.curve, -1);
+    return { ...view, streams, curve, latelyEnded: [...kept, ended] };
+}
+
+/**
+ * The endpoint after a load report: what the report counts beyond this host's own streams of that time is held by other
+ * hosts. Without correction for the lag, own streams are counted as they stand now.
+ *
+ * @example
+ * ```ts
+ * takeReport(view, { at: now - 800, running: 12, waiting: 0, memoryUsed: 30_000 }, true).others.streams;
+ * ```
+ */
+export function takeReport(view: EndpointView, report: LoadReport, lagCorrection: boolean): EndpointView {
+    let ownStreams = 0;
+    let ownHeld = 0;
+    for (const stream of view.streams.values()) {
+        if (lagCorrection && stream.dispatchedAt > report.at) continue;
+        ownStreams += 1;
+        ownHeld += stream.job.promptTokens + stream.produced;
+    }
+    for (const ended of lagCorrection ? view.latelyEnded : []) {
+        if (ended.dispatchedAt > report.at || ended.endedAt <= report.at) continue;
+        ownStreams += 1;
+        ownHeld += ended.held;
+    }
+    const streams = Math.max(0, report.running + report.waiting - ownStreams);
+    const held = streams === 0 ? 0 : Math.max(0, report.memoryUsed - ownHeld);
+    return { ...view, others: { streams, curve: grownLike(view, held) } };
+}
+
+/** A curve for memory whose streams are not known, shaped like that of own streams. */
+function grownLike(view: EndpointView, held: number): Curve {
+    const curve = zeroCurve();
+    const own = view.curve.mean[0]!;
+    const [least, most] = GROWTH_BOUNDS;
+    for (let at = 0; at < HORIZON.length; at++) {
+        const growth = view.streams.size >= LEAST_OWN_FOR_GROWTH && own > 0
+            ? view.curve.mean[at]! / own
+            : ASSUMED_GROWTH;
+        curve.mean[at] = held * Math.min(most, Math.max(least, growth));
+        const ownSquare = own * own;
+        const relative = view.streams.size >= LEAST_OWN_FOR_GROWTH && ownSquare > 0
+            ? view.curve.variance[at]! / ownSquare
+            : 0.01;
+        curve.variance[at] = held * held * Math.min(1, relative);
+    }
+    return curve;
+}
+
+/** The endpoint after a source said whether it is leaving. */
+export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean): EndpointView {
+    const others = view.leavingBy.filter(other => other !== source);
+    return { ...view, leavingBy: leaving ? [...others, source] : others };
+}
--- /dev/null
+++ b/packages/policy/src/estimate.ts
@@ -0,0 +1,178 @@
+/**
+ * Length estimates: the chance that an output passes each further token, given those already produced.
+ *
+ * A group's evidence is a life table over buckets of token counts: how many outputs entered each bucket, and how many
+ * ended in it (the Kaplan-Meier estimator, Kaplan and Meier 1958, which counts running and cancelled outputs rightly: an
+ * output that is still running is evidence of length, not of shortness). A narrow group with little evidence leans on
+ * the wider group around it, with the strength of {@link PRIOR_STRENGTH} outputs.
+ *
+ * @module
+ */
+import { emptyMap, getIn, setIn, type ShardMap } from "./shard-map.js";
+
+/** Lower edges of the buckets, in tokens: about two a doubling, up to 92,681. */
+export const EDGES: readonly number[] = [0, ...Array.from({ length: 28 }, (_, i) => Math.round(8 * 2 ** (i / 2)))];
+/** How many outputs of the narrow group weigh as much as the wider group's rate. */
+export const PRIOR_STRENGTH = 8;
+/** Chance to end within a bucket where nothing at all is known: a median of about 180 tokens with a heavy tail. */
+const UNKNOWN_HAZARD = 0.085;
+/** Evidence above this many outputs a bucket is scaled down, so that yesterday's habits fade. */
+const MAX_EVIDENCE = 400;
+/** Largest chance to end in one bucket that is believed; keeps logarithms finite. */
+const MAX_HAZARD = 0.999;
+
+/** Evidence of one group, by bucket. */
+interface LifeTable {
+    readonly entered: Float32Array;
+    readonly ended: Float32Array;
+}
+
+/** Evidence of all groups. */
+export interface Estimates {
+    readonly tables: ShardMap<LifeTable>;
+}
+
+/** Whose outputs to look at. */
+export interface Group {
+    readonly workspace: string;
+    readonly service: string;
+    readonly model: string;
+}
+
+/** Survival of one group's outputs. `logSurvival[i]` is the logarithm of the chance to reach `EDGES[i]`. */
+export interface Survival {
+    readonly logSurvival: Float64Array;
+    /** The caller's own bound on the output, in tokens. */
+    readonly maxTokens: number;
+}
+
+/** No evidence at all. */
+export function createEstimates(): Estimates {
+    return { tables: emptyMap() };
+}
+
+/** A group's own key and those of the wider groups around it, the widest first. */
+function groupKeys({ workspace, service, model }: Group): readonly string[] {
+    return ["", `m|${model}`, `s|${service}|${model}`, `w|${workspace}|${service}|${model}`];
+}
+
+/** The bucket that holds a token count. */
+function bucketOf(tokens: number): number {
+    let low = 0;
+    let high = EDGES.length - 1;
+    while (low < high) {
+        const mid = (low + high + 1) >> 1;
+        if (EDGES[mid]! <= tokens) low = mid;
+        else high = mid - 1;
+    }
+    return low;
+}
+
+/**
+ * The evidence after an output went from `from` to `to` tokens. Call it while a stream runs and once at its end, each
+ * time from where the last call stopped.
+ *
+ * @param ended True where the output ended by itself at `to`; false where it goes on or was cut off.
+ *
+ * @example
+ * ```ts
+ * let estimates = observe(createEstimates(), group, 0, 64, false);
+ * estimates = observe(estimates, group, 64, 90, true);
+ * ```
+ */
+export function observe(estimates: Estimates, group: Group, from: number, to: number, ended: boolean): Estimates {
+    const first = from === 0 ? 0 : bucketOf(from) + 1;
+    const last = bucketOf(to);
+    if (first > last && !ended) return estimates;
+    let tables = estimates.tables;
+    for (const key of groupKeys(group)) {
+        tables = setIn(tables, key, addEvidence(getIn(tables, key), first, last, ended));
+    }
+    return { tables };
+}
+
+function addEvidence(table: LifeTable | undefined, first: number, last: number, ended: boolean): LifeTable {
+    const entered = table ? table.entered.slice() : new Float32Array(EDGES.length);
+    const died = table ? table.ended.slice() : new Float32Array(EDGES.length);
+    for (let at = first; at <= last; at++) {
+        entered[at]! += 1;
+        if (entered[at]! > MAX_EVIDENCE) fade(entered, died, at);
+    }
+    if (ended) died[last]! += 1;
+    return { entered, ended: died };
+}
+
+function fade(entered: Float32Array, died: Float32Array, at: number): void {
+    entered[at]! /= 2;
+    died[at]! /= 2;
+}
+
+/**
+ * The survival of a group's outputs by the evidence so far.
+ *
+ * @example
+ * ```ts
+ * const lengths = survivalOf(estimates, group, 4096);
+ * chanceToReach(lengths, 100, 500); // of those that reached 100 tokens, the share that reaches 500
+ * ```
+ */
+export function survivalOf(estimates: Estimates, group: Group, maxTokens: number): Survival {
+    const tables = groupKeys(group).map(key => getIn(estimates.tables, key));
+    const logSurvival = new Float64Array(EDGES.length + 1);
+    for (let at = 0; at < EDGES.length; at++) {
+        let hazard = UNKNOWN_HAZARD;
+        for (const table of tables) {
+            if (!table) continue;
+            hazard = (table.ended[at]! + PRIOR_STRENGTH * hazard) / (table.entered[at]! + PRIOR_STRENGTH);
+        }
+        logSurvival[at + 1] = logSurvival[at]! + Math.log1p(-Math.min(hazard, MAX_HAZARD));
+    }
+    return { logSurvival, maxTokens };
+}
+
+/** Survival of an output whose length is known: for the all-knowing comparison in measurements. */
+export function knownLength(tokens: number): Survival {
+    return { logSurvival: new Float64Array(EDGES.length + 1), maxTokens: tokens };
+}
+
+function logSurvivalAt(survival: Survival, tokens: number): number {
+    const at = bucketOf(tokens);
+    const low = EDGES[at]!;
+    const high = EDGES[at + 1] ?? low * 2;
+    const share = Math.min(1, (tokens - low) / (high - low));
+    const from = survival.logSurvival[at]!;
+    return from + share * (survival.logSurvival[at + 1]! - from);
+}
+
+/**
+ * Of the outputs that reached `from` tokens, the share that reaches `to`.
+ *
+ * @example
+ * ```ts
+ * chanceToReach(lengths, 0, 0); // 1
+ * ```
+ */
+export function chanceToReach(survival: Survival, from: number, to: number): number {
+    if (to <= from) return 1;
+    if (to >= survival.maxTokens) return 0;
+    return Math.exp(logSurvivalAt(survival, to) - logSurvivalAt(survival, from));
+}
+
+/**
+ * The length that a given share of outputs does not pass, given that `from` tokens were reached.
+ *
+ * @example
+ * ```ts
+ * quantileLength(lengths, 0, 0.5); // the median
+ * ```
+ */
+export function quantileLength(survival: Survival, from: number, share: number): number {
+    let low = from;
+    let high = Math.min(survival.maxTokens, EDGES.at(-1)! * 2);
+    while (high - low > 1) {
+        const mid = Math.floor((low + high) / 2);
+        if (chanceToReach(survival, from, mid) > 1 - share) low = mid;
+        else high = mid;
+    }
+    return high;
+}
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,50 @@
+export { type Breaker, CLOSED, mayUse, onResult, onUnused, onUse } from "./breaker.js";
+export { assess, type Candidate, usable } from "./choose.js";
+export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
+export {
+    createEndpoint,
+    type EndpointCfg,
+    type EndpointView,
+    type LeavingSource,
+    type LoadReport,
+    type Others,
+    type Running,
+    streamCount,
+    takeReport,
+} from "./endpoint.js";
+export {
+    chanceToReach,
+    createEstimates,
+    EDGES,
+    type Estimates,
+    type Group,
+    knownLength,
+    observe,
+    quantileLength,
+    type Survival,
+    survivalOf,
+} from "./estimate.js";
+export { DEFAULT_VARIANT, type Job, type JobPolicy, type Priority, PRIORITY_RANK, type Variant } from "./job.js";
+export {
+    createLimits,
+    type LimitRefusal,
+    type LimitState,
+    reserve,
+    type ReserveResult,
+    settle,
+    type Settlement,
+    type WorkspaceLimits,
+} from "./limits.js";
+export { batchWithin, createPace, observePace, type PaceFit, type PaceLine, paceLine } from "./pace.js";
+export { expectedWait } from "./queue.js";
+export { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
+export {
+    createScheduler,
+    decide,
+    type Decision,
+    type JobOutcome,
+    type RefuseReason,
+    type SchedulerAction,
+    type SchedulerEvent,
+    type SchedulerState,
+} from "./scheduler.js";
--- /dev/null
+++ b/packages/policy/src/job.ts
@@ -0,0 +1,66 @@
+/**
+ * What the decisions know of one request, and how the deployment weighs it.
+ *
+ * @module
+ */
+import type { Group } from "./estimate.js";
+
+/** Rank of a request's class; the higher goes first and is displaced last. */
+export const PRIORITY_RANK = { live: 20, normal: 10, batch: 0 } as const;
+/** Class of a request. */
+export type Priority = keyof typeof PRIORITY_RANK;
+
+/** The part of the settings that decisions use, pinned for the whole request. Times are milliseconds. */
+export interface JobPolicy {
+    readonly priority: Priority;
+    /** Chance that admitted work fits the engine's memory over the horizon. */
+    readonly quantile: number;
+    readonly gapTargetMs: number;
+    readonly weightTail: number;
+    readonly weightStall: number;
+    readonly weightPrefix: number;
+    readonly maxWaitMs: number;
+    readonly queueLimit: number;
+    readonly retryShare: number;
+}
+
+/** A request as decisions see it. */
+export interface Job {
+    readonly id: string;
+    readonly group: Group;
+    readonly promptTokens: number;
+    readonly maxTokens: number;
+    /** Name of the prompt's shared start, or `""`. */
+    readonly prefix: string;
+    readonly prefixTokens: number;
+    readonly policy: JobPolicy;
+    /** The true length, for the all-knowing comparison in measurements only. */
+    readonly knownTokens?: number | undefined;
+}
+
+/** Variants of the decisions; the defaults are what a daemon runs, the others are baselines and switches for measurement. */
+export interface Variant {
+    /** `peak`: admit by the memory peak at a quantile. `free`: by what is free now. `none`: everything at once. */
+    readonly admission: "peak" | "free" | "none";
+    /** Whether the batch is bounded by the pace model. */
+    readonly pace: boolean;
+    /** `score`: weigh pace, peak and prefix; the others are the usual baselines. */
+    readonly choice: "score" | "twoChoices" | "leastOutstanding" | "roundRobin";
+    /** Whether own dispatches and ends since a load report are counted in. */
+    readonly lagCorrection: boolean;
+    readonly prefix: boolean;
+    readonly priorities: boolean;
+    /** Whether lengths are known ahead (measurement only). */
+    readonly oracle: boolean;
+}
+
+/** What a daemon runs. */
+export const DEFAULT_VARIANT: Variant = {
+    admission: "peak",
+    pace: true,
+    choice: "score",
+    lagCorrection: true,
+    prefix: true,
+    priorities: true,
+    oracle: false,
+};
--- /dev/null
+++ b/packages/policy/src/pace.ts
@@ -0,0 +1,102 @@
+/**
+ * The engine model of pace: time between tokens as a line over the batch, with a margin for the tail, fitted per
+ * endpoint from its own streams.
+ *
+ * @module
+ */
+
+/** Decayed sums of a least-squares line, and a tracked margin above it. Times are milliseconds. */
+export interface PaceFit {
+    readonly weight: number;
+    readonly sumBatch: number;
+    readonly sumGap: number;
+    readonly sumBatchSquared: number;
+    readonly sumBatchGap: number;
+    /** What the largest gaps lie above the line; follows their {@link TAIL_SHARE} quantile. */
+    readonly margin: number;
+}
+
+/** A line: `base + perStream * batch`. */
+export interface PaceLine {
+    readonly base: number;
+    readonly perStream: number;
+}
+
+const DECAY = 0.998;
+/** The quantile of the largest gap of a sample that the margin follows. */
+export const TAIL_SHARE = 0.95;
+const MARGIN_STEP_MS = 0.4;
+const START_MARGIN_MS = 8;
+/** The line that holds before anything was seen, worth {@link PRIOR_WEIGHT} samples at each of two batches. */
+const PRIOR: PaceLine = { base: 10, perStream: 0.3 };
+const PRIOR_WEIGHT = 2;
+const PRIOR_BATCHES = [1, 64] as const;
+
+/** The fit before any sample. */
+export function createPace(): PaceFit {
+    let fit: PaceFit = {
+        weight: 0,
+        sumBatch: 0,
+        sumGap: 0,
+        sumBatchSquared: 0,
+        sumBatchGap: 0,
+        margin: START_MARGIN_MS,
+    };
+    for (const batch of PRIOR_BATCHES) {
+        fit = addSample(fit, batch, PRIOR.base + PRIOR.perStream * batch, PRIOR_WEIGHT, 1);
+    }
+    return fit;
+}
+
+function addSample(fit: PaceFit, batch: number, gap: number, weight: number, decay: number): PaceFit {
+    return {
+        weight: fit.weight * decay + weight,
+        sumBatch: fit.sumBatch * decay + weight * batch,
+        sumGap: fit.sumGap * decay + weight * gap,
+        sumBatchSquared: fit.sumBatchSquared * decay + weight * batch * batch,
+        sumBatchGap: fit.sumBatchGap * decay + weight * batch * gap,
+        margin: fit.margin,
+    };
+}
+
+/**
+ * The fit after a stretch of a stream: its mean and largest gap while about `batch` streams ran.
+ *
+ * @example
+ * ```ts
+ * const fit = observePace(createPace(), 20, 16.5, 24);
+ * ```
+ */
+export function observePace(fit: PaceFit, batch: number, meanGap: number, maxGap: number): PaceFit {
+    const next = addSample(fit, batch, meanGap, 1, DECAY);
+    const { base, perStream } = paceLine(next);
+    const above = maxGap - (base + perStream * batch) > fit.margin;
+    // Stochastic approximation of a quantile (Robbins and Monro 1951): the steps balance at TAIL_SHARE.
+    const margin = fit.margin + MARGIN_STEP_MS * (above ? TAIL_SHARE : TAIL_SHARE - 1);
+    return { ...next, margin: Math.max(0, margin) };
+}
+
+/** The fitted line; neither part is ever negative. */
+export function paceLine(fit: PaceFit): PaceLine {
+    const meanBatch = fit.sumBatch / fit.weight;
+    const meanGap = fit.sumGap / fit.weight;
+    const spread = fit.sumBatchSquared / fit.weight - meanBatch * meanBatch;
+    const together = fit.sumBatchGap / fit.weight - meanBatch * meanGap;
+    const perStream = spread > 1 ? Math.max(0, together / spread) : PRIOR.perStream;
+    return { base: Math.max(0, meanGap - perStream * meanBatch), perStream };
+}
+
+/**
+ * The largest batch whose time between tokens, margin included, stays within a target; at least 1.
+ *
+ * @example
+ * ```ts
+ * batchWithin(fit, 44);
+ * ```
+ */
+export function batchWithin(fit: PaceFit, targetMs: number): number {
+    const { base, perStream } = paceLine(fit);
+    const room = targetMs - fit.margin - base;
+    if (room <= 0) return 1;
+    return perStream === 0 ? Number.MAX_SAFE_INTEGER : Math.max(1, Math.floor(room / perStream));
+}
--- /dev/null
+++ b/packages/policy/src/queue.ts
@@ -0,0 +1,61 @@
+/**
+ * Requests that wait for room: their order, and what a new one can expect.
+ *
+ * @module
+ */
+import { type Job, PRIORITY_RANK } from "./job.js";
+
+/** A request that waits. */
+export interface Waiting {
+    readonly job: Job;
+    readonly since: number;
+    readonly avoid: readonly string[];
+    readonly retry: boolean;
+}
+
+/** How fast waiting requests are started, as a decayed mean; `undefined` before two starts were seen. */
+export interface DrainRate {
+    readonly lastStart: number;
+    readonly meanMs: number;
+}
+
+/** Waiting this long is worth one class of priority, so that nothing starves. */
+const AGE_PER_CLASS_MS = 10_000;
+const CLASS_STEP = 10;
+/** What a workspace that runs everything loses against one that runs nothing. */
+const SHARE_WEIGHT = 8;
+const DRAIN_DECAY = 0.9;
+
+/** How urgent a waiting request is; the higher goes first. `share` is its workspace's part of the running streams. */
+export function urgency(waiting: Waiting, share: number, now: number): number {
+    const age = (now - waiting.since) / AGE_PER_CLASS_MS * CLASS_STEP;
+    return PRIORITY_RANK[waiting.job.policy.priority] + age - SHARE_WEIGHT * share;
+}
+
+/** When a waiting request is given up. */
+export function waitDeadline(waiting: Waiting): number {
+    return waiting.since + waiting.job.policy.maxWaitMs;
+}
+
+/** The drain rate after a waiting request was started. */
+export function onStart(rate: DrainRate | undefined, now: number): DrainRate {
+    if (!rate) return { lastStart: now, meanMs: 0 };
+    const gap = now - rate.lastStart;
+    const meanMs = rate.meanMs === 0 ? gap : DRAIN_DECAY * rate.meanMs + (1 - DRAIN_DECAY) * gap;
+    return { lastStart: now, meanMs };
+}
+
+/**
+ * How long a request with `ahead` others before it will probably wait, in milliseconds.
+ *
+ * @example
+ * ```ts
+ * expectedWait(rate, 12, now);
+ * ```
+ */
+export function expectedWait(rate: DrainRate | undefined, ahead: number, now: number): number {
+    if (!rate) return 0;
+    // A stall since the last start counts too: the queue may have stopped moving.
+    const pause = Math.max(rate.meanMs, now - rate.lastStart);
+    return ahead * (DRAIN_DECAY * rate.meanMs + (1 - DRAIN_DECAY) * pause);
+}
--- /dev/null
+++ b/packages/policy/src/scheduler.ts
@@ -0,0 +1,330 @@
+/**
+ * One host's decisions about where and when requests run: `decide(state, event, now)`.
+ *
+ * Pure: the same state, event and time give the same result, so anyone can drive the decisions of many hosts from one
+ * process. Times are milliseconds on one clock of the caller's choice.
+ *
+ * @module
+ */
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { onResult, onUnused, onUse } from "./breaker.js";
+import { assess, type Candidate, usable } from "./choose.js";
+import {
+    addStream,
+    createEndpoint,
+    type EndpointCfg,
+    type EndpointView,
+    type LeavingSource,
+    type LoadReport,
+    moveStream,
+    type Others,
+    removeStream,
+    setLeaving,
+    takeReport,
+} from "./endpoint.js";
+import { streamCount } from "./endpoint.js";
+import { createEstimates, type Estimates, knownLength, observe, type Survival, survivalOf } from "./estimate.js";
+import { DEFAULT_VARIANT, type Job, PRIORITY_RANK, type Variant } from "./job.js";
+import { observePace } from "./pace.js";
+import { type DrainRate, expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
+import { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
+
+/** All that one host knows for its decisions. */
+export interface SchedulerState {
+    readonly variant: Variant;
+    readonly endpoints: ReadonlyMap<string, EndpointView>;
+    readonly waiting: readonly Waiting[];
+    readonly estimates: Estimates;
+    readonly retries: RetryBudget;
+    readonly drain: DrainRate | undefined;
+    /** Endpoint of each running request. */
+    readonly placed: ReadonlyMap<string, string>;
+    /** Turn of round robin, and the seed of two choices; advances with each choice. */
+    readonly turn: number;
+}
+
+/** How a dispatched request ended at its endpoint. */
+export type JobOutcome = "whole" | "cancelled" | "refused" | "failed";
+
+/** What a host tells its decisions. */
+export type SchedulerEvent =
+    | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
+    | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
+    | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
+    /** What other hosts hold on an endpoint, as told by its owner. */
+    | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
+    | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
+    /** A stream went on: tokens so far, and mean and largest gap since the last such event, in milliseconds. */
+    | {
+        readonly kind: "progress";
+        readonly job: string;
+        readonly produced: number;
+        readonly meanGapMs: number;
+        readonly maxGapMs: number;
+    }
+    | { readonly kind: "ended"; readonly job: string; readonly outcome: JobOutcome; readonly produced: number }
+    /** A caller left before its request was placed. */
+    | { readonly kind: "withdraw"; readonly job: string }
+    | { readonly kind: "tick" };
+
+/** Why a request is refused. */
+export type RefuseReason = "noEndpoint" | "queueFull" | "waitTooLong" | "retryBudget";
+
+/** What a host is asked to do. */
+export type SchedulerAction =
+    | { readonly kind: "dispatch"; readonly job: string; readonly endpoint: string; readonly priority: number }
+    | {
+        readonly kind: "refuse";
+        readonly job: string;
+        readonly reason: RefuseReason;
+        readonly detail: string;
+        readonly retryAfterMs: number;
+    };
+
+/** The next state and what to do. */
+export interface Decision {
+    readonly state: SchedulerState;
+    readonly actions: readonly SchedulerAction[];
+}
+
+/** How many waiting requests are tried when room may have come. */
+const TRIES_PER_DRAIN = 8;
+/** A waiting request that has used this share of its wait lets no later one pass it. */
+const HOLD_SHARE = 0.5;
+/** A wait is refused early only where it is expected to be this many times too long: expectations are rough. */
+const EARLY_REFUSAL = 1.5;
+const LEAST_RETRY_AFTER_MS = 250;
+
+/**
+ * Decisions that know of no endpoint yet.
+ *
+ * @example
+ * ```ts
+ * let { state } = decide(createScheduler(), { kind: "endpoints", endpoints }, now);
+ * ```
+ */
+export function createScheduler(variant: Variant = DEFAULT_VARIANT, seed = 1): SchedulerState {
+    return {
+        variant,
+        endpoints: new Map(),
+        waiting: [],
+        estimates: createEstimates(),
+        retries: createRetryBudget(),
+        drain: undefined,
+        placed: new Map(),
+        turn: seed,
+    };
+}
+
+type Handler<K extends SchedulerEvent["kind"]> = (
+    state: SchedulerState,
+    event: Extract<SchedulerEvent, { kind: K }>,
+    now: number,
+) => Decision;
+
+/**
+ * Advances a host's decisions by one event.
+ *
+ * @example
+ * ```ts
+ * const { state, actions } = decide(before, { kind: "arrive", job, avoid: [], retry: false }, now);
+ * ```
+ */
+export function decide(state: SchedulerState, event: SchedulerEvent, now: number): Decision {
+    const handler = HANDLERS[event.kind] as (state: SchedulerState, event: SchedulerEvent, now: number) => Decision;
+    return handler(state, event, now);
+}
+
+const HANDLERS: { readonly [K in SchedulerEvent["kind"]]: Handler<K> } = {
+    endpoints: (state, { endpoints }, now) => {
+        const next = new Map<string, EndpointView>();
+        for (const cfg of endpoints) {
+            const known = state.endpoints.get(cfg.id);
+            next.set(cfg.id, known ? { ...known, cfg } : createEndpoint(cfg, now));
+        }
+        // An endpoint that is no longer declared keeps its streams until they end.
+        for (const [id, view] of state.endpoints) {
+            if (!next.has(id) && view.streams.size > 0) next.set(id, { ...view, cfg: { ...view.cfg, models: [] } });
+        }
+        return drain({ ...state, endpoints: next }, now);
+    },
+    leaving: (state, { endpoint, source, leaving }, now) => {
+        const changed = withView(state, endpoint, view => setLeaving(view, source, leaving));
+        return leaving ? { state: changed, actions: [] } : drain(changed, now);
+    },
+    report: (state, { endpoint, report }, now) =>
+        drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now),
+    others: (state, { endpoint, others }, now) => drain(withView(state, endpoint, view => ({ ...view, others })), now),
+    arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
+    progress: (state, event, now) => drain(progress(state, event), now),
+    ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
+    withdraw: (state, { job }) => ({
+        state: { ...state, waiting: state.waiting.filter(waiting => waiting.job.id !== job) },
+        actions: [],
+    }),
+    tick: (state, _event, now) => drain(state, now),
+};
+
+function withView(state: SchedulerState, id: string, change: (view: EndpointView) => EndpointView): SchedulerState {
+    const view = state.endpoints.get(id);
+    if (!view) return state;
+    return { ...state, endpoints: new Map(state.endpoints).set(id, change(view)) };
+}
+
+function lengthsOf(state: SchedulerState, job: Job): Survival {
+    if (state.variant.oracle && job.knownTokens !== undefined) return knownLength(job.knownTokens);
+    return survivalOf(state.estimates, job.group, job.maxTokens);
+}
+
+function refuse(job: string, reason: RefuseReason, detail: string, retryAfterMs: number): SchedulerAction {
+    return {
+        kind: "refuse",
+        job,
+        reason,
+        detail,
+        retryAfterMs: Math.max(LEAST_RETRY_AFTER_MS, Math.round(retryAfterMs)),
+    };
+}
+
+function arrive(state: SchedulerState, waiting: Waiting, now: number): Decision {
+    const { job, retry } = waiting;
+    const keys = [`w/${job.group.workspace}`, ...waiting.avoid.map(id => `e/${id}`)];
+    const retries = retry ? spendRetry(state.retries, keys) : earnRetry(state.retries, keys, job.policy.retryShare);
+    if (!retries) {
+        return { state, actions: [refuse(job.id, "retryBudget", "the retry budget is used up", job.policy.maxWaitMs)] };
+    }
+    const paid = { ...state, retries };
+    const known = [...state.endpoints.values()].some(view => view.cfg.models.includes(job.group.model));
+    if (!known) {
+        return {
+            state: paid,
+            actions: [refuse(job.id, "noEndpoint", "no endpoint runs the model", job.policy.maxWaitMs)],
+        };
+    }
+    if (state.waiting.length === 0) {
+        const placed = place(paid, waiting, now);
+        if (placed) return placed;
+    }
+    const wait = expectedWait(state.drain, state.waiting.length, now);
+    if (state.waiting.length >= job.policy.queueLimit) {
+        return { state: paid, actions: [refuse(job.id, "queueFull", "too many requests wait", wait)] };
+    }
+    if (wait > job.policy.maxWaitMs * EARLY_REFUSAL) {
+        return { state: paid, actions: [refuse(job.id, "waitTooLong", "the wait would be too long", wait)] };
+    }
+    return drain({ ...paid, waiting: [...state.waiting, waiting] }, now);
+}
+
+/** Gives a request to the best endpoint that has room; undefined where none has. */
+function place(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
+    const { job } = waiting;
+    const survival = lengthsOf(state, job);
+    const candidates = usable(state.endpoints.values(), job, waiting.avoid, now)
+        .map(view => assess(view, job, survival, state.variant, now))
+        .filter(candidate => candidate !== undefined);
+    if (candidates.length === 0) return undefined;
+    const endpoint = PICK[state.variant.choice](candidates, state.turn);
+    const placed = withView(state, endpoint, view => ({
+        ...addStream(view, job, survival, now),
+        breaker: onUse(view.breaker),
+    }));
+    const next = { ...placed, turn: state.turn + 1, placed: new Map(state.placed).set(job.id, endpoint) };
+    const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
+    return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority }] };
+}
+
+function best(candidates: readonly Candidate[]): string {
+    return candidates.reduce((a, b) => b.score < a.score ? b : a).id;
+}
+
+const PICK: { readonly [K in Variant["choice"]]: (candidates: readonly Candidate[], turn: number) => string } = {
+    score: best,
+    leastOutstanding: best,
+    roundRobin: (candidates, turn) => candidates[turn % candidates.length]!.id,
+    twoChoices: (candidates, turn) => {
+        const random = xoroshiro128plus(turn);
+        const last = candidates.length - 1;
+        const pair = [unsafeUniformIntDistribution(0, last, random), unsafeUniformIntDistribution(0, last, random)];
+        return best(pair.map(at => candidates[at]!));
+    },
+};
+
+function progress(state: SchedulerState, event: Extract<SchedulerEvent, { kind: "progress" }>): SchedulerState {
+    const id = state.placed.get(event.job);
+    const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(event.job);
+    if (id === undefined || !running || event.produced <= running.produced) return state;
+    const estimates = observe(state.estimates, running.job.group, running.produced, event.produced, false);
+    const survival = lengthsOf({ ...state, estimates }, running.job);
+    return withView({ ...state, estimates }, id, view => ({
+        ...moveStream(view, event.job, event.produced, survival),
+        pace: running.started ? observePace(view.pace, streamCount(view), event.meanGapMs, event.maxGapMs) : view.pace,
+    }));
+}
+
+function ended(state: SchedulerState, job: string, outcome: JobOutcome, produced: number, now: number): SchedulerState {
+    const id = state.placed.get(job);
+    const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(job);
+    if (id === undefined || !running) return state;
+    const placed = new Map(state.placed);
+    placed.delete(job);
+    const whole = outcome === "whole";
+    const estimates = produced > running.produced || whole
+        ? observe(state.estimates, running.job.group, running.produced, Math.max(produced, running.produced), whole)
+        : state.estimates;
+    return withView({ ...state, placed, estimates }, id, view => {
+        const breaker = outcome === "cancelled"
+            ? onUnused(view.breaker)
+            : onResult(view.breaker, outcome !== "failed", now);
+        return { ...removeStream(view, job, now), breaker };
+    });
+}
+
+/** Gives up waits that cannot succeed, then starts what fits, the most urgent first. */
+function drain(state: SchedulerState, now: number): Decision {
+    if (state.waiting.length === 0) return { state, actions: [] };
+    const actions: SchedulerAction[] = [];
+    const kept: Waiting[] = [];
+    for (const waiting of state.waiting) {
+        if (now < waitDeadline(waiting)) kept.push(waiting);
+        else {actions.push(
+                refuse(
+                    waiting.job.id,
+                    "waitTooLong",
+                    "no engine had room in time",
+                    expectedWait(state.drain, kept.length, now),
+                ),
+            );}
+    }
+    let next: SchedulerState = { ...state, waiting: kept };
+    for (const waiting of mostUrgent(next, now)) {
+        const placed = place(next, waiting, now);
+        if (!placed) {
+            if (now - waiting.since > waiting.job.policy.maxWaitMs * HOLD_SHARE) break;
+            continue;
+        }
+        next = {
+            ...placed.state,
+            waiting: placed.state.waiting.filter(other => other !== waiting),
+            drain: onStart(next.drain, now),
+        };
+        actions.push(...placed.actions);
+    }
+    return { state: next, actions };
+}
+
+function mostUrgent(state: SchedulerState, now: number): readonly Waiting[] {
+    const running = new Map<string, number>();
+    let total = 0;
+    for (const view of state.endpoints.values()) {
+        for (const { job } of view.streams.values()) {
+            running.set(job.group.workspace, (running.get(job.group.workspace) ?? 0) + 1);
+            total += 1;
+        }
+    }
+    const ranked = state.waiting.map(waiting => {
+        const share = (running.get(waiting.job.group.workspace) ?? 0) / Math.max(1, total);
+        return { waiting, urgency: urgency(waiting, share, now) };
+    });
+    ranked.sort((a, b) => b.urgency - a.urgency);
+    return ranked.slice(0, TRIES_PER_DRAIN).map(({ waiting }) => waiting);
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,34 @@
+export {
+    type BodyError,
+    type BodyFacts,
+    type BodyResult,
+    ChatBody,
+    checkBody,
+    CompletionBody,
+    factsOf,
+    type GenerationBody,
+} from "./completions.js";
+export {
+    cancelStream,
+    type EngineCall,
+    type EngineEnd,
+    type EngineEvent,
+    type EngineLoadReport,
+    type EngineSink,
+    fetchLoad,
+    openStream,
+    type StreamLimits,
+} from "./engine-client.js";
+export { createEtcd, type EtcdCfg } from "./etcd.js";
+export { fetchHosts, type ListedMachine } from "./host-list.js";
+export {
+    type KeyValue,
+    type KvChange,
+    type KvCommit,
+    type KvCondition,
+    type KvEntry,
+    type KvError,
+    kvOk,
+    type KvResult,
+} from "./kv.js";
+export { errText, neverSent } from "./net-error.js";
--- /dev/null
+++ b/packages/request/src/state.ts
@@ -0,0 +1,155 @@
+/**
+ * One request's state as a value, the events that change it and the actions that follow.
+ *
+ * @module
+ */
+import type { FailCode, RequestError } from "./error.js";
+import { type DispatchRecord, NOTHING_SENT } from "./proof.js";
+
+/** Where a request stands. */
+export const Phase = {
+    /** Waiting to be given an endpoint. */
+    Waiting: "waiting",
+    /** Given to an endpoint; no token has come. */
+    Dispatched: "dispatched",
+    /** At least one token has come from the current attempt. */
+    Streaming: "streaming",
+    /** Ended; every later event is ignored. */
+    Ended: "ended",
+} as const;
+/** One of {@link Phase}. */
+export type Phase = typeof Phase[keyof typeof Phase];
+
+/** One dispatch to one endpoint. */
+export interface Attempt {
+    /** Unique over all requests: request id, a dot, the attempt's number from 1. */
+    readonly id: string;
+    readonly endpoint: string;
+    /** Named by the endpoint with its first answer; fixed from then on. */
+    readonly generation?: string;
+    /** Index of the next token to pass on. */
+    readonly next: number;
+    /** Resumes since the last token came; a token resets it. */
+    readonly resumes: number;
+    /** True from a resume's start until its stream answers. */
+    readonly resuming: boolean;
+}
+
+/** Limits of one request, pinned when it was accepted. Times are milliseconds on the host's monotonic clock. */
+export interface RequestCfg {
+    readonly id: string;
+    readonly repeatable: boolean;
+    /** True: tokens go out as they come. False: they are held until the answer is whole. */
+    readonly streamed: boolean;
+    readonly maxAttempts: number;
+    readonly maxResumes: number;
+    readonly deadline: number;
+}
+
+/** Events that were dropped because they did not fit, counted by reason. */
+export interface Discards {
+    readonly duplicate: number;
+    readonly otherAttempt: number;
+    readonly otherGeneration: number;
+    readonly gap: number;
+}
+
+/** A request as a value. */
+export interface RequestState {
+    readonly cfg: RequestCfg;
+    readonly phase: Phase;
+    readonly attempts: number;
+    readonly attempt?: Attempt | undefined;
+    readonly record: DispatchRecord;
+    /** Whether any byte of an answer has gone to the caller. */
+    readonly committed: boolean;
+    readonly tokenSeen: boolean;
+    readonly discards: Discards;
+    /** Endpoints that failed this request and are avoided while others exist. */
+    readonly avoid: readonly string[];
+}
+
+/** Why a stream from an endpoint broke off. */
+export type LossCause = "connect" | "reset" | "idle" | "firstToken" | "invalid" | "resumeRefused" | "reclaimed";
+
+/** What can happen to a request. */
+export type RequestEvent =
+    | { readonly kind: "admitted"; readonly endpoint: string }
+    | {
+        readonly kind: "notAdmitted";
+        readonly code: FailCode;
+        readonly detail: string;
+        readonly retryAfterMs?: number | undefined;
+    }
+    /** The first byte of the attempt is about to leave. */
+    | { readonly kind: "sending"; readonly attempt: string }
+    | {
+        readonly kind: "endpointRefused";
+        readonly attempt: string;
+        readonly detail: string;
+        readonly retryAfterMs?: number | undefined;
+    }
+    | { readonly kind: "opened"; readonly attempt: string; readonly generation: string }
+    | { readonly kind: "token"; readonly attempt: string; readonly generation: string; readonly index: number }
+    /** The endpoint says that the generation is whole with this many tokens. */
+    | { readonly kind: "finished"; readonly attempt: string; readonly generation: string; readonly total: number }
+    | { readonly kind: "lost"; readonly attempt: string; readonly cause: LossCause; readonly detail: string }
+    | { readonly kind: "callerGone" }
+    | { readonly kind: "deadline" }
+    /** The host was told to stop. */
+    | { readonly kind: "stopping" };
+
+/** What a request asks its host to do. */
+export type RequestAction =
+    /** Ask for an endpoint, once more after a failed attempt. */
+    | { readonly kind: "admit"; readonly avoid: readonly string[]; readonly retry: boolean }
+    | { readonly kind: "dispatch"; readonly attempt: string; readonly endpoint: string }
+    /** Pass the token of this event on (or hold it, where the answer is not streamed). */
+    | { readonly kind: "forward"; readonly index: number }
+    /** Forget tokens that are held: the attempt that made them is given up. */
+    | { readonly kind: "dropHeld" }
+    | {
+        readonly kind: "resume";
+        readonly attempt: string;
+        readonly endpoint: string;
+        readonly generation: string;
+        readonly from: number;
+    }
+    | {
+        readonly kind: "cancel";
+        readonly attempt: string;
+        readonly endpoint: string;
+        readonly generation?: string | undefined;
+    }
+    | { readonly kind: "complete"; readonly tokens: number }
+    | { readonly kind: "fail"; readonly err: RequestError };
+
+/** The next state and what to do. */
+export interface Step {
+    readonly state: RequestState;
+    readonly actions: readonly RequestAction[];
+}
+
+const NO_DISCARDS: Discards = { duplicate: 0, otherAttempt: 0, otherGeneration: 0, gap: 0 };
+
+/**
+ * A newly accepted request, which asks to be admitted.
+ *
+ * @example
+ * ```ts
+ * const { state, actions } = createRequest(cfg); // actions: [{ kind: "admit", avoid: [], retry: false }]
+ * ```
+ */
+export function createRequest(cfg: RequestCfg): Step {
+    const state: RequestState = {
+        cfg,
+        phase: Phase.Waiting,
+        attempts: 0,
+        record: NOTHING_SENT,
+        committed: false,
+        tokenSeen: false,
+        discards: NO_DISCARDS,
+        avoid: [],
+    };
+    return { state, actions: [{ kind: "admit", avoid: [], retry: false }] };
+}
--- /dev/null
+++ b/packages/request/src/step.ts
@@ -0,0 +1,197 @@
+/**
+ * The request's decisions: `step(state, event)` gives the next state and the actions. Pure; time enters as events.
+ *
+ * What holds here, whatever the events: a token is passed on only if attempt, generation and index are the expected
+ * ones; nothing is dispatched again once anything has gone out, nor at all where a not-repeatable request may have run;
+ * after the end nothing is passed on.
+ *
+ * @module
+ */
+import { FailCode, failure } from "./error.js";
+import { proveNotRun, recordNeverSent, recordRefused, recordSent } from "./proof.js";
+import {
+    type Attempt,
+    type Discards,
+    type LossCause,
+    Phase,
+    type RequestAction,
+    type RequestEvent,
+    type RequestState,
+    type Step,
+} from "./state.js";
+
+type Handler<K extends RequestEvent["kind"]> = (
+    state: RequestState,
+    event: Extract<RequestEvent, { kind: K }>,
+) => Step;
+
+/**
+ * Advances a request by one event. Events after the end, or of an attempt that is not the current one, change nothing
+ * but the counts of what was discarded.
+ *
+ * @example
+ * ```ts
+ * step(state, { kind: "admitted", endpoint: "e1" }).actions; // [{ kind: "dispatch", attempt: "r1.1", endpoint: "e1" }]
+ * ```
+ */
+export function step(state: RequestState, event: RequestEvent): Step {
+    if (state.phase === Phase.Ended) return { state: discardLate(state, event), actions: [] };
+    const handler = HANDLERS[event.kind] as (state: RequestState, event: RequestEvent) => Step;
+    return handler(state, event);
+}
+
+const HANDLERS: { readonly [K in RequestEvent["kind"]]: Handler<K> } = {
+    admitted: (state, { endpoint }) => {
+        if (state.phase !== Phase.Waiting) return stay(state);
+        const number = state.attempts + 1;
+        const attempt: Attempt = { id: `${state.cfg.id}.${number}`, endpoint, next: 0, resumes: 0, resuming: false };
+        return {
+            state: { ...state, phase: Phase.Dispatched, attempts: number, attempt },
+            actions: [{ kind: "dispatch", attempt: attempt.id, endpoint }],
+        };
+    },
+    notAdmitted: (state, { code, detail, retryAfterMs }) =>
+        state.phase === Phase.Waiting ? fail(state, code, detail, [], retryAfterMs) : stay(state),
+    sending: (state, { attempt }) =>
+        isCurrent(state, attempt) ? stay({ ...state, record: recordSent(state.record, attempt) }) : stay(state),
+    endpointRefused: (state, { attempt, detail, retryAfterMs }) => {
+        if (!isCurrent(state, attempt) || state.phase !== Phase.Dispatched) return stay(state);
+        // An endpoint that already named a generation has begun to run: its refusal proves nothing.
+        if (state.attempt?.generation !== undefined) return breakOff(state, "invalid", "refused after it had begun");
+        const refused = { ...state, record: recordRefused(state.record, attempt) };
+        if (canRetry(refused)) return tryElsewhere(refused, []);
+        return fail(refused, FailCode.EndpointRefused, detail, [], retryAfterMs);
+    },
+    opened: (state, { attempt, generation }) => {
+        const current = state.attempt;
+        if (!current || current.id !== attempt) return stay(discard(state, "otherAttempt"));
+        if (current.generation !== undefined && current.generation !== generation) {
+            return stay(discard(state, "otherGeneration"));
+        }
+        return stay({ ...state, attempt: { ...current, generation, resuming: false } });
+    },
+    token: onToken,
+    finished: (state, { attempt, generation, total }) => {
+        const current = state.attempt;
+        if (!current || current.id !== attempt) return stay(discard(state, "otherAttempt"));
+        if (current.generation !== generation) return stay(discard(state, "otherGeneration"));
+        if (current.next !== total) {
+            return breakOff(discard(state, "gap"), "reset", `ended at ${current.next} of ${total}`);
+        }
+        return {
+            state: { ...state, phase: Phase.Ended, committed: true },
+            actions: [{ kind: "complete", tokens: total }],
+        };
+    },
+    lost: (state, { attempt, cause, detail }) => {
+        if (!isCurrent(state, attempt)) return stay(discard(state, "otherAttempt"));
+        const neverSent = cause === "connect" && state.attempt?.generation === undefined;
+        return breakOff(
+            neverSent ? { ...state, record: recordNeverSent(state.record, attempt) } : state,
+            cause,
+            detail,
+        );
+    },
+    callerGone: state => fail(state, FailCode.CallerGone, "the caller left", cancelCurrent(state)),
+    deadline: state => fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state)),
+    stopping: state =>
+        state.phase === Phase.Waiting
+            ? fail(state, FailCode.Stopping, "this host is stopping", [], 0)
+            : stay(state),
+};
+
+function onToken(state: RequestState, event: Extract<RequestEvent, { kind: "token" }>): Step {
+    const current = state.attempt;
+    if (!current || current.id !== event.attempt) return stay(discard(state, "otherAttempt"));
+    if (current.generation !== event.generation) return stay(discard(state, "otherGeneration"));
+    if (event.index < current.next) return stay(discard(state, "duplicate"));
+    if (event.index > current.next) return onGap(discard(state, "gap"), event);
+    const next: RequestState = {
+        ...state,
+        phase: Phase.Streaming,
+        committed: state.committed || state.cfg.streamed,
+        tokenSeen: true,
+        attempt: { ...current, next: current.next + 1, resumes: 0, resuming: false },
+    };
+    return { state: next, actions: [{ kind: "forward", index: event.index }] };
+}
+
+/** A token beyond the expected one: ask once for the missing ones, and ignore the rest of the broken stream. */
+function onGap(state: RequestState, event: Extract<RequestEvent, { kind: "token" }>): Step {
+    if (state.attempt?.resuming) return stay(state);
+    return breakOff(state, "reset", `token ${event.index} came where ${state.attempt?.next} was expected`);
+}
+
+/** The current attempt's stream broke: resume it, try elsewhere, or end with what is known. */
+function breakOff(state: RequestState, cause: LossCause, detail: string): Step {
+    const current = state.attempt!;
+    const resumable = cause !== "resumeRefused" && cause !== "connect" && cause !== "invalid";
+    if (resumable && current.generation !== undefined && current.resumes < state.cfg.maxResumes) {
+        const attempt = { ...current, resumes: current.resumes + 1, resuming: true };
+        const { id, endpoint, generation, next } = { ...current, generation: current.generation };
+        return {
+            state: { ...state, attempt },
+            actions: [{ kind: "resume", attempt: id, endpoint, generation, from: next }],
+        };
+    }
+    const cancel = cancelCurrent(state);
+    return canRetry(state) ? tryElsewhere(state, cancel) : fail(state, FAIL_CODE[cause], detail, cancel);
+}
+
+const FAIL_CODE: { readonly [K in LossCause]: FailCode } = {
+    connect: FailCode.EndpointLost,
+    reset: FailCode.EndpointLost,
+    idle: FailCode.EndpointSilent,
+    firstToken: FailCode.EndpointSilent,
+    invalid: FailCode.EndpointInvalid,
+    resumeRefused: FailCode.StreamIncomplete,
+    reclaimed: FailCode.EndpointLost,
+};
+
+/** Whether another attempt keeps all promises: nothing went out, and it is repeatable or provably did not run. */
+function canRetry(state: RequestState): boolean {
+    if (state.committed || state.attempts >= state.cfg.maxAttempts) return false;
+    return state.cfg.repeatable || proveNotRun(state.record) !== undefined;
+}
+
+function tryElsewhere(state: RequestState, before: readonly RequestAction[]): Step {
+    const avoid = [...new Set([...state.avoid, state.attempt!.endpoint])];
+    const drop: readonly RequestAction[] = state.phase === Phase.Streaming ? [{ kind: "dropHeld" }] : [];
+    return {
+        state: { ...state, phase: Phase.Waiting, attempt: undefined, avoid, tokenSeen: state.tokenSeen },
+        actions: [...before, ...drop, { kind: "admit", avoid, retry: true }],
+    };
+}
+
+function cancelCurrent(state: RequestState): readonly RequestAction[] {
+    const current = state.attempt;
+    if (!current) return [];
+    return [{ kind: "cancel", attempt: current.id, endpoint: current.endpoint, generation: current.generation }];
+}
+
+function fail(
+    state: RequestState,
+    code: FailCode,
+    detail: string,
+    before: readonly RequestAction[],
+    retryAfterMs?: number,
+): Step {
+    const err = failure(proveNotRun(state.record), state.tokenSeen, code, detail, retryAfterMs);
+    return { state: { ...state, phase: Phase.Ended }, actions: [...before, { kind: "fail", err }] };
+}
+
+function isCurrent(state: RequestState, attempt: string): boolean {
+    return state.attempt?.id === attempt;
+}
+
+function stay(state: RequestState): Step {
+    return { state, actions: [] };
+}
+
+function discard(state: RequestState, reason: keyof Discards): RequestState {
+    return { ...state, discards: { ...state.discards, [reason]: state.discards[reason] + 1 } };
+}
+
+function discardLate(state: RequestState, event: RequestEvent): RequestState {
+    return event.kind === "token" ? discard(state, "otherAttempt") : state;
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,69 @@
+export { adopt, type AdoptResult, completeSnapshot, type InForce, judgeHead, partsToRead } from "./adopt.js";
+export { checkTree, MAX_NODES } from "./check.js";
+export {
+    applyChanges,
+    type ApplyResult,
+    type AuditEntry,
+    type Authorship,
+    type Change,
+    diff,
+    type EditConflict,
+    replay,
+    reverse,
+} from "./edit.js";
+export {
+    describeError,
+    readFiles,
+    type ReadTree,
+    type SettingsError,
+    type SourceFile,
+    type SourcePos,
+    writeTree,
+} from "./ini.js";
+export {
+    encodePart,
+    hashPart,
+    type Head,
+    headOf,
+    joinSnapshot,
+    type PartName,
+    partOf,
+    type Snapshot,
+    type SnapshotError,
+    snapshotOf,
+    splitTree,
+} from "./parts.js";
+export { lineage, type NodePath, type ParsedPath, parsePath, type Place } from "./path.js";
+export {
+    INHERITED,
+    type InheritedKey,
+    type InheritedValue,
+    type KeyDef,
+    keyDef,
+    NAME,
+    NodeKind,
+    OWN,
+} from "./schema.js";
+export {
+    EMPTY,
+    explain,
+    type Explained,
+    type NamedNode,
+    namedNodes,
+    type Settings,
+    settingsAt,
+    type Tree,
+    type TreeNode,
+} from "./tree.js";
+export {
+    choice,
+    count,
+    duration,
+    flag,
+    list,
+    ratio,
+    text,
+    type ValueError,
+    type ValueResult,
+    type ValueType,
+} from "./value.js";
--- /dev/null
+++ b/packages/settings/src/ini.ts
@@ -0,0 +1,178 @@
+/**
+ * The tree in INI: reading files into one tree, and writing a tree back.
+ *
+ * @module
+ */
+import { parse, stringify } from "ini";
+import { type NodePath, parsePath } from "./path.js";
+import { keyDef, NodeKind } from "./schema.js";
+import type { Tree, TreeNode } from "./tree.js";
+
+/** One file of settings. */
+export interface SourceFile {
+    readonly name: string;
+    readonly text: string;
+}
+
+/** Where in the files something stands. `line` counts from 1; 0 where the line is not known. */
+export interface SourcePos {
+    readonly file: string;
+    readonly line: number;
+    readonly section: string;
+    readonly key: string;
+}
+
+/** What can be wrong with declared settings. */
+export type SettingsError =
+    | { readonly kind: "badSection"; readonly pos: SourcePos; readonly allowed: string }
+    | { readonly kind: "unknownKey"; readonly pos: SourcePos }
+    | { readonly kind: "badValue"; readonly pos: SourcePos; readonly found: string; readonly allowed: string }
+    | { readonly kind: "twice"; readonly pos: SourcePos; readonly first: SourcePos }
+    | { readonly kind: "missingKey"; readonly pos: SourcePos }
+    | { readonly kind: "badReference"; readonly pos: SourcePos; readonly found: string; readonly allowed: string }
+    | { readonly kind: "deadOverride"; readonly pos: SourcePos; readonly same: NodePath }
+    | { readonly kind: "lockout"; readonly pos: SourcePos }
+    | { readonly kind: "tooLarge"; readonly pos: SourcePos; readonly found: number; readonly allowed: number };
+
+/** A tree as read, with the place of each value. */
+export interface ReadTree {
+    readonly tree: Tree;
+    readonly errors: readonly SettingsError[];
+    readonly where: (path: NodePath, key: string) => SourcePos;
+}
+
+const SECTION_ALLOWED = "root, hall/H, service/S, workspace/W or their combinations in the order "
+    + "workspace/W/service/S/hall/H, or model/M, endpoint/E, key/K, operator/O";
+
+/**
+ * Reads files of settings into one tree. All errors are gathered; a value with an error is left out.
+ *
+ * @example
+ * ```ts
+ * readFiles([{ name: "a.ini", text: "[root]\nattempts = 2\n" }]).tree; // { root: { attempts: "2" } }
+ * ```
+ */
+export function readFiles(files: readonly SourceFile[]): ReadTree {
+    const tree: Record<NodePath, Record<string, string>> = {};
+    const errors: SettingsError[] = [];
+    const places = new Map<string, SourcePos>();
+    for (const file of files) {
+        const lines = lineIndex(file);
+        for (const [section, node] of sections(file.text)) {
+            readSection(section, node, (key: string) => lines(section, key), { tree, errors, places });
+        }
+    }
+    const where = (path: NodePath, key: string): SourcePos =>
+        places.get(`${path}\n${key}`) ?? { file: "(tree)", line: 0, section: path, key };
+    return { tree, errors, where };
+}
+
+interface Reading {
+    readonly tree: Record<NodePath, Record<string, string>>;
+    readonly errors: SettingsError[];
+    readonly places: Map<string, SourcePos>;
+}
+
+function readSection(path: string, node: TreeNode, pos: (key: string) => SourcePos, into: Reading): void {
+    const parsed = parsePath(path);
+    if (!parsed) {
+        into.errors.push({ kind: "badSection", pos: pos(""), allowed: SECTION_ALLOWED });
+        return;
+    }
+    const target = into.tree[path] ??= {};
+    for (const [key, written] of Object.entries(node)) {
+        const err = checkValue(parsed.kind, key, written, pos(key), into.places.get(`${path}\n${key}`));
+        if (err) {
+            into.errors.push(err);
+            continue;
+        }
+        target[key] = written;
+        into.places.set(`${path}\n${key}`, pos(key));
+    }
+}
+
+function checkValue(
+    kind: NodeKind,
+    key: string,
+    written: string,
+    pos: SourcePos,
+    first: SourcePos | undefined,
+): SettingsError | undefined {
+    const def = keyDef(kind, key);
+    if (!def) return { kind: "unknownKey", pos };
+    if (first) return { kind: "twice", pos, first };
+    const read = def.type.read(written);
+    return read.ok ? undefined : { kind: "badValue", pos, found: read.err.found, allowed: read.err.allowed };
+}
+
+/** Sections of a file in order; the library nests at dots, which names may hold, so dots are kept from it. */
+function sections(source: string): readonly (readonly [string, TreeNode])[] {
+    const escaped = source.replace(/^(\s*\[[^\]]*\])/gm, head => head.replaceAll(".", "\\."));
+    const parsed = parse(escaped, { bracketedArray: false }) as Record<string, unknown>;
+    const found: (readonly [string, TreeNode])[] = [];
+    const loose: Record<string, string> = {};
+    for (const [name, value] of Object.entries(parsed)) {
+        if (typeof value !== "object" || value === null) loose[name] = String(value);
+        else {
+            const node = Object.entries(value).map(([key, written]) => [key, String(written)] as const);
+            found.push([name, Object.fromEntries(node)]);
+        }
+    }
+    return Object.keys(loose).length === 0 ? found : [["", loose], ...found];
+}
+
+/** Finds the line of a section's key, since the INI library keeps none. */
+function lineIndex(file: SourceFile): (section: string, key: string) => SourcePos {
+    const lines = new Map<string, number>();
+    let section = "";
+    for (const [at, line] of file.text.split(/\r?\n/).entries()) {
+        const head = /^\s*\[([^\]]*)\]/.exec(line);
+        if (head) section = head[1]!.trim();
+        const key = head ? "" : /^\s*([^=;#\s]+)\s*(?:=|$)/.exec(line)?.[1];
+        if (key !== undefined && !lines.has(`${section}\n${key}`)) lines.set(`${section}\n${key}`, at + 1);
+    }
+    return (name, key) => ({ file: file.name, line: lines.get(`${name}\n${key}`) ?? 0, section: name, key });
+}
+
+/**
+ * Writes a tree as one INI text with its nodes in a fixed order, so that equal trees give equal texts.
+ *
+ * @example
+ * ```ts
+ * writeTree({ root: { attempts: "2" } }); // "[root]\nattempts = 2\n"
+ * ```
+ */
+export function writeTree(tree: Tree): string {
+    const chunks = Object.keys(tree).sort().map(path => {
+        const node = tree[path]!;
+        const sorted = Object.fromEntries(Object.keys(node).sort().map(key => [key, node[key]!]));
+        return `[${path}]\n${stringify(sorted, { whitespace: true })}`;
+    });
+    return chunks.join("\n");
+}
+
+/**
+ * An error in one line, for people: file, line, section, key, what was found and what is allowed.
+ *
+ * @example
+ * ```ts
+ * describeError(err); // "halls.ini:3 [root] attempts: found \"x\", allowed: a whole number from 1 to 10, k and M allowed"
+ * ```
+ */
+export function describeError(err: SettingsError): string {
+    const { file, line, section, key } = err.pos;
+    const head = `${file}:${line} [${section}] ${key}`.trimEnd();
+    return `${head}: ${DESCRIBE[err.kind](err as never)}`;
+}
+
+const DESCRIBE: { readonly [K in SettingsError["kind"]]: (err: Extract<SettingsError, { kind: K }>) => string } = {
+    badSection: err => `no such kind of section, allowed: ${err.allowed}`,
+    unknownKey: () => "unknown key for this section",
+    badValue: err => `found ${JSON.stringify(err.found)}, allowed: ${err.allowed}`,
+    twice: err => `set twice, first at ${err.first.file}:${err.first.line}`,
+    missingKey: () => "this key must be given",
+    badReference: err => `found ${JSON.stringify(err.found)}, allowed: ${err.allowed}`,
+    deadOverride: err => `has no effect: the value is already that of ${err.same}`,
+    lockout: () => "no operator with the role edit would be left",
+    tooLarge: err => `found ${err.found}, allowed at most ${err.allowed}`,
+};
--- /dev/null
+++ b/packages/settings/src/path.ts
@@ -0,0 +1,80 @@
+/**
+ * Names of nodes: a path such as `workspace/payroll/service/scribe/hall/k1`.
+ *
+ * @module
+ */
+import { NAME, NodeKind } from "./schema.js";
+
+/** A node's name as it stands in a section's head. */
+export type NodePath = string;
+
+/** A path taken apart. `kind` is that of its first word. */
+export interface ParsedPath {
+    readonly kind: NodeKind;
+    readonly workspace?: string;
+    readonly service?: string;
+    readonly hall?: string;
+    /** The name of a model, endpoint, key or operator. */
+    readonly name?: string;
+}
+
+/** The place that a request stands in; each part may be open. */
+export interface Place {
+    readonly workspace?: string | undefined;
+    readonly service?: string | undefined;
+    readonly hall?: string | undefined;
+}
+
+const COMBINED = ["workspace", "service", "hall"] as const;
+
+/**
+ * Takes a path apart; undefined if it is none.
+ *
+ * @example
+ * ```ts
+ * parsePath("workspace/payroll/hall/k1"); // { kind: "workspace", workspace: "payroll", hall: "k1" }
+ * ```
+ */
+export function parsePath(path: NodePath): ParsedPath | undefined {
+    if (path === NodeKind.Root) return { kind: NodeKind.Root };
+    const words = path.split("/");
+    if (words.length % 2 !== 0 || words.length > 6) return undefined;
+    const kind = words[0] as NodeKind;
+    if (!Object.values(NodeKind).includes(kind) || kind === NodeKind.Root) return undefined;
+    if (!(COMBINED as readonly string[]).includes(kind)) {
+        return words.length === 2 && NAME.test(words[1] ?? "") ? { kind, name: words[1]! } : undefined;
+    }
+    return parseCombined(words, kind);
+}
+
+function parseCombined(words: readonly string[], kind: NodeKind): ParsedPath | undefined {
+    const parts: Record<string, string> = {};
+    let last = -1;
+    for (let at = 0; at < words.length; at += 2) {
+        const rank = (COMBINED as readonly string[]).indexOf(words[at]!);
+        const name = words[at + 1]!;
+        if (rank <= last || !NAME.test(name)) return undefined;
+        parts[words[at]!] = name;
+        last = rank;
+    }
+    return { kind, ...parts };
+}
+
+/**
+ * Every node that a place inherits from, the nearest first. A node that names more of the place goes first; among those
+ * that name equally much, workspace goes before service and service before hall.
+ *
+ * @example
+ * ```ts
+ * lineage({ workspace: "payroll", hall: "k1" }); // ["workspace/payroll/hall/k1", "workspace/payroll", "hall/k1", "root"]
+ * ```
+ */
+export function lineage(place: Place): readonly NodePath[] {
+    const { workspace, service, hall } = place;
+    const w = workspace === undefined ? undefined : `workspace/${workspace}`;
+    const s = service === undefined ? undefined : `service/${service}`;
+    const h = hall === undefined ? undefined : `hall/${hall}`;
+    const combos = [[w, s, h], [w, s], [w, h], [s, h], [w], [s], [h]];
+    const paths = combos.filter(parts => parts.every(part => part !== undefined)).map(parts => parts.join("/"));
+    return [...paths, NodeKind.Root];
+}
--- /dev/null
+++ b/packages/settings/src/value.ts
@@ -0,0 +1,145 @@
+/**
+ * Typed values of settings: how each kind of value is written in INI, read, and checked.
+ *
+ * @module
+ */
+
+/** What is wrong with one written value: what was found and what is allowed. */
+export interface ValueError {
+    readonly kind: "badValue";
+    readonly found: string;
+    readonly allowed: string;
+}
+
+/** Either a read value or the reason it cannot be read. */
+export type ValueResult<T> = { readonly ok: true; readonly value: T } | {
+    readonly ok: false;
+    readonly err: ValueError;
+};
+
+/** One kind of value, with the function that reads it from text. */
+export interface ValueType<T> {
+    /** Said in errors and in the reference of keys. */
+    readonly allowed: string;
+    readonly read: (text: string) => ValueResult<T>;
+}
+
+const UNIT_MS = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000, d: 86_400_000 } as const;
+const COUNT_UNIT = { "": 1, k: 1_000, M: 1_000_000 } as const;
+
+function bad(found: string, allowed: string): { readonly ok: false; readonly err: ValueError } {
+    return { ok: false, err: { kind: "badValue", found, allowed } };
+}
+
+/**
+ * A duration with its unit, read as milliseconds.
+ *
+ * @example
+ * ```ts
+ * duration(1, 60_000).read("2s"); // { ok: true, value: 2000 }
+ * ```
+ */
+export function duration(min: number, max: number): ValueType<number> {
+    const allowed = `a duration from ${min}ms to ${max}ms, with a unit: ms, s, m, h or d`;
+    return {
+        allowed,
+        read: text => {
+            const match = /^(\d+(?:\.\d+)?)(ms|s|m|h|d)$/.exec(text);
+            if (!match) return bad(text, allowed);
+            const value = Number(match[1]) * UNIT_MS[match[2] as keyof typeof UNIT_MS];
+            return value >= min && value <= max ? { ok: true, value } : bad(text, allowed);
+        },
+    };
+}
+
+/**
+ * A whole number, with `k` for thousands and `M` for millions.
+ *
+ * @example
+ * ```ts
+ * count(0, 10_000_000).read("250k"); // { ok: true, value: 250000 }
+ * ```
+ */
+export function count(min: number, max: number): ValueType<number> {
+    const allowed = `a whole number from ${min} to ${max}, k and M allowed`;
+    return {
+        allowed,
+        read: text => {
+            const match = /^(\d+)(k|M)?$/.exec(text);
+            if (!match) return bad(text, allowed);
+            const value = Number(match[1]) * COUNT_UNIT[(match[2] ?? "") as keyof typeof COUNT_UNIT];
+            return value >= min && value <= max ? { ok: true, value } : bad(text, allowed);
+        },
+    };
+}
+
+/**
+ * A decimal number between two bounds, without a unit.
+ *
+ * @example
+ * ```ts
+ * ratio(0, 1).read("0.95"); // { ok: true, value: 0.95 }
+ * ```
+ */
+export function ratio(min: number, max: number): ValueType<number> {
+    const allowed = `a number from ${min} to ${max}`;
+    return {
+        allowed,
+        read: text => {
+            const value = Number(text);
+            const written = /^\d+(\.\d+)?$/.test(text);
+            return written && value >= min && value <= max ? { ok: true, value } : bad(text, allowed);
+        },
+    };
+}
+
+/** `true` or `false`. */
+export const flag: ValueType<boolean> = {
+    allowed: "true or false",
+    read: text =>
+        text === "true" || text === "false" ? { ok: true, value: text === "true" } : bad(text, "true or false"),
+};
+
+/**
+ * Text that matches a pattern.
+ *
+ * @example
+ * ```ts
+ * text(/^[a-f0-9]{64}$/, "a SHA-256 in hexadecimal").read("x"); // { ok: false, ... }
+ * ```
+ */
+export function text(pattern: RegExp, allowed: string): ValueType<string> {
+    return { allowed, read: found => pattern.test(found) ? { ok: true, value: found } : bad(found, allowed) };
+}
+
+/**
+ * One word of a fixed list.
+ *
+ * @example
+ * ```ts
+ * choice(["engine", "plain"]).read("engine"); // { ok: true, value: "engine" }
+ * ```
+ */
+export function choice<const W extends readonly string[]>(words: W): ValueType<W[number]> {
+    const allowed = `one of ${words.join(", ")}`;
+    return { allowed, read: found => words.includes(found) ? { ok: true, value: found } : bad(found, allowed) };
+}
+
+/**
+ * A comma-separated list; empty text is the empty list.
+ *
+ * @example
+ * ```ts
+ * list(/^[a-z]+$/, "names").read("a, b"); // { ok: true, value: ["a", "b"] }
+ * ```
+ */
+export function list(pattern: RegExp, what: string): ValueType<readonly string[]> {
+    const allowed = `a comma-separated list of ${what}`;
+    return {
+        allowed,
+        read: found => {
+            const words = found.split(",").map(word => word.trim()).filter(word => word.length > 0);
+            return words.every(word => pattern.test(word)) ? { ok: true, value: words } : bad(found, allowed);
+        },
+    };
+}
--- /dev/null
+++ b/packages/standins/src/demo.ts
@@ -0,0 +1,141 @@
+/**
+ * The demo: stand-ins and three daemons in three halls in one process, with traffic of both deployments.
+ *
+ * `npm run demo` runs for about ten seconds and exits 0 only if every answer was whole; `npm run demo -- --serve` stays up.
+ *
+ * @module
+ */
+import { Timing } from "@drumpaddle/host";
+import Table from "cli-table3";
+import { Agent } from "undici";
+import { type CallerResult, callOnce } from "./caller.js";
+import { type Stage, startStage } from "./stage.js";
+import { type Arrival, CLAYHOLLOW, type Deployment, generateTraffic, KIGALI } from "./traffic.js";
+
+const HALLS = ["hall-1", "hall-2", "hall-3"];
+const ENGINES_PER_HALL = 3;
+const TRAFFIC_MS = 8_000;
+const SEED = 7;
+/** A gap above this is a stall, letter 1's bound between tokens. */
+const GAP_TARGET_MS = 44;
+/** The demo's outputs are cut so that it ends soon after its traffic does. */
+const LONGEST_OUTPUT = 400;
+const FIRST_PORT = { callers: 8080, operators: 9080 };
+
+interface Measures {
+    readonly gaps: Timing;
+    readonly firstToken: Timing;
+    stallMs: number;
+    answers: number;
+    readonly failures: CallerResult[];
+}
+
+function createMeasures(): Measures {
+    return { gaps: new Timing(), firstToken: new Timing(), stallMs: 0, answers: 0, failures: [] };
+}
+
+function count(measures: Measures, result: CallerResult): void {
+    measures.answers += 1;
+    if (result.outcome !== "whole") measures.failures.push(result);
+    if (result.firstTokenMs !== undefined) measures.firstToken.record(result.firstTokenMs);
+    for (const gap of result.gapsMs) {
+        measures.gaps.record(gap);
+        measures.stallMs += Math.max(0, gap - GAP_TARGET_MS);
+    }
+}
+
+async function send(stage: Stage, arrival: Arrival, at: number, dispatcher: Agent): Promise<CallerResult> {
+    await new Promise(resolve => setTimeout(resolve, arrival.at));
+    return callOnce({
+        url: stage.hosts[at % stage.hosts.length]!.daemon.callersUrl,
+        key: stage.keyOf(arrival.stream.workspace),
+        model: arrival.stream.model,
+        tag: arrival.id,
+        promptTokens: arrival.promptTokens,
+        output: Math.min(arrival.output, LONGEST_OUTPUT),
+        prefix: arrival.prefix,
+        dispatcher,
+    });
+}
+
+async function runDeployment(
+    stage: Stage,
+    deployment: Deployment,
+    dispatcher: Agent,
+    onAnswer: () => void,
+): Promise<Measures> {
+    const measures = createMeasures();
+    const arrivals = generateTraffic(deployment, TRAFFIC_MS, 1, SEED);
+    await Promise.all(arrivals.map(async (arrival, at) => {
+        count(measures, await send(stage, arrival, at, dispatcher));
+        onAnswer();
+    }));
+    return measures;
+}
+
+function preemptionsOf(stage: Stage): number {
+    return stage.engines.reduce((sum, { server }) => sum + server.model.load().preemptions, 0);
+}
+
+async function runTraffic(stage: Stage): Promise<boolean> {
+    const dispatcher = new Agent({ connections: 500 });
+    let answers = 0;
+    const progress = setInterval(() => process.stderr.write(`\r${answers} answers so far `), 200);
+    const onAnswer = (): void => void (answers += 1);
+    const [kigali, clayhollow] = await Promise.all([
+        runDeployment(stage, KIGALI, dispatcher, onAnswer),
+        runDeployment(stage, CLAYHOLLOW, dispatcher, onAnswer),
+    ]);
+    clearInterval(progress);
+    process.stderr.write("\r");
+    await dispatcher.close();
+    const table = new Table({
+        head: ["deployment", "answers", "whole", "stall ms/answer", "p50 gap ms", "p99", "p99.9", "first token p95 ms"],
+        style: { head: [] },
+    });
+    for (const [name, m] of [["kigali", kigali], ["clayhollow", clayhollow]] as const) {
+        const gaps = [0.5, 0.99, 0.999].map(share => m.gaps.quantile(share).toFixed(1));
+        const whole = m.answers - m.failures.length;
+        table.push([
+            name,
+            m.answers,
+            whole,
+            (m.stallMs / m.answers).toFixed(1),
+            ...gaps,
+            m.firstToken.quantile(0.95).toFixed(0),
+        ]);
+    }
+    process.stdout.write(`${table.toString()}\npreemptions on all engines: ${preemptionsOf(stage)}\nseed: ${SEED}\n`);
+    const failures = [...kigali.failures, ...clayhollow.failures];
+    for (const failure of failures.slice(0, 5)) {
+        process.stdout.write(`not whole: ${JSON.stringify({ ...failure, gapsMs: undefined })}\n`);
+    }
+    return failures.length === 0;
+}
+
+function showAddresses(stage: Stage): void {
+    for (const { name, daemon } of stage.hosts) {
+        process.stdout.write(`${name} callers ${daemon.callersUrl}\n${name} operators ${daemon.operatorsUrl}\n`);
+    }
+    process.stdout.write(`workspace key ${stage.keyOf("members")}\noperator token ${stage.operatorToken}\n`);
+}
+
+async function main(): Promise<void> {
+    const serve = process.argv.includes("--serve");
+    const quiet = (): void => undefined;
+    const log = serve ? (line: string): void => void process.stderr.write(`${line}\n`) : quiet;
+    const ports = serve ? { ports: FIRST_PORT } : {};
+    const stage = await startStage({ halls: HALLS, enginesPerHall: ENGINES_PER_HALL, log, ...ports });
+    showAddresses(stage);
+    if (!serve) {
+        const whole = await runTraffic(stage);
+        await stage.stop();
+        process.exitCode = whole ? 0 : 1;
+        return;
+    }
+    process.on("SIGTERM", () => {
+        void Promise.all(stage.hosts.map(host => host.daemon.stop())).then(() => process.exit(0));
+    });
+}
+
+await main();
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,8 @@
+export { type CallerRequest, type CallerResult, callOnce } from "./caller.js";
+export { ENGINE, type EngineCfg, type EngineJob, EngineModel } from "./engine-model.js";
+export { type EngineFault, EngineServer, type EngineServerCfg } from "./engine-server.js";
+export { HostListServer, type ListedHost } from "./host-list-server.js";
+export { KvServer } from "./kv-server.js";
+export { type PlainFault, PlainServer } from "./plain-server.js";
+export { type Stage, type StageCfg, type StageHost, startStage, waitUntil } from "./stage.js";
+export { type Arrival, CLAYHOLLOW, type Deployment, DEPLOYMENTS, generateTraffic, KIGALI } from "./traffic.js";
