--- a/packages/host/src/log.ts
+++ b/packages/host/src/log.ts
@@ -12,6 +12,8 @@
 const LEVEL_NAME: Readonly<Record<number, string>> = bunyan.nameFromLevel;
 const PLAIN = /^[A-Za-z0-9_.:/@+-]+$/;
 const MAX_VALUE = 500;
+/** Fields that bunyan adds to every record: said elsewhere in the line, or the same in all lines of a process. */
+const BUNYAN_FIELDS: ReadonlySet<string> = new Set(["time", "level", "msg", "name", "hostname", "pid", "v"]);
 
 /** A value as it stands in a line: quoted unless it is plain, so that no value can forge a pair or a line. */
 function written(value: unknown): string {
@@ -34,9 +36,9 @@
  * ```
  */
 export function formatRecord(record: Record<string, unknown>): string {
-    const { time, level, msg, name: _name, hostname: _hostname, pid: _pid, v: _v, ...fields } = record;
+    const { time, level, msg } = record;
     const at = time instanceof Date ? time.toISOString() : String(time);
-    const pairs = Object.entries(fields).filter(([, value]) => value !== undefined)
+    const pairs = Object.entries(record).filter(([key, value]) => value !== undefined && !BUNYAN_FIELDS.has(key))
         .map(([key, value]) => `${key.replace(/[^A-Za-z0-9_.-]/g, "_")}=${written(value)}`);
     return [`time=${at}`, `level=${LEVEL_NAME[Number(level)] ?? String(level)}`, `event=${written(msg)}`, ...pairs]
         .join(" ");
@@ -55,6 +57,6 @@
     return bunyan.createLogger({
         name: "drumpaddled",
         level,
-        streams: [{ type: "raw", level, stream: stream as never }],
+        streams: [{ type: "raw", level, stream: stream }],
     });
 }
--- a/packages/host/src/operators.ts
+++ b/packages/host/src/operators.ts
@@ -5,7 +5,6 @@
  */
 import {
     type AuditEntry,
-    type Change,
     diff,
     EMPTY,
     explain,
@@ -146,7 +145,7 @@
             if (!operator) return reply;
             const { editId, why, onlyAt, changes } = req.body;
             const result = await host.store.edit(
-                { editId, why, onlyAt, changes: changes as Change[], who: operator.name, at: Date.now() },
+                { editId, why, onlyAt, changes: changes, who: operator.name, at: Date.now() },
                 host.feed.inForce,
                 host.signal,
             );
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -8,7 +8,7 @@
  */
 import { type Job, reserve, settle } from "@drumpaddle/policy";
 import { errText, neverSent } from "@drumpaddle/protocol";
-import { FailCode } from "@drumpaddle/request";
+import type { FailCode } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { FastifyRequest } from "fastify";
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
@@ -225,7 +225,7 @@
 ): Promise<void> {
     try {
         const res = await request(url, {
-            method: call.req.method as Dispatcher.HttpMethod,
+            method: call.req.method,
             headers: { ...passedHeaders(call.req.headers), "x-request-id": call.id, "x-attempt-id": attempt },
             ...(body === undefined ? {} : { body }),
             dispatcher,
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -143,11 +143,11 @@
         },
         dispatch: ({ attempt, endpoint }) => {
             this.deps.onDispatch(this.state.attempts === 1 ? "first" : "retry");
-            this.deps.runner.start(attempt, endpoint, this.priority, this.sink(attempt), this.connect());
+            this.deps.runner.start(attempt, endpoint, this.priority, ...this.connect(attempt));
         },
         resume: ({ attempt, endpoint, generation, from }) => {
             this.deps.onDispatch("resume");
-            this.deps.runner.resume(attempt, endpoint, generation, from, this.sink(attempt), this.connect());
+            this.deps.runner.resume(attempt, endpoint, generation, from, ...this.connect(attempt));
         },
         cancel: ({ attempt, endpoint, generation }) => {
             this.connection?.abort();
@@ -171,20 +171,15 @@
         },
     };
 
-    /** A sink that goes quiet when a newer connection takes the attempt over. */
-    private sink(attempt: string): AttemptSink<T> {
-        const connection = this.connection;
-        return {
-            event: (event, piece) => {
-                if (this.connection === connection && this.state.attempt?.id === attempt) this.event(event, piece);
-            },
-        };
-    }
-
-    private connect(): AbortSignal {
+    /** A new connection for an attempt: its sink goes quiet when a newer connection takes the attempt over. */
+    private connect(attempt: string): [AttemptSink<T>, AbortSignal] {
         this.connection?.abort();
-        this.connection = new AbortController();
-        return this.connection.signal;
+        const connection = new AbortController();
+        this.connection = connection;
+        const event = (event: RequestEvent, piece?: T): void => {
+            if (this.connection === connection && this.state.attempt?.id === attempt) this.event(event, piece);
+        };
+        return [{ event }, connection.signal];
     }
 
     private measureToken(index: number): void {
--- a/packages/settings/src/ini.ts
+++ b/packages/settings/src/ini.ts
@@ -5,7 +5,8 @@
  */
 import { parse, stringify } from "ini";
 import { type NodePath, parsePath } from "./path.js";
-import { keyDef, NodeKind } from "./schema.js";
+import type { NodeKind } from "./schema.js";
+import { keyDef } from "./schema.js";
 import type { Tree, TreeNode } from "./tree.js";
 
 /** One file of settings. */
--- a/packages/standins/src/demo.ts
+++ b/packages/standins/src/demo.ts
@@ -91,7 +91,7 @@
     await dispatcher.close();
     const table = new Table({
         head: ["deployment", "answers", "whole", "stall ms/answer", "p50 gap ms", "p99", "p99.9", "first token p95 ms"],
-        style: { head: [] },
+        style: { head: [], border: [] },
     });
     for (const [name, m] of [["kigali", kigali], ["clayhollow", clayhollow]] as const) {
         const gaps = [0.5, 0.99, 0.999].map(share => m.gaps.quantile(share).toFixed(1));
