--- /dev/null
+++ b/packages/standins/src/variants.ts
@@ -0,0 +1,41 @@
+/**
+ * The variants of the decisions that are measured side by side: baselines, the default, each mechanism switched off
+ * alone, and the all-knowing comparison.
+ *
+ * @module
+ */
+import { DEFAULT_VARIANT, type JobPolicy, type Variant } from "@drumpaddle/policy";
+
+const BASELINE = {
+    admission: "none",
+    pace: false,
+    lagCorrection: true,
+    prefix: false,
+    priorities: false,
+    oracle: false,
+} as const;
+
+/** Variants by name. */
+export const VARIANTS = {
+    "round-robin": { ...BASELINE, choice: "roundRobin" },
+    "least-outstanding": { ...BASELINE, choice: "leastOutstanding" },
+    "free-memory": { ...DEFAULT_VARIANT, admission: "free" },
+    "drumpaddle": DEFAULT_VARIANT,
+    "no-pace": { ...DEFAULT_VARIANT, pace: false },
+    "no-peak": { ...DEFAULT_VARIANT, admission: "free" },
+    "no-prefix": { ...DEFAULT_VARIANT, prefix: false },
+    "no-lag-correction": { ...DEFAULT_VARIANT, lagCorrection: false },
+    "no-priorities": { ...DEFAULT_VARIANT, priorities: false },
+    "two-choices": { ...DEFAULT_VARIANT, choice: "twoChoices" },
+    "oracle": { ...DEFAULT_VARIANT, oracle: true },
+} as const satisfies Record<string, Variant>;
+/** Name of a variant. */
+export type VariantName = keyof typeof VARIANTS;
+
+const COMMON = { gapTargetMs: 44, weightPrefix: 0.5, maxWaitMs: 20_000, queueLimit: 2_000, retryShare: 0.1 } as const;
+
+/** Each deployment's weights, as its settings would have them. */
+export const PROFILES = {
+    kigali: { ...COMMON, quantile: 0.98, weightTail: 2, weightStall: 0.5 },
+    clayhollow: { ...COMMON, quantile: 0.995, weightTail: 0.5, weightStall: 2 },
+} as const satisfies Record<string, Omit<JobPolicy, "priority">>;
