Hosts of a hall act together: membership, spread of settings, owners of endpoints; the operators' command line

Cause: with lagging reports alone, several hosts overfill the engines that they share. Change: each endpoint has an owner by rendezvous hash; hosts tell it what they hold and will hold, it tells them what the others do, every 250 ms; without news a host plans with its equal share.

--- /dev/null
+++ b/packages/cli/src/client.ts
@@ -0,0 +1,68 @@
+/**
+ * A client of the operators' port: tries one host after another, and keeps "refused", "away" and "unknown" apart.
+ *
+ * @module
+ */
+import { errText, neverSent } from "@drumpaddle/protocol";
+import { request } from "undici";
+
+/** Where the operators' ports are, and with which token they are used. */
+export interface ClientCfg {
+    readonly hosts: readonly string[];
+    readonly token: string;
+    readonly timeoutMs: number;
+}
+
+/** What an operator's call came to. */
+export type CallResult =
+    | { readonly kind: "answer"; readonly status: number; readonly body: Record<string, unknown> }
+    /** No host could be reached, so nothing was done. */
+    | { readonly kind: "unreachable"; readonly detail: string }
+    /** A host was reached and its answer was lost. */
+    | { readonly kind: "lost"; readonly detail: string };
+
+const SERVICE_AWAY = 503;
+
+/**
+ * Calls the first host that answers. A call with a body must be safe to send twice: edits carry an id for that.
+ *
+ * @example
+ * ```ts
+ * const result = await call(cfg, "GET", "/settings");
+ * ```
+ */
+export async function call(cfg: ClientCfg, method: "GET" | "POST", path: string, body?: object): Promise<CallResult> {
+    let last: CallResult = { kind: "unreachable", detail: "no host was given" };
+    for (const host of cfg.hosts) {
+        const result = await callHost(cfg, host, method, path, body);
+        if (result.kind === "answer" && result.status !== SERVICE_AWAY) return result;
+        // What may have happened at one host outweighs that another could not be reached.
+        if (last.kind !== "lost") last = result;
+    }
+    return last;
+}
+
+/** Calls one host. */
+export async function callHost(
+    cfg: ClientCfg,
+    host: string,
+    method: "GET" | "POST",
+    path: string,
+    body?: object,
+): Promise<CallResult> {
+    try {
+        const res = await request(host.replace(/\/$/, "") + path, {
+            method,
+            headers: {
+                "authorization": `Bearer ${cfg.token}`,
+                ...(body ? { "content-type": "application/json" } : {}),
+            },
+            ...(body ? { body: JSON.stringify(body) } : {}),
+            signal: AbortSignal.timeout(cfg.timeoutMs),
+        });
+        return { kind: "answer", status: res.statusCode, body: await res.body.json() as Record<string, unknown> };
+    }
+    catch (err) {
+        return { kind: neverSent(err) ? "unreachable" : "lost", detail: `${host}: ${errText(err)}` };
+    }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export { call, type CallResult, type ClientCfg } from "./client.js";
+export { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
+export { Exit, type Outcome, showChanges } from "./output.js";
+export * as settings from "./settings.js";
--- /dev/null
+++ b/packages/hall/src/load-share.ts
@@ -0,0 +1,143 @@
+/**
+ * What the hosts of a hall hold on shared endpoints: each host tells an endpoint's owner what its own streams hold and
+ * will hold; the owner tells each what the others do. Only changes are sent.
+ *
+ * The account is soft: what is lost is sent again when it next changes or grows old, and what a silent host held is
+ * dropped after {@link HELD_VALID_MS}. A new owner has the account as soon as the holders have spoken, which they do at
+ * once when they see that the owner changed.
+ *
+ * Pure: every function returns the next state.
+ *
+ * @module
+ */
+import { addCurve, type Curve, type Others, zeroCurve } from "@drumpaddle/policy";
+
+/** What one host holds on one endpoint. */
+export interface Held {
+    readonly endpoint: string;
+    readonly streams: number;
+    readonly mean: readonly number[];
+    readonly variance: readonly number[];
+}
+
+/** What an owner has been told, by endpoint and host. */
+export interface Account {
+    readonly held: ReadonlyMap<string, ReadonlyMap<string, { readonly held: Held; readonly at: number }>>;
+}
+
+/** What a host has told owners, so that it says only what is new. */
+export interface Told {
+    readonly last: ReadonlyMap<string, { readonly owner: string; readonly held: Held; readonly at: number }>;
+}
+
+/** What a host held counts for this long after it was last said. */
+export const HELD_VALID_MS = 3_000;
+/** Unchanged holdings are said again this often. */
+export const REPEAT_MS = 1_000;
+/** A change of the expected memory by this share is worth saying. */
+const CHANGE_SHARE = 0.03;
+
+/** An owner that has been told nothing. */
+export const EMPTY_ACCOUNT: Account = { held: new Map() };
+/** A host that has told nothing. */
+export const NOTHING_TOLD: Told = { last: new Map() };
+
+/**
+ * A host's holdings on an endpoint, as they are sent: whole tokens, so that they pack small.
+ *
+ * @example
+ * ```ts
+ * heldOf("e1", view.streams.size, view.curve);
+ * ```
+ */
+export function heldOf(endpoint: string, streams: number, curve: Curve): Held {
+    // Variances are sent as standard deviations: numbers of few digits.
+    const deviations = Array.from(curve.variance, value => Math.round(Math.sqrt(value)));
+    return { endpoint, streams, mean: Array.from(curve.mean, Math.round), variance: deviations };
+}
+
+/**
+ * Which of a host's holdings are worth saying now, by owner.
+ *
+ * @example
+ * ```ts
+ * const { state, toSay } = planTelling(told, holdings, endpoint => ownerOf(`endpoint/${endpoint}`, live), now);
+ * ```
+ */
+export function planTelling(
+    told: Told,
+    holdings: readonly Held[],
+    ownerOf: (endpoint: string) => string | undefined,
+    now: number,
+): { readonly state: Told; readonly toSay: ReadonlyMap<string, readonly Held[]> } {
+    const last = new Map(told.last);
+    const toSay = new Map<string, Held[]>();
+    for (const held of holdings) {
+        const owner = ownerOf(held.endpoint);
+        if (owner === undefined || !worthSaying(last.get(held.endpoint), held, owner, now)) continue;
+        last.set(held.endpoint, { owner, held, at: now });
+        const list = toSay.get(owner);
+        if (list) list.push(held);
+        else toSay.set(owner, [held]);
+    }
+    return { state: { last }, toSay };
+}
+
+function worthSaying(
+    last: { readonly owner: string; readonly held: Held; readonly at: number } | undefined,
+    held: Held,
+    owner: string,
+    now: number,
+): boolean {
+    if (!last || last.owner !== owner) return held.streams > 0;
+    if (held.streams === 0 && last.held.streams === 0) return false;
+    if (held.streams !== last.held.streams || now - last.at >= REPEAT_MS) return true;
+    return held.mean.some((mean, at) =>
+        Math.abs(mean - last.held.mean[at]!) > CHANGE_SHARE * Math.max(1, last.held.mean[at]!)
+    );
+}
+
+/** The account after a host told what it holds. Anything of another shape than a {@link Held} is left out. */
+export function takeHeld(account: Account, host: string, holdings: readonly Held[], now: number): Account {
+    const next = new Map(account.held);
+    for (const held of holdings) {
+        const hosts = new Map(next.get(held.endpoint));
+        hosts.set(host, { held, at: now });
+        next.set(held.endpoint, hosts);
+    }
+    return { held: next };
+}
+
+/**
+ * What hosts other than `host` hold on an endpoint by the account.
+ *
+ * @example
+ * ```ts
+ * othersFor(account, "e1", "k1-a", now).streams;
+ * ```
+ */
+export function othersFor(account: Account, endpoint: string, host: string, now: number): Others {
+    let streams = 0;
+    let curve = zeroCurve();
+    for (const [name, { held, at }] of account.held.get(endpoint) ?? []) {
+        if (name === host || now - at > HELD_VALID_MS) continue;
+        streams += held.streams;
+        curve = addCurve(curve, curveOf(held), 1);
+    }
+    return { streams, curve };
+}
+
+/** Hosts that have something on an endpoint by the account, and so want to hear of the others. */
+export function holdersOf(account: Account, endpoint: string, now: number): readonly string[] {
+    return [...account.held.get(endpoint) ?? []].filter(([, { at }]) => now - at <= HELD_VALID_MS).map(([name]) =>
+        name
+    );
+}
+
+/** A curve from what was sent. */
+export function curveOf(held: Held): Curve {
+    return {
+        mean: Float64Array.from(held.mean),
+        variance: Float64Array.from(held.variance, deviation => deviation * deviation),
+    };
+}
--- /dev/null
+++ b/packages/hall/src/membership.ts
@@ -0,0 +1,172 @@
+/**
+ * Who is alive in a hall: the platform's lagging host list, corrected by what peers hear of each other.
+ *
+ * Heartbeats carry a counter that only its own host raises; each host passes on the newest counters that it knows
+ * (gossip-style failure detection, van Renesse, Minsky and Hayden 1998), so that one broken link between two hosts does
+ * not make either of them dead. A host whose counter has not moved for {@link DEAD_AFTER_MS} is taken for dead.
+ *
+ * Pure: `heartbeat`, `hear`, `listHosts` and `leave` return the next state.
+ *
+ * @module
+ */
+
+/** How another host is reached. */
+export interface HostInfo {
+    readonly name: string;
+    readonly hall: string;
+    /** Where its peers connect, as `ip:port`. */
+    readonly address: string;
+    /** Made at start; a restarted host of the same name has a higher one. */
+    readonly incarnation: number;
+}
+
+/** What is known of one host. */
+export interface Member extends HostInfo {
+    readonly counter: number;
+    /** When its counter last moved, on this host's clock. */
+    readonly movedAt: number;
+    readonly leaving: boolean;
+}
+
+/** What a heartbeat says of one host. */
+export interface MemberNews extends HostInfo {
+    readonly counter: number;
+    readonly leaving: boolean;
+}
+
+/** A host's view of its hall and of the hosts that it knows in other halls. */
+export interface Membership {
+    readonly self: HostInfo;
+    readonly counter: number;
+    readonly leaving: boolean;
+    readonly members: ReadonlyMap<string, Member>;
+    /** Addresses to try, from the host list and the settings, of hosts not yet heard of. */
+    readonly candidates: readonly string[];
+    /** Turns the choice of whom to send to. */
+    readonly turn: number;
+}
+
+/** A host that is silent for this long is taken for dead. */
+export const DEAD_AFTER_MS = 4_000;
+/** A dead host is forgotten after this long; until then older news of it cannot bring it back. */
+export const FORGET_AFTER_MS = 60_000;
+/** Heartbeats go to this many hosts at a time. */
+export const FANOUT = 4;
+/** A heartbeat passes on news of this many hosts at most, those that moved last. */
+export const NEWS_PER_HEARTBEAT = 12;
+
+/**
+ * A host that knows only itself.
+ *
+ * @example
+ * ```ts
+ * createMembership({ name: "k1-a", hall: "k1", address: "10.0.0.1:7080", incarnation: Date.now() }, []);
+ * ```
+ */
+export function createMembership(self: HostInfo, candidates: readonly string[]): Membership {
+    return { self, counter: 0, leaving: false, members: new Map(), candidates, turn: 0 };
+}
+
+/** Addresses from the host list or the settings replace those known before. */
+export function listHosts(state: Membership, addresses: readonly string[]): Membership {
+    return { ...state, candidates: addresses.filter(address => address !== state.self.address) };
+}
+
+/** Whether a member is taken for alive. */
+export function isAlive(member: Member, now: number): boolean {
+    return now - member.movedAt < DEAD_AFTER_MS;
+}
+
+/**
+ * Names of the hall's live hosts that take new work, this one included unless it is leaving, in order of name.
+ *
+ * @example
+ * ```ts
+ * liveHosts(state, now); // ["k1-a", "k1-b"]
+ * ```
+ */
+export function liveHosts(state: Membership, now: number): readonly string[] {
+    const others = [...state.members.values()].filter(member =>
+        member.hall === state.self.hall && !member.leaving && isAlive(member, now)
+    );
+    const names = others.map(member => member.name);
+    return (state.leaving ? names : [...names, state.self.name]).sort();
+}
+
+/** A heartbeat to be sent, and to whom. */
+export interface HeartbeatPlan {
+    readonly state: Membership;
+    readonly to: readonly string[];
+    readonly news: readonly MemberNews[];
+}
+
+/**
+ * The next heartbeat: raises the own counter and picks a few hosts in turn, plus one address that was not heard of yet.
+ *
+ * @example
+ * ```ts
+ * const { state: next, to, news } = heartbeat(state, now);
+ * ```
+ */
+export function heartbeat(state: Membership, now: number): HeartbeatPlan {
+    const members = forget(state.members, now);
+    const next: Membership = { ...state, members, counter: state.counter + 1, turn: state.turn + 1 };
+    const alive = [...members.values()].filter(member => isAlive(member, now)).sort((a, b) => a.name < b.name ? -1 : 1);
+    const to = Array.from(
+        { length: Math.min(FANOUT, alive.length) },
+        (_, at) => alive[(next.turn * FANOUT + at) % alive.length]!.address,
+    );
+    const unheard = state.candidates.filter(address => !alive.some(member => member.address === address));
+    const probe = unheard[next.turn % Math.max(1, unheard.length)];
+    const targets = new Set(probe === undefined ? to : [...to, probe]);
+    return { state: next, to: [...targets], news: [newsOfSelf(next), ...newsOfOthers(alive)] };
+}
+
+function newsOfSelf({ self, counter, leaving }: Membership): MemberNews {
+    return { ...self, counter, leaving };
+}
+
+function newsOfOthers(alive: readonly Member[]): readonly MemberNews[] {
+    const latest = alive.toSorted((a, b) => b.movedAt - a.movedAt).slice(0, NEWS_PER_HEARTBEAT);
+    return latest.map(({ name, hall, address, incarnation, counter, leaving }) => ({
+        name,
+        hall,
+        address,
+        incarnation,
+        counter,
+        leaving,
+    }));
+}
+
+function forget(members: ReadonlyMap<string, Member>, now: number): ReadonlyMap<string, Member> {
+    const kept = [...members].filter(([, member]) => now - member.movedAt < FORGET_AFTER_MS);
+    return kept.length === members.size ? members : new Map(kept);
+}
+
+/**
+ * Takes in the news of a heartbeat. Older news changes nothing; news of a newer incarnation replaces all that was known.
+ *
+ * @example
+ * ```ts
+ * const next = hear(state, message.news, now);
+ * ```
+ */
+export function hear(state: Membership, news: readonly MemberNews[], now: number): Membership {
+    const members = new Map(state.members);
+    for (const item of news) {
+        if (item.name === state.self.name) continue;
+        const known = members.get(item.name);
+        if (!known || isNewer(item, known)) members.set(item.name, { ...item, movedAt: now });
+    }
+    return { ...state, members };
+}
+
+function isNewer(news: MemberNews, known: Member): boolean {
+    if (news.incarnation !== known.incarnation) return news.incarnation > known.incarnation;
+    return news.counter > known.counter;
+}
+
+/** This host says that it is leaving; its next heartbeats carry it. */
+export function leave(state: Membership): Membership {
+    return { ...state, leaving: true };
+}
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -15,6 +15,7 @@
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
 import { createOperators } from "./operators.js";
+import { Peers } from "./peers.js";
 import { Placement } from "./placement.js";
 import { SettingsFeed } from "./settings-feed.js";
 import { SettingsStore } from "./settings-store.js";
@@ -26,6 +27,8 @@
     /** Where callers are served, as `http://ip:port`. */
     readonly callersUrl: string;
     readonly operatorsUrl: string;
+    /** Where peers connect, as `ip:port`. */
+    readonly peerAddress: string;
     /** Refuses new requests, finishes those that run, then ends. */
     stop(): Promise<void>;
     /** Ends at once; requests are cut. */
@@ -35,7 +38,7 @@
 const CONNECTIONS_PER_ENDPOINT = 512;
 const KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Time for the platform's balancer to see that readiness is off before requests are refused outright. */
+/** Plain services have no memory to plan with: the endpoint with the fewest open calls is taken. */
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
 
 /**
@@ -72,9 +75,11 @@
         plain: new Placement(signal, PLAIN_VARIANT),
         runs: new OpenRuns(),
         limits: new LimitBook(),
+        peers: undefined,
     };
+    host.peers = await Peers.start(host);
     watchEndpoints(host);
-    feed.setWatching(true);
+    feed.onChange(() => host.peers?.announce());
     const tls = readTls(cfg);
     const servers = { callers: createCallers(host, tls), operators: createOperators(host, tls) };
     const callersUrl = await listen(servers.callers, cfg["callers.listen"], tls !== undefined);
@@ -93,6 +98,7 @@
     };
     const stop = async (): Promise<void> => {
         log.info({ open: host.runs.size }, "stopping");
+        host.peers?.leave();
         await host.runs.drain();
         await end();
         log.info({}, "stopped");
@@ -101,7 +107,7 @@
         servers.callers.server.closeAllConnections();
         await end();
     };
-    return { host, callersUrl, operatorsUrl, stop, kill };
+    return { host, callersUrl, operatorsUrl, peerAddress: host.peers.address, stop, kill };
 }
 
 function readTls(cfg: HostCfg): { cert: string; key: string } | undefined {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -9,6 +9,7 @@
 import type { Directory } from "./directory.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
+import type { Peers } from "./peers.js";
 import type { Placement } from "./placement.js";
 import type { SettingsFeed } from "./settings-feed.js";
 import type { SettingsStore } from "./settings-store.js";
@@ -26,6 +27,8 @@
     readonly signal: AbortSignal;
     readonly runs: OpenRuns;
     readonly limits: LimitBook;
+    /** Set as soon as the host listens for its peers. */
+    peers: Peers | undefined;
 }
 
 /** A request that can be told that the host stops. */
--- a/packages/host/src/operators.ts
+++ b/packages/host/src/operators.ts
@@ -181,6 +181,7 @@
         stopping: host.runs.stopping,
         open: host.runs.size,
         waiting: host.engines.view.waiting.length,
+        peers: host.peers?.status(),
         endpoints: [...host.engines.view.endpoints.values(), ...host.plain.view.endpoints.values()].map(view => ({
             id: view.cfg.id,
             streams: view.streams.size,
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -11,6 +11,7 @@
     type Job,
     type LeavingSource,
     type LoadReport,
+    type Others,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
@@ -61,6 +62,16 @@
         this.handle({ kind: "report", endpoint, report });
     }
 
+    /** How many hosts of the hall are alive. */
+    setHosts(count: number): void {
+        if (count !== this.state.hosts) this.handle({ kind: "hosts", count });
+    }
+
+    /** What other hosts hold on an endpoint, by its owner's account. */
+    setOthers(endpoint: string, others: Others): void {
+        this.handle({ kind: "others", endpoint, others });
+    }
+
     /** Asks for an endpoint; the answer comes at once or later, once. */
     submit(job: Job, avoid: readonly string[], retry: boolean, placed: Placed): void {
         this.asking.set(job.id, placed);
--- a/packages/host/src/watch-endpoints.ts
+++ b/packages/host/src/watch-endpoints.ts
@@ -12,6 +12,9 @@
 
 /** How long an answer of an endpoint or the host list may take, as a share of the time between two questions. */
 const TIMEOUT_SHARE = 2;
+/** Bytes of one answer about load with its head, and what a host may spend on such answers in a second. */
+const LOAD_ANSWER_BYTES = 300;
+const LOAD_BUDGET_BYTES_PER_S = 3_000;
 
 /** Starts to watch; ends with the host's signal. */
 export function watchEndpoints(host: Host): void {
@@ -19,8 +22,12 @@
     host.feed.onChange(directory => declare(host, directory));
     const every = host.cfg["control.load-interval"];
     const timer = setInterval(() => {
-        for (const endpoint of host.feed.directory?.endpoints.values() ?? []) {
-            if (isEngine(host, endpoint) && inHall(host, endpoint)) void askLoad(host, endpoint, preemptions);
+        const engines = [...host.feed.directory?.endpoints.values() ?? []]
+            .filter(endpoint => inHall(host, endpoint) && isEngine(host, endpoint));
+        // While it costs little every host asks for itself, so that no owner's death delays a sign of leaving.
+        const all = engines.length * LOAD_ANSWER_BYTES * 1000 / every <= LOAD_BUDGET_BYTES_PER_S;
+        for (const endpoint of engines) {
+            if (all || host.peers?.owns(endpoint.id) === true) void askLoad(host, endpoint, preemptions);
         }
         void askHostList(host);
     }, every);
@@ -62,7 +69,10 @@
     const url = host.cfg["platform.host-list"];
     if (url === undefined) return;
     const machines = await fetchHosts(url, host.cfg["platform.timeout"], host.signal);
-    for (const machine of machines ?? []) {
+    if (!machines) return;
+    const peers = machines.filter(machine => machine.peer !== undefined && machine.state === "live");
+    host.peers?.setListed(peers.map(machine => machine.peer!));
+    for (const machine of machines) {
         const endpoint = machine.endpoint === undefined
             ? undefined
             : host.feed.directory?.endpoints.get(machine.endpoint);
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -6,7 +6,7 @@
 import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
 import { addCurve, peakOf, streamCurve } from "./curve.js";
-import { type EndpointView, streamCount } from "./endpoint.js";
+import { type EndpointView, plannedShare, streamCount } from "./endpoint.js";
 import type { Survival } from "./estimate.js";
 import type { Job, Variant } from "./job.js";
 import { batchWithin } from "./pace.js";
@@ -58,9 +58,11 @@
 /**
  * The endpoint as a candidate, or undefined where the request must not be added to it now.
  *
+ * @param hosts Live hosts of the hall, this one included.
+ *
  * @example
  * ```ts
- * assess(view, job, lengths, DEFAULT_VARIANT, now)?.score;
+ * assess(view, job, lengths, DEFAULT_VARIANT, 3, now)?.score;
  * ```
  */
 export function assess(
@@ -68,13 +70,15 @@
     job: Job,
     survival: Survival,
     variant: Variant,
+    hosts: number,
     now: number,
 ): Candidate | undefined {
     if (variant.admission === "none") return { id: view.cfg.id, score: streamCount(view) };
-    const limit = streamLimit(view, job, variant, now);
+    const share = variant.share === "owner" ? plannedShare(view, hosts, now) : 1;
+    const limit = share * streamLimit(view, job, variant, now);
     const streams = streamCount(view) + 1;
-    if (streams > limit) return undefined;
-    const room = view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
+    if (streams > Math.max(1, limit)) return undefined;
+    const room = share * view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
     const peak = peakWith(view, job, survival, variant);
     // A request that is larger than any plan allows still runs, alone.
     if (peak > room && streams > 1) return undefined;
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -61,6 +61,8 @@
     /** Sum over own streams. */
     readonly curve: Curve;
     readonly others: Others;
+    /** When its owner last told what others hold; `undefined` before that. */
+    readonly toldAt: number | undefined;
     readonly pace: PaceFit;
     readonly breaker: Breaker;
     readonly latelyEnded: readonly LatelyEnded[];
@@ -86,6 +88,7 @@
         streams: new Map(),
         curve: zeroCurve(),
         others: NO_OTHERS,
+        toldAt: undefined,
         pace: createPace(),
         breaker: CLOSED,
         latelyEnded: [],
@@ -202,6 +205,30 @@
     return curve;
 }
 
+/** What an owner told counts for this long; after that the host plans as if alone with its share. */
+export const TOLD_VALID_MS = 3_000;
+
+/** The endpoint after its owner told what others hold. */
+export function takeOthers(view: EndpointView, others: Others, now: number): EndpointView {
+    return { ...view, others, toldAt: now };
+}
+
+/**
+ * The share of an endpoint that a host may plan with: all of it while it is the hall's only host or knows what the others
+ * hold, else an equal part.
+ *
+ * @param hosts Live hosts of the hall.
+ *
+ * @example
+ * ```ts
+ * plannedShare(view, 3, now); // 1 / 3 while the owner is silent
+ * ```
+ */
+export function plannedShare(view: EndpointView, hosts: number, now: number): number {
+    const known = view.toldAt !== undefined && now - view.toldAt <= TOLD_VALID_MS;
+    return hosts <= 1 || known ? 1 : 1 / hosts;
+}
+
 /** The endpoint after a source said whether it is leaving. */
 export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean): EndpointView {
     const others = view.leavingBy.filter(other => other !== source);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -8,9 +8,12 @@
     type LeavingSource,
     type LoadReport,
     type Others,
+    plannedShare,
     type Running,
     streamCount,
+    takeOthers,
     takeReport,
+    TOLD_VALID_MS,
 } from "./endpoint.js";
 export {
     chanceToReach,
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -48,6 +48,8 @@
     readonly choice: "score" | "twoChoices" | "leastOutstanding" | "roundRobin";
     /** Whether own dispatches and ends since a load report are counted in. */
     readonly lagCorrection: boolean;
+    /** How hosts know of each other's streams: from an endpoint's owner, or from its lagging reports alone. */
+    readonly share: "owner" | "reports";
     readonly prefix: boolean;
     readonly priorities: boolean;
     /** Whether lengths are known ahead (measurement only). */
@@ -60,6 +62,7 @@
     pace: true,
     choice: "score",
     lagCorrection: true,
+    share: "owner",
     prefix: true,
     priorities: true,
     oracle: false,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -20,9 +20,10 @@
     type Others,
     removeStream,
     setLeaving,
+    streamCount,
+    takeOthers,
     takeReport,
 } from "./endpoint.js";
-import { streamCount } from "./endpoint.js";
 import { createEstimates, type Estimates, knownLength, observe, type Survival, survivalOf } from "./estimate.js";
 import { DEFAULT_VARIANT, type Job, PRIORITY_RANK, type Variant } from "./job.js";
 import { observePace } from "./pace.js";
@@ -32,6 +33,8 @@
 /** All that one host knows for its decisions. */
 export interface SchedulerState {
     readonly variant: Variant;
+    /** Live hosts of the hall, this one included. */
+    readonly hosts: number;
     readonly endpoints: ReadonlyMap<string, EndpointView>;
     readonly waiting: readonly Waiting[];
     readonly estimates: Estimates;
@@ -51,6 +54,8 @@
     | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
     | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
     | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
+    /** How many hosts of the hall are alive. */
+    | { readonly kind: "hosts"; readonly count: number }
     /** What other hosts hold on an endpoint, as told by its owner. */
     | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
     | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
@@ -106,6 +111,7 @@
 export function createScheduler(variant: Variant = DEFAULT_VARIANT, seed = 1): SchedulerState {
     return {
         variant,
+        hosts: 1,
         endpoints: new Map(),
         waiting: [],
         estimates: createEstimates(),
@@ -152,9 +158,14 @@
         const changed = withView(state, endpoint, view => setLeaving(view, source, leaving));
         return leaving ? { state: changed, actions: [] } : drain(changed, now);
     },
-    report: (state, { endpoint, report }, now) =>
-        drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now),
-    others: (state, { endpoint, others }, now) => drain(withView(state, endpoint, view => ({ ...view, others })), now),
+    report: (state, { endpoint, report }, now) => {
+        // With owners, the account of what others hold is newer than any report.
+        if (state.variant.share === "owner" && state.hosts > 1) return { state, actions: [] };
+        return drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now);
+    },
+    hosts: (state, { count }) => ({ state: { ...state, hosts: count }, actions: [] }),
+    others: (state, { endpoint, others }, now) =>
+        drain(withView(state, endpoint, view => takeOthers(view, others, now)), now),
     arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
     // Room that grows while streams run is found at the next tick: a search on each progress would cost far more.
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
@@ -221,7 +232,7 @@
     const { job } = waiting;
     const survival = lengthsOf(state, job);
     const candidates = usable(state.endpoints.values(), job, waiting.avoid, now)
-        .map(view => assess(view, job, survival, state.variant, now))
+        .map(view => assess(view, job, survival, state.variant, state.hosts, now))
         .filter(candidate => candidate !== undefined);
     if (candidates.length === 0) return undefined;
     const endpoint = PICK[state.variant.choice](candidates, state.turn);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -32,3 +32,12 @@
     type KvResult,
 } from "./kv.js";
 export { errText, neverSent } from "./net-error.js";
+export {
+    encodeFrame,
+    type FrameError,
+    type FrameMessage,
+    FrameReader,
+    MAX_FRAME_BYTES,
+    PEER_VERSION,
+} from "./peer-codec.js";
+export { type MeshCfg, type PeerError, PeerMesh, type PeerName } from "./peer-mesh.js";
--- /dev/null
+++ b/packages/protocol/src/peer-mesh.ts
@@ -0,0 +1,247 @@
+/**
+ * Connections between hosts over TCP: one per pair, opened when there is something to send, checked by version and
+ * shared secret before anything else is taken, bounded in what waits to be sent.
+ *
+ * A connection begins with a `hello` from both sides; each then proves that it knows a shared secret by a MAC over the
+ * other's nonce. Messages wait until both proofs are good.
+ *
+ * @module
+ */
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { encodeFrame, type FrameMessage, FrameReader, PEER_VERSION } from "./peer-codec.js";
+
+/** Why a connection was refused or ended. */
+export type PeerError =
+    | { readonly kind: "otherVersion"; readonly found: number }
+    | { readonly kind: "badProof" }
+    | { readonly kind: "badFrame"; readonly detail: string }
+    | { readonly kind: "slow"; readonly waitingBytes: number }
+    | { readonly kind: "closed"; readonly detail: string };
+
+/** Who is at the other end. */
+export interface PeerName {
+    readonly name: string;
+    readonly address: string;
+}
+
+/** What the mesh is made of. */
+export interface MeshCfg {
+    readonly name: string;
+    readonly listen: { readonly ip: string; readonly port: number };
+    /** The first is used; the others are accepted too, while they are being replaced. */
+    readonly secrets: readonly string[];
+    readonly onMessage: (from: PeerName, message: FrameMessage) => void;
+    readonly onError: (peer: string, err: PeerError) => void;
+    readonly onBytes: (direction: "in" | "out", bytes: number) => void;
+    readonly signal: AbortSignal;
+}
+
+interface Hello extends FrameMessage {
+    readonly kind: "hello";
+    readonly version: number;
+    readonly name: string;
+    readonly address: string;
+    readonly nonce: Uint8Array;
+}
+
+interface Proof extends FrameMessage {
+    readonly kind: "proof";
+    readonly mac: Uint8Array;
+}
+
+interface Link {
+    readonly socket: Socket;
+    readonly nonce: Buffer;
+    readonly dialled: string | undefined;
+    peer: PeerName | undefined;
+    /** Their proof was good. */
+    trusted: boolean;
+    readonly unsent: Buffer[];
+}
+
+const NONCE_BYTES = 16;
+const CONNECT_TIMEOUT_MS = 1_000;
+const HELLO_TIMEOUT_MS = 2_000;
+/** A peer that reads nothing while this much waits is cut off; soft state is sent again anyway. */
+const MAX_WAITING_BYTES = 16_000_000;
+const FIRST_REDIAL_MS = 100;
+const LONGEST_REDIAL_MS = 3_000;
+
+/** Connections of one host to its peers. */
+export class PeerMesh {
+    private readonly links = new Map<string, Link>();
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    /** When an address may be dialled again, and the pause after its next failure. */
+    private readonly redial = new Map<string, { at: number; pauseMs: number }>();
+    private address = "";
+
+    private constructor(private readonly cfg: MeshCfg) {
+        this.server = createServer(socket => this.adopt(socket, undefined));
+        cfg.signal.addEventListener("abort", () => this.close(), { once: true });
+    }
+
+    /** Starts to listen. */
+    static async listen(cfg: MeshCfg): Promise<PeerMesh> {
+        const mesh = new PeerMesh(cfg);
+        const { ip, port } = cfg.listen;
+        await new Promise<void>((resolve, reject) => {
+            mesh.server.once("error", reject);
+            mesh.server.listen(port, ip, resolve);
+        });
+        const bound = mesh.server.address();
+        mesh.address = `${ip}:${typeof bound === "object" && bound ? bound.port : port}`;
+        return mesh;
+    }
+
+    /** Where peers reach this host, as `ip:port`. */
+    get at(): string {
+        return this.address;
+    }
+
+    /** Sends to an address. Nothing is promised: what cannot be sent soon is dropped. */
+    send(address: string, message: FrameMessage): void {
+        if (this.cfg.signal.aborted || address === this.address) return;
+        const link = this.links.get(address) ?? this.dial(address);
+        if (link) this.write(link, encodeFrame(message), false);
+    }
+
+    private dial(address: string): Link | undefined {
+        const wait = this.redial.get(address);
+        if (wait && performance.now() < wait.at) return undefined;
+        const at = address.lastIndexOf(":");
+        const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+        socket.setTimeout(
+            CONNECT_TIMEOUT_MS,
+            () => socket.connecting && socket.destroy(new Error("connecting took too long")),
+        );
+        return this.adopt(socket, address);
+    }
+
+    private adopt(socket: Socket, dialled: string | undefined): Link {
+        const link: Link = {
+            socket,
+            nonce: randomBytes(NONCE_BYTES),
+            dialled,
+            peer: undefined,
+            trusted: false,
+            unsent: [],
+        };
+        const reader = new FrameReader();
+        this.sockets.add(socket);
+        if (dialled !== undefined) this.links.set(dialled, link);
+        socket.setNoDelay(true);
+        const timer = setTimeout(() => link.trusted || socket.destroy(new Error("no proof in time")), HELLO_TIMEOUT_MS);
+        socket.on("data", chunk => {
+            this.cfg.onBytes("in", chunk.length);
+            const { messages, err } = reader.push(chunk);
+            for (const message of messages) if (!socket.destroyed) this.take(link, message);
+            if (err) this.cut(link, { kind: "badFrame", detail: err.kind });
+        });
+        let failure: string | undefined;
+        socket.on("error", err => failure = err.message);
+        socket.on("close", () => {
+            clearTimeout(timer);
+            this.forget(link, failure);
+        });
+        const hello: Hello = {
+            kind: "hello",
+            version: PEER_VERSION,
+            name: this.cfg.name,
+            address: this.address,
+            nonce: link.nonce,
+        };
+        this.write(link, encodeFrame(hello), true);
+        return link;
+    }
+
+    private forget(link: Link, failure: string | undefined): void {
+        this.sockets.delete(link.socket);
+        const address = link.peer?.address ?? link.dialled;
+        if (address !== undefined && this.links.get(address) === link) this.links.delete(address);
+        if (this.cfg.signal.aborted || link.dialled === undefined) return;
+        const pauseMs = Math.min(
+            LONGEST_REDIAL_MS,
+            (this.redial.get(link.dialled)?.pauseMs ?? FIRST_REDIAL_MS / 2) * 2,
+        );
+        // Full jitter keeps hosts that lost the same peer from coming back together; it decides nothing else.
+        this.redial.set(link.dialled, { at: performance.now() + pauseMs * Math.random(), pauseMs });
+        this.cfg.onError(link.dialled, { kind: "closed", detail: failure ?? "closed by the peer" });
+    }
+
+    private cut(link: Link, err: PeerError): void {
+        this.cfg.onError(link.peer?.name ?? link.dialled ?? "unknown", err);
+        link.socket.destroy();
+    }
+
+    private write(link: Link, frame: Buffer, beforeTrust: boolean): void {
+        if (!beforeTrust && !link.trusted) {
+            if (link.unsent.length < 64) link.unsent.push(frame);
+            return;
+        }
+        if (link.socket.writableLength > MAX_WAITING_BYTES) {
+            this.cut(link, { kind: "slow", waitingBytes: link.socket.writableLength });
+            return;
+        }
+        this.cfg.onBytes("out", frame.length);
+        link.socket.write(frame);
+    }
+
+    private take(link: Link, message: FrameMessage): void {
+        if (message.kind === "hello") this.takeHello(link, message as Hello);
+        else if (message.kind === "proof") this.takeProof(link, message as Proof);
+        else if (link.trusted && link.peer) this.cfg.onMessage(link.peer, message);
+        else this.cut(link, { kind: "badProof" });
+    }
+
+    private takeHello(link: Link, hello: Hello): void {
+        if (hello.version !== PEER_VERSION) return this.cut(link, { kind: "otherVersion", found: hello.version });
+        const whole = typeof hello.name === "string" && typeof hello.address === "string"
+            && hello.nonce instanceof Uint8Array;
+        if (!whole || link.peer) return this.cut(link, { kind: "badFrame", detail: "a hello that is not whole" });
+        link.peer = { name: hello.name, address: hello.address };
+        const proof: Proof = { kind: "proof", mac: this.mac(this.cfg.secrets[0] ?? "", hello.nonce, this.cfg.name) };
+        this.write(link, encodeFrame(proof), true);
+    }
+
+    private takeProof(link: Link, proof: Proof): void {
+        const peer = link.peer;
+        const good = peer && this.cfg.secrets.some(secret => same(this.mac(secret, link.nonce, peer.name), proof.mac));
+        if (!peer || !good) return this.cut(link, { kind: "badProof" });
+        link.trusted = true;
+        this.redial.delete(peer.address);
+        this.keepOne(link, peer);
+        for (const frame of link.unsent.splice(0)) this.write(link, frame, false);
+    }
+
+    /** Of two connections of a pair, the one that the host of the lesser name dialled stays for sending. */
+    private keepOne(link: Link, peer: PeerName): void {
+        const other = this.links.get(peer.address);
+        if (!other || other === link || !other.trusted) {
+            if (link.dialled !== undefined && link.dialled !== peer.address) this.links.delete(link.dialled);
+            this.links.set(peer.address, link);
+            if (other && other !== link) {
+                link.unsent.push(...other.unsent.splice(0));
+            }
+            return;
+        }
+        const dialledByUs = link.dialled !== undefined;
+        const keepNew = dialledByUs === this.cfg.name < peer.name;
+        if (keepNew) this.links.set(peer.address, link);
+        (keepNew ? other : link).socket.end();
+    }
+
+    private mac(secret: string, nonce: Uint8Array, name: string): Buffer {
+        return createHmac("sha256", secret).update(nonce).update(name).digest();
+    }
+
+    private close(): void {
+        for (const socket of this.sockets) socket.destroy();
+        this.server.close();
+    }
+}
+
+function same(a: Uint8Array, b: unknown): boolean {
+    return b instanceof Uint8Array && a.length === b.length && timingSafeEqual(a, b);
+}
--- a/packages/standins/src/bench-policy.ts
+++ b/packages/standins/src/bench-policy.ts
@@ -30,6 +30,8 @@
     readonly json?: string;
     readonly quantile?: number;
     readonly gap?: number;
+    readonly tell?: number;
+    readonly loss?: number;
 }
 
 /** What the table shows of a run; the lower is better but for `good`. */
@@ -43,6 +45,7 @@
     { head: "first p95 s", of: m => m.firstToken.quantile(0.95) / 1000, digits: 2 },
     { head: "good %", of: m => 100 * m.good / m.arrivals, digits: 2 },
     { head: "refused %", of: m => 100 * m.refused / m.arrivals, digits: 2 },
+    { head: "peer B/s", of: m => m.peerBytesPerS, digits: 0 },
     { head: "broken", of: m => m.broken, digits: 0 },
 ];
 
@@ -76,6 +79,8 @@
             seed,
             lagMs: LAG_MS,
             reportLoss: REPORT_LOSS,
+            ...(options.tell === undefined ? {} : { tellMs: options.tell }),
+            messageLoss: options.loss ?? 0,
             loseThirdAt: options.lose ? durationMs / 2 : undefined,
         });
     });
@@ -134,6 +139,8 @@
     .option("--lose", "Lose a third of the engines half way")
     .option("--quantile", "Admission quantile in place of the profile's")
     .option("--gap", "Planned gap in milliseconds in place of the profile's")
+    .option("--tell", "Milliseconds between messages of a host to owners, and of owners to hosts")
+    .option("--loss", "Share of messages between hosts that are lost", 0)
     .option("--json", "Also write the figures to this file")
     .example("--profile kigali --policy drumpaddle,oracle --seeds 5")
     .action((options: Options) => run(options))
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -4,6 +4,20 @@
  *
  * @module
  */
+import {
+    type Account,
+    curveOf,
+    EMPTY_ACCOUNT,
+    type Held,
+    heldOf,
+    holdersOf,
+    NOTHING_TOLD,
+    othersFor,
+    ownerOf,
+    planTelling,
+    takeHeld,
+    type Told,
+} from "@drumpaddle/hall";
 import { Timing } from "@drumpaddle/host";
 import {
     createScheduler,
@@ -15,6 +29,7 @@
     type SchedulerState,
     type Variant,
 } from "@drumpaddle/policy";
+import { encodeFrame, type FrameMessage } from "@drumpaddle/protocol";
 import TinyQueue from "tinyqueue";
 import { ENGINE, type EngineCfg, type EngineLoad, EngineModel } from "./engine-model.js";
 import { type RandomGenerator, uniformFloat64, xoroshiro128plus } from "./random.js";
@@ -35,6 +50,10 @@
     readonly reportLoss: number;
     /** At this time a third of the engines is lost with all that runs there; undefined for never. */
     readonly loseThirdAt?: number | undefined;
+    /** How often hosts tell owners, and owners tell hosts. */
+    readonly tellMs?: number;
+    /** Share of messages between hosts that are lost. */
+    readonly messageLoss?: number;
 }
 
 /** What was measured. */
@@ -55,6 +74,8 @@
     /** How often a length stayed within the stated 90 % quantile, for calibration. */
     readonly within90: number;
     readonly decisions: number;
+    /** Bytes that hosts sent each other, per host and second. */
+    readonly peerBytesPerS: number;
 }
 
 /** A gap above this is stall time: letter 1's bound between tokens. */
@@ -62,6 +83,8 @@
 const REPORT_EVERY_MS = 500;
 const TICK_MS = 50;
 const TO_ENGINE_MS = 1;
+const TO_PEER_MS = 1;
+const TELL_MS = 250;
 const PROGRESS_EVERY = 16;
 /** Streams with fewer gaps have no tail to speak of. */
 export const STREAM_TAIL_GAPS = 50;
@@ -85,6 +108,8 @@
 interface HostSim {
     state: SchedulerState;
     ticking: boolean;
+    account: Account;
+    told: Told;
 }
 
 interface EngineSim {
@@ -121,6 +146,9 @@
     private readonly streamTails = new Timing();
     private readonly firstToken = new Timing();
     private open = 0;
+    private peerBytes = 0;
+    private readonly hostNames: readonly string[];
+    private readonly owners: readonly number[];
     private counts = {
         whole: 0,
         good: 0,
@@ -142,10 +170,77 @@
             stepping: false,
             lost: false,
         }));
+        this.hostNames = Array.from({ length: cfg.hosts }, (_, at) => `host-${at}`);
+        this.owners = this.engines.map((_, at) => this.hostNames.indexOf(ownerOf(`endpoint/e${at}`, this.hostNames)!));
         this.hosts = Array.from(
             { length: cfg.hosts },
-            (_, at) => ({ state: createScheduler(cfg.variant, at + 1), ticking: false }),
+            (_, at) => ({
+                state: createScheduler(cfg.variant, at + 1),
+                ticking: false,
+                account: EMPTY_ACCOUNT,
+                told: NOTHING_TOLD,
+            }),
+        );
+    }
+
+    /** One round of a host: it tells owners what it holds, and as an owner tells all what the others hold. */
+    private share(host: number, now: number): void {
+        this.at(now + (this.cfg.tellMs ?? TELL_MS), later => this.share(host, later));
+        const sim = this.hosts[host]!;
+        const holdings = [...sim.state.endpoints.values()].map(view =>
+            heldOf(view.cfg.id, view.streams.size, view.curve)
         );
+        const planned = planTelling(sim.told, holdings, endpoint => this.hostNames[this.ownerAt(endpoint)], now);
+        sim.told = planned.state;
+        for (const [owner, held] of planned.toSay) {
+            this.message(
+                host,
+                this.hostNames.indexOf(owner),
+                { kind: "held", held } as FrameMessage,
+                now,
+                (to, later) => {
+                    to.account = takeHeld(to.account, this.hostNames[host]!, held, later);
+                },
+            );
+        }
+        const owned = holdings.filter(({ endpoint }) =>
+            this.ownerAt(endpoint) === host && holdersOf(sim.account, endpoint, now).length > 0
+        );
+        for (const to of this.hosts.keys()) if (owned.length > 0) this.tellOthers(host, to, owned, now);
+    }
+
+    private tellOthers(from: number, to: number, owned: readonly Held[], now: number): void {
+        const account = this.hosts[from]!.account;
+        const others = owned.map(({ endpoint }) => {
+            const { streams, curve } = othersFor(account, endpoint, this.hostNames[to]!, now);
+            return heldOf(endpoint, streams, curve);
+        });
+        this.message(from, to, { kind: "others", others } as FrameMessage, now, (_sim, later) => {
+            for (const held of others) {
+                this.tell(to, {
+                    kind: "others",
+                    endpoint: held.endpoint,
+                    others: { streams: held.streams, curve: curveOf(held) },
+                }, later);
+            }
+        });
+    }
+
+    private ownerAt(endpoint: string): number {
+        return this.owners[Number(endpoint.slice(1))]!;
+    }
+
+    private message(
+        from: number,
+        to: number,
+        message: FrameMessage,
+        now: number,
+        take: (to: HostSim, now: number) => void,
+    ): void {
+        if (from === to) return take(this.hosts[to]!, now);
+        this.peerBytes += encodeFrame(message).length;
+        if (uniformFloat64(this.random) < (this.cfg.messageLoss ?? 0)) return;
+        this.at(now + TO_PEER_MS, later => take(this.hosts[to]!, later));
     }
 
     run(): Measured {
@@ -155,7 +250,12 @@
             models: ["m"],
             memoryTokens: model.cfg.memoryTokens,
         }));
-        for (const at of this.hosts.keys()) this.tell(at, { kind: "endpoints", endpoints }, -60_000);
+        for (const at of this.hosts.keys()) {
+            this.tell(at, { kind: "endpoints", endpoints }, -60_000);
+            if (this.cfg.variant.share !== "owner" || this.cfg.hosts === 1) continue;
+            this.tell(at, { kind: "hosts", count: this.cfg.hosts }, -60_000);
+            this.at((this.cfg.tellMs ?? TELL_MS) * uniformFloat64(this.random), now => this.share(at, now));
+        }
         for (const [at, arrival] of this.cfg.arrivals.entries()) {
             this.at(arrival.at, now => this.arrive(arrival, at % this.cfg.hosts, now));
         }
@@ -165,7 +265,9 @@
         if (this.cfg.loseThirdAt !== undefined) this.at(this.cfg.loseThirdAt, now => this.loseThird(now));
         const end = (this.cfg.arrivals.at(-1)?.at ?? 0) + AFTER_MS;
         this.open = this.cfg.arrivals.length;
+        let lastAt = 1;
         for (let next = this.queue.pop(); next && next.at < end && this.open > 0; next = this.queue.pop()) {
+            lastAt = next.at;
             next.run(next.at);
         }
         const { whole, good, refused, broken, preemptions, stallMs, within90, decisions } = this.counts;
@@ -182,6 +284,7 @@
             firstToken: this.firstToken,
             within90: whole === 0 ? 0 : within90 / whole,
             decisions,
+            peerBytesPerS: this.peerBytes / this.cfg.hosts / (lastAt / 1000),
         };
     }
 
--- a/packages/standins/src/stage.ts
+++ b/packages/standins/src/stage.ts
@@ -128,8 +128,8 @@
     };
 }
 
-function listed({ name, hall }: StageHost): ListedHost {
-    return { name, hall, state: "live" };
+function listed({ name, hall, daemon }: StageHost): ListedHost {
+    return { name, hall, state: "live", peer: daemon.peerAddress };
 }
 
 function treeOf(
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -10,6 +10,7 @@
     admission: "none",
     pace: false,
     lagCorrection: true,
+    share: "reports",
     prefix: false,
     priorities: false,
     oracle: false,
@@ -27,6 +28,8 @@
     "no-lag-correction": { ...DEFAULT_VARIANT, lagCorrection: false },
     "no-priorities": { ...DEFAULT_VARIANT, priorities: false },
     "two-choices": { ...DEFAULT_VARIANT, choice: "twoChoices" },
+    "reports-only": { ...DEFAULT_VARIANT, share: "reports" },
+    "reports-two-choices": { ...DEFAULT_VARIANT, share: "reports", choice: "twoChoices" },
     "oracle": { ...DEFAULT_VARIANT, oracle: true },
 } as const satisfies Record<string, Variant>;
 /** Name of a variant. */
