--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -30,7 +30,8 @@
 
 /** What an attempt reports to the run that started it. */
 export interface AttemptSink<T> {
-    event(event: RequestEvent, piece?: T): void;
+    /** Returns whether the event moved the request on. */
+    event(event: RequestEvent, piece?: T): boolean;
 }
 
 /** How attempts of one protocol are made. */
@@ -176,8 +177,11 @@
         this.connection?.abort();
         const connection = new AbortController();
         this.connection = connection;
-        const event = (event: RequestEvent, piece?: T): void => {
-            if (this.connection === connection && this.state.attempt?.id === attempt) this.event(event, piece);
+        const event = (event: RequestEvent, piece?: T): boolean => {
+            const before = this.state.attempt;
+            if (this.connection !== connection || before?.id !== attempt) return false;
+            this.event(event, piece);
+            return this.state.attempt !== before;
         };
         return [{ event }, connection.signal];
     }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -99,6 +99,8 @@
 /** A wait is refused early only where it is expected to be this many times too long: expectations are rough. */
 const EARLY_REFUSAL = 1.5;
 const LEAST_RETRY_AFTER_MS = 250;
+/** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
+const NO_ENDPOINT_RETRY_MS = 5_000;
 
 /**
  * Decisions that know of no endpoint yet.
@@ -156,7 +158,7 @@
     },
     leaving: (state, { endpoint, source, leaving }, now) => {
         const changed = withView(state, endpoint, view => setLeaving(view, source, leaving));
-        return leaving ? { state: changed, actions: [] } : drain(changed, now);
+        return drain(changed, now);
     },
     report: (state, { endpoint, report }, now) => {
         // With owners, the account of what others hold is newer than any report.
@@ -198,6 +200,17 @@
     };
 }
 
+/** Whether any endpoint runs the model and takes new work. */
+function isServed(state: SchedulerState, job: Job): boolean {
+    return [...state.endpoints.values()].some(view =>
+        view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model)
+    );
+}
+
+function refuseUnserved(job: Job): SchedulerAction {
+    return refuse(job.id, "noEndpoint", "no endpoint that takes new work runs the model", NO_ENDPOINT_RETRY_MS);
+}
+
 function arrive(state: SchedulerState, waiting: Waiting, now: number): Decision {
     const { job, retry } = waiting;
     const keys = [`w/${job.group.workspace}`, ...waiting.avoid.map(id => `e/${id}`)];
@@ -206,13 +219,7 @@
         return { state, actions: [refuse(job.id, "retryBudget", "the retry budget is used up", job.policy.maxWaitMs)] };
     }
     const paid = { ...state, retries };
-    const known = [...state.endpoints.values()].some(view => view.cfg.models.includes(job.group.model));
-    if (!known) {
-        return {
-            state: paid,
-            actions: [refuse(job.id, "noEndpoint", "no endpoint runs the model", job.policy.maxWaitMs)],
-        };
-    }
+    if (!isServed(paid, job)) return { state: paid, actions: [refuseUnserved(job)] };
     if (state.waiting.length === 0) {
         const placed = place(paid, waiting, now);
         if (placed) return placed;
@@ -297,15 +304,13 @@
     const actions: SchedulerAction[] = [];
     const kept: Waiting[] = [];
     for (const waiting of state.waiting) {
-        if (now < waitDeadline(waiting)) kept.push(waiting);
-        else {actions.push(
-                refuse(
-                    waiting.job.id,
-                    "waitTooLong",
-                    "no engine had room in time",
-                    expectedWait(state.drain, kept.length, now),
-                ),
-            );}
+        const { job } = waiting;
+        if (now >= waitDeadline(waiting)) {
+            const wait = expectedWait(state.drain, kept.length, now);
+            actions.push(refuse(job.id, "waitTooLong", "no engine had room in time", wait));
+        }
+        else if (!isServed(state, job)) actions.push(refuseUnserved(job));
+        else kept.push(waiting);
     }
     let next: SchedulerState = { ...state, waiting: kept };
     for (const waiting of mostUrgent(next, now)) {
--- a/packages/protocol/src/engine-client.ts
+++ b/packages/protocol/src/engine-client.ts
@@ -65,7 +65,8 @@
 
 /** Takes what a stream tells. */
 export interface EngineSink {
-    onEvent(event: EngineEvent): void;
+    /** Returns whether the event moved the request on; an engine that sends only others is taken for silent. */
+    onEvent(event: EngineEvent): boolean;
     /** Asked after each piece of the stream; while it waits, nothing more is read. */
     ready(): Promise<void> | undefined;
 }
@@ -184,8 +185,7 @@
             const event = readEvent(data);
             if (event === "invalid") bad ??= "an event that is not in the completions shape";
             else if (event) {
-                watch.heard();
-                sink.onEvent(event);
+                if (sink.onEvent(event)) watch.heard();
             }
         },
     });
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -64,7 +64,7 @@
     },
     opened: (state, { attempt, generation }) => {
         const current = state.attempt;
-        if (!current || current.id !== attempt) return stay(discard(state, "otherAttempt"));
+        if (!current || !isAnswering(state, attempt)) return stay(discard(state, "otherAttempt"));
         if (current.generation !== undefined && current.generation !== generation) {
             return stay(discard(state, "otherGeneration"));
         }
@@ -73,7 +73,7 @@
     token: onToken,
     finished: (state, { attempt, generation, total }) => {
         const current = state.attempt;
-        if (!current || current.id !== attempt) return stay(discard(state, "otherAttempt"));
+        if (!current || !isAnswering(state, attempt)) return stay(discard(state, "otherAttempt"));
         if (current.generation !== generation) return stay(discard(state, "otherGeneration"));
         if (current.next !== total) {
             return breakOff(discard(state, "gap"), "reset", `ended at ${current.next} of ${total}`);
@@ -102,16 +102,20 @@
 
 function onToken(state: RequestState, event: Extract<RequestEvent, { kind: "token" }>): Step {
     const current = state.attempt;
-    if (!current || current.id !== event.attempt) return stay(discard(state, "otherAttempt"));
-    if (current.generation !== event.generation) return stay(discard(state, "otherGeneration"));
+    if (!current || !isAnswering(state, event.attempt)) return stay(discard(state, "otherAttempt"));
+    // An engine may name its generation only with its first token.
+    const known = current.generation ?? event.generation;
+    if (known !== event.generation) return stay(discard(state, "otherGeneration"));
     if (event.index < current.next) return stay(discard(state, "duplicate"));
-    if (event.index > current.next) return onGap(discard(state, "gap"), event);
+    if (event.index > current.next) {
+        return onGap({ ...discard(state, "gap"), attempt: { ...current, generation: known } }, event);
+    }
     const next: RequestState = {
         ...state,
         phase: Phase.Streaming,
         committed: state.committed || state.cfg.streamed,
         tokenSeen: true,
-        attempt: { ...current, next: current.next + 1, resumes: 0, resuming: false },
+        attempt: { ...current, generation: known, next: current.next + 1, resumes: 0, resuming: false },
     };
     return { state: next, actions: [{ kind: "forward", index: event.index }] };
 }
@@ -184,6 +188,11 @@
     return state.attempt?.id === attempt;
 }
 
+/** Whether an answer of an attempt can be meant for this request now: it is the current one and may have been sent. */
+function isAnswering(state: RequestState, attempt: string): boolean {
+    return isCurrent(state, attempt) && state.record.sent.includes(attempt);
+}
+
 function stay(state: RequestState): Step {
     return { state, actions: [] };
 }
--- /dev/null
+++ b/packages/standins/test/engine-faults.test.ts
@@ -0,0 +1,166 @@
+import test, { type ExecutionContext } from "ava";
+import { request } from "undici";
+import { type CallerResult, callOnce, type EngineFault, type Stage, startStage, waitUntil } from "../src/index.js";
+
+const QUICK = { "idle-timeout": "400ms", "first-token-timeout": "400ms", "connect-timeout": "300ms" };
+
+async function stageFor(t: ExecutionContext, members: Record<string, string> = {}, engines = 2): Promise<Stage> {
+    const stage = await startStage({
+        halls: ["k1"],
+        enginesPerHall: engines,
+        engine: { speed: 20 },
+        tree: { root: QUICK, "workspace/members": members },
+    });
+    t.teardown(() => stage.stop());
+    return stage;
+}
+
+function send(stage: Stage, headers: { tag?: string; output?: number } = {}): Promise<CallerResult> {
+    return callOnce({
+        url: stage.hosts[0]!.daemon.callersUrl,
+        key: stage.keyOf("members"),
+        model: "summary-8b",
+        tag: headers.tag ?? "t",
+        promptTokens: 50,
+        output: headers.output ?? 20,
+    });
+}
+
+function runsOf(stage: Stage): number {
+    return stage.engines.flatMap(({ server }) => [...server.runs.values()]).reduce((sum, runs) => sum + runs, 0);
+}
+
+interface Case {
+    readonly fault: EngineFault;
+    /** Outcome of a repeatable, streamed request before two engines. */
+    readonly outcome: CallerResult["outcome"];
+    readonly runs: number;
+    readonly code?: string;
+}
+
+const CASES: readonly Case[] = [
+    { fault: { kind: "refuse" }, outcome: "whole", runs: 1 },
+    { fault: { kind: "failUnproven" }, outcome: "whole", runs: 1 },
+    { fault: { kind: "html" }, outcome: "whole", runs: 1 },
+    { fault: { kind: "never" }, outcome: "whole", runs: 1 },
+    { fault: { kind: "dieBeforeHead" }, outcome: "whole", runs: 1 },
+    { fault: { kind: "resetAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "reclaimedAt", at: 5 }, outcome: "failed", runs: 1, code: "stream_incomplete" },
+    { fault: { kind: "stallAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "repeatAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "skipAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "swapAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "crossAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "otherGenerationAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "halfChunkAt", at: 5 }, outcome: "whole", runs: 1 },
+    { fault: { kind: "hugeChunkAt", at: 5 }, outcome: "failed", runs: 1, code: "endpoint_invalid_answer" },
+    { fault: { kind: "shortTotal" }, outcome: "whole", runs: 1 },
+];
+
+for (const { fault, outcome, runs, code } of CASES) {
+    test(`an engine that does ${fault.kind}`, async t => {
+        const stage = await stageFor(t);
+        stage.engines[0]!.server.faults.push(fault);
+        const result = await send(stage);
+        t.is(result.outcome, outcome, JSON.stringify(result));
+        t.is(result.code, code);
+        t.is(runsOf(stage), runs);
+    });
+}
+
+test("a request that may not be repeated is never sent twice", async t => {
+    const stage = await stageFor(t, { repeatable: "false" });
+    for (const kind of ["failUnproven", "never", "dieBeforeHead"] as const) {
+        for (const { server } of stage.engines) server.faults.push({ kind });
+        const result = await send(stage);
+        t.is(result.outcome, "failed", kind);
+        t.is(result.ran, "unknown", kind);
+        for (const { server } of stage.engines) server.faults.length = 0;
+    }
+    t.is(runsOf(stage), 0);
+});
+
+test("a refusal that proves that nothing ran lets even such a request try elsewhere", async t => {
+    const stage = await stageFor(t, { repeatable: "false" });
+    stage.engines[0]!.server.faults.push({ kind: "refuse" });
+    t.is((await send(stage)).outcome, "whole");
+    t.is(runsOf(stage), 1);
+});
+
+test("answers of requests that run at once are never crossed", async t => {
+    const stage = await stageFor(t);
+    const results = await Promise.all(
+        Array.from({ length: 40 }, (_, at) => send(stage, { tag: `t${at}`, output: 5 + at })),
+    );
+    t.deepEqual(results.map(result => result.outcome), results.map(() => "whole"));
+});
+
+test("an endpoint that is leaving gets nothing new, whichever source says so", async t => {
+    const stage = await stageFor(t);
+    const [first, second] = stage.engines.map(({ server }) => server);
+    const host = stage.hosts[0]!.daemon.host;
+    const leaving = (at: number) => [...host.engines.view.endpoints.values()][at]!.leavingBy;
+    first!.leaving = true;
+    await waitUntil(() => leaving(0).includes("endpoint"));
+    stage.hostList.set([{ name: "m", hall: "k1", state: "live", endpoint: "engine-1" }]);
+    for (let at = 0; at < 5; at++) t.is((await send(stage)).outcome, "whole");
+    t.is(first!.runs.size, 0);
+    t.is(second!.runs.size, 5);
+    stage.hostList.set([{ name: "m", hall: "k1", state: "leaving", endpoint: "engine-2" }]);
+    await waitUntil(() => leaving(1).includes("hostList"));
+    const refused = await send(stage);
+    t.deepEqual([refused.code, refused.ran], ["no_endpoint", "no"]);
+    t.is(second!.runs.size, 5);
+});
+
+test("a planned stop finishes what runs, refuses what is new, and tells peers", async t => {
+    const stage = await stageFor(t);
+    const daemon = stage.hosts[0]!.daemon;
+    const running = send(stage, { output: 400 });
+    await waitUntil(() => daemon.host.runs.size === 1);
+    const stopped = daemon.stop();
+    const late = await send(stage);
+    t.deepEqual([late.outcome, late.code, late.ran], ["refused", "host_stopping", "no"]);
+    const ready = await request(`${daemon.operatorsUrl}/readyz`);
+    t.is(ready.statusCode, 503);
+    await ready.body.dump();
+    t.is((await running).outcome, "whole");
+    await stopped;
+});
+
+test("waiting requests are answered as not run when the host is told to stop", async t => {
+    const stage = await stageFor(t, { "gap-target": "1ms" }, 1);
+    const daemon = stage.hosts[0]!.daemon;
+    const running = send(stage, { output: 300 });
+    await waitUntil(() => daemon.host.engines.view.placed.size === 1);
+    const waiting = send(stage);
+    await waitUntil(() => daemon.host.engines.view.waiting.length === 1);
+    const stopped = daemon.stop();
+    const refused = await waiting;
+    t.deepEqual([refused.outcome, refused.ran], ["refused", "no"]);
+    t.is((await running).outcome, "whole");
+    await stopped;
+});
+
+test("a caller that reads nothing does not fill the daemon's memory, and is given up in time", async t => {
+    const stage = await stageFor(t, { "caller-stall-timeout": "500ms" });
+    const controller = new AbortController();
+    const res = await request(`${stage.hosts[0]!.daemon.callersUrl}/v1/chat/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${stage.keyOf("members")}` },
+        body: JSON.stringify({
+            model: "summary-8b",
+            stream: true,
+            messages: [{ role: "user", content: "x" }],
+            x_output: 60_000,
+            x_tag: "y".repeat(20_000),
+        }),
+        signal: controller.signal,
+    });
+    t.is(res.statusCode, 200);
+    await waitUntil(() => stage.logLines.some(line => line.includes("outcome=caller_gone")));
+    await waitUntil(() => stage.engines.some(({ server }) => server.cancelled.length === 1));
+    t.true(process.memoryUsage.rss() < 1_000_000_000);
+    controller.abort();
+    res.body.on("error", () => undefined);
+});
