Ask the owner of a crowded endpoint first; claim a caller's key before a call that runs once

Change: a host that would send to a crowded endpoint of another owner asks it; the owner judges by all that is held and keeps its grants in the account until the asker next tells. An owner silent for 100 ms is not waited for.

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import { addCurve, type Curve, type Others, zeroCurve } from "@drumpaddle/policy";
+import { addCurve, type Bounds, type Curve, type Others, peakOf, zeroCurve } from "@drumpaddle/policy";
 
 /** What one host holds on one endpoint. */
 export interface Held {
@@ -20,9 +20,16 @@
     readonly variance: readonly number[];
 }
 
-/** What an owner has been told, by endpoint and host. */
+/** What an owner has been told, by endpoint and host, with what it granted since. */
 export interface Account {
-    readonly held: ReadonlyMap<string, ReadonlyMap<string, { readonly held: Held; readonly at: number }>>;
+    readonly held: ReadonlyMap<string, ReadonlyMap<string, Entry>>;
+}
+
+interface Entry {
+    readonly held: Held;
+    readonly at: number;
+    /** Streams granted to the host since it last told. */
+    readonly granted: readonly Curve[];
 }
 
 /** What a host has told owners, so that it says only what is new. */
@@ -102,7 +109,7 @@
     const next = new Map(account.held);
     for (const held of holdings) {
         const hosts = new Map(next.get(held.endpoint));
-        hosts.set(host, { held, at: now });
+        hosts.set(host, { held, at: now, granted: [] });
         next.set(held.endpoint, hosts);
     }
     return { held: next };
@@ -119,10 +126,10 @@
 export function othersFor(account: Account, endpoint: string, host: string, now: number): Others {
     let streams = 0;
     let curve = zeroCurve();
-    for (const [name, { held, at }] of account.held.get(endpoint) ?? []) {
+    for (const [name, { held, at, granted }] of account.held.get(endpoint) ?? []) {
         if (name === host || now - at > HELD_VALID_MS) continue;
-        streams += held.streams;
-        curve = addCurve(curve, curveOf(held), 1);
+        streams += held.streams + granted.length;
+        curve = granted.reduce((sum, one) => addCurve(sum, one, 1), addCurve(curve, curveOf(held), 1));
     }
     return { streams, curve };
 }
@@ -134,6 +141,49 @@
     );
 }
 
+/** A host's question whether a stream may be added on an endpoint; `held` is all that the host holds there, without it. */
+export interface Question {
+    readonly held: Held;
+    /** The stream, as a {@link Held} of one. */
+    readonly stream: Held;
+    readonly bounds: Bounds;
+}
+
+/** An owner's judgement. */
+export interface Judgement {
+    readonly account: Account;
+    readonly granted: boolean;
+}
+
+/**
+ * Judges a host's question by all that is held: a grant is kept in the account until the host next tells what it holds.
+ *
+ * @example
+ * ```ts
+ * const { account: next, granted } = judge(account, "k1-b", question, now);
+ * ```
+ */
+export function judge(account: Account, host: string, { held, stream, bounds }: Question, now: number): Judgement {
+    const { endpoint } = held;
+    const known = account.held.get(endpoint)?.get(host);
+    // What was granted to the host since it last told is in what it tells now.
+    const current = takeHeld(account, host, [held], known ? Math.max(known.at, now) : now);
+    const others = othersFor(current, endpoint, host, now);
+    const streams = others.streams + held.streams + 1;
+    const curve = addCurve(addCurve(others.curve, curveOf(held), 1), curveOf(stream), 1);
+    const fits = streams <= bounds.limit && (peakOf(curve, bounds.z, 0) <= bounds.room || streams === 1);
+    return fits
+        ? { account: addGrant(current, endpoint, host, curveOf(stream)), granted: true }
+        : { account: current, granted: false };
+}
+
+function addGrant(account: Account, endpoint: string, host: string, stream: Curve): Account {
+    const hosts = new Map(account.held.get(endpoint));
+    const entry = hosts.get(host)!;
+    hosts.set(host, { ...entry, granted: [...entry.granted, stream] });
+    return { held: new Map(account.held).set(endpoint, hosts) };
+}
+
 /** A curve from what was sent. */
 export function curveOf(held: Held): Curve {
     return {
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
 import { createCallers } from "./callers.js";
+import { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
 import { type Host, LimitBook, OpenRuns } from "./host.js";
 import type { Log } from "./log.js";
@@ -75,6 +76,7 @@
         plain: new Placement(signal, PLAIN_VARIANT),
         runs: new OpenRuns(),
         limits: new LimitBook(),
+        claims: new Claims(kv, cfg["platform.prefix"], signal),
         peers: undefined,
     };
     host.peers = await Peers.start(host);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -5,6 +5,7 @@
  */
 import { createLimits, type LimitState } from "@drumpaddle/policy";
 import type { Dispatcher } from "undici";
+import type { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
 import type { Directory } from "./directory.js";
 import type { Log } from "./log.js";
@@ -27,6 +28,7 @@
     readonly signal: AbortSignal;
     readonly runs: OpenRuns;
     readonly limits: LimitBook;
+    readonly claims: Claims;
     /** Set as soon as the host listens for its peers. */
     peers: Peers | undefined;
 }
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -16,6 +16,7 @@
     type Held,
     heldOf,
     isAlive,
+    judge,
     leave,
     listHosts,
     liveHosts,
@@ -26,6 +27,7 @@
     othersFor,
     ownerOf,
     planTelling,
+    type Question,
     type SettingsAsk,
     type SettingsGive,
     takeGiven,
@@ -34,10 +36,12 @@
     type VersionNews,
     watches,
 } from "@drumpaddle/hall";
+import { addCurve } from "@drumpaddle/policy";
 import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import type { Host } from "./host.js";
+import type { AskAction } from "./placement.js";
 
 const News = Type.Object({
     name: Type.String(),
@@ -72,6 +76,13 @@
         owned: Type.Array(Type.String()),
         leaving: Type.Array(Type.String()),
     }),
+    question: Type.Object({
+        job: Type.String(),
+        held: HeldShape,
+        stream: HeldShape,
+        bounds: Type.Object({ room: Type.Number(), limit: Type.Number(), z: Type.Number() }),
+    }),
+    answer: Type.Object({ job: Type.String(), granted: Type.Boolean(), others: HeldShape }),
 } as const;
 
 /** Messages between hosts. */
@@ -87,7 +98,23 @@
         readonly others: readonly Held[];
         readonly owned: readonly string[];
         readonly leaving: readonly string[];
-    };
+    }
+    | QuestionMessage
+    | AnswerMessage;
+
+/** Asked of an owner before a request is sent to a crowded endpoint. */
+interface QuestionMessage extends Question {
+    readonly kind: "question";
+    readonly job: string;
+}
+
+/** An owner's word, with what others than the asker hold on the endpoint. */
+interface AnswerMessage {
+    readonly kind: "answer";
+    readonly job: string;
+    readonly granted: boolean;
+    readonly others: Held;
+}
 
 type Handlers = {
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
@@ -132,6 +159,7 @@
     private run(): void {
         const { cfg, signal } = this.host;
         const beat = setInterval(() => this.beat(), cfg["control.heartbeat"]);
+        this.host.engines.setAsker(action => this.ask(action));
         const tell = setInterval(() => this.tellHoldings(), TELL_MS);
         signal.addEventListener("abort", () => (clearInterval(beat), clearInterval(tell)), { once: true });
         this.beat();
@@ -228,8 +256,40 @@
                 this.host.engines.setLeaving(endpoint, "endpoint", leaving.includes(endpoint));
             }
         },
+        question: (from, question) => this.judge(from, question),
+        answer: (_from, { job, granted, others }) => {
+            this.host.engines.answer(job, granted, { streams: others.streams, curve: curveOf(others) });
+        },
     };
 
+    /** As an owner: judges a question by the account, with this host's own streams as they are now. */
+    private judge(from: PeerName, { job, held, stream, bounds }: QuestionMessage): void {
+        const now = performance.now();
+        const { endpoint } = held;
+        const self = this.host.cfg["host.name"];
+        const own = this.host.engines.view.endpoints.get(endpoint);
+        if (own) this.account = takeHeld(this.account, self, [heldOf(endpoint, own.streams.size, own.curve)], now);
+        const { account, granted } = judge(this.account, from.name, { held, stream, bounds }, now);
+        this.account = account;
+        this.host.engines.setOthers(endpoint, othersFor(account, endpoint, self, now));
+        const others = othersFor(account, endpoint, from.name, now);
+        this.send(from.address, {
+            kind: "answer",
+            job,
+            granted,
+            others: heldOf(endpoint, others.streams, others.curve),
+        });
+    }
+
+    /** Carries a question to the owner; without one the decision falls by time-out to this host alone. */
+    private ask({ job, endpoint, curve, bounds }: AskAction): void {
+        const owner = ownerOf(`endpoint/${endpoint}`, this.live);
+        const view = this.host.engines.view.endpoints.get(endpoint);
+        if (owner === undefined || !view) return;
+        const held = heldOf(endpoint, view.streams.size - 1, addCurve(view.curve, curve, -1));
+        this.sendTo(owner, { kind: "question", job, held, stream: heldOf(endpoint, 1, curve), bounds });
+    }
+
     private takeOthers(endpoint: string, streams: number, held: Held): void {
         this.host.engines.setOthers(endpoint, { streams, curve: curveOf(held) });
     }
@@ -254,6 +314,7 @@
             else this.sendTo(owner, { kind: "held", held });
         }
         const owned = views.map(view => view.cfg.id).filter(endpoint => ownerOf(`endpoint/${endpoint}`, live) === self);
+        this.host.engines.setOwned(owned);
         this.answerHolders(owned, live, now);
     }
 
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -25,6 +25,9 @@
     onRefuse(reason: RefuseReason, detail: string, retryAfterMs: number): void;
 }
 
+/** A question to an endpoint's owner. */
+export type AskAction = Extract<SchedulerAction, { kind: "ask" }>;
+
 /** Waiting requests are looked at this often even when nothing happens. */
 const TICK_MS = 50;
 
@@ -33,11 +36,12 @@
     private state: SchedulerState;
     private readonly asking = new Map<string, Placed>();
     private readonly timer: NodeJS.Timeout;
+    private onAsk: (action: AskAction) => void = () => undefined;
 
     constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT) {
         this.state = createScheduler(variant);
         this.timer = setInterval(() => {
-            if (this.state.waiting.length > 0) this.handle({ kind: "tick" });
+            if (this.state.waiting.length + this.state.asked.size > 0) this.handle({ kind: "tick" });
         }, TICK_MS);
         signal.addEventListener("abort", () => clearInterval(this.timer), { once: true });
     }
@@ -67,6 +71,24 @@
         if (count !== this.state.hosts) this.handle({ kind: "hosts", count });
     }
 
+    /** Which endpoints this host owns. */
+    setOwned(endpoints: readonly string[]): void {
+        const known = this.state.owned;
+        if (endpoints.length !== known.size || endpoints.some(id => !known.has(id))) {
+            this.handle({ kind: "owns", endpoints });
+        }
+    }
+
+    /** Who carries questions to owners; until then they go unanswered and are decided alone. */
+    setAsker(onAsk: (action: AskAction) => void): void {
+        this.onAsk = onAsk;
+    }
+
+    /** An owner's word on a request. */
+    answer(job: string, granted: boolean, others: Others): void {
+        this.handle({ kind: "answer", job, granted, others });
+    }
+
     /** What other hosts hold on an endpoint, by its owner's account. */
     setOthers(endpoint: string, others: Others): void {
         this.handle({ kind: "others", endpoint, others });
@@ -99,6 +121,10 @@
     }
 
     private carryOut(action: SchedulerAction): void {
+        if (action.kind === "ask") {
+            this.onAsk(action);
+            return;
+        }
         const placed = this.asking.get(action.job);
         this.asking.delete(action.job);
         if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority);
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -8,13 +8,14 @@
  */
 import { type Job, reserve, settle } from "@drumpaddle/policy";
 import { errText, neverSent } from "@drumpaddle/protocol";
-import type { FailCode } from "@drumpaddle/request";
+import { FailCode, type Ran } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { FastifyRequest } from "fastify";
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
 import { type Dispatcher, request } from "undici";
 import { type ApiError, toApiError, writeError } from "./answer.js";
+import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
 import type { Directory } from "./directory.js";
 import { limitError, limitsOf, policyOf } from "./generate.js";
 import type { Host } from "./host.js";
@@ -104,7 +105,103 @@
     const taken = reserve(host.limits.state, id, workspace, limitsOf(settings), 0, performance.now());
     if (!taken.ok) return refuse(limitError(taken.refusal));
     host.limits.state = taken.state;
-    start(host, call, job, settings, body);
+    const path = pathOf(call);
+    const once = isOnce(call.req.method, path.split("?")[0]!, settings, call.req.headers["x-not-repeatable"]);
+    const key = call.req.headers["idempotency-key"];
+    const plan: PlainPlan = {
+        call,
+        job,
+        settings,
+        body,
+        path,
+        once,
+        key: once && typeof key === "string" ? key : undefined,
+    };
+    if (plan.key === undefined) start(host, plan);
+    else void claimAndStart(host, plan, plan.key);
+}
+
+/** A call with all that was decided about it. */
+interface PlainPlan {
+    readonly call: PlainCall;
+    readonly job: Job;
+    readonly settings: Settings;
+    readonly body: Buffer | undefined;
+    readonly path: string;
+    readonly once: boolean;
+    /** The caller's key, where the call is to run at most once. */
+    readonly key: string | undefined;
+}
+
+const CLAIM_RETRY_MS = 1_000;
+const MAX_KEY_LENGTH = 255;
+
+/** Errors for claims that are not this request's. None of these requests was dispatched. */
+const CLAIM_ERROR = {
+    taken: {
+        status: 409,
+        code: FailCode.AlreadyClaimed,
+        message: "a call with this key was begun; it is not known whether it ran",
+        ran: "unknown",
+    },
+    otherCall: { status: 422, code: "key_reused", message: "this key was used for another call", ran: "no" },
+    away: {
+        status: 503,
+        code: FailCode.PlatformAway,
+        message: "the key cannot be claimed now",
+        ran: "no",
+        retryAfterMs: CLAIM_RETRY_MS,
+    },
+} as const satisfies Record<string, ApiError>;
+
+async function claimAndStart(host: Host, plan: PlainPlan, key: string): Promise<void> {
+    const { id, workspace, req, out } = plan.call;
+    const hash = callHash(req.method, `${plan.call.service}${plan.path}`, plan.body);
+    const claimed = key.length > MAX_KEY_LENGTH
+        ? { kind: "otherCall" as const }
+        : await host.claims.claim(workspace, key, id, hash);
+    if (claimed.kind === "mine") {
+        // A caller that left, or a host told to stop, while the key was claimed: nothing is sent, so the key is free again.
+        if (!out.destroyed && !host.runs.stopping) return start(host, plan);
+        await host.claims.release(workspace, key, id);
+    }
+    host.limits.state = settle(host.limits.state, id, { kind: "notRun" });
+    if (claimed.kind === "mine") return writeError(out, STOPPED, { "x-request-id": id });
+    if (claimed.kind === "recorded") {
+        host.metrics.countOutcome("whole", "yes");
+        const { status, contentType, body } = claimed.answer;
+        out.writeHead(status, {
+            "x-request-id": id,
+            "x-recorded": "true",
+            ...(contentType ? { "content-type": contentType } : {}),
+        });
+        out.end(Buffer.from(body, "base64"));
+        return;
+    }
+    const err = CLAIM_ERROR[claimed.kind];
+    host.metrics.countOutcome(claimed.kind === "otherCall" ? "bad_request" : err.code as FailCode, err.ran);
+    writeError(out, err, { "x-request-id": id });
+}
+
+const STOPPED: ApiError = {
+    status: 503,
+    code: FailCode.Stopping,
+    message: "this host is stopping",
+    ran: "no",
+    retryAfterMs: 0,
+};
+
+/** Records what became of a claimed call. */
+async function settleClaim(
+    host: Host,
+    { call, key }: PlainPlan,
+    ran: Ran,
+    answer: Recorded | undefined,
+): Promise<void> {
+    if (key === undefined) return;
+    const { workspace, id } = call;
+    if (ran === "no") await host.claims.release(workspace, key, id);
+    else if (answer) await host.claims.record(workspace, key, id, answer);
 }
 
 function jobOf(call: PlainCall, settings: Settings): Job {
@@ -123,10 +220,10 @@
     return call.req.url.slice(`/services/${call.service}`.length);
 }
 
-function start(host: Host, call: PlainCall, job: Job, settings: Settings, body: Buffer | undefined): void {
+function start(host: Host, plan: PlainPlan): void {
+    const { call, job, settings, body, path, once } = plan;
     const { out, id } = call;
-    const path = pathOf(call);
-    const once = isOnce(call.req.method, path.split("?")[0]!, settings, call.req.headers["x-not-repeatable"]);
+    const reply = passThrough(out, id);
     host.metrics.open.inc();
     const run: Run<PlainPiece> = new Run<PlainPiece>({
         cfg: {
@@ -140,12 +237,13 @@
         job,
         placement: host.plain,
         runner: plainRunner(host, call, path, settings, body),
-        reply: passThrough(out, id),
+        reply,
         onGap: () => undefined,
         onDispatch: kind => host.metrics.countDispatch(kind),
         onEnd: end => {
             const ran = end.err?.ran ?? "yes";
             queueMicrotask(() => host.runs.delete(run));
+            void settleClaim(host, plan, ran, end.err ? undefined : reply.recorded());
             host.limits.state = settle(
                 host.limits.state,
                 id,
@@ -173,19 +271,32 @@
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
-function passThrough(out: ServerResponse, id: string): Reply<PlainPiece> {
+/** Passes an answer on as it comes, and keeps a small one for the record. */
+function passThrough(out: ServerResponse, id: string): Reply<PlainPiece> & { recorded(): Recorded | undefined } {
+    let head: { status: number; contentType: string | undefined } | undefined;
+    const chunks: Buffer[] = [];
+    let bytes = 0;
     return {
         forward: ({ status, headers, body }) => {
             const passed = Object.entries(headers).filter(([name]) =>
                 !OWN_HEADERS.has(name) || name === "content-length"
             );
             out.writeHead(status, { ...Object.fromEntries(passed), "x-request-id": id });
+            head = { status, contentType: headers["content-type"] };
+            body.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                if (bytes <= MAX_RECORDED_BYTES) chunks.push(chunk);
+            });
             body.pipe(out, { end: false });
         },
         drop: () => undefined,
         finish: () => out.end(),
         // Once the head has gone out, breaking the connection is the only honest sign that the body is not whole.
         fail: err => out.headersSent ? out.destroy() : writeError(out, toApiError(err), { "x-request-id": id }),
+        recorded: () =>
+            head && bytes <= MAX_RECORDED_BYTES
+                ? { ...head, body: Buffer.concat(chunks).toString("base64") }
+                : undefined,
     };
 }
 
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -24,8 +24,24 @@
 export interface Candidate {
     readonly id: string;
     readonly score: number;
+    /** Whether so much of it is planned that other hosts' choices of this moment matter. */
+    readonly crowded: boolean;
+    readonly bounds: Bounds;
 }
 
+/** By what an endpoint's plan is judged. */
+export interface Bounds {
+    /** Tokens that the plan may reach. */
+    readonly room: number;
+    /** Streams that it may have. */
+    readonly limit: number;
+    /** Standard deviations at which the peak is asked for. */
+    readonly z: number;
+}
+
+/** From this share of its bounds on, an endpoint counts as crowded. */
+const CROWDED_SHARE = 0.5;
+
 /**
  * Endpoints that may be given a request at all: they run the model, are not leaving and not ejected. Where more than
  * half of a model's endpoints are ejected, ejection is ignored: the fault is then hardly theirs.
@@ -73,13 +89,17 @@
     hosts: number,
     now: number,
 ): Candidate | undefined {
-    if (variant.admission === "none") return { id: view.cfg.id, score: streamCount(view) };
+    const z = probit(job.policy.quantile);
+    if (variant.admission === "none") {
+        const bounds = { room: Infinity, limit: Infinity, z };
+        return { id: view.cfg.id, score: streamCount(view), crowded: false, bounds };
+    }
     const share = variant.share === "owner" ? plannedShare(view, hosts, now) : 1;
     const limit = share * streamLimit(view, job, variant, now);
     const streams = streamCount(view) + 1;
     if (streams > Math.max(1, limit)) return undefined;
     const room = share * view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
-    const peak = peakWith(view, job, survival, variant);
+    const peak = peakWith(view, job, survival, variant, z);
     // A request that is larger than any plan allows still runs, alone.
     if (peak > room && streams > 1) return undefined;
     const { weightTail, weightStall, weightPrefix } = job.policy;
@@ -87,13 +107,14 @@
         ? job.prefixTokens / Math.max(1, job.promptTokens)
         : 0;
     const score = weightTail * streams / Math.min(limit, RAMP_FULL) + weightStall * peak / room - weightPrefix * cached;
-    return { id: view.cfg.id, score };
+    const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
+    return { id: view.cfg.id, score, crowded, bounds: { room, limit: Math.max(1, limit), z } };
 }
 
 /** The planned peak with the request added, by the variant's rule. */
-function peakWith(view: EndpointView, job: Job, survival: Survival, variant: Variant): number {
+function peakWith(view: EndpointView, job: Job, survival: Survival, variant: Variant, z: number): number {
     const running = addCurve(view.curve, view.others.curve, 1);
     if (variant.admission === "free") return running.mean[0]! + job.promptTokens;
     const total = addCurve(running, streamCurve(survival, job.promptTokens, 0), 1);
-    return peakOf(total, probit(job.policy.quantile), 0);
+    return peakOf(total, z, 0);
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,5 @@
 export { type Breaker, CLOSED, mayUse, onResult, onUnused, onUse } from "./breaker.js";
-export { assess, type Candidate, usable } from "./choose.js";
+export { assess, type Bounds, type Candidate, usable } from "./choose.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
 export {
     createEndpoint,
@@ -42,6 +42,7 @@
 export { expectedWait } from "./queue.js";
 export { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
 export {
+    type Asked,
     createScheduler,
     decide,
     type Decision,
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -50,6 +50,8 @@
     readonly lagCorrection: boolean;
     /** How hosts know of each other's streams: from an endpoint's owner, or from its lagging reports alone. */
     readonly share: "owner" | "reports";
+    /** Whether a crowded endpoint's owner is asked before a request is sent there. */
+    readonly ask: boolean;
     readonly prefix: boolean;
     readonly priorities: boolean;
     /** Whether lengths are known ahead (measurement only). */
@@ -63,6 +65,7 @@
     choice: "score",
     lagCorrection: true,
     share: "owner",
+    ask: true,
     prefix: true,
     priorities: true,
     oracle: false,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,7 +8,8 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onResult, onUnused, onUse } from "./breaker.js";
-import { assess, type Candidate, usable } from "./choose.js";
+import { assess, type Bounds, type Candidate, usable } from "./choose.js";
+import { type Curve, streamCurve } from "./curve.js";
 import {
     addStream,
     createEndpoint,
@@ -42,10 +43,21 @@
     readonly drain: DrainRate | undefined;
     /** Endpoint of each running request. */
     readonly placed: ReadonlyMap<string, string>;
+    /** Endpoints that this host owns. */
+    readonly owned: ReadonlySet<string>;
+    /** Requests whose endpoint's owner was asked and has not answered. */
+    readonly asked: ReadonlyMap<string, Asked>;
     /** Turn of round robin, and the seed of two choices; advances with each choice. */
     readonly turn: number;
 }
 
+/** A request that waits for an owner's word; its stream is already counted on the endpoint. */
+export interface Asked {
+    readonly waiting: Waiting;
+    readonly endpoint: string;
+    readonly at: number;
+}
+
 /** How a dispatched request ended at its endpoint. */
 export type JobOutcome = "whole" | "cancelled" | "refused" | "failed";
 
@@ -56,6 +68,10 @@
     | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
     /** How many hosts of the hall are alive. */
     | { readonly kind: "hosts"; readonly count: number }
+    /** Which endpoints this host owns. */
+    | { readonly kind: "owns"; readonly endpoints: readonly string[] }
+    /** An owner's word on a request, with what others hold there. */
+    | { readonly kind: "answer"; readonly job: string; readonly granted: boolean; readonly others: Others }
     /** What other hosts hold on an endpoint, as told by its owner. */
     | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
     | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
@@ -78,6 +94,14 @@
 /** What a host is asked to do. */
 export type SchedulerAction =
     | { readonly kind: "dispatch"; readonly job: string; readonly endpoint: string; readonly priority: number }
+    /** Ask the endpoint's owner whether a stream with this curve may be added; answer with an `answer` event. */
+    | {
+        readonly kind: "ask";
+        readonly job: string;
+        readonly endpoint: string;
+        readonly curve: Curve;
+        readonly bounds: Bounds;
+    }
     | {
         readonly kind: "refuse";
         readonly job: string;
@@ -98,6 +122,8 @@
 const HOLD_SHARE = 0.5;
 /** A wait is refused early only where it is expected to be this many times too long: expectations are rough. */
 const EARLY_REFUSAL = 1.5;
+/** An owner that has not answered by then is not waited for: the host decides by what it knows. */
+const ASK_TIMEOUT_MS = 100;
 const LEAST_RETRY_AFTER_MS = 250;
 /** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
 const NO_ENDPOINT_RETRY_MS = 5_000;
@@ -120,6 +146,8 @@
         retries: createRetryBudget(),
         drain: undefined,
         placed: new Map(),
+        owned: new Set(),
+        asked: new Map(),
         turn: seed,
     };
 }
@@ -166,17 +194,29 @@
         return drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now);
     },
     hosts: (state, { count }) => ({ state: { ...state, hosts: count }, actions: [] }),
+    owns: (state, { endpoints }) => ({ state: { ...state, owned: new Set(endpoints) }, actions: [] }),
+    answer: (state, { job, granted, others }, now) => answered(state, job, granted, others, now),
     others: (state, { endpoint, others }, now) =>
         drain(withView(state, endpoint, view => takeOthers(view, others, now)), now),
     arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
     // Room that grows while streams run is found at the next tick: a search on each progress would cost far more.
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
-    withdraw: (state, { job }) => ({
-        state: { ...state, waiting: state.waiting.filter(waiting => waiting.job.id !== job) },
-        actions: [],
-    }),
-    tick: (state, _event, now) => drain(state, now),
+    withdraw: (state, { job }, now) => {
+        const waiting = state.waiting.filter(other => other.job.id !== job);
+        return { state: { ...takeBack(state, job, now), waiting }, actions: [] };
+    },
+    tick: (state, _event, now) => {
+        const late = [...state.asked].filter(([, { at }]) => now - at >= ASK_TIMEOUT_MS);
+        const actions: SchedulerAction[] = [];
+        let next = state;
+        for (const [id, asked] of late) {
+            next = { ...next, asked: without(next.asked, id) };
+            actions.push(dispatchOf(next, asked.waiting.job, asked.endpoint));
+        }
+        const drained = drain(next, now);
+        return { state: drained.state, actions: [...actions, ...drained.actions] };
+    },
 };
 
 function withView(state: SchedulerState, id: string, change: (view: EndpointView) => EndpointView): SchedulerState {
@@ -242,24 +282,63 @@
         .map(view => assess(view, job, survival, state.variant, state.hosts, now))
         .filter(candidate => candidate !== undefined);
     if (candidates.length === 0) return undefined;
-    const endpoint = PICK[state.variant.choice](candidates, state.turn);
-    const placed = withView(state, endpoint, view => ({
+    const { id, crowded, bounds } = PICK[state.variant.choice](candidates, state.turn);
+    const added = withView(state, id, view => ({
         ...addStream(view, job, survival, now),
         breaker: onUse(view.breaker),
     }));
-    const next = { ...placed, turn: state.turn + 1, placed: new Map(state.placed).set(job.id, endpoint) };
+    const next = { ...added, turn: state.turn + 1, placed: new Map(state.placed).set(job.id, id) };
+    const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && crowded
+        && !state.owned.has(id);
+    if (!mustAsk) return { state: next, actions: [dispatchOf(next, job, id)] };
+    const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
+    const curve = streamCurve(survival, job.promptTokens, 0);
+    return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, curve, bounds }] };
+}
+
+function dispatchOf(state: SchedulerState, job: Job, endpoint: string): SchedulerAction {
     const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority }] };
+    return { kind: "dispatch", job: job.id, endpoint, priority };
+}
+
+/** An owner's word: the request goes, or goes back to those that wait, with what the owner said taken in. */
+function answered(state: SchedulerState, job: string, granted: boolean, others: Others, now: number): Decision {
+    const asked = state.asked.get(job);
+    if (!asked) return { state, actions: [] };
+    const told = withView(state, asked.endpoint, view => takeOthers(view, others, now));
+    if (granted) {
+        const next = { ...told, asked: without(told.asked, job) };
+        return { state: next, actions: [dispatchOf(next, asked.waiting.job, asked.endpoint)] };
+    }
+    const back = takeBack(told, job, now);
+    return drain({ ...back, waiting: [...back.waiting, asked.waiting] }, now);
+}
+
+/** The state without a request that an owner was asked about. */
+function takeBack(state: SchedulerState, job: string, now: number): SchedulerState {
+    const asked = state.asked.get(job);
+    if (!asked) return state;
+    const freed = withView(state, asked.endpoint, view => ({
+        ...removeStream(view, job, now),
+        breaker: onUnused(view.breaker),
+    }));
+    return { ...freed, asked: without(state.asked, job), placed: without(state.placed, job) };
+}
+
+function without<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
+    const next = new Map(map);
+    next.delete(key);
+    return next;
 }
 
-function best(candidates: readonly Candidate[]): string {
-    return candidates.reduce((a, b) => b.score < a.score ? b : a).id;
+function best(candidates: readonly Candidate[]): Candidate {
+    return candidates.reduce((a, b) => b.score < a.score ? b : a);
 }
 
-const PICK: { readonly [K in Variant["choice"]]: (candidates: readonly Candidate[], turn: number) => string } = {
+const PICK: { readonly [K in Variant["choice"]]: (candidates: readonly Candidate[], turn: number) => Candidate } = {
     score: best,
     leastOutstanding: best,
-    roundRobin: (candidates, turn) => candidates[turn % candidates.length]!.id,
+    roundRobin: (candidates, turn) => candidates[turn % candidates.length]!,
     twoChoices: (candidates, turn) => {
         const random = xoroshiro128plus(turn);
         const last = candidates.length - 1;
@@ -284,8 +363,7 @@
     const id = state.placed.get(job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(job);
     if (id === undefined || !running) return state;
-    const placed = new Map(state.placed);
-    placed.delete(job);
+    const placed = without(state.placed, job);
     const whole = outcome === "whole";
     const estimates = produced > running.produced || whole
         ? observe(state.estimates, running.job.group, running.produced, Math.max(produced, running.produced), whole)
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -11,15 +11,18 @@
     type Held,
     heldOf,
     holdersOf,
+    judge,
     NOTHING_TOLD,
     othersFor,
     ownerOf,
     planTelling,
+    type Question,
     takeHeld,
     type Told,
 } from "@drumpaddle/hall";
 import { Timing } from "@drumpaddle/host";
 import {
+    addCurve,
     createScheduler,
     decide,
     type Job,
@@ -226,6 +229,40 @@
         });
     }
 
+    /** Asks an endpoint's owner and brings its word back; either message may be lost. */
+    private ask(host: number, action: Extract<SchedulerAction, { kind: "ask" }>, now: number): void {
+        const { job, endpoint, curve, bounds } = action;
+        const owner = this.ownerAt(endpoint);
+        const view = this.hosts[host]!.state.endpoints.get(endpoint)!;
+        const before = addCurve(view.curve, curve, -1);
+        const question: Question = {
+            held: heldOf(endpoint, view.streams.size - 1, before),
+            stream: heldOf(endpoint, 1, curve),
+            bounds,
+        };
+        this.message(host, owner, { kind: "ask", job, ...question } as FrameMessage, now, (to, later) => {
+            const own = to.state.endpoints.get(endpoint)!;
+            const fresh = takeHeld(
+                to.account,
+                this.hostNames[owner]!,
+                [heldOf(endpoint, own.streams.size, own.curve)],
+                later,
+            );
+            const { account, granted } = judge(fresh, this.hostNames[host]!, question, later);
+            to.account = account;
+            this.tell(owner, {
+                kind: "others",
+                endpoint,
+                others: othersFor(account, endpoint, this.hostNames[owner]!, later),
+            }, later);
+            const others = othersFor(account, endpoint, this.hostNames[host]!, later);
+            const answer = { kind: "answer", job, granted, others: heldOf(endpoint, others.streams, others.curve) };
+            this.message(owner, host, answer, later, (_sim, at) => {
+                this.tell(host, { kind: "answer", job, granted, others }, at);
+            });
+        });
+    }
+
     private ownerAt(endpoint: string): number {
         return this.owners[Number(endpoint.slice(1))]!;
     }
@@ -254,6 +291,8 @@
             this.tell(at, { kind: "endpoints", endpoints }, -60_000);
             if (this.cfg.variant.share !== "owner" || this.cfg.hosts === 1) continue;
             this.tell(at, { kind: "hosts", count: this.cfg.hosts }, -60_000);
+            const owned = endpoints.map(endpoint => endpoint.id).filter(id => this.ownerAt(id) === at);
+            this.tell(at, { kind: "owns", endpoints: owned }, -60_000);
             this.at((this.cfg.tellMs ?? TELL_MS) * uniformFloat64(this.random), now => this.share(at, now));
         }
         for (const [at, arrival] of this.cfg.arrivals.entries()) {
@@ -298,7 +337,7 @@
         this.counts.decisions += 1;
         sim.state = state;
         for (const action of actions) this.carryOut(action, now);
-        if (state.waiting.length > 0 && !sim.ticking) {
+        if (state.waiting.length + state.asked.size > 0 && !sim.ticking) {
             sim.ticking = true;
             this.at(now + TICK_MS, later => {
                 sim.ticking = false;
@@ -337,6 +376,10 @@
 
     private carryOut(action: SchedulerAction, now: number): void {
         const stream = this.streams.get(action.job)!;
+        if (action.kind === "ask") {
+            this.ask(stream.host, action, now);
+            return;
+        }
         if (action.kind === "refuse") {
             this.counts.refused += 1;
             this.end(stream);
