Tests of the pure packages; limits shared out over halls and hosts; a measurement of the path

Cause: decisions, membership, settings and logs had no tests of their own, and each host gave a workspace its whole limit. Figures: shares of 0, 1, 7, 100 and 6,001 over 3 halls and 4 hosts add up to the limit (test). Conclusion: no overshoot across halls; what an idle host does not use of its even part stays unused, which leasing in chunks would mend later.

--- /dev/null
+++ b/packages/hall/test/hall.test.ts
@@ -0,0 +1,187 @@
+import { addCurve, createEstimates, peakOf, streamCurve, survivalOf, zeroCurve } from "@drumpaddle/policy";
+import { snapshotOf } from "@drumpaddle/settings";
+import test from "ava";
+import {
+    askAfter,
+    createMembership,
+    cut,
+    DEAD_AFTER_MS,
+    EMPTY_ACCOUNT,
+    give,
+    hear,
+    heartbeat,
+    type Held,
+    HELD_VALID_MS,
+    heldOf,
+    judge,
+    leave,
+    liveHosts,
+    type Membership,
+    NOTHING_TOLD,
+    othersFor,
+    ownerOf,
+    placeIn,
+    planTelling,
+    rank,
+    shareOf,
+    takeGiven,
+    takeHeld,
+    watches,
+} from "../src/index.js";
+
+const NAMES = ["a", "b", "c", "d"];
+const addressOf = (name: string): string => `10.0.0.1:${name.charCodeAt(0)}`;
+
+function hallOf(names: readonly string[]): Map<string, Membership> {
+    return new Map(
+        names.map(
+            name => [
+                name,
+                createMembership({ name, hall: "h", address: addressOf(name), incarnation: 1 }, names.map(addressOf)),
+            ],
+        ),
+    );
+}
+
+/** Lets hosts send heartbeats for a time; `passes` says which links carry them. */
+function beat(
+    hall: Map<string, Membership>,
+    from: number,
+    to: number,
+    passes: (from: string, to: string) => boolean = () => true,
+): void {
+    for (let now = from; now < to; now += 500) {
+        for (const name of [...hall.keys()]) {
+            const plan = heartbeat(hall.get(name)!, now);
+            hall.set(name, plan.state);
+            for (const address of plan.to) {
+                const target = String.fromCharCode(Number(address.split(":")[1]));
+                if (hall.has(target) && passes(name, target)) hall.set(target, hear(hall.get(target)!, plan.news, now));
+            }
+        }
+    }
+}
+
+test("hosts find each other, and one that dies is missed by all", t => {
+    const hall = hallOf(NAMES);
+    beat(hall, 0, 3_000);
+    for (const state of hall.values()) t.deepEqual(liveHosts(state, 3_000), NAMES);
+    hall.delete("b");
+    const later = 3_000 + DEAD_AFTER_MS + 1_000;
+    beat(hall, 3_000, later);
+    for (const state of hall.values()) t.deepEqual(liveHosts(state, later), ["a", "c", "d"]);
+});
+
+test("a link that carries nothing one way makes no host dead", t => {
+    const hall = hallOf(NAMES);
+    beat(hall, 0, 20_000, (from, to) => !(from === "a" && to === "b"));
+    for (const state of hall.values()) t.deepEqual(liveHosts(state, 20_000), NAMES);
+});
+
+test("two halves that cannot hear each other each go on, and meet again", t => {
+    const hall = hallOf(NAMES);
+    beat(hall, 0, 3_000);
+    const half = (name: string): boolean => name < "c";
+    beat(hall, 3_000, 12_000, (from, to) => half(from) === half(to));
+    t.deepEqual(liveHosts(hall.get("a")!, 12_000), ["a", "b"]);
+    t.deepEqual(liveHosts(hall.get("d")!, 12_000), ["c", "d"]);
+    beat(hall, 12_000, 16_000);
+    for (const state of hall.values()) t.deepEqual(liveHosts(state, 16_000), NAMES);
+});
+
+test("a host that leaves is out at once, and a restart of it is back at once", t => {
+    const hall = hallOf(NAMES);
+    beat(hall, 0, 3_000);
+    const leaving = leave(hall.get("b")!);
+    const told = hear(hall.get("a")!, heartbeat(leaving, 3_000).news, 3_000);
+    t.deepEqual(liveHosts(told, 3_000), ["a", "c", "d"]);
+    const again = createMembership({ name: "b", hall: "h", address: "10.0.0.9:1", incarnation: 2 }, []);
+    t.deepEqual(liveHosts(hear(told, heartbeat(again, 3_100).news, 3_100), 3_100), NAMES);
+    const old = hear(hear(told, heartbeat(again, 3_100).news, 3_100), heartbeat(leaving, 3_200).news, 3_200);
+    t.deepEqual(liveHosts(old, 3_200), NAMES, "older news of it changes nothing");
+});
+
+test("ownership moves only what the lost host owned", t => {
+    const keys = Array.from({ length: 200 }, (_, at) => `endpoint/e${at}`);
+    const moved = keys.filter(key => ownerOf(key, NAMES) !== ownerOf(key, ["a", "c", "d"]));
+    t.true(moved.every(key => ownerOf(key, NAMES) === "b"));
+    const counts = NAMES.map(name => keys.filter(key => ownerOf(key, NAMES) === name).length);
+    t.true(counts.every(count => count > 25), counts.join(" "));
+    t.is(NAMES.filter(name => watches(name, NAMES)).length, 2);
+    t.is(rank("k", NAMES).length, 4);
+});
+
+const lengths = survivalOf(createEstimates(), { workspace: "w", service: "s", model: "m" }, 4_000);
+
+function heldBy(streams: number): Held {
+    let curve = zeroCurve();
+    for (let at = 0; at < streams; at++) curve = addCurve(curve, streamCurve(lengths, 500, 0), 1);
+    return heldOf("e1", streams, curve);
+}
+
+test("an owner's account adds up what others hold, and forgets who is silent", t => {
+    let account = takeHeld(EMPTY_ACCOUNT, "a", [heldBy(3)], 0);
+    account = takeHeld(account, "b", [heldBy(2)], 1_000);
+    t.is(othersFor(account, "e1", "c", 1_000).streams, 5);
+    t.is(othersFor(account, "e1", "a", 1_000).streams, 2);
+    t.is(othersFor(account, "e1", "c", HELD_VALID_MS + 500).streams, 2);
+    t.is(Math.round(othersFor(account, "e1", "a", 1_000).curve.mean[0]!), 1_000);
+});
+
+test("grants count until the asker tells again, so that two askers cannot both have the last room", t => {
+    const bounds = { room: 8_000, limit: 10, z: 1.3 };
+    const question = (streams: number) => ({ held: heldBy(streams), stream: heldBy(1), bounds });
+    const first = judge(EMPTY_ACCOUNT, "a", question(0), 0);
+    t.true(first.granted);
+    let account = first.account;
+    let granted = 0;
+    for (let at = 0; at < 20; at++) {
+        const next = judge(account, "b", question(granted), 1);
+        account = next.account;
+        granted += next.granted ? 1 : 0;
+    }
+    t.true(granted >= 1 && granted < 16, `${granted} streams`);
+    t.true(peakOf(othersFor(account, "e1", "none", 2).curve, bounds.z, 0) <= bounds.room);
+    t.false(judge(account, "c", question(0), 2).granted);
+    const told = takeHeld(takeHeld(account, "a", [heldBy(0)], 3), "b", [heldBy(0)], 3);
+    t.true(judge(told, "c", question(0), 4).granted);
+});
+
+test("only news is told: changes, a new owner, and from time to time the same again", t => {
+    const owner = (): string => "b";
+    const first = planTelling(NOTHING_TOLD, [heldBy(2)], owner, 0);
+    t.is(first.toSay.get("b")?.length, 1);
+    t.is(planTelling(first.state, [heldBy(2)], owner, 100).toSay.size, 0);
+    t.is(planTelling(first.state, [heldBy(3)], owner, 100).toSay.size, 1);
+    t.is(planTelling(first.state, [heldBy(2)], () => "c", 100).toSay.size, 1);
+    t.is(planTelling(first.state, [heldBy(2)], owner, 1_500).toSay.size, 1);
+    t.is(planTelling(NOTHING_TOLD, [heldBy(0)], owner, 0).toSay.size, 0);
+});
+
+test("shares of a limit add up to it, over halls and over hosts", t => {
+    for (const limit of [0, 1, 7, 100, 6_001]) {
+        const halls = ["k1", "k2", "k3"];
+        const parts = halls.flatMap(hall =>
+            NAMES.map(host =>
+                shareOf(
+                    { requestsPerMinute: limit, tokensPerMinute: limit, openStreams: limit },
+                    placeIn(hall, halls),
+                    placeIn(host, NAMES),
+                ).tokensPerMinute
+            )
+        );
+        t.is(parts.reduce((sum, part) => sum + part, 0), limit);
+    }
+    t.deepEqual([0, 1, 2].map(index => cut(10, { index, of: 3 })), [3, 3, 4]);
+});
+
+test("a peer is asked for the parts that are lacking, and what it gives is the newer version", t => {
+    const older = { snapshot: snapshotOf(1, { "root": { attempts: "2" }, "hall/h": {} }), tree: {}, since: 0 };
+    const newer = { snapshot: snapshotOf(2, { "root": { attempts: "3" }, "hall/h": {} }), tree: {}, since: 0 };
+    t.is(askAfter(newer, { version: 1, hash: "" }), undefined);
+    const ask = askAfter(older, { version: 2, hash: newer.snapshot.head.hash })!;
+    const given = give(newer, ask)!;
+    t.deepEqual(Object.keys(given.parts), ["root"], "only the part that changed travels");
+    t.deepEqual(takeGiven(older, given), newer.snapshot);
+    t.is(give(undefined, ask), undefined);
+});
--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -35,6 +35,8 @@
     readonly models: ReadonlyMap<string, string>;
     /** Kind of each service. */
     readonly services: ReadonlyMap<string, "engine" | "plain">;
+    /** Names of all halls, in order. */
+    readonly halls: readonly string[];
     private readonly keys: ReadonlyMap<string, { readonly workspace: string; readonly expires: number }>;
     private readonly operators: ReadonlyMap<
         string,
@@ -46,6 +48,10 @@
         this.version = inForce.snapshot.head.version;
         this.tree = inForce.tree;
         this.endpoints = new Map(readEndpoints(this.tree).map(endpoint => [endpoint.id, endpoint]));
+        this.halls = Object.keys(this.tree).map(path => /^hall\/([^/]+)$/.exec(path)?.[1]).filter(name =>
+            name !== undefined
+        )
+            .sort();
         this.models = new Map(
             namedNodes(this.tree, NodeKind.Model).map(({ name, values }) => [name, values["service"] as string]),
         );
--- a/packages/host/src/generate.ts
+++ b/packages/host/src/generate.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { placeIn, shareOf } from "@drumpaddle/hall";
 import {
     type Job,
     type JobPolicy,
@@ -57,13 +58,18 @@
     };
 }
 
-/** Settings as limits use them. */
-export function limitsOf(settings: Settings): WorkspaceLimits {
-    return {
+/**
+ * This host's share of a workspace's limits: its hall's part of the whole, split evenly over the hall's live hosts. Each
+ * host works it out alone, so a hall that is cut off stays within its part.
+ */
+export function limitsOf(host: Host, directory: Directory, settings: Settings): WorkspaceLimits {
+    const limits = {
         requestsPerMinute: settings["requests-per-minute"],
         tokensPerMinute: settings["tokens-per-minute"],
         openStreams: settings["open-streams"],
     };
+    const hall = placeIn(host.cfg["host.hall"], directory.halls);
+    return shareOf(limits, hall, placeIn(host.cfg["host.name"], host.peers?.live ?? []));
 }
 
 /** A limit's refusal as the caller sees it: which limit, its use, and when it has room. */
@@ -120,7 +126,7 @@
         });
     }
     const job = jobOf(incoming, facts, service, settings);
-    const taken = reserveLimits(host, job, settings);
+    const taken = reserveLimits(host, incoming.directory, job, settings);
     if (taken) return refuse(limitError(taken));
     start(host, incoming, checked.body, facts, job, settings);
 }
@@ -137,14 +143,14 @@
     };
 }
 
-function reserveLimits(host: Host, job: Job, settings: Settings): LimitRefusal | undefined {
+function reserveLimits(host: Host, directory: Directory, job: Job, settings: Settings): LimitRefusal | undefined {
     const lengths = survivalOf(host.engines.view.estimates, job.group, job.maxTokens);
     const tokens = job.promptTokens + quantileLength(lengths, 0, RESERVE_QUANTILE);
     const taken = reserve(
         host.limits.state,
         job.id,
         job.group.workspace,
-        limitsOf(settings),
+        limitsOf(host, directory, settings),
         tokens,
         performance.now(),
     );
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -102,7 +102,7 @@
         return refuse({ status: 413, code: "body_too_large", message: "the body is too large", ran: "no" });
     }
     const job = jobOf(call, settings);
-    const taken = reserve(host.limits.state, id, workspace, limitsOf(settings), 0, performance.now());
+    const taken = reserve(host.limits.state, id, workspace, limitsOf(host, directory, settings), 0, performance.now());
     if (!taken.ok) return refuse(limitError(taken.refusal));
     host.limits.state = taken.state;
     const path = pathOf(call);
--- /dev/null
+++ b/packages/standins/src/bench-path.ts
@@ -0,0 +1,124 @@
+/**
+ * `npm run bench:path`: what a daemon adds to a direct connection to the same stand-in engine, as ratios and differences
+ * in one run. The daemon runs in a process of its own, so that its processor time and memory are its own; the engine and
+ * the callers share this one.
+ *
+ * @module
+ */
+import { Timing } from "@drumpaddle/host";
+import Table from "cli-table3";
+import { type ChildProcess, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import sade from "sade";
+import { Agent } from "undici";
+import { type CallerResult, callOnce } from "./caller.js";
+import { startEngineFarm } from "./engine-farm.js";
+
+interface Options {
+    readonly streams: number;
+    readonly seconds: number;
+    readonly rate: number;
+}
+
+/** What the daemon's process says of itself. */
+interface Usage {
+    readonly cpuMs: number;
+    readonly rssBytes: number;
+    readonly heapBytes: number;
+}
+
+interface Side {
+    readonly gaps: Timing;
+    readonly firstToken: Timing;
+    tokens: number;
+    failures: number;
+}
+
+async function measure(url: string, key: string, options: Options): Promise<Side> {
+    const side: Side = { gaps: new Timing(), firstToken: new Timing(), tokens: 0, failures: 0 };
+    const dispatcher = new Agent({ connections: options.streams * 2 });
+    const output = Math.round(options.seconds * options.rate / options.streams);
+    const results: CallerResult[] = await Promise.all(Array.from({ length: options.streams }, async (_, at) => {
+        // Streams start apart, as requests do, so that prefill and token times are spread.
+        await new Promise(resolve => setTimeout(resolve, at * 1000 / options.streams));
+        return callOnce({ url, key, model: "summary-8b", tag: `s${at}`, promptTokens: 200, output, dispatcher });
+    }));
+    for (const result of results) {
+        if (result.outcome !== "whole") side.failures += 1;
+        side.tokens += result.tokens;
+        if (result.firstTokenMs !== undefined) side.firstToken.record(result.firstTokenMs);
+        for (const gap of result.gapsMs) side.gaps.record(gap);
+    }
+    await dispatcher.close();
+    return side;
+}
+
+function ask(child: ChildProcess): Promise<Usage> {
+    return new Promise(resolve => {
+        child.once("message", message => resolve(message as Usage));
+        child.send("usage");
+    });
+}
+
+async function run(options: Options): Promise<void> {
+    const farm = await startEngineFarm(options);
+    const daemon = fork(
+        fileURLToPath(new URL("./bench-daemon.js", import.meta.url)).replace(
+            /\.js$/,
+            import.meta.url.endsWith(".ts") ? ".ts" : ".js",
+        ),
+        [farm.kvUrl],
+        { execArgv: process.execArgv },
+    );
+    const url = await new Promise<string>(resolve =>
+        daemon.once("message", message => resolve((message as { url: string }).url))
+    );
+    await measure(url, farm.key, { ...options, seconds: 2 });
+    const direct = await measure(farm.engineUrl, farm.key, options);
+    const before = await ask(daemon);
+    const startedAt = performance.now();
+    const through = await measure(url, farm.key, options);
+    const wallMs = performance.now() - startedAt;
+    const after = await ask(daemon);
+    const cpuMs = after.cpuMs - before.cpuMs;
+    const rows: [string, string][] = [
+        ["streams", String(options.streams)],
+        ["answers not whole, direct / through", `${direct.failures} / ${through.failures}`],
+        [
+            "tokens a second, direct / through",
+            `${perSecond(direct, options)} / ${(through.tokens / wallMs * 1000).toFixed(0)}`,
+        ],
+        ...(["firstToken", "gaps"] as const).flatMap(name =>
+            ([0.5, 0.99] as const).map((share): [string, string] => {
+                const [a, b] = [direct[name].quantile(share), through[name].quantile(share)];
+                return [
+                    `${name} p${share * 100}, direct / through / added ms`,
+                    `${a.toFixed(1)} / ${b.toFixed(1)} / ${(b - a).toFixed(1)}`,
+                ];
+            })
+        ),
+        ["daemon's processor time for 1,000 tokens, ms", (cpuMs / through.tokens * 1000).toFixed(1)],
+        ["daemon's share of a core", (cpuMs / wallMs).toFixed(3)],
+        ["share of a core at 8,000 tokens a second, by that slope", (cpuMs / through.tokens * 8).toFixed(3)],
+        ["daemon's memory in all, MB", (after.rssBytes / 1e6).toFixed(0)],
+    ];
+    const table = new Table({ head: ["measure", "value"], style: { head: [], border: [], compact: true } });
+    for (const row of rows) table.push(row);
+    process.stdout.write(`${table.toString()}\n`);
+    daemon.send("end");
+    await farm.stop();
+    process.exitCode = direct.failures + through.failures === 0 ? 0 : 1;
+}
+
+function perSecond(side: Side, options: Options): string {
+    return (side.tokens / options.seconds).toFixed(0);
+}
+
+sade("bench:path", true)
+    .describe("Measures what a daemon adds to a direct connection.")
+    .option("--streams", "Open streams", 350)
+    .option("--seconds", "About how long each side runs", 10)
+    .option("--rate", "Tokens a second in all", 8_000)
+    .example("--streams 350 --rate 8000")
+    .action((options: Options) => run(options))
+    .parse(process.argv);
