--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -15,6 +15,7 @@
     type Question,
     REPEAT_MS,
     takeHeld,
+    tellEvery,
     type Told,
 } from "./load-share.js";
 export {
@@ -32,6 +33,8 @@
     type Member,
     type MemberNews,
     type Membership,
+    SMALL_HALL,
+    stretch,
 } from "./membership.js";
 export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -38,9 +38,26 @@
 }
 
 /** What a host held counts for this long after it was last said. */
-export const HELD_VALID_MS = 3_000;
+export const HELD_VALID_MS = 8_000;
 /** Unchanged holdings are said again this often. */
-export const REPEAT_MS = 1_000;
+export const REPEAT_MS = 2_000;
+/** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts. */
+const TELL_MS = 250;
+const SMALL_ROUND = 6;
+
+/**
+ * How often a host tells owners what it holds, and owners tell hosts: more rarely in larger halls, where asking before
+ * crowded endpoints carries what rounds no longer do.
+ *
+ * @example
+ * ```ts
+ * tellEvery(3); // 250
+ * tellEvery(58); // 2417
+ * ```
+ */
+export function tellEvery(hosts: number): number {
+    return Math.round(TELL_MS * Math.max(1, hosts / SMALL_ROUND));
+}
 /** A change of the expected memory by this share is worth saying. */
 const CHANGE_SHARE = 0.03;
 
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -46,8 +46,10 @@
     readonly turn: number;
 }
 
-/** A host that is silent for this long is taken for dead. */
+/** A host that is silent for this long is taken for dead, in a hall of up to {@link SMALL_HALL} hosts. */
 export const DEAD_AFTER_MS = 4_000;
+/** Halls of more hosts beat more slowly, so that a host's bytes a second stay the same. */
+export const SMALL_HALL = 12;
 /** A dead host is forgotten after this long; until then older news of it cannot bring it back. */
 export const FORGET_AFTER_MS = 60_000;
 /** Heartbeats go to this many hosts at a time. */
@@ -72,9 +74,21 @@
     return { ...state, candidates: addresses.filter(address => address !== state.self.address) };
 }
 
+/**
+ * How many times slower a hall of this many hosts beats, and takes a silent host for dead, than a small one.
+ *
+ * @example
+ * ```ts
+ * stretch(58); // 4.83: heartbeats every 2.4 s where a small hall has them every 0.5 s
+ * ```
+ */
+export function stretch(hosts: number): number {
+    return Math.max(1, hosts / SMALL_HALL);
+}
+
 /** Whether a member is taken for alive. */
-export function isAlive(member: Member, now: number): boolean {
-    return now - member.movedAt < DEAD_AFTER_MS;
+export function isAlive(state: Membership, member: Member, now: number): boolean {
+    return now - member.movedAt < DEAD_AFTER_MS * stretch(state.members.size + 1);
 }
 
 /**
@@ -87,7 +101,7 @@
  */
 export function liveHosts(state: Membership, now: number): readonly string[] {
     const others = [...state.members.values()].filter(member =>
-        member.hall === state.self.hall && !member.leaving && isAlive(member, now)
+        member.hall === state.self.hall && !member.leaving && isAlive(state, member, now)
     );
     const names = others.map(member => member.name);
     return (state.leaving ? names : [...names, state.self.name]).sort();
@@ -111,7 +125,9 @@
 export function heartbeat(state: Membership, now: number): HeartbeatPlan {
     const members = forget(state.members, now);
     const next: Membership = { ...state, members, counter: state.counter + 1, turn: state.turn + 1 };
-    const alive = [...members.values()].filter(member => isAlive(member, now)).sort((a, b) => a.name < b.name ? -1 : 1);
+    const alive = [...members.values()].filter(member => isAlive(next, member, now)).sort((a, b) =>
+        a.name < b.name ? -1 : 1
+    );
     const to = Array.from(
         { length: Math.min(FANOUT, alive.length) },
         (_, at) => alive[(next.turn * FANOUT + at) % alive.length]!.address,
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -30,8 +30,10 @@
     type Question,
     type SettingsAsk,
     type SettingsGive,
+    stretch,
     takeGiven,
     takeHeld,
+    tellEvery,
     type Told,
     type VersionNews,
     watches,
@@ -120,9 +122,6 @@
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
 };
 
-/** What holdings are looked at and told this often. */
-const TELL_MS = 250;
-
 /** This host's part in its hall. */
 export class Peers {
     private membership: Membership;
@@ -158,11 +157,10 @@
 
     private run(): void {
         const { cfg, signal } = this.host;
-        const beat = setInterval(() => this.beat(), cfg["control.heartbeat"]);
         this.host.engines.setAsker(action => this.ask(action));
-        const tell = setInterval(() => this.tellHoldings(), TELL_MS);
-        signal.addEventListener("abort", () => (clearInterval(beat), clearInterval(tell)), { once: true });
-        this.beat();
+        const every = cfg["control.heartbeat"];
+        repeat(() => this.beat(), () => every * stretch(this.live.length), signal);
+        repeat(() => this.tellHoldings(), () => tellEvery(this.live.length), signal);
     }
 
     /** Where peers reach this host. */
@@ -197,7 +195,7 @@
         const message = this.heartbeatMessage();
         const now = performance.now();
         for (const member of this.membership.members.values()) {
-            if (isAlive(member, now)) this.send(member.address, message);
+            if (isAlive(this.membership, member, now)) this.send(member.address, message);
         }
     }
 
@@ -346,8 +344,19 @@
             name: member.name,
             hall: member.hall,
             address: member.address,
-            alive: isAlive(member, now),
+            alive: isAlive(this.membership, member, now),
             leaving: member.leaving,
         }));
     }
 }
+
+/** Does something at once and then again and again, with a pause that may change, until the signal. */
+function repeat(run: () => void, pauseMs: () => number, signal: AbortSignal): void {
+    let timer: NodeJS.Timeout;
+    const round = (): void => {
+        run();
+        timer = setTimeout(round, pauseMs());
+    };
+    signal.addEventListener("abort", () => clearTimeout(timer), { once: true });
+    round();
+}
--- /dev/null
+++ b/packages/standins/src/bench-capacity.ts
@@ -0,0 +1,319 @@
+/**
+ * `npm run bench:capacity`: measures the slopes that docs/CAPACITY.md rests on, and prints them with the table that they
+ * give; `--write` puts both into the page.
+ *
+ * @module
+ */
+import {
+    createMembership,
+    EMPTY_ACCOUNT,
+    FANOUT,
+    hear,
+    heartbeat,
+    type Held,
+    heldOf,
+    type Membership,
+    NOTHING_TOLD,
+    othersFor,
+    ownerOf,
+    planTelling,
+    stretch,
+    takeHeld,
+    tellEvery,
+} from "@drumpaddle/hall";
+import { Directory } from "@drumpaddle/host";
+import {
+    createEstimates,
+    createLimits,
+    createScheduler,
+    decide,
+    type Job,
+    observe,
+    reserve,
+    type SchedulerEvent,
+    type SchedulerState,
+} from "@drumpaddle/policy";
+import { encodeFrame, type FrameMessage, FrameReader } from "@drumpaddle/protocol";
+import { adopt, type InForce, snapshotOf, type Tree } from "@drumpaddle/settings";
+import { readFileSync, writeFileSync } from "node:fs";
+import { perHost, PLAN, PROGRESS_EVERY, renderCapacity, type Slopes } from "./capacity.js";
+
+const HOST = perHost();
+const BEAT_MS = 500;
+const US_PER_MS = 1_000;
+const BYTES_PER_MB = 1_000_000;
+const PAGE = new URL("../../../docs/CAPACITY.md", import.meta.url);
+/** What stands above this mark is written by hand. */
+const MARK = "<!-- printed by npm run bench:capacity -- --write -->";
+
+/** Mean processor time of a call, in microseconds; the first calls only warm up. */
+function timeUs(times: number, run: (at: number) => void): number {
+    for (let at = 0; at < times / 5; at++) run(at);
+    const before = process.cpuUsage();
+    for (let at = 0; at < times; at++) run(at);
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / times;
+}
+
+/** Heap that a value takes, in bytes. Needs `--expose-gc`, else it is rough. */
+function heapOf<T>(make: () => T): { readonly bytes: number; readonly value: T } {
+    const collect = (globalThis as { gc?: () => void }).gc ?? (() => undefined);
+    collect();
+    const before = process.memoryUsage();
+    const value = make();
+    collect();
+    const after = process.memoryUsage();
+    return { bytes: Math.max(0, after.heapUsed + after.arrayBuffers - before.heapUsed - before.arrayBuffers), value };
+}
+
+function jobOf(id: string, at: number): Job {
+    return {
+        id,
+        group: { workspace: `w${at % PLAN.workspaces}`, service: "s", model: `m${at % PLAN.models}` },
+        promptTokens: 500,
+        maxTokens: 4_000,
+        prefix: "",
+        prefixTokens: 0,
+        policy: {
+            priority: "normal",
+            quantile: 0.9,
+            gapTargetMs: 44,
+            weightTail: 1,
+            weightStall: 1,
+            weightPrefix: 0.5,
+            maxWaitMs: 20_000,
+            queueLimit: 2_000,
+            retryShare: 0.1,
+        },
+    };
+}
+
+/** A host of the plan's size with its streams running. */
+function planHost(): { state: SchedulerState; tell: (event: SchedulerEvent, now: number) => void } {
+    const models = Array.from({ length: PLAN.models }, (_, at) => `m${at}`);
+    const endpoints = Array.from(
+        { length: HOST.hallWorkers },
+        (_, at) => ({ id: `engine-${at}`, hall: "h", models, memoryTokens: 800_000 }),
+    );
+    const host = {
+        state: decide(createScheduler(), { kind: "endpoints", endpoints }, -100_000).state,
+        tell(event: SchedulerEvent, now: number): void {
+            host.state = decide(host.state, event, now).state;
+        },
+    };
+    for (let at = 0; at < HOST.streams; at++) {
+        host.tell({ kind: "arrive", job: jobOf(`r${at}`, at), avoid: [], retry: false }, at);
+    }
+    return host;
+}
+
+function decisionSlopes(): Pick<Slopes, "progressUs" | "requestUs" | "streamBytes"> {
+    const made = heapOf(planHost);
+    const host = made.value;
+    const streams = Math.floor(HOST.streams);
+    const produced = new Map<number, number>();
+    const progressUs = timeUs(20_000, at => {
+        const stream = at % streams;
+        const next = ((produced.get(stream) ?? 0) + PROGRESS_EVERY) % 3_500;
+        produced.set(stream, next);
+        host.tell({ kind: "progress", job: `r${stream}`, produced: next, meanGapMs: 25, maxGapMs: 30 }, 1_000 + at);
+    });
+    const requestUs = timeUs(2_000, at => {
+        const id = `n${at}`;
+        host.tell({ kind: "arrive", job: jobOf(id, at), avoid: [], retry: false }, 100_000 + at);
+        host.tell({ kind: "ended", job: id, outcome: "whole", produced: 200 }, 100_000 + at);
+    });
+    return { progressUs, requestUs, streamBytes: made.bytes / streams };
+}
+
+function exchange(message: FrameMessage): void {
+    new FrameReader().push(encodeFrame(message));
+}
+
+function planMembership(): Membership {
+    let state = createMembership({
+        name: "hall-1-00",
+        hall: "hall-1",
+        address: "10.0.0.1:7080",
+        incarnation: 1_780_000_000_000,
+    }, []);
+    const news = Array.from({ length: HOST.hallHosts - 1 }, (_, at) => ({
+        name: `hall-1-${String(at + 1).padStart(2, "0")}`,
+        hall: "hall-1",
+        address: `10.0.1.${at}:7080`,
+        incarnation: 1_780_000_000_000,
+        counter: 1_000 + at,
+        leaving: false,
+    }));
+    state = hear(state, news, 0);
+    return state;
+}
+
+function peerSlopes(): Pick<Slopes, "heartbeatUs" | "heartbeatBytes"> {
+    let state = planMembership();
+    const messageOf = (now: number): FrameMessage => {
+        const plan = heartbeat(state, now);
+        state = plan.state;
+        return {
+            kind: "heartbeat",
+            news: plan.news,
+            settings: { version: 520, hash: "0123456789abcdef" },
+        } as FrameMessage;
+    };
+    const heartbeatBytes = encodeFrame(messageOf(1)).length;
+    const heartbeatUs = timeUs(3_000, at => {
+        const message = messageOf(1);
+        exchange(message);
+        state = hear(state, (message as unknown as { news: Parameters<typeof hear>[1] }).news, 1 + at / 1_000);
+    });
+    return { heartbeatBytes, heartbeatUs };
+}
+
+function shareSlopes(): Pick<
+    Slopes,
+    "tellRoundUs" | "heldEntryBytes" | "messageBytes" | "questionBytes" | "answerBytes"
+> {
+    const host = planHost();
+    const hosts = Array.from({ length: HOST.hallHosts }, (_, at) => `hall-1-${String(at).padStart(2, "0")}`);
+    const owners = new Map([...host.state.endpoints.keys()].map(id => [id, ownerOf(`endpoint/${id}`, hosts)!]));
+    const holdings = (): Held[] =>
+        [...host.state.endpoints.values()].map(view => heldOf(view.cfg.id, view.streams.size, view.curve));
+    const some = holdings().filter(held => held.streams > 0).slice(0, 10);
+    const empty = encodeFrame({ kind: "held", held: [] } as FrameMessage).length;
+    const heldEntryBytes = (encodeFrame({ kind: "held", held: some } as FrameMessage).length - empty) / some.length;
+    const one = some[0]!;
+    const bounds = { room: 776_000, limit: 100, z: 1.2816 };
+    const job = "1b8f9c1e-9d0a-4ad0-a7bc-f3a9d6a0a6c2";
+    let account = EMPTY_ACCOUNT;
+    let told = NOTHING_TOLD;
+    const owned = [...owners].filter(([, owner]) => owner === hosts[0]).map(([id]) => id);
+    const tellRoundUs = timeUs(60, at => {
+        const now = at * tellEvery(HOST.hallHosts);
+        const plan = planTelling(told, holdings(), endpoint => owners.get(endpoint), now);
+        told = plan.state;
+        for (const held of plan.toSay.values()) exchange({ kind: "held", held } as FrameMessage);
+        for (const from of hosts.slice(1)) {
+            account = takeHeld(account, from, owned.map(id => ({ ...one, endpoint: id })), now);
+        }
+        for (const to of hosts.slice(1)) {
+            const others = owned.map(id => {
+                const found = othersFor(account, id, to, now);
+                return heldOf(id, found.streams, found.curve);
+            });
+            exchange({ kind: "others", others, owned, leaving: [] } as FrameMessage);
+        }
+    });
+    return {
+        tellRoundUs,
+        heldEntryBytes,
+        messageBytes: empty,
+        questionBytes: encodeFrame({ kind: "question", job, held: one, stream: one, bounds } as FrameMessage).length,
+        answerBytes: encodeFrame({ kind: "answer", job, granted: true, others: one } as FrameMessage).length,
+    };
+}
+
+/** The plan's tree: each workspace with two settings of its own and two keys. */
+function planTree(): Tree {
+    const tree: Record<string, Record<string, string>> = { "root": { attempts: "3" }, "service/s": { kind: "engine" } };
+    for (let at = 0; at < PLAN.halls; at++) tree[`hall/hall-${at}`] = { region: `region-${at % 2}` };
+    for (let at = 0; at < PLAN.models; at++) tree[`model/m${at}`] = { service: "s" };
+    for (let at = 0; at < PLAN.workers; at++) {
+        tree[`endpoint/engine-${at}`] = {
+            "url": `http://10.1.${at >> 8}.${at & 255}:8000`,
+            "service": "s",
+            "hall": `hall-${at % PLAN.halls}`,
+            "models": "m0,m1",
+            "memory-tokens": "800000",
+        };
+    }
+    for (let at = 0; at < PLAN.workspaces; at++) {
+        tree[`workspace/w${at}`] = { "tokens-per-minute": String(100_000 + at), "open-streams": "40" };
+        for (const number of [1, 2]) {
+            tree[`key/w${at}-${number}`] = { workspace: `w${at}`, hash: `${at}${number}`.padStart(64, "0") };
+        }
+    }
+    return tree;
+}
+
+function settingsSlopes(): Pick<Slopes, "treeBytes" | "editBytes" | "adoptMs" | "settingsMb"> {
+    const tree = planTree();
+    const first = snapshotOf(1, tree);
+    const next = snapshotOf(2, { ...tree, "workspace/w7": { ...tree["workspace/w7"], "open-streams": "41" } });
+    const changed = Object.keys(next.parts).filter(name => next.parts[name] !== first.parts[name]);
+    const size = (snapshot: typeof first, names: readonly string[]): number =>
+        JSON.stringify(snapshot.head).length + names.reduce((sum, name) => sum + snapshot.parts[name]!.length, 0);
+    const adopted = heapOf(() => {
+        const result = adopt(undefined, snapshotOf(1, planTree()), 0);
+        if (result.kind !== "adopted") throw new Error(result.kind);
+        return { inForce: result.inForce, directory: new Directory(result.inForce, "hall-0") };
+    });
+    const current: InForce = adopted.value.inForce;
+    const adoptUs = timeUs(10, () => {
+        const result = adopt(current, next, 0);
+        if (result.kind === "adopted") new Directory(result.inForce, "hall-0");
+    });
+    return {
+        treeBytes: size(first, Object.keys(first.parts)),
+        editBytes: size(next, changed),
+        adoptMs: adoptUs / US_PER_MS,
+        // Old and new stand side by side while requests of the old one end.
+        settingsMb: 2 * adopted.bytes / BYTES_PER_MB,
+    };
+}
+
+function memorySlopes(): Pick<Slopes, "estimateBytesPerGroup" | "limitBytesPerWorkspace"> {
+    const groups = PLAN.workspaces * PLAN.models;
+    const estimates = heapOf(() => {
+        let all = createEstimates();
+        for (let at = 0; at < groups; at++) {
+            all = observe(
+                all,
+                {
+                    workspace: `w${at % PLAN.workspaces}`,
+                    service: "s",
+                    model: `m${at % PLAN.models}-${Math.floor(at / PLAN.workspaces)}`,
+                },
+                0,
+                300,
+                true,
+            );
+        }
+        return all;
+    });
+    const limits = heapOf(() => {
+        let all = createLimits();
+        for (let at = 0; at < PLAN.workspaces; at++) {
+            const taken = reserve(
+                all,
+                `r${at}`,
+                `w${at}`,
+                { requestsPerMinute: 100, tokensPerMinute: 100_000, openStreams: 40 },
+                500,
+                0,
+            );
+            if (taken.ok) all = taken.state;
+        }
+        return all;
+    });
+    return { estimateBytesPerGroup: estimates.bytes / groups, limitBytesPerWorkspace: limits.bytes / PLAN.workspaces };
+}
+
+function rounded(slopes: Slopes): Slopes {
+    const entries = Object.entries(slopes).map(([name, value]) => [name, Number((value as number).toPrecision(3))]);
+    return Object.fromEntries(entries) as Slopes;
+}
+
+const slopes = rounded({
+    ...decisionSlopes(),
+    ...peerSlopes(),
+    ...shareSlopes(),
+    ...settingsSlopes(),
+    ...memorySlopes(),
+});
+const table = renderCapacity(slopes, tellEvery(HOST.hallHosts), BEAT_MS * stretch(HOST.hallHosts), FANOUT);
+const printed = `\`\`\`json\n${JSON.stringify(slopes, undefined, 2)}\n\`\`\`\n\n${table}\n`;
+process.stdout.write(printed);
+if (process.argv.includes("--write")) {
+    const page = readFileSync(PAGE, "utf8");
+    writeFileSync(PAGE, `${page.slice(0, page.indexOf(MARK))}${MARK}\n\n${printed}`);
+}
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -18,6 +18,7 @@
     planTelling,
     type Question,
     takeHeld,
+    tellEvery,
     type Told,
 } from "@drumpaddle/hall";
 import { Timing } from "@drumpaddle/host";
@@ -87,7 +88,6 @@
 const TICK_MS = 50;
 const TO_ENGINE_MS = 1;
 const TO_PEER_MS = 1;
-const TELL_MS = 250;
 const PROGRESS_EVERY = 16;
 /** Streams with fewer gaps have no tail to speak of. */
 export const STREAM_TAIL_GAPS = 50;
@@ -188,7 +188,7 @@
 
     /** One round of a host: it tells owners what it holds, and as an owner tells all what the others hold. */
     private share(host: number, now: number): void {
-        this.at(now + (this.cfg.tellMs ?? TELL_MS), later => this.share(host, later));
+        this.at(now + (this.cfg.tellMs ?? tellEvery(this.cfg.hosts)), later => this.share(host, later));
         const sim = this.hosts[host]!;
         const holdings = [...sim.state.endpoints.values()].map(view =>
             heldOf(view.cfg.id, view.streams.size, view.curve)
@@ -293,7 +293,10 @@
             this.tell(at, { kind: "hosts", count: this.cfg.hosts }, -60_000);
             const owned = endpoints.map(endpoint => endpoint.id).filter(id => this.ownerAt(id) === at);
             this.tell(at, { kind: "owns", endpoints: owned }, -60_000);
-            this.at((this.cfg.tellMs ?? TELL_MS) * uniformFloat64(this.random), now => this.share(at, now));
+            this.at(
+                (this.cfg.tellMs ?? tellEvery(this.cfg.hosts)) * uniformFloat64(this.random),
+                now => this.share(at, now),
+            );
         }
         for (const [at, arrival] of this.cfg.arrivals.entries()) {
             this.at(arrival.at, now => this.arrive(arrival, at % this.cfg.hosts, now));
