Fit control into the plan's budget: cheaper decisions, incremental versions, smaller and rarer rounds

Change: what is the same for all endpoints is worked out once a request; the endpoints are a list with a shared index; progress is told every 16 tokens up to 64, then every 64; a version reads and indexes only the parts that changed; holdings travel in units of 16 tokens, in rounds that grow with the hall (250 ms at 3 hosts, 4.8 s at 58).

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -16,8 +16,10 @@
 export interface Held {
     readonly endpoint: string;
     readonly streams: number;
+    /** Mean of the memory at each point of the horizon, in units of {@link TOKENS_PER_UNIT} tokens. */
     readonly mean: readonly number[];
-    readonly variance: readonly number[];
+    /** Its standard deviation, in the same units. */
+    readonly deviation: readonly number[];
 }
 
 /** What an owner has been told, by endpoint and host, with what it granted since. */
@@ -38,12 +40,12 @@
 }
 
 /** What a host held counts for this long after it was last said. */
-export const HELD_VALID_MS = 8_000;
+export const HELD_VALID_MS = 15_000;
 /** Unchanged holdings are said again this often. */
-export const REPEAT_MS = 2_000;
-/** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts. */
+export const REPEAT_MS = 4_000;
+/** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts, in milliseconds. */
 const TELL_MS = 250;
-const SMALL_ROUND = 6;
+const SMALL_ROUND = 3;
 
 /**
  * How often a host tells owners what it holds, and owners tell hosts: more rarely in larger halls, where asking before
@@ -52,7 +54,7 @@
  * @example
  * ```ts
  * tellEvery(3); // 250
- * tellEvery(58); // 2417
+ * tellEvery(58); // 4833
  * ```
  */
 export function tellEvery(hosts: number): number {
@@ -66,8 +68,12 @@
 /** A host that has told nothing. */
 export const NOTHING_TOLD: Told = { last: new Map() };
 
+/** Holdings are sent in units of so many tokens, which keeps nearly all numbers in three bytes. */
+const TOKENS_PER_UNIT = 16;
+
 /**
- * A host's holdings on an endpoint, as they are sent: whole tokens, so that they pack small.
+ * A host's holdings on an endpoint, as they are sent: in units, and variances as standard deviations, so that they pack
+ * small.
  *
  * @example
  * ```ts
@@ -75,9 +81,9 @@
  * ```
  */
 export function heldOf(endpoint: string, streams: number, curve: Curve): Held {
-    // Variances are sent as standard deviations: numbers of few digits.
-    const deviations = Array.from(curve.variance, value => Math.round(Math.sqrt(value)));
-    return { endpoint, streams, mean: Array.from(curve.mean, Math.round), variance: deviations };
+    const mean = Array.from(curve.mean, value => Math.round(value / TOKENS_PER_UNIT));
+    const deviation = Array.from(curve.variance, value => Math.round(Math.sqrt(value) / TOKENS_PER_UNIT));
+    return { endpoint, streams, mean, deviation };
 }
 
 /**
@@ -188,7 +194,7 @@
     const others = othersFor(current, endpoint, host, now);
     const streams = others.streams + held.streams + 1;
     const curve = addCurve(addCurve(others.curve, curveOf(held), 1), curveOf(stream), 1);
-    const fits = streams <= bounds.limit && (peakOf(curve, bounds.z, 0) <= bounds.room || streams === 1);
+    const fits = streams <= bounds.limit && (peakOf([curve], bounds.z) <= bounds.room || streams === 1);
     return fits
         ? { account: addGrant(current, endpoint, host, curveOf(stream)), granted: true }
         : { account: current, granted: false };
@@ -204,7 +210,7 @@
 /** A curve from what was sent. */
 export function curveOf(held: Held): Curve {
     return {
-        mean: Float64Array.from(held.mean),
-        variance: Float64Array.from(held.variance, deviation => deviation * deviation),
+        mean: Float64Array.from(held.mean, units => units * TOKENS_PER_UNIT),
+        variance: Float64Array.from(held.deviation, units => (units * TOKENS_PER_UNIT) ** 2),
     };
 }
--- a/packages/host/src/directory.ts
+++ b/packages/host/src/directory.ts
@@ -26,7 +26,28 @@
     return createHash("sha256").update(secret).digest("hex");
 }
 
-/** One version of the settings, indexed for serving. */
+interface KeyEntry {
+    readonly workspace: string;
+    readonly expires: number;
+}
+
+interface OperatorEntry {
+    readonly name: string;
+    readonly role: Role;
+    readonly expires: number;
+}
+
+/** What one part of the tree means for serving. */
+interface PartIndex {
+    readonly endpoints: readonly (readonly [string, DeclaredEndpoint])[];
+    readonly models: readonly (readonly [string, string])[];
+    readonly services: readonly (readonly [string, "engine" | "plain"])[];
+    readonly halls: readonly string[];
+    readonly keys: readonly (readonly [string, KeyEntry])[];
+    readonly operators: readonly (readonly [string, OperatorEntry])[];
+}
+
+/** One version of the settings, indexed for serving. Parts that did not change keep the index of the version before. */
 export class Directory {
     readonly version: number;
     readonly tree: Tree;
@@ -37,40 +58,23 @@
     readonly services: ReadonlyMap<string, "engine" | "plain">;
     /** Names of all halls, in order. */
     readonly halls: readonly string[];
-    private readonly keys: ReadonlyMap<string, { readonly workspace: string; readonly expires: number }>;
-    private readonly operators: ReadonlyMap<
-        string,
-        { readonly name: string; readonly role: Role; readonly expires: number }
-    >;
+    private readonly keys: ReadonlyMap<string, KeyEntry>;
+    private readonly operators: ReadonlyMap<string, OperatorEntry>;
+    private readonly parts: ReadonlyMap<Tree, PartIndex>;
     private readonly cached = new Map<string, Settings>();
 
-    constructor(inForce: InForce, private readonly hall: string) {
+    constructor(inForce: InForce, private readonly hall: string, before?: Directory) {
         this.version = inForce.snapshot.head.version;
         this.tree = inForce.tree;
-        this.endpoints = new Map(readEndpoints(this.tree).map(endpoint => [endpoint.id, endpoint]));
-        this.halls = Object.keys(this.tree).map(path => /^hall\/([^/]+)$/.exec(path)?.[1]).filter(name =>
-            name !== undefined
-        )
-            .sort();
-        this.models = new Map(
-            namedNodes(this.tree, NodeKind.Model).map(({ name, values }) => [name, values["service"] as string]),
-        );
-        this.services = new Map(
-            namedNodes(this.tree, NodeKind.Service).filter(({ values }) => values["kind"] !== undefined)
-                .map(({ name, values }) => [name, values["kind"] as "engine" | "plain"]),
-        );
-        this.keys = new Map(
-            namedNodes(this.tree, NodeKind.Key).map(({ values }) => [
-                values["hash"] as string,
-                { workspace: values["workspace"] as string, expires: expiry(values["expires"]) },
-            ]),
-        );
-        this.operators = new Map(
-            namedNodes(this.tree, NodeKind.Operator).map(({ name, values }) => [
-                values["hash"] as string,
-                { name, role: values["role"] as Role, expires: expiry(values["expires"]) },
-            ]),
-        );
+        const trees = Object.values(inForce.partTrees);
+        this.parts = new Map(trees.map(part => [part, before?.parts.get(part) ?? indexPart(part)]));
+        const all = [...this.parts.values()];
+        this.endpoints = new Map(all.flatMap(part => part.endpoints));
+        this.models = new Map(all.flatMap(part => part.models));
+        this.services = new Map(all.flatMap(part => part.services));
+        this.halls = all.flatMap(part => part.halls).sort();
+        this.keys = new Map(all.flatMap(part => part.keys));
+        this.operators = new Map(all.flatMap(part => part.operators));
     }
 
     /** Workspace of a caller's key; undefined if it is unknown or has expired. */
@@ -102,6 +106,26 @@
     return typeof written === "string" ? Date.parse(written) : Infinity;
 }
 
+function indexPart(part: Tree): PartIndex {
+    return {
+        endpoints: readEndpoints(part).map(endpoint => [endpoint.id, endpoint] as const),
+        models: namedNodes(part, NodeKind.Model).map(({ name, values }) =>
+            [name, values["service"] as string] as const
+        ),
+        services: namedNodes(part, NodeKind.Service).filter(({ values }) => values["kind"] !== undefined)
+            .map(({ name, values }) => [name, values["kind"] as "engine" | "plain"] as const),
+        halls: Object.keys(part).map(path => /^hall\/([^/]+)$/.exec(path)?.[1]).filter(name => name !== undefined),
+        keys: namedNodes(part, NodeKind.Key).map(({ values }) => {
+            const entry = { workspace: values["workspace"] as string, expires: expiry(values["expires"]) };
+            return [values["hash"] as string, entry] as const;
+        }),
+        operators: namedNodes(part, NodeKind.Operator).map(({ name, values }) => {
+            const entry = { name, role: values["role"] as Role, expires: expiry(values["expires"]) };
+            return [values["hash"] as string, entry] as const;
+        }),
+    };
+}
+
 function readEndpoints(tree: Tree): readonly DeclaredEndpoint[] {
     return namedNodes(tree, NodeKind.Endpoint).map(({ name, values }) => ({
         id: name,
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -57,7 +57,7 @@
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
-    variance: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
+    deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
 });
 const Texts = Type.Record(Type.String(), Type.String());
 
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Job, RefuseReason } from "@drumpaddle/policy";
+import { isProgressDue, type Job, type RefuseReason } from "@drumpaddle/policy";
 import {
     createRequest,
     FailCode,
@@ -72,9 +72,6 @@
     readonly onEnd: (end: RunEnd) => void;
 }
 
-/** Tokens between two reports of progress to the decisions. */
-const PROGRESS_EVERY = 16;
-
 const REFUSE_CODE: { readonly [K in RefuseReason]: FailCode } = {
     noEndpoint: FailCode.NoEndpoint,
     queueFull: FailCode.Overloaded,
@@ -198,7 +195,7 @@
             this.sinceProgress.max = Math.max(this.sinceProgress.max, gap);
         }
         this.lastTokenAt = now;
-        if (index === 0 || this.sinceProgress.tokens >= PROGRESS_EVERY) this.reportProgress(index + 1);
+        if (isProgressDue(index + 1)) this.reportProgress(index + 1);
     }
 
     private reportProgress(produced: number): void {
--- a/packages/host/src/settings-feed.ts
+++ b/packages/host/src/settings-feed.ts
@@ -68,7 +68,7 @@
 
     private take(inForce: InForce, source: OfferSource): void {
         this.current = inForce;
-        this.indexed = new Directory(inForce, this.deps.hall);
+        this.indexed = new Directory(inForce, this.deps.hall, this.indexed);
         const { version, hash } = inForce.snapshot.head;
         this.deps.metrics.version.set(version);
         this.deps.log.info({ version, hash, source }, "settings_in_force");
--- a/packages/host/src/settings-store.ts
+++ b/packages/host/src/settings-store.ts
@@ -229,7 +229,7 @@
 function treeOf(stored: Stored | undefined): Tree | undefined {
     if (!stored) return EMPTY;
     const joined = joinSnapshot(stored.snapshot);
-    return joined.ok ? joined.tree : undefined;
+    return joined.ok ? joined.joined.tree : undefined;
 }
 
 function pause(ms: number, signal: AbortSignal): Promise<void> {
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -5,7 +5,7 @@
  */
 import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
-import { addCurve, peakOf, streamCurve } from "./curve.js";
+import { type Curve, peakOf, streamCurve } from "./curve.js";
 import { type EndpointView, plannedShare, streamCount } from "./endpoint.js";
 import type { Survival } from "./estimate.js";
 import type { Job, Variant } from "./job.js";
@@ -39,6 +39,25 @@
     readonly z: number;
 }
 
+/** A request with what is the same for every endpoint, worked out once. */
+export interface Wanted {
+    readonly job: Job;
+    readonly curve: Curve;
+    readonly z: number;
+}
+
+/**
+ * A request as it is held against endpoints.
+ *
+ * @example
+ * ```ts
+ * assess(view, wantedOf(job, lengths), DEFAULT_VARIANT, 3, now);
+ * ```
+ */
+export function wantedOf(job: Job, survival: Survival): Wanted {
+    return { job, curve: streamCurve(survival, job.promptTokens, 0), z: probit(job.policy.quantile) };
+}
+
 /** From this share of its bounds on, an endpoint counts as crowded. */
 const CROWDED_SHARE = 0.5;
 
@@ -78,18 +97,17 @@
  *
  * @example
  * ```ts
- * assess(view, job, lengths, DEFAULT_VARIANT, 3, now)?.score;
+ * assess(view, wantedOf(job, lengths), DEFAULT_VARIANT, 3, now)?.score;
  * ```
  */
 export function assess(
     view: EndpointView,
-    job: Job,
-    survival: Survival,
+    wanted: Wanted,
     variant: Variant,
     hosts: number,
     now: number,
 ): Candidate | undefined {
-    const z = probit(job.policy.quantile);
+    const { job, curve, z } = wanted;
     if (variant.admission === "none") {
         const bounds = { room: Infinity, limit: Infinity, z };
         return { id: view.cfg.id, score: streamCount(view), crowded: false, bounds };
@@ -99,7 +117,9 @@
     const streams = streamCount(view) + 1;
     if (streams > Math.max(1, limit)) return undefined;
     const room = share * view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
-    const peak = peakWith(view, job, survival, variant, z);
+    const peak = variant.admission === "free"
+        ? view.curve.mean[0]! + view.others.curve.mean[0]! + job.promptTokens
+        : peakOf([view.curve, view.others.curve, curve], z);
     // A request that is larger than any plan allows still runs, alone.
     if (peak > room && streams > 1) return undefined;
     const { weightTail, weightStall, weightPrefix } = job.policy;
@@ -110,11 +130,3 @@
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
     return { id: view.cfg.id, score, crowded, bounds: { room, limit: Math.max(1, limit), z } };
 }
-
-/** The planned peak with the request added, by the variant's rule. */
-function peakWith(view: EndpointView, job: Job, survival: Survival, variant: Variant, z: number): number {
-    const running = addCurve(view.curve, view.others.curve, 1);
-    if (variant.admission === "free") return running.mean[0]! + job.promptTokens;
-    const total = addCurve(running, streamCurve(survival, job.promptTokens, 0), 1);
-    return peakOf(total, z, 0);
-}
--- a/packages/policy/src/curve.ts
+++ b/packages/policy/src/curve.ts
@@ -63,17 +63,23 @@
 }
 
 /**
- * The largest memory over the horizon at `z` standard deviations, with `extra` tokens held throughout.
+ * The largest memory over the horizon at `z` standard deviations, of several curves together.
  *
  * @example
  * ```ts
- * peakOf(addCurve(running, candidate, 1), 2.05, 0) <= memoryTokens;
+ * peakOf([running, candidate], 1.28) <= memoryTokens;
  * ```
  */
-export function peakOf(curve: Curve, z: number, extra: number): number {
+export function peakOf(curves: readonly Curve[], z: number): number {
     let peak = 0;
     for (let at = 0; at < HORIZON.length; at++) {
-        const size = curve.mean[at]! + z * Math.sqrt(curve.variance[at]!) + extra;
+        let mean = 0;
+        let variance = 0;
+        for (const curve of curves) {
+            mean += curve.mean[at]!;
+            variance += curve.variance[at]!;
+        }
+        const size = mean + z * Math.sqrt(variance);
         if (size > peak) peak = size;
     }
     return peak;
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -206,7 +206,7 @@
 }
 
 /** What an owner told counts for this long; after that the host plans as if alone with its share. */
-export const TOLD_VALID_MS = 8_000;
+export const TOLD_VALID_MS = 15_000;
 
 /** The endpoint after its owner told what others hold. */
 export function takeOthers(view: EndpointView, others: Others, now: number): EndpointView {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 export { type Breaker, CLOSED, mayUse, onResult, onUnused, onUse } from "./breaker.js";
-export { assess, type Bounds, type Candidate, usable } from "./choose.js";
+export { assess, type Bounds, type Candidate, usable, type Wanted, wantedOf } from "./choose.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
+export { EndpointTable } from "./endpoint-table.js";
 export {
     createEndpoint,
     type EndpointCfg,
@@ -46,7 +47,9 @@
     createScheduler,
     decide,
     type Decision,
+    isProgressDue,
     type JobOutcome,
+    PROGRESS_EVERY,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,8 +8,9 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onResult, onUnused, onUse } from "./breaker.js";
-import { assess, type Bounds, type Candidate, usable } from "./choose.js";
-import { type Curve, streamCurve } from "./curve.js";
+import { assess, type Bounds, type Candidate, usable, wantedOf } from "./choose.js";
+import type { Curve } from "./curve.js";
+import { EndpointTable } from "./endpoint-table.js";
 import {
     addStream,
     createEndpoint,
@@ -30,19 +31,20 @@
 import { observePace } from "./pace.js";
 import { type DrainRate, expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
 import { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
+import { deleteIn, emptyMap, getIn, setIn, type ShardMap } from "./shard-map.js";
 
 /** All that one host knows for its decisions. */
 export interface SchedulerState {
     readonly variant: Variant;
     /** Live hosts of the hall, this one included. */
     readonly hosts: number;
-    readonly endpoints: ReadonlyMap<string, EndpointView>;
+    readonly endpoints: EndpointTable;
     readonly waiting: readonly Waiting[];
     readonly estimates: Estimates;
     readonly retries: RetryBudget;
     readonly drain: DrainRate | undefined;
     /** Endpoint of each running request. */
-    readonly placed: ReadonlyMap<string, string>;
+    readonly placed: ShardMap<string>;
     /** Endpoints that this host owns. */
     readonly owned: ReadonlySet<string>;
     /** Requests whose endpoint's owner was asked and has not answered. */
@@ -140,18 +142,38 @@
     return {
         variant,
         hosts: 1,
-        endpoints: new Map(),
+        endpoints: EndpointTable.of([]),
         waiting: [],
         estimates: createEstimates(),
         retries: createRetryBudget(),
         drain: undefined,
-        placed: new Map(),
+        placed: emptyMap(),
         owned: new Set(),
         asked: new Map(),
         turn: seed,
     };
 }
 
+/** Progress is told at the first token, then this often up to {@link PROGRESS_EARLY}, then at {@link PROGRESS_EVERY}. */
+const PROGRESS_FIRST = 16;
+const PROGRESS_EARLY = 64;
+/** Tokens between two reports of progress of a long stream. */
+export const PROGRESS_EVERY = 64;
+
+/**
+ * Whether a host tells its decisions of a stream's progress at this count of tokens: often while the stream is young and
+ * its length most uncertain.
+ *
+ * @example
+ * ```ts
+ * [1, 2, 16, 32, 64, 80, 128].filter(isProgressDue); // [1, 16, 32, 64, 128]
+ * ```
+ */
+export function isProgressDue(produced: number): boolean {
+    if (produced === 1) return true;
+    return produced % (produced <= PROGRESS_EARLY ? PROGRESS_FIRST : PROGRESS_EVERY) === 0;
+}
+
 type Handler<K extends SchedulerEvent["kind"]> = (
     state: SchedulerState,
     event: Extract<SchedulerEvent, { kind: K }>,
@@ -173,15 +195,15 @@
 
 const HANDLERS: { readonly [K in SchedulerEvent["kind"]]: Handler<K> } = {
     endpoints: (state, { endpoints }, now) => {
-        const next = new Map<string, EndpointView>();
-        for (const cfg of endpoints) {
+        const declared = endpoints.map(cfg => {
             const known = state.endpoints.get(cfg.id);
-            next.set(cfg.id, known ? { ...known, cfg } : createEndpoint(cfg, now));
-        }
+            return known ? { ...known, cfg } : createEndpoint(cfg, now);
+        });
         // An endpoint that is no longer declared keeps its streams until they end.
-        for (const [id, view] of state.endpoints) {
-            if (!next.has(id) && view.streams.size > 0) next.set(id, { ...view, cfg: { ...view.cfg, models: [] } });
-        }
+        const names = new Set(endpoints.map(cfg => cfg.id));
+        const left = state.endpoints.values().filter(view => !names.has(view.cfg.id) && view.streams.size > 0)
+            .map(view => ({ ...view, cfg: { ...view.cfg, models: [] } }));
+        const next = EndpointTable.of([...declared, ...left]);
         return drain({ ...state, endpoints: next }, now);
     },
     leaving: (state, { endpoint, source, leaving }, now) => {
@@ -222,7 +244,7 @@
 function withView(state: SchedulerState, id: string, change: (view: EndpointView) => EndpointView): SchedulerState {
     const view = state.endpoints.get(id);
     if (!view) return state;
-    return { ...state, endpoints: new Map(state.endpoints).set(id, change(view)) };
+    return { ...state, endpoints: state.endpoints.with(id, change(view)) };
 }
 
 function lengthsOf(state: SchedulerState, job: Job): Survival {
@@ -242,7 +264,7 @@
 
 /** Whether any endpoint runs the model and takes new work. */
 function isServed(state: SchedulerState, job: Job): boolean {
-    return [...state.endpoints.values()].some(view =>
+    return state.endpoints.values().some(view =>
         view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model)
     );
 }
@@ -278,8 +300,9 @@
 function place(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
     const { job } = waiting;
     const survival = lengthsOf(state, job);
+    const wanted = wantedOf(job, survival);
     const candidates = usable(state.endpoints.values(), job, waiting.avoid, now)
-        .map(view => assess(view, job, survival, state.variant, state.hosts, now))
+        .map(view => assess(view, wanted, state.variant, state.hosts, now))
         .filter(candidate => candidate !== undefined);
     if (candidates.length === 0) return undefined;
     const { id, crowded, bounds } = PICK[state.variant.choice](candidates, state.turn);
@@ -287,13 +310,15 @@
         ...addStream(view, job, survival, now),
         breaker: onUse(view.breaker),
     }));
-    const next = { ...added, turn: state.turn + 1, placed: new Map(state.placed).set(job.id, id) };
+    const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
     const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && crowded
         && !state.owned.has(id);
     if (!mustAsk) return { state: next, actions: [dispatchOf(next, job, id)] };
     const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
-    const curve = streamCurve(survival, job.promptTokens, 0);
-    return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, curve, bounds }] };
+    return {
+        state: { ...next, asked },
+        actions: [{ kind: "ask", job: job.id, endpoint: id, curve: wanted.curve, bounds }],
+    };
 }
 
 function dispatchOf(state: SchedulerState, job: Job, endpoint: string): SchedulerAction {
@@ -322,7 +347,7 @@
         ...removeStream(view, job, now),
         breaker: onUnused(view.breaker),
     }));
-    return { ...freed, asked: without(state.asked, job), placed: without(state.placed, job) };
+    return { ...freed, asked: without(state.asked, job), placed: deleteIn(state.placed, job) };
 }
 
 function without<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
@@ -348,7 +373,7 @@
 };
 
 function progress(state: SchedulerState, event: Extract<SchedulerEvent, { kind: "progress" }>): SchedulerState {
-    const id = state.placed.get(event.job);
+    const id = getIn(state.placed, event.job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(event.job);
     if (id === undefined || !running || event.produced <= running.produced) return state;
     const estimates = observe(state.estimates, running.job.group, running.produced, event.produced, false);
@@ -360,10 +385,10 @@
 }
 
 function ended(state: SchedulerState, job: string, outcome: JobOutcome, produced: number, now: number): SchedulerState {
-    const id = state.placed.get(job);
+    const id = getIn(state.placed, job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(job);
     if (id === undefined || !running) return state;
-    const placed = without(state.placed, job);
+    const placed = deleteIn(state.placed, job);
     const whole = outcome === "whole";
     const estimates = produced > running.produced || whole
         ? observe(state.estimates, running.job.group, running.produced, Math.max(produced, running.produced), whole)
--- a/packages/policy/src/shard-map.ts
+++ b/packages/policy/src/shard-map.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-const SHARDS = 128;
+/** At 25,600 keys a shard holds 50; both copies of an update then cost about the same. */
+const SHARDS = 512;
 
 /** An immutable map from text keys. */
 export interface ShardMap<V> {
--- a/packages/settings/src/adopt.ts
+++ b/packages/settings/src/adopt.ts
@@ -10,6 +10,7 @@
 /** The version in force at a host. */
 export interface InForce {
     readonly snapshot: Snapshot;
+    readonly partTrees: Readonly<Record<PartName, Tree>>;
     readonly tree: Tree;
     /** When it came into force, in milliseconds since 1970. */
     readonly since: number;
@@ -34,9 +35,10 @@
 export function adopt(current: InForce | undefined, offered: Snapshot, now: number): AdoptResult {
     const verdict = judgeHead(current, offered.head);
     if (verdict) return verdict;
-    const joined = joinSnapshot(offered);
-    if (!joined.ok) return { kind: "corrupt", part: joined.err.part };
-    return { kind: "adopted", inForce: { snapshot: offered, tree: joined.tree, since: now } };
+    const known = current && { head: current.snapshot.head, partTrees: current.partTrees };
+    const read = joinSnapshot(offered, known);
+    if (!read.ok) return { kind: "corrupt", part: read.err.part };
+    return { kind: "adopted", inForce: { snapshot: offered, ...read.joined, since: now } };
 }
 
 /** Why a head need not be followed, or undefined where it is newer. */
--- a/packages/settings/src/parts.ts
+++ b/packages/settings/src/parts.ts
@@ -105,26 +105,43 @@
     readonly part: PartName;
 }
 
+/** A snapshot read: the tree of each part, and all of them together. */
+export interface Joined {
+    readonly partTrees: Readonly<Record<PartName, Tree>>;
+    readonly tree: Tree;
+}
+
+/** Parts that were read and checked before, by their hash. */
+export interface KnownParts {
+    readonly head: Head;
+    readonly partTrees: Readonly<Record<PartName, Tree>>;
+}
+
 /**
- * Puts the parts of a snapshot together again, after checking each against the head.
+ * Puts the parts of a snapshot together again, after checking each against the head. Parts that are known from before
+ * are not read again: a version differs from the last one in few of them.
  *
  * @example
  * ```ts
- * joinSnapshot(snapshotOf(3, tree)); // { ok: true, tree }
+ * joinSnapshot(snapshotOf(3, tree)); // { ok: true, joined: { tree, partTrees } }
  * ```
  */
 export function joinSnapshot(
     { head, parts }: Snapshot,
-): { readonly ok: true; readonly tree: Tree } | { readonly ok: false; readonly err: SnapshotError } {
-    const tree: Record<NodePath, Tree[string]> = {};
+    known?: KnownParts,
+): { readonly ok: true; readonly joined: Joined } | { readonly ok: false; readonly err: SnapshotError } {
+    const partTrees: Record<PartName, Tree> = {};
     for (const [name, hash] of Object.entries(head.parts)) {
-        const encoded = parts[name];
-        if (encoded === undefined || hashPart(encoded) !== hash) {
-            return { ok: false, err: { kind: "corruptSnapshot", part: name } };
-        }
-        Object.assign(tree, JSON.parse(encoded));
+        const before = known?.head.parts[name] === hash ? known.partTrees[name] : undefined;
+        const part = before ?? readPart(parts[name], hash);
+        if (!part) return { ok: false, err: { kind: "corruptSnapshot", part: name } };
+        partTrees[name] = part;
     }
-    return { ok: true, tree };
+    return { ok: true, joined: { partTrees, tree: Object.assign({}, ...Object.values(partTrees)) as Tree } };
+}
+
+function readPart(encoded: string | undefined, hash: string): Tree | undefined {
+    return encoded !== undefined && hashPart(encoded) === hash ? JSON.parse(encoded) as Tree : undefined;
 }
 
 /**
--- a/packages/settings/src/tree.ts
+++ b/packages/settings/src/tree.ts
@@ -80,6 +80,8 @@
 export function namedNodes(tree: Tree, kind: NodeKind): readonly NamedNode[] {
     const found: NamedNode[] = [];
     for (const [path, node] of Object.entries(tree)) {
+        // The prefix tells most nodes apart without taking their paths apart.
+        if (!path.startsWith(kind)) continue;
         const parsed = parsePath(path);
         if (parsed?.kind !== kind) continue;
         const name = parsed.name ?? parsed.workspace ?? parsed.service ?? parsed.hall ?? NodeKind.Root;
