--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -45,7 +45,7 @@
 export const REPEAT_MS = 4_000;
 /** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts, in milliseconds. */
 const TELL_MS = 250;
-const SMALL_ROUND = 3;
+const SMALL_ROUND = 2.5;
 
 /**
  * How often a host tells owners what it holds, and owners tell hosts: more rarely in larger halls, where asking before
@@ -53,8 +53,8 @@
  *
  * @example
  * ```ts
- * tellEvery(3); // 250
- * tellEvery(58); // 4833
+ * tellEvery(3); // 300
+ * tellEvery(58); // 5800
  * ```
  */
 export function tellEvery(hosts: number): number {
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -55,7 +55,7 @@
 /** Heartbeats go to this many hosts at a time. */
 export const FANOUT = 4;
 /** A heartbeat passes on news of this many hosts at most, those that moved last. */
-export const NEWS_PER_HEARTBEAT = 12;
+export const NEWS_PER_HEARTBEAT = 8;
 
 /**
  * A host that knows only itself.
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -44,6 +44,7 @@
 import { Value } from "@sinclair/typebox/value";
 import type { Host } from "./host.js";
 import type { AskAction } from "./placement.js";
+import { repeat } from "./repeat.js";
 
 const News = Type.Object({
     name: Type.String(),
@@ -292,6 +293,11 @@
         this.host.engines.setOthers(endpoint, { streams, curve: curveOf(held) });
     }
 
+    /** As an owner: tells all at once, not only in the next round. For news that must not wait, such as leaving. */
+    tellNow(): void {
+        this.tellHoldings();
+    }
+
     /** Tells owners what this host holds, and, as an owner, tells holders what the others hold. */
     private tellHoldings(): void {
         const now = performance.now();
@@ -349,14 +355,3 @@
         }));
     }
 }
-
-/** Does something at once and then again and again, with a pause that may change, until the signal. */
-function repeat(run: () => void, pauseMs: () => number, signal: AbortSignal): void {
-    let timer: NodeJS.Timeout;
-    const round = (): void => {
-        run();
-        timer = setTimeout(round, pauseMs());
-    };
-    signal.addEventListener("abort", () => clearTimeout(timer), { once: true });
-    round();
-}
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -55,11 +55,12 @@
         this.handle({ kind: "endpoints", endpoints });
     }
 
-    setLeaving(endpoint: string, source: LeavingSource, leaving: boolean): void {
+    /** Takes in a source's word on whether an endpoint is leaving; true if it was news. */
+    setLeaving(endpoint: string, source: LeavingSource, leaving: boolean): boolean {
         const known = this.state.endpoints.get(endpoint);
-        if (known && known.leavingBy.includes(source) !== leaving) {
-            this.handle({ kind: "leaving", endpoint, source, leaving });
-        }
+        if (!known || known.leavingBy.includes(source) === leaving) return false;
+        this.handle({ kind: "leaving", endpoint, source, leaving });
+        return true;
     }
 
     report(endpoint: string, report: LoadReport): void {
--- /dev/null
+++ b/packages/host/src/repeat.ts
@@ -0,0 +1,23 @@
+/**
+ * Work that is done again and again, with a pause that may change.
+ *
+ * @module
+ */
+
+/**
+ * Does something at once and then after each pause, until the signal. A pause begins when the work is done.
+ *
+ * @example
+ * ```ts
+ * repeat(() => beat(), () => 500 * stretch(live.length), signal);
+ * ```
+ */
+export function repeat(run: () => void | Promise<void>, pauseMs: () => number, signal: AbortSignal): void {
+    let timer: NodeJS.Timeout | undefined;
+    const round = async (): Promise<void> => {
+        await run();
+        if (!signal.aborted) timer = setTimeout(() => void round(), pauseMs());
+    };
+    signal.addEventListener("abort", () => clearTimeout(timer), { once: true });
+    void round();
+}
--- a/packages/host/src/watch-endpoints.ts
+++ b/packages/host/src/watch-endpoints.ts
@@ -4,34 +4,55 @@
  *
  * @module
  */
+import { stretch } from "@drumpaddle/hall";
 import { fetchHosts, fetchLoad } from "@drumpaddle/protocol";
 import type { DeclaredEndpoint, Directory } from "./directory.js";
 import type { Host } from "./host.js";
 import type { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
+import { repeat } from "./repeat.js";
 
-/** How long an answer of an endpoint or the host list may take, as a share of the time between two questions. */
+/** How long an answer about load may take, as a share of the time between two questions. */
 const TIMEOUT_SHARE = 2;
 /** Bytes of one answer about load with its head, and what a host may spend on such answers in a second. */
 const LOAD_ANSWER_BYTES = 300;
 const LOAD_BUDGET_BYTES_PER_S = 3_000;
+/** An owner of endpoints in a large hall asks each of them at least this often. */
+const SLOWEST_LOAD_MS = 1_000;
+/** The host list is asked for as often as this many bytes a second allow, and not more often than each second. */
+const LIST_BUDGET_BYTES_PER_S = 700;
+const FASTEST_LIST_MS = 1_000;
 
 /** Starts to watch; ends with the host's signal. */
 export function watchEndpoints(host: Host): void {
     const preemptions = new Map<string, number>();
     host.feed.onChange(directory => declare(host, directory));
     const every = host.cfg["control.load-interval"];
-    const timer = setInterval(() => {
-        const engines = [...host.feed.directory?.endpoints.values() ?? []]
-            .filter(endpoint => inHall(host, endpoint) && isEngine(host, endpoint));
-        // While it costs little every host asks for itself, so that no owner's death delays a sign of leaving.
-        const all = engines.length * LOAD_ANSWER_BYTES * 1000 / every <= LOAD_BUDGET_BYTES_PER_S;
-        for (const endpoint of engines) {
-            if (all || host.peers?.owns(endpoint.id) === true) void askLoad(host, endpoint, preemptions);
-        }
-        void askHostList(host);
-    }, every);
-    host.signal.addEventListener("abort", () => clearInterval(timer), { once: true });
+    repeat(
+        () => {
+            for (const endpoint of endpointsToAsk(host)) void askLoad(host, endpoint, preemptions);
+        },
+        () => Math.min(Math.max(every, SLOWEST_LOAD_MS), every * stretch(host.peers?.live.length ?? 1)),
+        host.signal,
+    );
+    let listBytes = 0;
+    repeat(
+        async () => {
+            listBytes = await askHostList(host) ?? listBytes;
+        },
+        () => Math.max(FASTEST_LIST_MS, listBytes / LIST_BUDGET_BYTES_PER_S * 1000),
+        host.signal,
+    );
+}
+
+/** Engines of this hall whose load this host asks for: all while that costs little, else those that it owns. */
+function endpointsToAsk(host: Host): readonly DeclaredEndpoint[] {
+    const engines = [...host.feed.directory?.endpoints.values() ?? []]
+        .filter(endpoint => inHall(host, endpoint) && isEngine(host, endpoint));
+    const every = host.cfg["control.load-interval"];
+    // While it costs little every host asks for itself, so that no owner's death delays a sign of leaving.
+    const all = engines.length * LOAD_ANSWER_BYTES * 1000 / every <= LOAD_BUDGET_BYTES_PER_S;
+    return all ? engines : engines.filter(endpoint => host.peers?.owns(endpoint.id) === true);
 }
 
 function isEngine(host: Host, endpoint: DeclaredEndpoint): boolean {
@@ -58,24 +79,26 @@
     const timeout = host.cfg["control.load-interval"] * TIMEOUT_SHARE;
     const load = await fetchLoad(host.dispatcher, endpoint.url, timeout, host.signal);
     if (!load || host.signal.aborted) return;
-    host.engines.setLeaving(endpoint.id, "endpoint", load.leaving);
+    if (host.engines.setLeaving(endpoint.id, "endpoint", load.leaving)) host.peers?.tellNow();
     host.engines.report(endpoint.id, { ...load, at: performance.now() - load.ageMs });
     const before = preemptions.get(endpoint.id) ?? load.preemptions;
     preemptions.set(endpoint.id, load.preemptions);
     host.metrics.countPreemptions(endpoint.id, load.preemptions - before);
 }
 
-async function askHostList(host: Host): Promise<void> {
+/** Takes in the host list; returns the size of the answer. */
+async function askHostList(host: Host): Promise<number | undefined> {
     const url = host.cfg["platform.host-list"];
-    if (url === undefined) return;
-    const machines = await fetchHosts(url, host.cfg["platform.timeout"], host.signal);
-    if (!machines) return;
-    const peers = machines.filter(machine => machine.peer !== undefined && machine.state === "live");
+    if (url === undefined) return undefined;
+    const answer = await fetchHosts(url, host.cfg["host.hall"], host.cfg["platform.timeout"], host.signal);
+    if (!answer) return undefined;
+    const peers = answer.hosts.filter(machine => machine.peer !== undefined && machine.state === "live");
     host.peers?.setListed(peers.map(machine => machine.peer!));
-    for (const machine of machines) {
+    for (const machine of answer.hosts) {
         const endpoint = machine.endpoint === undefined
             ? undefined
             : host.feed.directory?.endpoints.get(machine.endpoint);
         if (endpoint) placementOf(host, endpoint).setLeaving(endpoint.id, "hostList", machine.state === "leaving");
     }
+    return answer.bytes;
 }
--- a/packages/protocol/src/host-list.ts
+++ b/packages/protocol/src/host-list.ts
@@ -21,25 +21,35 @@
 /** A machine as the platform lists it. */
 export type ListedMachine = Static<typeof Listed>;
 
+/** The list with the size of the answer, by which a host paces its questions. */
+export interface HostListAnswer {
+    readonly hosts: readonly ListedMachine[];
+    readonly bytes: number;
+}
+
 /**
- * Asks for the list; undefined where there is no sensible answer in time.
+ * Asks for the machines of a hall; undefined where there is no sensible answer in time. A list that knows no `hall` in
+ * the query answers with all.
  *
  * @example
  * ```ts
- * const hosts = await fetchHosts("http://10.0.0.2:7000", 1000, signal);
+ * const answer = await fetchHosts("http://10.0.0.2:7000", "k1", 1000, signal);
  * ```
  */
 export async function fetchHosts(
     url: string,
+    hall: string,
     timeoutMs: number,
     signal: AbortSignal,
-): Promise<readonly ListedMachine[] | undefined> {
+): Promise<HostListAnswer | undefined> {
     try {
-        const res = await request(`${url}/hosts`, {
+        const res = await request(`${url}/hosts?hall=${encodeURIComponent(hall)}`, {
             signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
         });
-        const answer = await res.body.json();
-        return res.statusCode === 200 && Value.Check(HostList, answer) ? answer.hosts : undefined;
+        const text = await res.body.text();
+        const answer = JSON.parse(text) as unknown;
+        if (res.statusCode !== 200 || !Value.Check(HostList, answer)) return undefined;
+        return { hosts: answer.hosts, bytes: text.length };
     }
     catch {
         return undefined;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,7 +20,7 @@
     type StreamLimits,
 } from "./engine-client.js";
 export { createEtcd, type EtcdCfg } from "./etcd.js";
-export { fetchHosts, type ListedMachine } from "./host-list.js";
+export { fetchHosts, type HostListAnswer, type ListedMachine } from "./host-list.js";
 export {
     type KeyValue,
     type KvChange,
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -34,10 +34,12 @@
     type SchedulerEvent,
     type SchedulerState,
 } from "@drumpaddle/policy";
-import { encodeFrame, type FrameMessage, FrameReader } from "@drumpaddle/protocol";
+import { encodeFrame, fetchLoad, type FrameMessage, FrameReader } from "@drumpaddle/protocol";
 import { adopt, type InForce, snapshotOf, type Tree } from "@drumpaddle/settings";
 import { readFileSync, writeFileSync } from "node:fs";
+import { Agent } from "undici";
 import { perHost, PLAN, renderCapacity, type Slopes } from "./capacity.js";
+import { EngineServer } from "./engine-server.js";
 
 const HOST = perHost();
 const BEAT_MS = 500;
@@ -307,6 +309,21 @@
     return { estimateBytesPerGroup: estimates.bytes / groups, limitBytesPerWorkspace: limits.bytes / PLAN.workspaces };
 }
 
+async function loadSlope(): Promise<Pick<Slopes, "loadAskUs">> {
+    const engine = await EngineServer.start({ name: "e", models: ["m"] });
+    const agent = new Agent();
+    const { signal } = new AbortController();
+    const times = 2_000;
+    const ask = (): Promise<unknown> => fetchLoad(agent, engine.url, 1_000, signal);
+    for (let at = 0; at < times / 5; at++) await ask();
+    const before = process.cpuUsage();
+    for (let at = 0; at < times; at++) await ask();
+    const { user, system } = process.cpuUsage(before);
+    await agent.close();
+    await engine.stop();
+    return { loadAskUs: (user + system) / times };
+}
+
 function rounded(slopes: Slopes): Slopes {
     const entries = Object.entries(slopes).map(([name, value]) => [name, Number((value as number).toPrecision(3))]);
     return Object.fromEntries(entries) as Slopes;
@@ -319,6 +336,7 @@
     ...decisionSlopes(),
     ...peerSlopes(),
     ...shareSlopes(),
+    ...await loadSlope(),
 });
 const table = renderCapacity(slopes, tellEvery(HOST.hallHosts), BEAT_MS * stretch(HOST.hallHosts), FANOUT);
 const printed = `\`\`\`json\n${JSON.stringify(slopes, undefined, 2)}\n\`\`\`\n\n${table}\n`;
--- a/packages/standins/src/capacity.ts
+++ b/packages/standins/src/capacity.ts
@@ -24,6 +24,9 @@
 
 /** Share of requests that come to a crowded endpoint of another owner and ask first: the worst case is all. */
 const ASKING_SHARE = 0.5;
+/** An endpoint's answer about load with its head, and what the daemon allows for the host list. */
+const LOAD_ANSWER_BYTES = 300;
+const LIST_BYTES_PER_S = 700;
 const SECONDS_PER_DAY = 86_400;
 /** A host's watch is renewed, and its head read, this often. */
 const WATCHER_READ_EVERY_S = 5;
@@ -41,6 +44,8 @@
     /** Bytes of one endpoint's entry in `held` and `others`. */
     readonly heldEntryBytes: number;
     readonly messageBytes: number;
+    /** Processor time of one question about load over HTTP, asker's and stand-in's side together. */
+    readonly loadAskUs: number;
     readonly questionBytes: number;
     readonly answerBytes: number;
     /** The whole tree at 3,200 workspaces. */
@@ -157,6 +162,24 @@
             cores: asks * 2 * slopes.heartbeatUs / US_PER_S,
             memoryMb: 0,
         },
+        {
+            role: "endpoint side",
+            mechanism: "owners ask their endpoints for load each second",
+            state: `${host.owned.toFixed(1)} endpoints`,
+            messagesPerS: host.owned * 2,
+            bytesPerS: host.owned * LOAD_ANSWER_BYTES,
+            cores: host.owned * slopes.loadAskUs / US_PER_S,
+            memoryMb: 0,
+        },
+        {
+            role: "host list reader",
+            mechanism: "asked for as often as its bytes allow",
+            state: "machines of the hall",
+            messagesPerS: 0.1,
+            bytesPerS: LIST_BYTES_PER_S,
+            cores: 0,
+            memoryMb: 0.1,
+        },
         {
             role: "settings reader",
             mechanism: "two watchers a hall, the rest by peers, only changed parts",
--- a/packages/standins/src/host-list-server.ts
+++ b/packages/standins/src/host-list-server.ts
@@ -22,7 +22,9 @@
     url = "";
 
     private constructor(private readonly lagMs: number) {
-        this.app.get("/hosts", () => ({ hosts: this.visible() }));
+        this.app.get<{ Querystring: { hall?: string } }>("/hosts", ({ query: { hall } }) => ({
+            hosts: this.visible().filter(host => hall === undefined || host.hall === hall),
+        }));
     }
 
     /** Starts the list; changes show after `lagMs`. */
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -41,6 +41,6 @@
 
 /** Each deployment's weights, as its settings would have them. */
 export const PROFILES = {
-    kigali: { ...COMMON, quantile: 0.8, weightTail: 2, weightStall: 0.5 },
+    kigali: { ...COMMON, gapTargetMs: 38, quantile: 0.8, weightTail: 2, weightStall: 0.5 },
     clayhollow: { ...COMMON, quantile: 0.9, weightTail: 0.5, weightStall: 2 },
 } as const satisfies Record<string, Omit<JobPolicy, "priority">>;
