Prove that the checks bite: 15 mutations of promises, each caught by a test

Cause: a test that cannot fail proves nothing. Change: npm run test:mutations breaks one promise at a time and runs the tests named with it. At first 13 of 15 were caught: the test of a retried edit took 'nothing to change' for 'accepted', and the test of grants let one asker count its own. Both were made stricter; now 15 of 15.

--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -136,14 +136,15 @@
     let account = first.account;
     let granted = 0;
     for (let at = 0; at < 20; at++) {
-        const next = judge(account, "b", question(granted), 1);
+        const next = judge(account, `asker-${at}`, question(0), 1);
         account = next.account;
         granted += next.granted ? 1 : 0;
     }
     t.true(granted >= 1 && granted < 16, `${granted} streams`);
     t.true(peakOf([othersFor(account, "e1", "none", 2).curve], bounds.z) <= bounds.room);
     t.false(judge(account, "c", question(0), 2).granted);
-    const told = takeHeld(takeHeld(account, "a", [heldBy(0)], 3), "b", [heldBy(0)], 3);
+    let told = account;
+    for (let at = 0; at < 20; at++) told = takeHeld(told, `asker-${at}`, [heldBy(0)], 3);
     t.true(judge(told, "c", question(0), 4).granted);
 });
 
--- /dev/null
+++ b/packages/standins/src/mutations.ts
@@ -0,0 +1,156 @@
+/**
+ * `npm run test:mutations`: proves that the checks bite. Each mutation breaks one promise in the code; the tests named
+ * with it must then fail. The files are put back whatever happens.
+ *
+ * @module
+ */
+import { spawnSync } from "node:child_process";
+import { readFileSync, writeFileSync } from "node:fs";
+
+interface Mutation {
+    readonly promise: string;
+    readonly file: string;
+    readonly find: string;
+    readonly replace: string;
+    readonly tests: readonly string[];
+}
+
+const FAULTS = "packages/standins/test/faults.test.ts";
+const ENGINES = "packages/standins/test/engine-faults.test.ts";
+const PLAIN = "packages/standins/test/plain.test.ts";
+const SPREAD = "packages/standins/test/spread.test.ts";
+const POLICY = "packages/policy/test/policy.test.ts";
+const SETTINGS = "packages/settings/test/settings.test.ts";
+const HALL = "packages/hall/test/hall.test.ts";
+const STEP = "packages/request/src/step.ts";
+const PROOF = "packages/request/src/proof.ts";
+
+const MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "each token once",
+        file: STEP,
+        find: `if (event.index < current.next) return stay(discard(state, "duplicate"));`,
+        replace: "",
+        tests: [FAULTS],
+    },
+    {
+        promise: "in order, none missing",
+        file: STEP,
+        find: "if (event.index > current.next) {",
+        replace: "if (event.index > current.next + 1) {",
+        tests: [FAULTS],
+    },
+    {
+        promise: "from a single generation",
+        file: STEP,
+        find: `if (known !== event.generation) return stay(discard(state, "otherGeneration"));`,
+        replace: "",
+        tests: [FAULTS],
+    },
+    {
+        promise: "no second attempt once anything went out",
+        file: STEP,
+        find: "if (state.committed || state.attempts >= state.cfg.maxAttempts) return false;",
+        replace: "if (state.attempts >= state.cfg.maxAttempts) return false;",
+        tests: [FAULTS],
+    },
+    {
+        promise: "the answer of another request is never taken",
+        file: STEP,
+        find: "return isCurrent(state, attempt) && state.record.sent.includes(attempt);",
+        replace: 'return state.record.sent.length > 0 || attempt !== "";',
+        tests: [FAULTS],
+    },
+    {
+        promise: "not run is proven",
+        file: PROOF,
+        find: "const allRefused = record.sent.every(",
+        replace: "const allRefused = record.sent.length === 1 || record.sent.every(",
+        tests: [FAULTS],
+    },
+    {
+        promise: "not repeatable runs at most once",
+        file: STEP,
+        find: "return state.cfg.repeatable || proveNotRun(state.record) !== undefined;",
+        replace: "return true;",
+        tests: [FAULTS],
+    },
+    {
+        promise: "a key is claimed once over all hosts",
+        file: "packages/host/src/claims.ts",
+        find: "conditions: [{ key, modRevision: 0 }],",
+        replace: "conditions: [],",
+        tests: [PLAIN],
+    },
+    {
+        promise: "a leaving endpoint gets nothing new",
+        file: "packages/policy/src/choose.ts",
+        find: "view.leavingBy.length === 0 && view.cfg.models",
+        replace: "view.cfg.models",
+        tests: [POLICY],
+    },
+    {
+        promise: "a planned stop cuts nothing",
+        file: "packages/host/src/daemon.ts",
+        find: "await host.runs.drain();",
+        replace: "void host.runs.drain();",
+        tests: [ENGINES],
+    },
+    {
+        promise: "settings never go back",
+        file: "packages/settings/src/adopt.ts",
+        find: "if (head.version < have.version) return",
+        replace: "if (head.version < 0) return",
+        tests: [SETTINGS],
+    },
+    {
+        promise: "of racing edits of one key one wins",
+        file: "packages/settings/src/edit.ts",
+        find: "if (now !== change.before && now !== change.after) {",
+        replace: 'if (now === "") {',
+        tests: [SETTINGS, SPREAD],
+    },
+    {
+        promise: "an edit is one edit",
+        file: "packages/host/src/settings-store.ts",
+        find: 'if (done.value !== undefined) return { kind: "accepted", version: done.value, snapshot: undefined };',
+        replace: "",
+        tests: [SPREAD],
+    },
+    {
+        promise: "shares of a limit add up to it",
+        file: "packages/hall/src/limit-share.ts",
+        find: "return Math.floor(limit * (index + 1) / of) - Math.floor(limit * index / of);",
+        replace: "return Math.ceil(limit / of);",
+        tests: [HALL],
+    },
+    {
+        promise: "two askers cannot both have the last room",
+        file: "packages/hall/src/load-share.ts",
+        find: "granted: [...entry.granted, stream]",
+        replace: "granted: entry.granted",
+        tests: [HALL],
+    },
+];
+
+/** Whether the tests fail with the mutation in place. */
+function isCaught({ file, find, replace, tests }: Mutation): boolean {
+    const source = readFileSync(file, "utf8");
+    if (source.split(find).length !== 2) throw new Error(`${file} must hold this once: ${find}`);
+    try {
+        writeFileSync(file, source.replace(find, () => replace));
+        return spawnSync("npx", ["ava", ...tests], { stdio: "ignore" }).status !== 0;
+    }
+    finally {
+        writeFileSync(file, source);
+    }
+}
+
+let missed = 0;
+for (const mutation of MUTATIONS) {
+    const caught = isCaught(mutation);
+    if (!caught) missed += 1;
+    process.stdout.write(`${caught ? "caught" : "MISSED"}: ${mutation.promise} (${mutation.file})\n`);
+}
+process.stdout.write(`${MUTATIONS.length - missed} of ${MUTATIONS.length} mutations caught\n`);
+process.exitCode = missed === 0 ? 0 : 1;
--- a/packages/standins/test/spread.test.ts
+++ b/packages/standins/test/spread.test.ts
@@ -63,9 +63,9 @@
     const stage = await stageFor(t);
     stage.kv.faults.loseReplies = 1;
     const first = await editAt(stage, 0, "edit-lost", attempts("2"));
-    t.deepEqual([first.status, first.body.version], [200, 2]);
+    t.deepEqual([first.status, first.body.kind, first.body.version], [200, "accepted", 2]);
     const again = await editAt(stage, 2, "edit-lost", attempts("2"));
-    t.deepEqual([again.status, again.body.version], [200, 2]);
+    t.deepEqual([again.status, again.body.kind, again.body.version], [200, "accepted", 2]);
 });
 
 test("with the service away an edit is refused, and requests go on", async t => {
