--- /dev/null
+++ b/packages/cli/test/cli.test.ts
@@ -0,0 +1,118 @@
+import { writeTree } from "@drumpaddle/settings";
+import { callOnce, type Stage, startStage, waitUntil } from "@drumpaddle/standins";
+import test, { type ExecutionContext } from "ava";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type ClientCfg, Exit, expireKey, issueKey, issueToken, listKeys, settings } from "../src/index.js";
+
+interface Fixture {
+    readonly stage: Stage;
+    readonly client: ClientCfg;
+    /** Writes a file of settings into a folder of its own and gives the folder. */
+    readonly folder: (text: string) => string;
+}
+
+async function fixture(t: ExecutionContext): Promise<Fixture> {
+    const stage = await startStage({ halls: ["k1"], hostsPerHall: 2, enginesPerHall: 1 });
+    const made: string[] = [];
+    t.teardown(async () => {
+        await stage.stop();
+        for (const path of made) rmSync(path, { recursive: true });
+    });
+    const client = {
+        hosts: stage.hosts.map(host => host.daemon.operatorsUrl),
+        token: stage.operatorToken,
+        timeoutMs: 10_000,
+    };
+    const folder = (text: string): string => {
+        const path = mkdtempSync(join(tmpdir(), "drumpaddle-"));
+        made.push(path);
+        writeFileSync(join(path, "all.ini"), text);
+        return path;
+    };
+    return { stage, client, folder };
+}
+
+const iniOf = (stage: Stage): string => writeTree(stage.hosts[0]!.daemon.host.feed.directory!.tree);
+
+test("files are checked, planned and applied, and a stale plan is shown who changed what", async t => {
+    const { stage, client, folder } = await fixture(t);
+    const bad = settings.check(folder("[root]\nattempts = lots"));
+    t.is(bad.exit, Exit.Failed);
+    t.regex(bad.text, /all\.ini:2 \[root\] attempts/);
+    const path = folder(iniOf(stage).replace("[root]", "[root]\nattempts = 2"));
+    const planned = await settings.plan(client, path);
+    t.regex(planned.text, /\[root\]\n {2}\+ attempts = 2\n1 changes against version 1/);
+    t.is((await settings.setKey(client, "root", "resumes", "5", "meanwhile")).exit, Exit.Done);
+    const stale = await settings.apply(client, path, "stale", 1);
+    t.is(stale.exit, Exit.Failed);
+    t.regex(stale.text, /version 2 by first: meanwhile\n\[root\]\n {2}\+ resumes = 5/);
+    t.is((await settings.apply(client, path, "again", 2)).exit, Exit.Done);
+    await waitUntil(() => stage.hosts.every(host => host.daemon.host.feed.directory?.version === 3));
+    t.is((await settings.getKey(client, "root", "attempts")).text, "2");
+    t.is((await settings.getKey(client, "root", "resumes")).exit, Exit.Failed, "what the files do not say is gone");
+});
+
+test("an edit is explained, logged, reverted forwards, and the trail verifies", async t => {
+    const { stage, client } = await fixture(t);
+    await settings.setKey(client, "workspace/clerks", "attempts", "2", "fewer");
+    const explained = await settings.explainKey(client, "attempts", { workspace: "clerks" });
+    t.regex(explained.text, /attempts.*2.*workspace\/clerks/);
+    t.is((await settings.revert(client, 2, "back")).exit, Exit.Done);
+    await waitUntil(() => stage.hosts.every(host => host.daemon.host.feed.directory?.version === 3));
+    t.is((await settings.getKey(client, "workspace/clerks", "attempts")).exit, Exit.Failed);
+    const log = (await settings.log(client)).data as readonly { version: number; who: string; why: string }[];
+    t.deepEqual(log.map(({ version, why }) => [version, why]), [[1, "start"], [2, "fewer"], [3, "back"]]);
+    t.regex((await settings.show(client, 2)).text, /\[workspace\/clerks\]\nattempts = 2/);
+    t.is((await settings.verify(client)).exit, Exit.Done);
+    t.is((await settings.wait(client, 3, 2_000, () => undefined)).exit, Exit.Done);
+    t.is((await settings.status(client)).exit, Exit.Done);
+    t.is((await settings.explainKey(client, "no-such-key", {})).exit, Exit.Failed);
+});
+
+test("the next host is tried where one is away; with none the command fails, with the service away it says so", async t => {
+    const { stage, client } = await fixture(t);
+    await stage.hosts[0]!.daemon.kill();
+    t.is((await settings.setKey(client, "root", "attempts", "2", "")).exit, Exit.Done);
+    stage.kv.setDown(true);
+    t.is((await settings.setKey(client, "root", "attempts", "4", "")).exit, Exit.Failed);
+    t.is((await settings.outcome(client, "some-edit")).exit, Exit.Unknown);
+    stage.kv.setDown(false);
+    t.is((await settings.outcome(client, "some-edit")).exit, Exit.Failed);
+    t.is((await settings.log({ ...client, hosts: ["http://127.0.0.1:1"] })).exit, Exit.Failed);
+    t.is((await settings.log({ ...client, token: "wrong" })).exit, Exit.Failed);
+});
+
+test("keys are issued beside old ones, work at once, and end when they expire", async t => {
+    const { stage, client } = await fixture(t);
+    const issued = (await issueKey(client, "members", "rotation")).data as { id: string; secret: string };
+    const send = (key: string) =>
+        callOnce({
+            url: stage.hosts[1]!.daemon.callersUrl,
+            key,
+            model: "summary-8b",
+            tag: "t",
+            promptTokens: 20,
+            output: 3,
+        });
+    await waitUntil(async () => (await send(issued.secret)).outcome === "whole");
+    t.is((await send(stage.keyOf("members"))).outcome, "whole");
+    t.is((await expireKey(client, `key/${issued.id}`, new Date(), "done")).exit, Exit.Done);
+    await waitUntil(async () => (await send(issued.secret)).status === 401);
+    const listed = await listKeys(client);
+    t.regex(listed.text, new RegExp(`key/${issued.id}`));
+    t.false(listed.text.includes(issued.secret));
+    t.false(JSON.stringify(await settings.log(client)).includes(issued.secret), "a secret is never stored");
+});
+
+test("a token that may only read cannot edit", async t => {
+    const { stage, client } = await fixture(t);
+    const { secret } = (await issueToken(client, "reader", "read", "")).data as { secret: string };
+    const reader = { ...client, token: secret };
+    await waitUntil(() => stage.hosts.every(host => host.daemon.host.feed.directory?.version === 2));
+    t.is((await settings.log(reader)).exit, Exit.Done);
+    const refused = await settings.setKey(reader, "root", "attempts", "2", "");
+    t.is(refused.exit, Exit.Failed);
+    t.regex(refused.text, /403/);
+});
--- a/packages/standins/src/bench-daemon.ts
+++ b/packages/standins/src/bench-daemon.ts
@@ -26,5 +26,5 @@
     if (message === "end") process.exit(0);
     const { user, system } = process.cpuUsage();
     const { rss, heapUsed } = process.memoryUsage();
-    process.send?.({ cpuMs: (user + system) / 1000, rssBytes: rss, heapBytes: heapUsed });
+    process.send?.({ cpuMs: (user + system) / 1000, kernelMs: system / 1000, rssBytes: rss, heapBytes: heapUsed });
 });
--- a/packages/standins/src/bench-path.ts
+++ b/packages/standins/src/bench-path.ts
@@ -27,6 +27,8 @@
 /** What the daemon's process says of itself. */
 interface Usage {
     readonly cpuMs: number;
+    /** Of which in the kernel. */
+    readonly kernelMs: number;
     readonly rssBytes: number;
     readonly heapBytes: number;
 }
@@ -103,6 +105,7 @@
             })
         ),
         ["daemon's processor time for 1,000 tokens, ms", (cpuMs / through.tokens * 1000).toFixed(1)],
+        ["of which in the kernel, ms", ((after.kernelMs - before.kernelMs) / through.tokens * 1000).toFixed(1)],
         ["daemon's share of a core", (cpuMs / wallMs).toFixed(3)],
         ["share of a core at 8,000 tokens a second, by that slope", (cpuMs / through.tokens * 8).toFixed(3)],
         ["daemon's memory in all, MB", (after.rssBytes / 1e6).toFixed(0)],
