--- a/packages/host/src/callers.ts
+++ b/packages/host/src/callers.ts
@@ -13,6 +13,7 @@
 
 /** Bodies above this are never read, whatever a workspace is allowed. */
 const LARGEST_BODY = 100_000_000;
+const LOOK_FOR_LATE_MS = 1_000;
 /** A stopping host asks callers to come back at once: the balancer sends them elsewhere. */
 const STOPPING_RETRY_MS = 0;
 
@@ -39,7 +40,13 @@
         genReqId: () => randomUUID(),
         // Typed for plain HTTP: the two kinds of server have the same interface here.
         ...(tls ? { https: tls } as object : {}),
-        http: { maxHeaderSize: host.cfg["callers.header-bytes"] },
+        http: {
+            maxHeaderSize: host.cfg["callers.header-bytes"],
+            requestTimeout: host.cfg["callers.body-timeout"],
+            headersTimeout: host.cfg["callers.body-timeout"],
+            // Node looks for late requests only each 30 s unless told otherwise.
+            connectionsCheckingInterval: Math.min(LOOK_FOR_LATE_MS, host.cfg["callers.body-timeout"]),
+        },
         forceCloseConnections: "idle",
     });
     app.removeAllContentTypeParsers();
--- /dev/null
+++ b/packages/standins/test/bad-input.test.ts
@@ -0,0 +1,137 @@
+import test, { type ExecutionContext } from "ava";
+import { connect } from "node:net";
+import { request } from "undici";
+import { type Stage, startStage } from "../src/index.js";
+
+async function stageFor(t: ExecutionContext): Promise<Stage> {
+    const stage = await startStage({
+        halls: ["k1"],
+        enginesPerHall: 1,
+        engine: { speed: 20 },
+        tree: { root: { "max-body": "100k", "first-token-timeout": "500ms" } },
+        flags: { "callers.body-timeout": "400ms" },
+    });
+    t.teardown(() => stage.stop());
+    return stage;
+}
+
+interface Answer {
+    readonly status: number;
+    readonly code: string | undefined;
+    readonly ran: string | undefined;
+}
+
+async function post(stage: Stage, body: string, headers: Record<string, string> = {}): Promise<Answer> {
+    const res = await request(`${stage.hosts[0]!.daemon.callersUrl}/v1/chat/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${stage.keyOf("members")}`, ...headers },
+        body,
+    });
+    const text = await res.body.text();
+    const error = text === "" ? undefined : (JSON.parse(text) as { error?: { code?: string; ran?: string } }).error;
+    return { status: res.statusCode, code: error?.code, ran: error?.ran };
+}
+
+const good = { model: "summary-8b", messages: [{ role: "user", content: "x" }] };
+
+const BODIES: readonly {
+    readonly name: string;
+    readonly body: string;
+    readonly status: number;
+    readonly code: string;
+}[] = [
+    { name: "no body", body: "", status: 400, code: "bad_request" },
+    { name: "not JSON", body: '{"model":', status: 400, code: "bad_request" },
+    { name: "a number", body: "7", status: 400, code: "bad_request" },
+    { name: "null", body: "null", status: 400, code: "bad_request" },
+    { name: "no model", body: JSON.stringify({ messages: good.messages }), status: 400, code: "bad_request" },
+    { name: "messages of text", body: JSON.stringify({ ...good, messages: "hi" }), status: 400, code: "bad_request" },
+    { name: "a negative bound", body: JSON.stringify({ ...good, max_tokens: -1 }), status: 400, code: "bad_request" },
+    {
+        name: "an absurd bound",
+        body: JSON.stringify({ ...good, max_tokens: 5_000_000 }),
+        status: 400,
+        code: "bad_request",
+    },
+    { name: "two choices", body: JSON.stringify({ ...good, n: 2 }), status: 400, code: "bad_request" },
+    {
+        name: "more than the workspace may send",
+        body: JSON.stringify({ ...good, pad: "x".repeat(200_000) }),
+        status: 413,
+        code: "body_too_large",
+    },
+];
+
+test("each wrong body gets its typed error, and none runs", async t => {
+    const stage = await stageFor(t);
+    for (const { name, body, status, code } of BODIES) {
+        t.deepEqual(await post(stage, body), { status, code, ran: "no" }, name);
+    }
+    t.is((await post(stage, "x".repeat(120_000), { "content-type": "text/plain" })).status, 413);
+    t.is(stage.engines[0]!.server.runs.size, 0);
+});
+
+test("fields that the system does not know reach the engine", async t => {
+    const stage = await stageFor(t);
+    const res = await request(`${stage.hosts[0]!.daemon.callersUrl}/v1/chat/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${stage.keyOf("members")}` },
+        body: JSON.stringify({ ...good, x_output: 3, x_tag: "seen" }),
+    });
+    const answer = await res.body.json() as { choices: { message: { content: string } }[] };
+    t.regex(answer.choices[0]!.message.content, /^seen\.\S+\.0 seen\.\S+\.1 seen\.\S+\.2 $/);
+});
+
+/** Writes bytes to the callers' port and gives all that comes back until the connection ends. */
+function raw(stage: Stage, bytes: string): Promise<string> {
+    const { port } = new URL(stage.hosts[0]!.daemon.callersUrl);
+    return new Promise((resolve, reject) => {
+        let answer = "";
+        const socket = connect(Number(port), "127.0.0.1", () => socket.write(bytes));
+        socket.setTimeout(8_000, () => socket.destroy(new Error("nothing came back")));
+        socket.on("data", chunk => answer += chunk.toString("latin1"));
+        socket.on("error", reject);
+        socket.on("close", () => resolve(answer));
+    });
+}
+
+test("a caller that sends half a body and stalls is ended in time, and nothing runs", async t => {
+    const stage = await stageFor(t);
+    const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${
+        stage.keyOf("members")
+    }\r\ncontent-length: 100\r\n\r\n{"mod`;
+    t.regex(await raw(stage, head), /^HTTP\/1\.1 408 /);
+    t.is(stage.engines[0]!.server.runs.size, 0);
+});
+
+test("a head that is too large, or is none, is refused", async t => {
+    const stage = await stageFor(t);
+    t.regex(
+        await raw(stage, `GET /v1/models HTTP/1.1\r\nhost: x\r\nx-pad: ${"x".repeat(40_000)}\r\n\r\n`),
+        /^HTTP\/1\.1 431 /,
+    );
+    t.regex(await raw(stage, "no such protocol\r\n\r\n"), /^HTTP\/1\.1 400 /);
+});
+
+test("requests that are pipelined are answered one after the other", async t => {
+    const stage = await stageFor(t);
+    const one = (tag: string, last: boolean): string => {
+        const body = JSON.stringify({ ...good, x_output: 2, x_tag: tag });
+        return `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${stage.keyOf("members")}\r\n`
+            + `${last ? "connection: close\r\n" : ""}content-length: ${body.length}\r\n\r\n${body}`;
+    };
+    const answer = await raw(stage, one("first", false) + one("second", true));
+    t.is(answer.split("HTTP/1.1 200").length - 1, 2);
+    t.true(answer.indexOf("first.") > 0 && answer.indexOf("first.") < answer.indexOf("second."));
+});
+
+test("a caller's text is never in a log", async t => {
+    const stage = await stageFor(t);
+    await post(
+        stage,
+        JSON.stringify({ ...good, messages: [{ role: "user", content: "a secret of the kiln" }], x_output: 1 }),
+    );
+    await post(stage, "a secret of the kiln");
+    t.true(stage.logLines.length > 0);
+    t.false(stage.logLines.some(line => line.includes("kiln") || line.includes(stage.keyOf("members"))));
+});
