--- /dev/null
+++ b/packages/standins/src/bench-spread.ts
@@ -0,0 +1,150 @@
+/**
+ * `npm run bench:spread`: real daemons over sockets, all in one process: how long an accepted edit takes to be in force at
+ * every host, what it costs the key-value service, and what the hosts cost while nothing happens.
+ *
+ * @module
+ */
+import { Timing } from "@drumpaddle/host";
+import Table from "cli-table3";
+import { randomUUID } from "node:crypto";
+import sade from "sade";
+import { request } from "undici";
+import { type Stage, startStage, waitUntil } from "./stage.js";
+
+const HALLS = ["k1", "k2", "k3"];
+
+interface Options {
+    readonly hosts: string;
+    readonly edits: number;
+    readonly idle: number;
+}
+
+interface Point {
+    readonly hosts: number;
+    readonly readyMs: number;
+    readonly delays: Timing;
+    readonly readsPerEdit: number;
+    readonly idleReadsPerMinute: number;
+    readonly idleCores: number;
+    readonly peerBytesPerS: number;
+    readonly memoryMb: number;
+}
+
+async function editOnce(stage: Stage, at: number, value: number): Promise<number> {
+    const { daemon } = stage.hosts[at % stage.hosts.length]!;
+    const before = daemon.host.feed.directory?.tree["root"]?.["queue-limit"];
+    const change = {
+        path: "root",
+        key: "queue-limit",
+        after: String(value),
+        ...(before === undefined ? {} : { before }),
+    };
+    const res = await request(`${daemon.operatorsUrl}/settings/edits`, {
+        method: "POST",
+        headers: { "authorization": `Bearer ${stage.operatorToken}`, "content-type": "application/json" },
+        body: JSON.stringify({ editId: randomUUID(), why: "bench", changes: [change] }),
+    });
+    const answer = await res.body.json() as { kind: string; version: number };
+    if (answer.kind !== "accepted") throw new Error(JSON.stringify(answer));
+    return answer.version;
+}
+
+/** Delays of one edit at each host, from the moment that its operator was told that it is accepted. */
+async function measureEdit(stage: Stage, at: number, delays: Timing): Promise<void> {
+    const seen = new Map<string, number>();
+    let listening = true;
+    for (const host of stage.hosts) {
+        host.daemon.host.feed.onChange(directory => {
+            if (listening) seen.set(`${host.name}/${directory.version}`, performance.now());
+        });
+    }
+    const version = await editOnce(stage, at, 100 + at);
+    const acceptedAt = performance.now();
+    await waitUntil(() => stage.hosts.every(host => (host.daemon.host.feed.directory?.version ?? 0) >= version));
+    listening = false;
+    for (const host of stage.hosts) {
+        delays.record(Math.max(0, (seen.get(`${host.name}/${version}`) ?? acceptedAt) - acceptedAt));
+    }
+}
+
+function peerBytes(stage: Stage): Promise<number> {
+    return Promise.all(stage.hosts.map(async host => {
+        const text = await host.daemon.host.metrics.text();
+        return Number(/drumpaddle_peer_bytes_total\{direction="out"\} (\d+)/.exec(text)?.[1] ?? 0);
+    })).then(counts => counts.reduce((sum, count) => sum + count, 0));
+}
+
+async function measure(hostsPerHall: number, options: Options): Promise<Point> {
+    const startedAt = performance.now();
+    const stage = await startStage({ halls: HALLS, hostsPerHall, enginesPerHall: 3, log: () => undefined });
+    const readyMs = (performance.now() - startedAt) / stage.hosts.length;
+    await waitUntil(() => stage.hosts.every(host => host.daemon.host.peers?.live.length === hostsPerHall));
+    const delays = new Timing();
+    const before = stage.kv.calls.reads;
+    for (let at = 0; at < options.edits; at++) await measureEdit(stage, at, delays);
+    const readsPerEdit = (stage.kv.calls.reads - before) / options.edits;
+    const idle = {
+        reads: stage.kv.calls.reads,
+        cpu: process.cpuUsage(),
+        bytes: await peerBytes(stage),
+        at: performance.now(),
+    };
+    await new Promise(resolve => setTimeout(resolve, options.idle * 1000));
+    const cpu = process.cpuUsage(idle.cpu);
+    const seconds = (performance.now() - idle.at) / 1000;
+    const hosts = stage.hosts.length;
+    const point = {
+        hosts,
+        readyMs,
+        delays,
+        readsPerEdit,
+        idleReadsPerMinute: (stage.kv.calls.reads - idle.reads) / seconds * 60,
+        idleCores: (cpu.user + cpu.system) / 1e6 / seconds / hosts,
+        peerBytesPerS: (await peerBytes(stage) - idle.bytes) / seconds / hosts,
+        memoryMb: process.memoryUsage.rss() / 1e6 / hosts,
+    };
+    await stage.stop();
+    return point;
+}
+
+async function run(options: Options): Promise<void> {
+    const table = new Table({
+        head: [
+            "hosts",
+            "start ms",
+            "in force p50 ms",
+            "p99",
+            "max",
+            "reads/edit",
+            "idle reads/min",
+            "idle % of a core a host",
+            "peer B/s a host",
+            "MB a host",
+        ],
+        style: { head: [], border: [], compact: true },
+    });
+    for (const hosts of options.hosts.split(",").map(Number)) {
+        const point = await measure(Math.ceil(hosts / HALLS.length), options);
+        const quantiles = [0.5, 0.99, 1].map(share => point.delays.quantile(share).toFixed(1));
+        table.push([
+            point.hosts,
+            point.readyMs.toFixed(0),
+            ...quantiles,
+            point.readsPerEdit.toFixed(1),
+            point.idleReadsPerMinute.toFixed(0),
+            (100 * point.idleCores).toFixed(2),
+            point.peerBytesPerS.toFixed(0),
+            point.memoryMb.toFixed(1),
+        ]);
+    }
+    process.stdout.write(`${table.toString()}\n`);
+}
+
+sade("bench:spread", true)
+    .describe("Measures how edits spread over real daemons, and what idle daemons cost.")
+    .option("--hosts", "Numbers of hosts, over three halls", "9,51")
+    .option("--edits", "Edits to measure", 30)
+    .option("--idle", "Seconds of idling to measure", 15)
+    .example("--hosts 9,51")
+    .action((options: Options) => run(options))
+    .parse(process.argv);
