One state machine for what hosts know of each other, driven by the daemon and by the measurement alike

Cause: the daemon and the measurement each had their own code for rounds, questions and answers, so the measured one was not the one that runs; the measured round also left the ranking of owners out (9,000 hashes at the plan's size, in each round). The figure for calibration was declared and never computed. Change: hall/share.ts holds it as pure steps (state, messages, events) that both drive; owners are kept while hosts and endpoints stay the same; calibration and the first token of live requests are measured.

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -37,4 +37,15 @@
     stretch,
 } from "./membership.js";
 export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
+export {
+    type Addressed,
+    createShare,
+    endpointOwner,
+    shareAsk,
+    shareHear,
+    type ShareMessage,
+    shareRound,
+    type ShareState,
+    type ShareStep,
+} from "./share.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -5,45 +5,39 @@
  * @module
  */
 import {
-    type Account,
     askAfter,
     createMembership,
-    curveOf,
-    EMPTY_ACCOUNT,
+    createShare,
+    endpointOwner,
     give,
     hear,
     heartbeat,
-    type Held,
-    heldOf,
     isAlive,
-    judge,
     leave,
     listHosts,
     liveHosts,
     type MemberNews,
     type Membership,
     newsOf,
-    NOTHING_TOLD,
-    othersFor,
-    ownerOf,
-    planTelling,
-    type Question,
     type SettingsAsk,
     type SettingsGive,
+    shareAsk,
+    shareHear,
+    type ShareMessage,
+    shareRound,
+    type ShareState,
+    type ShareStep,
     stretch,
     takeGiven,
-    takeHeld,
     tellEvery,
-    type Told,
     type VersionNews,
     watches,
 } from "@drumpaddle/hall";
-import { addCurve } from "@drumpaddle/policy";
+import type { EndpointTable } from "@drumpaddle/policy";
 import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import type { Host } from "./host.js";
-import type { AskAction } from "./placement.js";
 import { repeat } from "./repeat.js";
 
 const News = Type.Object({
@@ -93,31 +87,7 @@
     | { readonly kind: "heartbeat"; readonly news: readonly MemberNews[]; readonly settings: VersionNews }
     | { readonly kind: "ask" } & SettingsAsk
     | { readonly kind: "give" } & SettingsGive
-    /** Told to the owner: what the sender holds on endpoints. */
-    | { readonly kind: "held"; readonly held: readonly Held[] }
-    /** Told by an owner: what others than the receiver hold, and which of its endpoints say that they are leaving. */
-    | {
-        readonly kind: "others";
-        readonly others: readonly Held[];
-        readonly owned: readonly string[];
-        readonly leaving: readonly string[];
-    }
-    | QuestionMessage
-    | AnswerMessage;
-
-/** Asked of an owner before a request is sent to a crowded endpoint. */
-interface QuestionMessage extends Question {
-    readonly kind: "question";
-    readonly job: string;
-}
-
-/** An owner's word, with what others than the asker hold on the endpoint. */
-interface AnswerMessage {
-    readonly kind: "answer";
-    readonly job: string;
-    readonly granted: boolean;
-    readonly others: Held;
-}
+    | ShareMessage;
 
 type Handlers = {
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
@@ -126,11 +96,11 @@
 /** This host's part in its hall. */
 export class Peers {
     private membership: Membership;
-    private account: Account = EMPTY_ACCOUNT;
-    private told: Told = NOTHING_TOLD;
+    private share: ShareState;
 
     private constructor(private readonly host: Host, private readonly mesh: PeerMesh, seeds: readonly string[]) {
         const { "host.name": name, "host.hall": hall } = host.cfg;
+        this.share = createShare(name);
         this.membership = createMembership({ name, hall, address: mesh.at, incarnation: Date.now() }, seeds);
     }
 
@@ -158,10 +128,10 @@
 
     private run(): void {
         const { cfg, signal } = this.host;
-        this.host.engines.setAsker(action => this.ask(action));
+        this.host.engines.setAsker(action => this.follow(shareAsk(this.share, action, this.endpoints, this.live)));
         const every = cfg["control.heartbeat"];
         repeat(() => this.beat(), () => every * stretch(this.live.length), signal);
-        repeat(() => this.tellHoldings(), () => tellEvery(this.live.length), signal);
+        repeat(() => this.tellNow(), () => tellEvery(this.live.length), signal);
     }
 
     /** Where peers reach this host. */
@@ -181,7 +151,7 @@
 
     /** Whether this host asks an endpoint for its load, as its owner. */
     owns(endpoint: string): boolean {
-        return ownerOf(`endpoint/${endpoint}`, this.live) === this.host.cfg["host.name"];
+        return endpointOwner(endpoint, this.live) === this.host.cfg["host.name"];
     }
 
     /** Tells all peers at once that this host is leaving. */
@@ -246,96 +216,30 @@
         give: (_from, given) => {
             this.host.feed.offer(takeGiven(this.host.feed.inForce, given), "peer");
         },
-        held: (from, { held }) => {
-            this.account = takeHeld(this.account, from.name, held, performance.now());
-        },
-        others: (_from, { others, owned, leaving }) => {
-            for (const held of others) this.takeOthers(held.endpoint, held.streams, held);
-            for (const endpoint of owned) {
-                this.host.engines.setLeaving(endpoint, "endpoint", leaving.includes(endpoint));
-            }
-        },
-        question: (from, question) => this.judge(from, question),
-        answer: (_from, { job, granted, others }) => {
-            this.host.engines.answer(job, granted, { streams: others.streams, curve: curveOf(others) });
-        },
+        held: (from, message) => this.hearShare(from, message),
+        others: (from, message) => this.hearShare(from, message),
+        question: (from, message) => this.hearShare(from, message),
+        answer: (from, message) => this.hearShare(from, message),
     };
 
-    /** As an owner: judges a question by the account, with this host's own streams as they are now. */
-    private judge(from: PeerName, { job, held, stream, bounds }: QuestionMessage): void {
-        const now = performance.now();
-        const { endpoint } = held;
-        const self = this.host.cfg["host.name"];
-        const own = this.host.engines.view.endpoints.get(endpoint);
-        if (own) this.account = takeHeld(this.account, self, [heldOf(endpoint, own.streams.size, own.curve)], now);
-        const { account, granted } = judge(this.account, from.name, { held, stream, bounds }, now);
-        this.account = account;
-        this.host.engines.setOthers(endpoint, othersFor(account, endpoint, self, now));
-        const others = othersFor(account, endpoint, from.name, now);
-        this.send(from.address, {
-            kind: "answer",
-            job,
-            granted,
-            others: heldOf(endpoint, others.streams, others.curve),
-        });
+    private get endpoints(): EndpointTable {
+        return this.host.engines.view.endpoints;
     }
 
-    /** Carries a question to the owner; without one the decision falls by time-out to this host alone. */
-    private ask({ job, endpoint, curve, bounds }: AskAction): void {
-        const owner = ownerOf(`endpoint/${endpoint}`, this.live);
-        const view = this.host.engines.view.endpoints.get(endpoint);
-        if (owner === undefined || !view) return;
-        const held = heldOf(endpoint, view.streams.size - 1, addCurve(view.curve, curve, -1));
-        this.sendTo(owner, { kind: "question", job, held, stream: heldOf(endpoint, 1, curve), bounds });
+    private hearShare(from: PeerName, message: ShareMessage): void {
+        this.follow(shareHear(this.share, from.name, message, this.endpoints, performance.now()));
     }
 
-    private takeOthers(endpoint: string, streams: number, held: Held): void {
-        this.host.engines.setOthers(endpoint, { streams, curve: curveOf(held) });
+    /** Carries out what follows from a step of what hosts know of each other's streams. */
+    private follow({ state, send, events }: ShareStep): void {
+        this.share = state;
+        for (const { to, message } of send) this.sendTo(to, message);
+        this.host.engines.tell(events);
     }
 
-    /** As an owner: tells all at once, not only in the next round. For news that must not wait, such as leaving. */
+    /** A round of telling, at once and not only when it is due: for news that must not wait, such as leaving. */
     tellNow(): void {
-        this.tellHoldings();
-    }
-
-    /** Tells owners what this host holds, and, as an owner, tells holders what the others hold. */
-    private tellHoldings(): void {
-        const now = performance.now();
-        const self = this.host.cfg["host.name"];
-        const live = this.live;
-        this.host.engines.setHosts(Math.max(1, live.length));
-        const views = [...this.host.engines.view.endpoints.values()];
-        const holdings = views.map(view => heldOf(view.cfg.id, view.streams.size, view.curve));
-        const { state, toSay } = planTelling(
-            this.told,
-            holdings,
-            endpoint => ownerOf(`endpoint/${endpoint}`, live),
-            now,
-        );
-        this.told = state;
-        for (const [owner, held] of toSay) {
-            if (owner === self) this.account = takeHeld(this.account, self, held, now);
-            else this.sendTo(owner, { kind: "held", held });
-        }
-        const owned = views.map(view => view.cfg.id).filter(endpoint => ownerOf(`endpoint/${endpoint}`, live) === self);
-        this.host.engines.setOwned(owned);
-        this.answerHolders(owned, live, now);
-    }
-
-    /** Every live host hears of the others' streams: one that holds nothing yet must not take an endpoint for empty. */
-    private answerHolders(owned: readonly string[], live: readonly string[], now: number): void {
-        const self = this.host.cfg["host.name"];
-        const views = this.host.engines.view.endpoints;
-        const leaving = owned.filter(endpoint => views.get(endpoint)?.leavingBy.includes("endpoint"));
-        for (const name of live) {
-            const others = owned.map(endpoint => {
-                const { streams, curve } = othersFor(this.account, endpoint, name, now);
-                return heldOf(endpoint, streams, curve);
-            });
-            if (others.length === 0) continue;
-            if (name === self) { for (const item of others) this.takeOthers(item.endpoint, item.streams, item); }
-            else this.sendTo(name, { kind: "others", others, owned, leaving });
-        }
+        this.follow(shareRound(this.share, this.endpoints, this.live, performance.now()));
     }
 
     private sendTo(name: string, message: PeerMessage): void {
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -11,7 +11,6 @@
     type Job,
     type LeavingSource,
     type LoadReport,
-    type Others,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
@@ -67,34 +66,11 @@
         this.handle({ kind: "report", endpoint, report });
     }
 
-    /** How many hosts of the hall are alive. */
-    setHosts(count: number): void {
-        if (count !== this.state.hosts) this.handle({ kind: "hosts", count });
-    }
-
-    /** Which endpoints this host owns. */
-    setOwned(endpoints: readonly string[]): void {
-        const known = this.state.owned;
-        if (endpoints.length !== known.size || endpoints.some(id => !known.has(id))) {
-            this.handle({ kind: "owns", endpoints });
-        }
-    }
-
     /** Who carries questions to owners; until then they go unanswered and are decided alone. */
     setAsker(onAsk: (action: AskAction) => void): void {
         this.onAsk = onAsk;
     }
 
-    /** An owner's word on a request. */
-    answer(job: string, granted: boolean, others: Others): void {
-        this.handle({ kind: "answer", job, granted, others });
-    }
-
-    /** What other hosts hold on an endpoint, by its owner's account. */
-    setOthers(endpoint: string, others: Others): void {
-        this.handle({ kind: "others", endpoint, others });
-    }
-
     /** Asks for an endpoint; the answer comes at once or later, once. */
     submit(job: Job, avoid: readonly string[], retry: boolean, placed: Placed): void {
         this.asking.set(job.id, placed);
@@ -115,6 +91,11 @@
         this.handle({ kind: "ended", job, outcome, produced });
     }
 
+    /** Takes in what the hall's hosts know of each other. */
+    tell(events: readonly SchedulerEvent[]): void {
+        for (const event of events) this.handle(event);
+    }
+
     private handle(event: SchedulerEvent): void {
         const { state, actions } = decide(this.state, event, performance.now());
         this.state = state;
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -207,6 +207,8 @@
         return drain({ ...state, endpoints: next }, now);
     },
     leaving: (state, { endpoint, source, leaving }, now) => {
+        const known = state.endpoints.get(endpoint)?.leavingBy.includes(source);
+        if (known === undefined || known === leaving) return { state, actions: [] };
         const changed = withView(state, endpoint, view => setLeaving(view, source, leaving));
         return drain(changed, now);
     },
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -6,19 +6,17 @@
  */
 import {
     createMembership,
-    EMPTY_ACCOUNT,
+    createShare,
+    endpointOwner,
     FANOUT,
     hear,
     heartbeat,
     type Held,
     heldOf,
     type Membership,
-    NOTHING_TOLD,
-    othersFor,
-    ownerOf,
-    planTelling,
+    shareHear,
+    shareRound,
     stretch,
-    takeHeld,
     tellEvery,
 } from "@drumpaddle/hall";
 import { Directory } from "@drumpaddle/host";
@@ -184,9 +182,6 @@
 > {
     const host = planHost();
     const hosts = Array.from({ length: HOST.hallHosts }, (_, at) => `hall-1-${String(at).padStart(2, "0")}`);
-    const owners = new Map(
-        host.state.endpoints.values().map(({ cfg: { id } }) => [id, ownerOf(`endpoint/${id}`, hosts)!]),
-    );
     const holdings = (): Held[] =>
         [...host.state.endpoints.values()].map(view => heldOf(view.cfg.id, view.streams.size, view.curve));
     const some = holdings().filter(held => held.streams > 0).slice(0, 10);
@@ -195,23 +190,32 @@
     const one = some[0]!;
     const bounds = { room: 776_000, limit: 100, z: 1.2816 };
     const job = "1b8f9c1e-9d0a-4ad0-a7bc-f3a9d6a0a6c2";
-    let account = EMPTY_ACCOUNT;
-    let told = NOTHING_TOLD;
-    const owned = [...owners].filter(([, owner]) => owner === hosts[0]).map(([id]) => id);
+    let share = createShare(hosts[0]!);
+    const owned = host.state.endpoints.values().map(view => view.cfg.id).filter(id =>
+        endpointOwner(id, hosts) === hosts[0]
+    );
+    const others = owned.map(endpoint => ({ ...one, endpoint }));
+    // A round as a host has it: its own telling, encoded, and what every other host tells it, decoded and taken in.
     const tellRoundUs = timeUs(60, at => {
         const now = at * tellEvery(HOST.hallHosts);
-        const plan = planTelling(told, holdings(), endpoint => owners.get(endpoint), now);
-        told = plan.state;
-        for (const held of plan.toSay.values()) exchange({ kind: "held", held } as FrameMessage);
+        const round = shareRound(share, host.state.endpoints, hosts, now);
+        share = round.state;
+        for (const { message } of round.send) encodeFrame(message);
+        for (const event of round.events) host.tell(event, 500_000 + now);
         for (const from of hosts.slice(1)) {
-            account = takeHeld(account, from, owned.map(id => ({ ...one, endpoint: id })), now);
-        }
-        for (const to of hosts.slice(1)) {
-            const others = owned.map(id => {
-                const found = othersFor(account, id, to, now);
-                return heldOf(id, found.streams, found.curve);
-            });
-            exchange({ kind: "others", others, owned, leaving: [] } as FrameMessage);
+            for (
+                const message of [{ kind: "held", held: others }, {
+                    kind: "others",
+                    others,
+                    owned: [],
+                    leaving: [],
+                }] as const
+            ) {
+                exchange(message);
+                const heard = shareHear(share, from, message, host.state.endpoints, now);
+                share = heard.state;
+                for (const event of heard.events) host.tell(event, 500_000 + now);
+            }
         }
     });
     return {
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -5,36 +5,30 @@
  * @module
  */
 import {
-    type Account,
-    curveOf,
-    EMPTY_ACCOUNT,
-    type Held,
-    heldOf,
-    holdersOf,
-    judge,
-    NOTHING_TOLD,
-    othersFor,
-    ownerOf,
-    planTelling,
-    type Question,
-    takeHeld,
+    createShare,
+    shareAsk,
+    shareHear,
+    type ShareMessage,
+    shareRound,
+    type ShareState,
+    type ShareStep,
     tellEvery,
-    type Told,
 } from "@drumpaddle/hall";
 import { Timing } from "@drumpaddle/host";
 import {
-    addCurve,
     createScheduler,
     decide,
     isProgressDue,
     type Job,
     type JobPolicy,
+    quantileLength,
     type SchedulerAction,
     type SchedulerEvent,
     type SchedulerState,
+    survivalOf,
     type Variant,
 } from "@drumpaddle/policy";
-import { encodeFrame, type FrameMessage } from "@drumpaddle/protocol";
+import { encodeFrame } from "@drumpaddle/protocol";
 import TinyQueue from "tinyqueue";
 import { ENGINE, type EngineCfg, type EngineLoad, EngineModel } from "./engine-model.js";
 import { type RandomGenerator, uniformFloat64, xoroshiro128plus } from "./random.js";
@@ -76,7 +70,9 @@
     /** The 99.9 % quantile of gaps of each stream that has at least {@link STREAM_TAIL_GAPS}, over streams. */
     readonly streamTails: Timing;
     readonly firstToken: Timing;
-    /** How often a length stayed within the stated 90 % quantile, for calibration. */
+    /** First tokens of live requests alone. */
+    readonly liveFirstToken: Timing;
+    /** Share of lengths that stayed within the 90 % quantile stated at dispatch: the estimates' calibration. */
     readonly within90: number;
     readonly decisions: number;
     /** Bytes that hosts sent each other, per host and second. */
@@ -111,8 +107,7 @@
 interface HostSim {
     state: SchedulerState;
     ticking: boolean;
-    account: Account;
-    told: Told;
+    share: ShareState;
 }
 
 interface EngineSim {
@@ -135,6 +130,7 @@
     /** The engine's work of this attempt; an earlier attempt's tokens are of another name. */
     attempt: number;
     ended: boolean;
+    bound90: number;
 }
 
 /** One run of an experiment. */
@@ -148,10 +144,10 @@
     private readonly gaps = new Timing();
     private readonly streamTails = new Timing();
     private readonly firstToken = new Timing();
+    private readonly liveFirstToken = new Timing();
     private open = 0;
     private peerBytes = 0;
     private readonly hostNames: readonly string[];
-    private readonly owners: readonly number[];
     private counts = {
         whole: 0,
         good: 0,
@@ -174,110 +170,40 @@
             lost: false,
         }));
         this.hostNames = Array.from({ length: cfg.hosts }, (_, at) => `host-${at}`);
-        this.owners = this.engines.map((_, at) => this.hostNames.indexOf(ownerOf(`endpoint/e${at}`, this.hostNames)!));
         this.hosts = Array.from(
             { length: cfg.hosts },
             (_, at) => ({
                 state: createScheduler(cfg.variant, at + 1),
                 ticking: false,
-                account: EMPTY_ACCOUNT,
-                told: NOTHING_TOLD,
+                share: createShare(`host-${at}`),
             }),
         );
     }
 
-    /** One round of a host: it tells owners what it holds, and as an owner tells all what the others hold. */
-    private share(host: number, now: number): void {
-        this.at(now + (this.cfg.tellMs ?? tellEvery(this.cfg.hosts)), later => this.share(host, later));
-        const sim = this.hosts[host]!;
-        const holdings = [...sim.state.endpoints.values()].map(view =>
-            heldOf(view.cfg.id, view.streams.size, view.curve)
-        );
-        const planned = planTelling(sim.told, holdings, endpoint => this.hostNames[this.ownerAt(endpoint)], now);
-        sim.told = planned.state;
-        for (const [owner, held] of planned.toSay) {
-            this.message(
-                host,
-                this.hostNames.indexOf(owner),
-                { kind: "held", held } as FrameMessage,
-                now,
-                (to, later) => {
-                    to.account = takeHeld(to.account, this.hostNames[host]!, held, later);
-                },
-            );
-        }
-        const owned = holdings.filter(({ endpoint }) =>
-            this.ownerAt(endpoint) === host && holdersOf(sim.account, endpoint, now).length > 0
-        );
-        for (const to of this.hosts.keys()) if (owned.length > 0) this.tellOthers(host, to, owned, now);
-    }
-
-    private tellOthers(from: number, to: number, owned: readonly Held[], now: number): void {
-        const account = this.hosts[from]!.account;
-        const others = owned.map(({ endpoint }) => {
-            const { streams, curve } = othersFor(account, endpoint, this.hostNames[to]!, now);
-            return heldOf(endpoint, streams, curve);
-        });
-        this.message(from, to, { kind: "others", others } as FrameMessage, now, (_sim, later) => {
-            for (const held of others) {
-                this.tell(to, {
-                    kind: "others",
-                    endpoint: held.endpoint,
-                    others: { streams: held.streams, curve: curveOf(held) },
-                }, later);
-            }
-        });
+    private follow(host: number, { state, send, events }: ShareStep, now: number): void {
+        this.hosts[host]!.share = state;
+        for (const { to, message } of send) this.message(host, this.hostNames.indexOf(to), message, now);
+        for (const event of events) this.tell(host, event, now);
     }
 
-    /** Asks an endpoint's owner and brings its word back; either message may be lost. */
-    private ask(host: number, action: Extract<SchedulerAction, { kind: "ask" }>, now: number): void {
-        const { job, endpoint, curve, bounds } = action;
-        const owner = this.ownerAt(endpoint);
-        const view = this.hosts[host]!.state.endpoints.get(endpoint)!;
-        const before = addCurve(view.curve, curve, -1);
-        const question: Question = {
-            held: heldOf(endpoint, view.streams.size - 1, before),
-            stream: heldOf(endpoint, 1, curve),
-            bounds,
-        };
-        this.message(host, owner, { kind: "ask", job, ...question } as FrameMessage, now, (to, later) => {
-            const own = to.state.endpoints.get(endpoint)!;
-            const fresh = takeHeld(
-                to.account,
-                this.hostNames[owner]!,
-                [heldOf(endpoint, own.streams.size, own.curve)],
-                later,
-            );
-            const { account, granted } = judge(fresh, this.hostNames[host]!, question, later);
-            to.account = account;
-            this.tell(owner, {
-                kind: "others",
-                endpoint,
-                others: othersFor(account, endpoint, this.hostNames[owner]!, later),
-            }, later);
-            const others = othersFor(account, endpoint, this.hostNames[host]!, later);
-            const answer = { kind: "answer", job, granted, others: heldOf(endpoint, others.streams, others.curve) };
-            this.message(owner, host, answer, later, (_sim, at) => {
-                this.tell(host, { kind: "answer", job, granted, others }, at);
-            });
+    /** Hands a message over after its delay, unless it is lost. */
+    private message(from: number, to: number, message: ShareMessage, now: number): void {
+        this.peerBytes += encodeFrame(message).length;
+        if (uniformFloat64(this.random) < (this.cfg.messageLoss ?? 0)) return;
+        this.at(now + TO_PEER_MS, later => {
+            const sim = this.hosts[to]!;
+            this.follow(to, shareHear(sim.share, this.hostNames[from]!, message, sim.state.endpoints, later), later);
         });
     }
 
-    private ownerAt(endpoint: string): number {
-        return this.owners[Number(endpoint.slice(1))]!;
+    private round(host: number, now: number): void {
+        this.at(now + this.tellMs, later => this.round(host, later));
+        const sim = this.hosts[host]!;
+        this.follow(host, shareRound(sim.share, sim.state.endpoints, this.hostNames, now), now);
     }
 
-    private message(
-        from: number,
-        to: number,
-        message: FrameMessage,
-        now: number,
-        take: (to: HostSim, now: number) => void,
-    ): void {
-        if (from === to) return take(this.hosts[to]!, now);
-        this.peerBytes += encodeFrame(message).length;
-        if (uniformFloat64(this.random) < (this.cfg.messageLoss ?? 0)) return;
-        this.at(now + TO_PEER_MS, later => take(this.hosts[to]!, later));
+    private get tellMs(): number {
+        return this.cfg.tellMs ?? tellEvery(this.cfg.hosts);
     }
 
     run(): Measured {
@@ -290,13 +216,7 @@
         for (const at of this.hosts.keys()) {
             this.tell(at, { kind: "endpoints", endpoints }, -60_000);
             if (this.cfg.variant.share !== "owner" || this.cfg.hosts === 1) continue;
-            this.tell(at, { kind: "hosts", count: this.cfg.hosts }, -60_000);
-            const owned = endpoints.map(endpoint => endpoint.id).filter(id => this.ownerAt(id) === at);
-            this.tell(at, { kind: "owns", endpoints: owned }, -60_000);
-            this.at(
-                (this.cfg.tellMs ?? tellEvery(this.cfg.hosts)) * uniformFloat64(this.random),
-                now => this.share(at, now),
-            );
+            this.round(at, -this.tellMs * uniformFloat64(this.random));
         }
         for (const [at, arrival] of this.cfg.arrivals.entries()) {
             this.at(arrival.at, now => this.arrive(arrival, at % this.cfg.hosts, now));
@@ -324,6 +244,7 @@
             gaps: this.gaps,
             streamTails: this.streamTails,
             firstToken: this.firstToken,
+            liveFirstToken: this.liveFirstToken,
             within90: whole === 0 ? 0 : within90 / whole,
             decisions,
             peerBytesPerS: this.peerBytes / this.cfg.hosts / (lastAt / 1000),
@@ -373,6 +294,7 @@
             engine: -1,
             attempt: 0,
             ended: false,
+            bound90: 0,
         });
         this.tell(host, { kind: "arrive", job, avoid: [], retry: false }, now);
     }
@@ -380,7 +302,8 @@
     private carryOut(action: SchedulerAction, now: number): void {
         const stream = this.streams.get(action.job)!;
         if (action.kind === "ask") {
-            this.ask(stream.host, action, now);
+            const sim = this.hosts[stream.host]!;
+            this.follow(stream.host, shareAsk(sim.share, action, sim.state.endpoints, this.hostNames), now);
             return;
         }
         if (action.kind === "refuse") {
@@ -389,11 +312,17 @@
             return;
         }
         stream.engine = Number(action.endpoint.slice(1));
+        stream.bound90 = this.statedBound(stream);
         stream.attempt += 1;
         const { attempt } = stream;
         this.at(now + TO_ENGINE_MS, later => this.submit(stream, attempt, action.priority, later));
     }
 
+    /** The length that the host's estimates say nine in ten outputs stay within. */
+    private statedBound({ host, job }: StreamSim): number {
+        return quantileLength(survivalOf(this.hosts[host]!.state.estimates, job.group, job.maxTokens), 0, 0.9);
+    }
+
     private submit(stream: StreamSim, attempt: number, priority: number, now: number): void {
         const engine = this.engines[stream.engine]!;
         if (engine.lost) return this.lose(stream, now);
@@ -426,7 +355,10 @@
 
     private token(stream: StreamSim, last: boolean, now: number): void {
         const gap = now - stream.lastAt;
-        if (stream.produced === 0) this.firstToken.record(now - stream.arrival.at);
+        if (stream.produced === 0) {
+            this.firstToken.record(now - stream.arrival.at);
+            if (stream.arrival.stream.priority === "live") this.liveFirstToken.record(now - stream.arrival.at);
+        }
         else {
             this.gaps.record(gap);
             this.counts.stallMs += Math.max(0, gap - GAP_TARGET_MS);
@@ -456,6 +388,7 @@
 
     private finish(stream: StreamSim, now: number): void {
         this.counts.whole += 1;
+        if (stream.produced <= stream.bound90) this.counts.within90 += 1;
         if (now - stream.arrival.at <= deadlineOf(stream.arrival)) this.counts.good += 1;
         if (stream.gaps.length >= STREAM_TAIL_GAPS) {
             const sorted = stream.gaps.toSorted((a, b) => a - b);
