drumpaddle exits 2 on wrong usage, as its help says

Cause: tried by hand, a wrong command or flag exited 1, since the argument library ends so by itself. Change: an exit of 1 before any command was begun is 2. Nine runs of the binary with their exit codes are tests now.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -42,8 +42,12 @@
     return flags.why ?? "";
 }
 
+/** Whether the arguments were understood, so that a command was begun. */
+let begun = false;
+
 /** Prints what a command came to; every way out sets the exit code. */
 async function finish(flags: Flags, run: () => Promise<Outcome> | Outcome): Promise<void> {
+    begun = true;
     try {
         const { exit, text, data } = await run();
         const shown = flags.json ? JSON.stringify(data) : text;
@@ -186,4 +190,8 @@
         )
     );
 
+// The argument library ends with 1 on arguments that it does not understand; that is wrong usage here.
+process.once("exit", code => {
+    if (code === Exit.Failed && !begun) process.exitCode = Exit.Usage;
+});
 program.parse(process.argv, { unknown: flag => `unknown flag ${flag}` });
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -1,9 +1,11 @@
 import { writeTree } from "@drumpaddle/settings";
 import { callOnce, type Stage, startStage, waitUntil } from "@drumpaddle/standins";
 import test, { type ExecutionContext } from "ava";
+import { spawnSync } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { fileURLToPath } from "node:url";
 import { type ClientCfg, Exit, expireKey, issueKey, issueToken, listKeys, settings } from "../src/index.js";
 
 interface Fixture {
@@ -116,3 +118,30 @@
     t.is(refused.exit, Exit.Failed);
     t.regex(refused.text, /403/);
 });
+
+const COMMANDS: readonly { readonly args: readonly string[]; readonly exit: number; readonly says: RegExp }[] = [
+    { args: ["--help"], exit: Exit.Done, says: /settings apply/ },
+    { args: ["settings", "set", "--help"], exit: Exit.Done, says: /Examples\n.*settings set workspace\/clerks/ },
+    { args: ["nonsense"], exit: Exit.Usage, says: /Invalid command/ },
+    { args: ["settings", "get", "root"], exit: Exit.Usage, says: /Insufficient arguments/ },
+    { args: ["status", "--bogus"], exit: Exit.Usage, says: /unknown flag --bogus/ },
+    { args: ["settings", "show", "x"], exit: Exit.Usage, says: /allowed: a version/ },
+    { args: ["settings", "check", "/no/such/folder"], exit: Exit.Usage, says: /no such file/ },
+    { args: ["settings", "log", "--hosts", "http://127.0.0.1:1"], exit: Exit.Failed, says: /no host could be reached/ },
+    {
+        args: ["settings", "outcome", "e", "--hosts", "http://127.0.0.1:1"],
+        exit: Exit.Unknown,
+        says: /no host could be reached/,
+    },
+];
+
+for (const { args, exit, says } of COMMANDS) {
+    test(`drumpaddle ${args.join(" ")} exits ${exit}`, t => {
+        const main = fileURLToPath(new URL("../src/main.ts", import.meta.url));
+        const run = spawnSync(process.execPath, ["--import=tsx", "--conditions=drumpaddle-source", main, ...args], {
+            encoding: "utf8",
+        });
+        t.is(run.status, exit, run.stderr);
+        t.regex(run.stdout + run.stderr, says);
+    });
+}
