Nothing is sent to an endpoint that began to leave while its owner was asked

Cause: found in reading: a request whose owner had been asked was dispatched on the owner's word, or on its silence, without looking whether the endpoint was leaving by then. Change: it goes back to wait, or is refused as not run. A test and a mutation hold it.

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -6,7 +6,6 @@
     type Held,
     HELD_VALID_MS,
     heldOf,
-    holdersOf,
     judge,
     type Judgement,
     NOTHING_TOLD,
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -157,13 +157,6 @@
     return { streams, curve };
 }
 
-/** Hosts that have something on an endpoint by the account, and so want to hear of the others. */
-export function holdersOf(account: Account, endpoint: string, now: number): readonly string[] {
-    return [...account.held.get(endpoint) ?? []].filter(([, { at }]) => now - at <= HELD_VALID_MS).map(([name]) =>
-        name
-    );
-}
-
 /** A host's question whether a stream may be added on an endpoint; `held` is all that the host holds there, without it. */
 export interface Question {
     readonly held: Held;
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -7,7 +7,6 @@
 import type { Dispatcher } from "undici";
 import type { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
-import type { Directory } from "./directory.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import type { Peers } from "./peers.js";
@@ -70,8 +69,3 @@
 export class LimitBook {
     state: LimitState = createLimits();
 }
-
-/** The directory in force, where a host that is ready always has one. */
-export function directoryOf(host: Host): Directory | undefined {
-    return host.feed.directory;
-}
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -231,12 +231,13 @@
         return { state: { ...takeBack(state, job, now), waiting }, actions: [] };
     },
     tick: (state, _event, now) => {
-        const late = [...state.asked].filter(([, { at }]) => now - at >= ASK_TIMEOUT_MS);
         const actions: SchedulerAction[] = [];
         let next = state;
-        for (const [id, asked] of late) {
-            next = { ...next, asked: without(next.asked, id) };
-            actions.push(dispatchOf(next, asked.waiting.job, asked.endpoint));
+        for (const [id, { at }] of state.asked) {
+            if (now - at < ASK_TIMEOUT_MS) continue;
+            const settled = settleAsked(next, id, true, now);
+            next = settled.state;
+            actions.push(...settled.actions);
         }
         const drained = drain(next, now);
         return { state: drained.state, actions: [...actions, ...drained.actions] };
@@ -333,12 +334,19 @@
     const asked = state.asked.get(job);
     if (!asked) return { state, actions: [] };
     const told = withView(state, asked.endpoint, view => takeOthers(view, others, now));
-    if (granted) {
-        const next = { ...told, asked: without(told.asked, job) };
-        return { state: next, actions: [dispatchOf(next, asked.waiting.job, asked.endpoint)] };
+    return settleAsked(told, job, granted, now);
+}
+
+/** Sends a request that an owner was asked about, or puts it back to wait; never to an endpoint that is leaving by now. */
+function settleAsked(state: SchedulerState, job: string, granted: boolean, now: number): Decision {
+    const { waiting, endpoint } = state.asked.get(job)!;
+    const leaving = state.endpoints.get(endpoint)?.leavingBy.length !== 0;
+    if (granted && !leaving) {
+        const next = { ...state, asked: without(state.asked, job) };
+        return { state: next, actions: [dispatchOf(next, waiting.job, endpoint)] };
     }
-    const back = takeBack(told, job, now);
-    return drain({ ...back, waiting: [...back.waiting, asked.waiting] }, now);
+    const back = takeBack(state, job, now);
+    return drain({ ...back, waiting: [...back.waiting, waiting] }, now);
 }
 
 /** The state without a request that an owner was asked about. */
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -269,6 +269,13 @@
     const silent = crowded();
     silent.arrive(job, 1);
     t.like(silent.tell({ kind: "tick" }, 150)[0], { kind: "dispatch", endpoint: "e0" });
+    const left = crowded();
+    left.arrive(job, 1);
+    left.tell({ kind: "leaving", endpoint: "e0", source: "hostList", leaving: true }, 2);
+    t.like(left.tell({ kind: "answer", job: "a", granted: true, others }, 3)[0], {
+        kind: "refuse",
+        reason: "noEndpoint",
+    });
     const gone = crowded();
     gone.arrive(job, 1);
     gone.tell({ kind: "withdraw", job: "a" }, 2);
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -30,7 +30,7 @@
 } from "@drumpaddle/policy";
 import { encodeFrame } from "@drumpaddle/protocol";
 import TinyQueue from "tinyqueue";
-import { ENGINE, type EngineCfg, type EngineLoad, EngineModel } from "./engine-model.js";
+import { ENGINE, type EngineCfg, EngineModel } from "./engine-model.js";
 import { type RandomGenerator, uniformFloat64, xoroshiro128plus } from "./random.js";
 import type { Arrival } from "./traffic.js";
 
@@ -113,7 +113,6 @@
 interface EngineSim {
     readonly model: EngineModel;
     readonly lagMs: number;
-    readonly samples: { readonly at: number; readonly load: EngineLoad }[];
     stepping: boolean;
     lost: boolean;
 }
@@ -165,7 +164,6 @@
         this.engines = Array.from({ length: cfg.engines }, () => ({
             model: new EngineModel(cfg.engine ?? ENGINE),
             lagMs: least + (most - least) * uniformFloat64(this.random),
-            samples: [],
             stepping: false,
             lost: false,
         }));
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -89,6 +89,13 @@
         replace: "view.cfg.models",
         tests: [POLICY],
     },
+    {
+        promise: "nor does it after its owner granted a request",
+        file: "packages/policy/src/scheduler.ts",
+        find: "if (granted && !leaving) {",
+        replace: "if (granted) {",
+        tests: [POLICY],
+    },
     {
         promise: "a planned stop cuts nothing",
         file: "packages/host/src/daemon.ts",
