--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -79,6 +79,7 @@
         claims: new Claims(kv, cfg["platform.prefix"], signal),
         peers: undefined,
     };
+    if (cfg["peers.secrets"].length === 0) log.warn({}, "peers_secret_missing");
     host.peers = await Peers.start(host);
     watchEndpoints(host);
     feed.onChange(() => host.peers?.announce());
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -72,6 +72,9 @@
     readonly onEnd: (end: RunEnd) => void;
 }
 
+/** A first retry waits up to this long, each further one up to twice as long as the one before. */
+const RETRY_BASE_MS = 50;
+
 const REFUSE_CODE: { readonly [K in RefuseReason]: FailCode } = {
     noEndpoint: FailCode.NoEndpoint,
     queueFull: FailCode.Overloaded,
@@ -88,6 +91,7 @@
     private priority = 0;
     private readonly startedAt = performance.now();
     private readonly deadlineTimer: NodeJS.Timeout;
+    private retryTimer: NodeJS.Timeout | undefined;
     private lastTokenAt = 0;
     private firstTokenMs: number | undefined;
     private stallMs = 0;
@@ -128,16 +132,10 @@
     } = {
         admit: ({ avoid, retry }) => {
             this.leave(retry ? "failed" : "cancelled");
-            this.deps.placement.submit(this.deps.job, avoid, retry, {
-                onDispatch: (endpoint, priority) => {
-                    this.placedAt = endpoint;
-                    this.priority = priority;
-                    this.event({ kind: "admitted", endpoint });
-                },
-                onRefuse: (reason, detail, retryAfterMs) => {
-                    this.event({ kind: "notAdmitted", code: REFUSE_CODE[reason], detail, retryAfterMs });
-                },
-            });
+            if (!retry) return this.submit(avoid, false);
+            // Full jitter: requests that lost the same endpoint do not all come back at one instant.
+            const most = RETRY_BASE_MS * 2 ** (this.state.attempts - 1);
+            this.retryTimer = setTimeout(() => this.submit(avoid, true), Math.random() * most);
         },
         dispatch: ({ attempt, endpoint }) => {
             this.deps.onDispatch(this.state.attempts === 1 ? "first" : "retry");
@@ -169,6 +167,20 @@
         },
     };
 
+    /** Asks the decisions for an endpoint. */
+    private submit(avoid: readonly string[], retry: boolean): void {
+        this.deps.placement.submit(this.deps.job, avoid, retry, {
+            onDispatch: (endpoint, priority) => {
+                this.placedAt = endpoint;
+                this.priority = priority;
+                this.event({ kind: "admitted", endpoint });
+            },
+            onRefuse: (reason, detail, retryAfterMs) => {
+                this.event({ kind: "notAdmitted", code: REFUSE_CODE[reason], detail, retryAfterMs });
+            },
+        });
+    }
+
     /** A new connection for an attempt: its sink goes quiet when a newer connection takes the attempt over. */
     private connect(attempt: string): [AttemptSink<T>, AbortSignal] {
         this.connection?.abort();
@@ -212,6 +224,7 @@
 
     private end(err: RequestError | undefined): void {
         clearTimeout(this.deadlineTimer);
+        clearTimeout(this.retryTimer);
         // A whole answer's stream ends by itself in a moment, and its connection can be used again; only others are cut.
         if (err) this.connection?.abort();
         const { state, stallMs, firstTokenMs } = this;
