An endpoint that refuses for want of room is not counted as failing

Cause: found in reading: before a retry every attempt was told to the breaker as failed, also one that the endpoint had refused before running, so three full engines in a row would have been ejected for being full. Change: a refusal is told as one.

--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -86,6 +86,8 @@
 export class Run<T> {
     private state: RequestState;
     private piece: T | undefined;
+    /** Whether the event at hand is an endpoint's refusal. */
+    private refused = false;
     private connection: AbortController | undefined;
     private placedAt: string | undefined;
     private priority = 0;
@@ -117,6 +119,7 @@
     /** Takes in an event, with the piece of an answer that belongs to it. */
     event(event: RequestEvent, piece?: T): void {
         this.piece = piece;
+        this.refused = event.kind === "endpointRefused";
         const { state, actions } = step(this.state, event);
         this.state = state;
         for (const action of actions) this.carryOut(action);
@@ -131,7 +134,8 @@
         readonly [K in RequestAction["kind"]]: (action: Extract<RequestAction, { kind: K }>) => void;
     } = {
         admit: ({ avoid, retry }) => {
-            this.leave(retry ? "failed" : "cancelled");
+            // An endpoint that has no room and says so has not failed: it must not be ejected for it.
+            this.leave(this.refused ? "refused" : "failed");
             if (!retry) return this.submit(avoid, false);
             // Full jitter: requests that lost the same endpoint do not all come back at one instant.
             const most = RETRY_BASE_MS * 2 ** (this.state.attempts - 1);
--- a/packages/standins/test/engine-faults.test.ts
+++ b/packages/standins/test/engine-faults.test.ts
@@ -87,6 +87,18 @@
     t.is(runsOf(stage), 1);
 });
 
+test("endpoints that refuse for want of room are not ejected, those that fail are", async t => {
+    const stage = await stageFor(t, {}, 3);
+    // Few enough that the budget of retries, three to begin with, is not what is tested.
+    const failuresAfter = async (kind: "refuse" | "failUnproven"): Promise<number> => {
+        stage.engines[0]!.server.faults.push({ kind });
+        t.is((await send(stage)).outcome, "whole");
+        return stage.hosts[0]!.daemon.host.engines.view.endpoints.get("engine-1")!.breaker.failures;
+    };
+    t.is(await failuresAfter("refuse"), 0);
+    t.is(await failuresAfter("failUnproven"), 1);
+});
+
 test("answers of requests that run at once are never crossed", async t => {
     const stage = await stageFor(t);
     const results = await Promise.all(
