Hosts share what they hold; long streams are backed up and go on from their copy; unframed answers stay unframed

A stream that may make 256 tokens or more now names a second worker that keeps its memory as it grows, where memory is planned to less than 0.6; when its connection breaks (or it falls silent for six of its longest pauses) it goes on there after the last event passed on. Hosts tell each other over the existing peer frames (seeds are the platform's), so copies are placed by a common view.

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -46,6 +46,9 @@
 /** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts, in milliseconds. */
 const TELL_MS = 250;
 const SMALL_ROUND = 2.5;
+/** Up to this many hosts rounds are short: what they send then still fits the budget of a host. */
+const FEW_HOSTS = 12;
+const FEW_HOSTS_TELL_MS = 100;
 
 /**
  * How often a host tells owners what it holds, and owners tell hosts: more rarely in larger halls, where asking before
@@ -53,11 +56,12 @@
  *
  * @example
  * ```ts
- * tellEvery(3); // 300
+ * tellEvery(9); // 100
  * tellEvery(58); // 5800
  * ```
  */
 export function tellEvery(hosts: number): number {
+    if (hosts <= FEW_HOSTS) return FEW_HOSTS_TELL_MS;
     return Math.round(TELL_MS * Math.max(1, hosts / SMALL_ROUND));
 }
 /** A change of the expected memory by this share is worth saying. */
@@ -119,14 +123,19 @@
     owner: string,
     now: number,
 ): boolean {
-    if (!last || last.owner !== owner) return held.streams > 0;
-    if (held.streams === 0 && last.held.streams === 0) return false;
+    if (!last || last.owner !== owner) return holdsAny(held);
+    if (!holdsAny(held) && !holdsAny(last.held)) return false;
     if (held.streams !== last.held.streams || now - last.at >= REPEAT_MS) return true;
     return held.mean.some((mean, at) =>
         Math.abs(mean - last.held.mean[at]!) > CHANGE_SHARE * Math.max(1, last.held.mean[at]!)
     );
 }
 
+/** Copies of streams hold memory without being streams. */
+function holdsAny({ streams, mean }: Held): boolean {
+    return streams > 0 || mean[0]! > 0;
+}
+
 /** The account after a host told what it holds. Anything of another shape than a {@link Held} is left out. */
 export function takeHeld(account: Account, host: string, holdings: readonly Held[], now: number): Account {
     const next = new Map(account.held);
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -16,7 +16,7 @@
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
 import { createOperators } from "./operators.js";
-import { Peers } from "./peers.js";
+import { Peers, treeSpread } from "./peers.js";
 import { Placement } from "./placement.js";
 import { SettingsFeed } from "./settings-feed.js";
 import { SettingsStore } from "./settings-store.js";
@@ -80,7 +80,7 @@
         peers: undefined,
     };
     if (cfg["peers.secrets"].length === 0) log.warn({}, "peers_secret_missing");
-    host.peers = await Peers.start(host);
+    host.peers = await Peers.start({ ...host, spread: treeSpread(feed) });
     watchEndpoints(host);
     feed.onChange(() => host.peers?.announce());
     const tls = readTls(cfg);
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { SettingsGive } from "@drumpaddle/hall";
 import type { KeyValue, KvChange, KvEntry, PlatformWire } from "@drumpaddle/protocol";
 import {
     applyChanges,
@@ -19,6 +20,7 @@
 } from "@drumpaddle/routes";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
+import type { Spread } from "./peers.js";
 
 /** What the feed is made of. */
 export interface DeploymentFeedDeps {
@@ -32,6 +34,8 @@
 /** Where a deployment came from. */
 export type DeploymentSource = "store" | "peer";
 
+/** What a host says that knows no deployment. */
+const NO_VERSION = -1;
 /** Pauses between two tries to read the store, in milliseconds: short, as a host that knows nothing serves nobody. */
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 1_000;
@@ -55,9 +59,34 @@
         return this.current?.table;
     }
 
-    /** The deployment's value as the store holds it, for peers. */
-    get text(): string | undefined {
-        return this.current?.text;
+    /** How this host and its peers tell each other of deployments, so that one that the store is deaf to hears too. */
+    get spread(): Spread {
+        return {
+            news: () => ({ version: this.table?.version ?? NO_VERSION, hash: "" }),
+            ask: ({ version }) => version > (this.table?.version ?? NO_VERSION) ? { have: {} } : undefined,
+            give: () => this.toGive(),
+            take: given => this.takeGiven(given),
+            // Every host watches: news of endpoints that leave must not wait for another host.
+            setWatching: () => undefined,
+        };
+    }
+
+    private toGive(): SettingsGive | undefined {
+        if (!this.current) return undefined;
+        const { table, text } = this.current;
+        const endpoints = JSON.stringify([...this.registry.endpoints.values()].map(({ entry }) => entry));
+        return { head: { version: table.version, parts: {}, hash: "" }, parts: { deployment: text, endpoints } };
+    }
+
+    private takeGiven({ parts }: SettingsGive): void {
+        const { deployment, endpoints } = parts;
+        if (deployment !== undefined) this.offer(deployment, "peer");
+        // The store's own word goes first: a peer's is taken only by a host that has never heard it.
+        if (endpoints === undefined || this.endpointsRead) return;
+        const entries = JSON.parse(endpoints) as readonly EndpointEntry[];
+        this.endpointsRead = true;
+        this.deps.log.info({ endpoints: entries.length }, "endpoints_from_peer");
+        this.setRegistry(replaceAll(storeFailed(this.registry), entries, performance.now()));
     }
 
     /** Whether deployment and endpoints were read. */
--- a/packages/host/src/engine-runner.ts
+++ b/packages/host/src/engine-runner.ts
@@ -41,7 +41,7 @@
         limits: deps.limits,
     });
     return {
-        start: (attempt, endpoint, priority, sink, signal) => {
+        start: ({ attempt, endpoint, priority }, sink, signal) => {
             const url = deps.urlOf(endpoint);
             if (url === undefined) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer declared" });
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -11,6 +11,7 @@
     type PlatformWire,
     type RawHeaders,
     type SendHead,
+    type WholeEvent,
 } from "@drumpaddle/protocol";
 import type { LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
@@ -24,6 +25,10 @@
     readonly body: Buffer;
     /** Length of the whole body; undefined where it is not known yet. */
     readonly length: number | undefined;
+    /** False where only the end of its connection ends the answer: the caller must see it end likewise. */
+    readonly framed: boolean;
+    /** Id of the event that it is, where it is one. */
+    readonly event: string | undefined;
 }
 
 /** One attempt of a forwarded call. */
@@ -36,6 +41,10 @@
     readonly body: Buffer | undefined;
     /** Whether the endpoint's own failures may be tried elsewhere. */
     readonly repeatable: boolean;
+    /** Index of the first piece: above 0 where the generation goes on from a copy. */
+    readonly firstPiece: number;
+    /** A stream that is silent for longer is taken for lost, in milliseconds; undefined where nothing is won by that. */
+    readonly silentMs: number | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
     /** Calls back when the caller takes more bytes, if it takes none now; returns whether it takes some now. */
     readonly whenWritable: (resume: () => void) => boolean;
@@ -46,7 +55,6 @@
 
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
-const NO_BYTES = Buffer.alloc(0);
 /** Another life of an endpoint answers this to a call that names the one before. */
 const MISDIRECTED = 421;
 /** Statuses that tell a caller that its request has not run; an endpoint's are passed on only if it says so itself. */
@@ -91,14 +99,20 @@
     private splitter: EventSplitter | undefined;
     private held: Buffer[] = [];
     private heldBytes = 0;
-    private pieces = 0;
+    private pieces: number;
     private over = false;
+    private sent = false;
+    /** Whether reading was paused because the caller takes nothing. */
+    private heldBack = false;
+    private silence: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly connections: EndpointConnections,
         private readonly wire: PlatformWire,
         private readonly attempt: ForwardAttempt,
-    ) {}
+    ) {
+        this.pieces = attempt.firstPiece;
+    }
 
     start(): void {
         const { endpoint, method, path, send, body, signal } = this.attempt;
@@ -113,8 +127,6 @@
         this.attempt.sink.event({ kind: "sending", attempt: this.attempt.id });
     }
 
-    private sent = false;
-
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
@@ -130,10 +142,10 @@
 
     onData(chunk: Buffer): void {
         if (this.over || this.verdict?.kind !== "take") return;
-        if (this.splitter) return this.passEvents(this.splitter.push(chunk).map(event => event.bytes));
+        if (this.splitter) return this.passEvents(this.splitter.push(chunk));
         this.held.push(chunk);
         this.heldBytes += chunk.length;
-        if (this.heldBytes > HELD_BYTES || this.pieces > 0) this.passHeld();
+        if (this.heldBytes > HELD_BYTES || this.passed) this.passHeld();
     }
 
     onEnd(orderly: boolean): void {
@@ -155,7 +167,7 @@
 
     private finish(): void {
         const { id, sink, repeatable } = this.attempt;
-        const whole = this.pieces === 0 && !this.splitter;
+        const whole = !this.passed && !this.splitter;
         if (whole && repeatable && this.status >= 500) {
             sink.event({ kind: "failedAnswer", attempt: id, generation: id }, this.piece(this.takeHeld()));
             return;
@@ -165,6 +177,11 @@
         sink.event({ kind: "finished", attempt: id, generation: id, total: this.pieces }, this.piece(last));
     }
 
+    /** Whether a part of the answer has gone on already. */
+    private get passed(): boolean {
+        return this.pieces > this.attempt.firstPiece;
+    }
+
     private refuse(): void {
         this.over = true;
         this.releaseConnection();
@@ -173,8 +190,9 @@
         this.attempt.sink.event({ kind: "endpointRefused", attempt: this.attempt.id, detail });
     }
 
-    private passEvents(events: readonly Buffer[]): void {
-        for (const event of events) this.pass(event);
+    private passEvents(events: readonly WholeEvent[]): void {
+        this.watchSilence();
+        for (const { bytes, id } of events) this.pass(bytes, id);
         if (events.length > 0) this.holdBack();
     }
 
@@ -189,31 +207,54 @@
         return bytes;
     }
 
-    private pass(bytes: Buffer): void {
+    private pass(bytes: Buffer, event?: string): void {
         const { id, sink } = this.attempt;
         const index = this.pieces;
         this.pieces += 1;
-        sink.event({ kind: "token", attempt: id, generation: id, index }, this.piece(bytes));
+        sink.event({ kind: "token", attempt: id, generation: id, index }, this.piece(bytes, event));
     }
 
-    private piece(body: Buffer): AnswerPiece {
-        const length = this.splitter ? undefined : this.head?.length ?? (this.over ? this.heldBytes : undefined);
-        return { status: this.status, headers: this.head?.passed ?? [], body, length };
+    private piece(body: Buffer, event?: string): AnswerPiece {
+        const framed = this.head?.framed ?? true;
+        const whole = this.over && framed ? this.heldBytes : undefined;
+        const length = this.splitter ? undefined : this.head?.length ?? whole;
+        return { status: this.status, headers: this.head?.passed ?? [], body, length, framed, event };
+    }
+
+    /** A stream that has begun and then falls silent is lost: its endpoint may be gone without a word. */
+    private watchSilence(): void {
+        const { silentMs } = this.attempt;
+        if (silentMs === undefined) return;
+        if (this.silence) this.silence.refresh();
+        else this.silence = setTimeout(() => this.onSilence(silentMs), silentMs);
+    }
+
+    private onSilence(silentMs: number): void {
+        // While the caller takes nothing the stream is held back here, not silent there.
+        if (!this.over && !this.heldBack) this.lose("idle", `no event for ${silentMs} ms`);
     }
 
     /** Reads no further while the caller takes nothing. */
     private holdBack(): void {
-        if (this.attempt.whenWritable(() => this.exchange?.resume())) return;
+        const goOn = (): void => {
+            this.heldBack = false;
+            this.silence?.refresh();
+            this.exchange?.resume();
+        };
+        if (this.attempt.whenWritable(goOn)) return;
+        this.heldBack = true;
         this.exchange?.pause();
     }
 
     private releaseConnection(): void {
+        clearTimeout(this.silence);
         if (!this.head || this.head.closes || !this.head.framed) return this.exchange?.destroy();
         this.exchange?.release(this.head.keepAliveMs);
     }
 
     private lose(cause: LossCause, detail: string): void {
         this.over = true;
+        clearTimeout(this.silence);
         this.exchange?.destroy();
         this.attempt.sink.event({ kind: "lost", attempt: this.attempt.id, cause, detail });
     }
@@ -221,11 +262,7 @@
     private cut(): void {
         if (this.over) return;
         this.over = true;
+        clearTimeout(this.silence);
         this.exchange?.destroy();
     }
 }
-
-/** A piece without bytes, for answers that have none. */
-export function isEmpty(piece: AnswerPiece | undefined): boolean {
-    return (piece?.body ?? NO_BYTES).length === 0;
-}
--- a/packages/host/src/forward-reply.ts
+++ b/packages/host/src/forward-reply.ts
@@ -67,10 +67,13 @@
  */
 export function forwardReply(deps: ForwardReplyDeps): Reply<AnswerPiece> {
     const { out, wire, callId, closing, failedAnswer } = deps;
-    const begin = ({ status, headers, length }: AnswerPiece): void => {
+    const begin = ({ status, headers, length, framed }: AnswerPiece): void => {
         if (out.headersSent) return;
         const framing = length === undefined ? [] : ["Content-Length", String(length)];
-        out.writeHead(status, [...headers, ...framing, ...(closing() ? ["Connection", "close"] : [])]);
+        // An answer whose end was never told may be cut: a length or chunks of ours would vouch for it.
+        out.useChunkedEncodingByDefault = framed;
+        const close = closing() || !framed ? ["Connection", "close"] : [];
+        out.writeHead(status, [...headers, ...framing, ...close]);
     };
     const pass = (piece: AnswerPiece): void => {
         begin(piece);
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -60,6 +60,13 @@
 const QUEUE_LIMIT = 500;
 /** Chance that admitted work fits an engine's memory: above the product's 0.9, as a preemption loses its stream's time. */
 const ADMISSION_QUANTILE = 0.95;
+/**
+ * A stream is backed up if it may produce this many tokens: shorter ones end before they are likely to lose their
+ * endpoint. On the users' platform an engine is taken away within a few seconds of half a dozen, and 256 tokens take one.
+ */
+const BACK_UP_TOKENS = 256;
+/** A stream with a copy elsewhere is taken for lost after this many of its longest pauses that are still in time. */
+const SILENT_GAPS = 6;
 const LARGEST_RANK = 9;
 /** Where an engine names no longest pause, pauses bound nothing. */
 const ANY_GAP_MS = 60_000;
@@ -175,6 +182,7 @@
         prefixTokens: generation?.parts[0]?.tokens ?? 0,
         policy: policyOf(deps, call),
         tokensPerPiece: engine?.tokensPerEvent,
+        backUp: engine?.canBackUp === true && (generation?.maxTokens ?? 0) >= BACK_UP_TOKENS,
     };
 }
 
@@ -182,7 +190,7 @@
     const { at, out, head, route, engine } = call;
     if (out.destroyed) return;
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
-    let failedAnswer: AnswerPiece | undefined;
+    const way: Way = { body, deadline: at + holdMs, lastEvent: undefined, failedAnswer: undefined };
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -190,17 +198,17 @@
             streamed: true,
             maxAttempts: route.attempts,
             maxResumes: 0,
-            deadline: at + holdMs,
+            deadline: way.deadline,
         },
         job: jobOf(deps, call),
         placement: engine ? deps.engines : deps.plain,
-        runner: runnerOf(deps, call, body, at + holdMs, piece => failedAnswer = piece),
+        runner: runnerOf(deps, call, way),
         reply: forwardReply({
             out,
             wire: deps.wire,
             callId: head.id,
             closing: () => deps.runs.stopping,
-            failedAnswer: () => failedAnswer,
+            failedAnswer: () => way.failedAnswer,
         }),
         onGap: ms => deps.metrics.betweenTokens.record(ms),
         onDispatch: kind => deps.metrics.countDispatch(kind),
@@ -238,21 +246,21 @@
     }, "call_ended");
 }
 
-function runnerOf(
-    deps: Forwarding,
-    call: ForwardCall,
-    body: Buffer | undefined,
-    deadline: number,
-    onFailedAnswer: (piece: AnswerPiece | undefined) => void,
-): AttemptRunner<AnswerPiece> {
+function runnerOf(deps: Forwarding, call: ForwardCall, way: Way): AttemptRunner<AnswerPiece> {
     const { head, out, route, workspace, target, req } = call;
     return {
-        start: (attempt, incarnation, _priority, sink, signal) => {
+        start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
             const endpoint = deps.endpoint(incarnation);
             if (!endpoint) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
             }
+            if (continueAt !== undefined) {
+                deps.log.info(
+                    { req: head.id, endpoint: incarnation, event: continueAt, last: way.lastEvent },
+                    "call_continued",
+                );
+            }
             startAttempt(deps.connections, deps.wire, {
                 id: attempt,
                 endpoint,
@@ -260,14 +268,20 @@
                 path: target,
                 send: {
                     call: route.resumable ? head : { ...head, resumeAfter: undefined },
-                    deadlineMs: deadline - performance.now(),
+                    deadlineMs: way.deadline - performance.now(),
                     incarnation,
                     workspace: workspace?.name,
                     rank: rankOf(call),
+                    backUpTo: backUp === undefined ? undefined : deps.endpoint(backUp)?.address,
+                    continueFrom: continueAt === undefined
+                        ? undefined
+                        : { source: endpoint.address, copy: head.id, lastEvent: way.lastEvent },
                 },
-                body,
+                body: way.body,
                 repeatable: route.kind === RouteKind.Repeatable,
-                sink: keepingFailures(sink, onFailedAnswer),
+                firstPiece: continueAt ?? 0,
+                silentMs: backUp === undefined || route.gapMs === undefined ? undefined : route.gapMs * SILENT_GAPS,
+                sink: noting(sink, way),
                 whenWritable: resume => whenWritable(out, resume),
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
                 signal,
@@ -285,15 +299,25 @@
     };
 }
 
-/** Keeps an endpoint's own failures, for the case that trying elsewhere is not possible. */
-function keepingFailures(
-    sink: AttemptSink<AnswerPiece>,
-    onFailedAnswer: (piece: AnswerPiece | undefined) => void,
-): AttemptSink<AnswerPiece> {
+/** What a call's attempts share. */
+interface Way {
+    readonly body: Buffer | undefined;
+    /** When the call is given up, on the monotonic clock. */
+    readonly deadline: number;
+    /** Id of the last event that went to the caller. */
+    lastEvent: string | undefined;
+    /** An endpoint's own failure that was to be tried again elsewhere. */
+    failedAnswer: AnswerPiece | undefined;
+}
+
+/** Notes what later attempts of a call need to know of this one. */
+function noting(sink: AttemptSink<AnswerPiece>, way: Way): AttemptSink<AnswerPiece> {
     return {
         event: (event, piece) => {
-            if (event.kind === "failedAnswer") onFailedAnswer(piece);
-            return sink.event(event, piece);
+            if (event.kind === "failedAnswer") way.failedAnswer = piece;
+            const moved = sink.event(event, piece);
+            if (moved && event.kind === "token" && piece?.event !== undefined) way.lastEvent = piece.event;
+            return moved;
         },
     };
 }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -16,6 +16,7 @@
 import { OpenRuns } from "./host.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
+import { Peers } from "./peers.js";
 import { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
 
@@ -27,8 +28,8 @@
 
 /** Plain services have no memory to plan with: the endpoint with the fewest open calls is taken. */
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
-/** Until hosts tell each other what they hold, each plans with the endpoints as if alone. */
-const ENGINE_VARIANT = { ...DEFAULT_VARIANT, share: "reports", ask: false, prefix: false } as const;
+/** Shared parts of prompts are small beside the prompts, so that where they are kept decides nothing. */
+const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true } as const;
 /** How long one call of a watch waits: a lost answer is noticed this late at most, within the shortest bound on news. */
 const WATCH_MS = 2_500;
 /** The part of the fleet's budget of retries that hosts plan with: they share it without asking each other. */
@@ -86,6 +87,7 @@
         requestMs: cfg["callers.body-timeout"],
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
+    const peers = await Peers.start({ cfg, log, metrics, engines, spread: feed.spread, signal });
     const operators = createProbes(() => feed.isReady && !runs.stopping, metrics);
     let known: Registry | undefined;
     const declare = (): void => {
@@ -93,6 +95,7 @@
     };
     feed.onDeployment(table => {
         applyLimits(callers, table.deployment.limits);
+        peers.announce();
         declare();
     });
     feed.onEndpoints(registry => {
@@ -104,6 +107,7 @@
     log.info({ host: cfg["host.name"], hall: cfg["host.hall"], callers: cfg["callers.listen"] }, "listening");
     const stop = async (): Promise<void> => {
         log.info({ open: runs.size }, "stopping");
+        peers.leave();
         const drained = runs.drain();
         const end = performance.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
         await pause(STILL_SERVED_MS);
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -7,6 +7,7 @@
 import type { FailCode, Ran } from "@drumpaddle/request";
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
+import type { DispatchKind } from "./run.js";
 
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 /** Histograms count in tenths of a millisecond, so that gaps of a few milliseconds keep their shape. */
@@ -90,7 +91,7 @@
         this.outcomes.inc({ outcome, ran });
     }
 
-    countDispatch(kind: "first" | "retry" | "resume"): void {
+    countDispatch(kind: DispatchKind): void {
         this.dispatches.inc({ kind });
     }
 
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -37,8 +37,12 @@
 import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
-import type { Host } from "./host.js";
+import type { HostCfg } from "./config.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import type { Placement } from "./placement.js";
 import { repeat } from "./repeat.js";
+import type { SettingsFeed } from "./settings-feed.js";
 
 const News = Type.Object({
     name: Type.String(),
@@ -93,19 +97,53 @@
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
 };
 
+/** How versions of what is in force reach this host from its peers, and its peers from it. */
+export interface Spread {
+    /** What heartbeats say of the version in force. */
+    news(): VersionNews;
+    /** The question to ask after hearing of a version; undefined where it is not newer. */
+    ask(news: VersionNews): SettingsAsk | undefined;
+    give(ask: SettingsAsk): SettingsGive | undefined;
+    take(given: SettingsGive): void;
+    /** Whether this host is one of those that watch the service for all. */
+    setWatching(watching: boolean): void;
+}
+
+/** What peers need of a daemon. */
+export interface PeersDeps {
+    readonly cfg: HostCfg;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly engines: Placement;
+    readonly spread: Spread;
+    readonly signal: AbortSignal;
+}
+
+/** The spread of the settings tree. */
+export function treeSpread(feed: SettingsFeed): Spread {
+    return {
+        news: () => newsOf(feed.inForce),
+        ask: news => askAfter(feed.inForce, news),
+        give: ask => give(feed.inForce, ask),
+        take: given => void feed.offer(takeGiven(feed.inForce, given), "peer"),
+        // A host that has no settings yet asks the service itself, whoever watches.
+        setWatching: watching => feed.setWatching(watching || feed.inForce === undefined),
+    };
+}
+
 /** This host's part in its hall. */
 export class Peers {
     private membership: Membership;
     private share: ShareState;
 
-    private constructor(private readonly host: Host, private readonly mesh: PeerMesh, seeds: readonly string[]) {
-        const { "host.name": name, "host.hall": hall } = host.cfg;
+    private constructor(private readonly host: PeersDeps, private readonly mesh: PeerMesh, seeds: readonly string[]) {
+        const { "host.name": name, "host.hall": ownHall, "peers.scope": hall = ownHall } = host.cfg;
         this.share = createShare(name);
         this.membership = createMembership({ name, hall, address: mesh.at, incarnation: Date.now() }, seeds);
     }
 
     /** Starts to listen and to send heartbeats; ends with the host's signal. */
-    static async start(host: Host): Promise<Peers> {
+    static async start(host: PeersDeps): Promise<Peers> {
         const { cfg, log, metrics, signal } = host;
         const listen = cfg["peers.listen"];
         const at = listen.lastIndexOf(":");
@@ -174,15 +212,13 @@
     private nextHeartbeat(): { readonly message: PeerMessage; readonly to: readonly string[] } {
         const { state, news, to } = heartbeat(this.membership, performance.now());
         this.membership = state;
-        return { message: { kind: "heartbeat", news, settings: newsOf(this.host.feed.inForce) }, to };
+        return { message: { kind: "heartbeat", news, settings: this.host.spread.news() }, to };
     }
 
     private beat(): void {
         const { message, to } = this.nextHeartbeat();
         for (const address of to) this.send(address, message);
-        // A host that has no settings yet asks the service itself, whoever watches.
-        const noSettings = this.host.feed.inForce === undefined;
-        this.host.feed.setWatching(noSettings || watches(this.host.cfg["host.name"], this.live));
+        this.host.spread.setWatching(watches(this.host.cfg["host.name"], this.live));
     }
 
     private send(address: string, message: PeerMessage): void {
@@ -205,16 +241,14 @@
     private readonly handlers: Handlers = {
         heartbeat: (from, { news, settings }) => {
             this.membership = hear(this.membership, news, performance.now());
-            const ask = askAfter(this.host.feed.inForce, settings);
+            const ask = this.host.spread.ask(settings);
             if (ask) this.send(from.address, { kind: "ask", ...ask });
         },
         ask: (from, ask) => {
-            const given = give(this.host.feed.inForce, ask);
+            const given = this.host.spread.give(ask);
             if (given) this.send(from.address, { kind: "give", ...given });
         },
-        give: (_from, given) => {
-            this.host.feed.offer(takeGiven(this.host.feed.inForce, given), "peer");
-        },
+        give: (_from, given) => this.host.spread.take(given),
         held: (from, message) => this.hearShare(from, message),
         others: (from, message) => this.hearShare(from, message),
         question: (from, message) => this.hearShare(from, message),
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -20,7 +20,7 @@
 
 /** Told what was decided for a request. */
 export interface Placed {
-    onDispatch(endpoint: string, priority: number): void;
+    onDispatch(endpoint: string, priority: number, backUp: string | undefined): void;
     onRefuse(reason: RefuseReason, detail: string, retryAfterMs: number): void;
 }
 
@@ -77,6 +77,12 @@
         this.handle({ kind: "arrive", job, avoid, retry });
     }
 
+    /** Asks for the endpoint that keeps a request's copy; the answer comes at once. */
+    continueOn(job: string, failed: boolean, placed: Placed): void {
+        this.asking.set(job, placed);
+        this.handle({ kind: "continue", job, failed });
+    }
+
     /** Takes back a request that waits. */
     withdraw(job: string): void {
         this.asking.delete(job);
@@ -109,7 +115,7 @@
         }
         const placed = this.asking.get(action.job);
         this.asking.delete(action.job);
-        if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority);
+        if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority, action.backUp);
         else placed?.onRefuse(action.reason, action.detail, action.retryAfterMs);
     }
 }
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -308,7 +308,7 @@
     body: Buffer | undefined,
 ): AttemptRunner<PlainPiece> {
     return {
-        start: (attempt, endpoint, _priority, sink, signal) => {
+        start: ({ attempt, endpoint }, sink, signal) => {
             const url = call.directory.endpoints.get(endpoint)?.url
                 ?? host.feed.directory?.endpoints.get(endpoint)?.url;
             if (url === undefined) {
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -16,7 +16,7 @@
     type RequestState,
     step,
 } from "@drumpaddle/request";
-import type { Placement } from "./placement.js";
+import type { Placed, Placement } from "./placement.js";
 
 /** Where an answer goes. All calls are made in order; after `finish` or `fail` there are none. */
 export interface Reply<T> {
@@ -34,10 +34,21 @@
     event(event: RequestEvent, piece?: T): boolean;
 }
 
+/** One attempt as it was decided. */
+export interface AttemptPlan {
+    readonly attempt: string;
+    readonly endpoint: string;
+    readonly priority: number;
+    /** Endpoint that keeps a copy of the generation as it grows. */
+    readonly backUp: string | undefined;
+    /** Index of the next piece, where the generation goes on from the copy that `endpoint` keeps. */
+    readonly continueAt: number | undefined;
+}
+
 /** How attempts of one protocol are made. */
 export interface AttemptRunner<T> {
     /** Starts an attempt and reports until the signal ends it. Reports `sending` before its first byte leaves. */
-    start(attempt: string, endpoint: string, priority: number, sink: AttemptSink<T>, signal: AbortSignal): void;
+    start(plan: AttemptPlan, sink: AttemptSink<T>, signal: AbortSignal): void;
     resume(
         attempt: string,
         endpoint: string,
@@ -60,6 +71,9 @@
     readonly firstTokenMs?: number | undefined;
 }
 
+/** What a dispatch is to its request. */
+export type DispatchKind = "first" | "retry" | "resume" | "continue";
+
 /** What a run needs. */
 export interface RunDeps<T> {
     readonly cfg: RequestCfg;
@@ -68,7 +82,7 @@
     readonly runner: AttemptRunner<T>;
     readonly reply: Reply<T>;
     readonly onGap: (ms: number) => void;
-    readonly onDispatch: (kind: "first" | "retry" | "resume") => void;
+    readonly onDispatch: (kind: DispatchKind) => void;
     readonly onEnd: (end: RunEnd) => void;
 }
 
@@ -142,9 +156,15 @@
             const most = RETRY_BASE_MS * 2 ** (this.state.attempts - 1);
             this.retryTimer = setTimeout(() => this.submit(avoid, true), Math.random() * most);
         },
-        dispatch: ({ attempt, endpoint }) => {
-            this.deps.onDispatch(this.state.attempts === 1 ? "first" : "retry");
-            this.deps.runner.start(attempt, endpoint, this.priority, ...this.connect(attempt));
+        dispatch: ({ attempt, endpoint, backUp, continueAt }) => {
+            const again = continueAt === undefined ? "retry" : "continue";
+            this.deps.onDispatch(this.state.attempts === 1 ? "first" : again);
+            const plan = { attempt, endpoint, priority: this.priority, backUp, continueAt };
+            this.deps.runner.start(plan, ...this.connect(attempt));
+        },
+        admitCopy: ({ cause }) => {
+            // A reclaimed endpoint has not failed: nothing is held against it.
+            this.deps.placement.continueOn(this.deps.job.id, cause !== "reclaimed", this.whenPlaced());
         },
         resume: ({ attempt, endpoint, generation, from }) => {
             this.deps.onDispatch("resume");
@@ -174,16 +194,20 @@
 
     /** Asks the decisions for an endpoint. */
     private submit(avoid: readonly string[], retry: boolean): void {
-        this.deps.placement.submit(this.deps.job, avoid, retry, {
-            onDispatch: (endpoint, priority) => {
+        this.deps.placement.submit(this.deps.job, avoid, retry, this.whenPlaced());
+    }
+
+    private whenPlaced(): Placed {
+        return {
+            onDispatch: (endpoint, priority, backUp) => {
                 this.placedAt = endpoint;
                 this.priority = priority;
-                this.event({ kind: "admitted", endpoint });
+                this.event({ kind: "admitted", endpoint, backUp });
             },
             onRefuse: (reason, detail, retryAfterMs) => {
                 this.event({ kind: "notAdmitted", code: REFUSE_CODE[reason], detail, retryAfterMs });
             },
-        });
+        };
     }
 
     /** A new connection for an attempt: its sink goes quiet when a newer connection takes the attempt over. */
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -83,6 +83,34 @@
     return fresh.length > 0 ? fresh : kept;
 }
 
+/** Backups are placed while memory is planned up to this share; what is above is for streams that run. */
+const BACKUP_ROOM_SHARE = 0.6;
+
+/**
+ * The endpoint that keeps a copy of a stream: the one with the most room, if any has some to spare.
+ *
+ * @param primary Where the stream runs.
+ *
+ * @example
+ * ```ts
+ * chooseBackup(views, wantedOf(job, lengths), "engine-1", now); // "engine-4"
+ * ```
+ */
+export function chooseBackup(
+    views: Iterable<EndpointView>,
+    { job, curve, z }: Wanted,
+    primary: string,
+    now: number,
+): string | undefined {
+    let chosen: { readonly id: string; readonly used: number } | undefined;
+    for (const view of usable(views, job, [primary], now)) {
+        if (view.cfg.id === primary) continue;
+        const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
+        if (used <= BACKUP_ROOM_SHARE && used < (chosen?.used ?? Infinity)) chosen = { id: view.cfg.id, used };
+    }
+    return chosen?.id;
+}
+
 /** How many streams an endpoint may have now, by pace and by how long it has been there. */
 function streamLimit(view: EndpointView, job: Job, variant: Variant, now: number): number {
     const ramp = RAMP_START + (RAMP_FULL - RAMP_START) * Math.max(0, now - view.since) / RAMP_MS;
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -58,7 +58,9 @@
     readonly since: number;
     readonly leavingBy: readonly LeavingSource[];
     readonly streams: ReadonlyMap<string, Running>;
-    /** Sum over own streams. */
+    /** Copies that it keeps of this host's streams at other endpoints: memory without any work. */
+    readonly backups: ReadonlyMap<string, Running>;
+    /** Sum over own streams and backups. */
     readonly curve: Curve;
     readonly others: Others;
     /** When its owner last told what others hold; `undefined` before that. */
@@ -86,6 +88,7 @@
         since: now,
         leavingBy: [],
         streams: new Map(),
+        backups: new Map(),
         curve: zeroCurve(),
         others: NO_OTHERS,
         toldAt: undefined,
@@ -129,15 +132,40 @@
     return next;
 }
 
-/** The endpoint after one of its streams went on to `produced` tokens, with its survival as known now. */
+/** The endpoint after it was named as the keeper of a stream's copy. */
+export function addBackup(view: EndpointView, running: Running): EndpointView {
+    const curve = addCurve(view.curve, running.curve, 1);
+    return { ...view, backups: new Map(view.backups).set(running.job.id, running), curve };
+}
+
+/** The endpoint after a copy that it kept was given up. */
+export function removeBackup(view: EndpointView, id: string): EndpointView {
+    const running = view.backups.get(id);
+    if (!running) return view;
+    const backups = new Map(view.backups);
+    backups.delete(id);
+    return { ...view, backups, curve: addCurve(view.curve, running.curve, -1) };
+}
+
+/** The endpoint after a stream goes on from the copy that it kept. */
+export function promoteBackup(view: EndpointView, id: string): EndpointView {
+    const running = view.backups.get(id);
+    if (!running) return view;
+    const backups = new Map(view.backups);
+    backups.delete(id);
+    return { ...view, backups, streams: new Map(view.streams).set(id, running) };
+}
+
+/** The endpoint after one of its streams, or one that it keeps a copy of, went on to `produced` tokens. */
 export function moveStream(view: EndpointView, id: string, produced: number, survival: Survival): EndpointView {
-    const running = view.streams.get(id);
+    const held = view.streams.has(id) ? "streams" : "backups";
+    const running = view[held].get(id);
     if (!running) return view;
     const curve = streamCurve(survival, running.job.promptTokens + produced, produced);
     const next: Running = { ...running, produced, survival, curve, started: true };
     return {
         ...view,
-        streams: new Map(view.streams).set(id, next),
+        [held]: new Map(view[held]).set(id, next),
         curve: addCurve(addCurve(view.curve, running.curve, -1), curve, 1),
     };
 }
@@ -155,7 +183,7 @@
     };
     const kept = view.latelyEnded.filter(old => now - old.endedAt < LONGEST_LAG_MS);
     // With no stream left the sum is set to zero, so that rounding does not add up over days.
-    const curve = streams.size === 0 ? zeroCurve() : addCurve(view.curve, running.curve, -1);
+    const curve = streams.size + view.backups.size === 0 ? zeroCurve() : addCurve(view.curve, running.curve, -1);
     return { ...view, streams, curve, latelyEnded: [...kept, ended] };
 }
 
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -34,6 +34,8 @@
     readonly prefix: string;
     readonly prefixTokens: number;
     readonly policy: JobPolicy;
+    /** Whether losing its endpoint midway would lose so much that a copy is worth its memory. */
+    readonly backUp?: boolean | undefined;
     /** Tokens in each piece of the stream; 1 where it is absent. */
     readonly tokensPerPiece?: number | undefined;
     /** The true length, for the all-knowing comparison in measurements only. */
@@ -55,6 +57,8 @@
     /** Whether a crowded endpoint's owner is asked before a request is sent there. */
     readonly ask: boolean;
     readonly prefix: boolean;
+    /** Whether streams that ask for it are backed up at a second endpoint, where there is room. */
+    readonly backups: boolean;
     readonly priorities: boolean;
     /** Whether lengths are known ahead (measurement only). */
     readonly oracle: boolean;
@@ -69,6 +73,7 @@
     share: "owner",
     ask: true,
     prefix: true,
+    backups: false,
     priorities: true,
     oracle: false,
 };
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,10 +8,11 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onResult, onUnused, onUse } from "./breaker.js";
-import { assess, type Bounds, type Candidate, usable, wantedOf } from "./choose.js";
+import { assess, type Bounds, type Candidate, chooseBackup, usable, wantedOf } from "./choose.js";
 import type { Curve } from "./curve.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
+    addBackup,
     addStream,
     createEndpoint,
     type EndpointCfg,
@@ -20,6 +21,8 @@
     type LoadReport,
     moveStream,
     type Others,
+    promoteBackup,
+    removeBackup,
     removeStream,
     setLeaving,
     streamCount,
@@ -45,6 +48,8 @@
     readonly drain: DrainRate | undefined;
     /** Endpoint of each running request. */
     readonly placed: ShardMap<string>;
+    /** Endpoint that keeps a copy of each running request that has one. */
+    readonly backedUp: ShardMap<string>;
     /** Endpoints that this host owns. */
     readonly owned: ReadonlySet<string>;
     /** Requests whose endpoint's owner was asked and has not answered. */
@@ -86,6 +91,8 @@
         readonly maxGapMs: number;
     }
     | { readonly kind: "ended"; readonly job: string; readonly outcome: JobOutcome; readonly produced: number }
+    /** A request's endpoint broke off: it is to go on where its copy is kept. `failed`: the endpoint is to blame. */
+    | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
     /** A caller left before its request was placed. */
     | { readonly kind: "withdraw"; readonly job: string }
     | { readonly kind: "tick" };
@@ -95,7 +102,14 @@
 
 /** What a host is asked to do. */
 export type SchedulerAction =
-    | { readonly kind: "dispatch"; readonly job: string; readonly endpoint: string; readonly priority: number }
+    | {
+        readonly kind: "dispatch";
+        readonly job: string;
+        readonly endpoint: string;
+        readonly priority: number;
+        /** Where a copy of the stream is to be kept as it grows. */
+        readonly backUp: string | undefined;
+    }
     /** Ask the endpoint's owner whether a stream with this curve may be added; answer with an `answer` event. */
     | {
         readonly kind: "ask";
@@ -148,6 +162,7 @@
         retries: createRetryBudget(),
         drain: undefined,
         placed: emptyMap(),
+        backedUp: emptyMap(),
         owned: new Set(),
         asked: new Map(),
         turn: seed,
@@ -201,7 +216,9 @@
         });
         // An endpoint that is no longer declared keeps its streams until they end.
         const names = new Set(endpoints.map(cfg => cfg.id));
-        const left = state.endpoints.values().filter(view => !names.has(view.cfg.id) && view.streams.size > 0)
+        const left = state.endpoints.values().filter(view =>
+            !names.has(view.cfg.id) && view.streams.size + view.backups.size > 0
+        )
             .map(view => ({ ...view, cfg: { ...view.cfg, models: [] } }));
         const next = EndpointTable.of([...declared, ...left]);
         return drain({ ...state, endpoints: next }, now);
@@ -226,6 +243,7 @@
     // Room that grows while streams run is found at the next tick: a search on each progress would cost far more.
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
+    continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
     withdraw: (state, { job }, now) => {
         const waiting = state.waiting.filter(other => other.job.id !== job);
         return { state: { ...takeBack(state, job, now), waiting }, actions: [] };
@@ -316,7 +334,7 @@
     const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
     const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && crowded
         && !state.owned.has(id);
-    if (!mustAsk) return { state: next, actions: [dispatchOf(next, job, id)] };
+    if (!mustAsk) return dispatch(next, job, id, now);
     const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
     return {
         state: { ...next, asked },
@@ -324,9 +342,56 @@
     };
 }
 
-function dispatchOf(state: SchedulerState, job: Job, endpoint: string): SchedulerAction {
+/** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
+function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
     const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    return { kind: "dispatch", job: job.id, endpoint, priority };
+    const { state: next, keeper } = backUp(state, job, endpoint, now);
+    return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
+}
+
+/** Chooses who keeps a request's copy and counts the copy there. */
+function backUp(
+    state: SchedulerState,
+    job: Job,
+    endpoint: string,
+    now: number,
+): { readonly state: SchedulerState; readonly keeper: string | undefined } {
+    const running = state.endpoints.get(endpoint)?.streams.get(job.id);
+    if (!state.variant.backups || job.backUp !== true || !running) return { state, keeper: undefined };
+    const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
+    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now);
+    if (keeper === undefined) return { state, keeper };
+    const kept = withView(state, keeper, view => addBackup(view, running));
+    return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
+}
+
+/** The state without the copy of a request. */
+function dropBackup(state: SchedulerState, job: string): SchedulerState {
+    const keeper = getIn(state.backedUp, job);
+    if (keeper === undefined) return state;
+    const freed = withView(state, keeper, view => removeBackup(view, job));
+    return { ...freed, backedUp: deleteIn(freed.backedUp, job) };
+}
+
+/** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
+function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
+    const source = getIn(state.placed, job);
+    const keeper = getIn(state.backedUp, job);
+    const running = keeper === undefined ? undefined : state.endpoints.get(keeper)?.backups.get(job);
+    if (source === undefined || keeper === undefined || !running || !isServed(state, running.job)) {
+        return { state, actions: [refuse(job, "noEndpoint", "no endpoint keeps a copy", NO_ENDPOINT_RETRY_MS)] };
+    }
+    const left = withView(state, source, view => ({
+        ...removeStream(view, job, now),
+        breaker: failed ? onResult(view.breaker, false, now) : view.breaker,
+    }));
+    const promoted = withView(left, keeper, view => promoteBackup(view, job));
+    const next = {
+        ...promoted,
+        placed: setIn(promoted.placed, job, keeper),
+        backedUp: deleteIn(promoted.backedUp, job),
+    };
+    return dispatch(next, running.job, keeper, now);
 }
 
 /** An owner's word: the request goes, or goes back to those that wait, with what the owner said taken in. */
@@ -342,8 +407,7 @@
     const { waiting, endpoint } = state.asked.get(job)!;
     const leaving = state.endpoints.get(endpoint)?.leavingBy.length !== 0;
     if (granted && !leaving) {
-        const next = { ...state, asked: without(state.asked, job) };
-        return { state: next, actions: [dispatchOf(next, waiting.job, endpoint)] };
+        return dispatch({ ...state, asked: without(state.asked, job) }, waiting.job, endpoint, now);
     }
     const back = takeBack(state, job, now);
     return drain({ ...back, waiting: [...back.waiting, waiting] }, now);
@@ -395,7 +459,11 @@
     if (id === undefined || !running || event.produced <= running.produced) return state;
     const estimates = observe(state.estimates, running.job.group, running.produced, event.produced, false);
     const survival = lengthsOf({ ...state, estimates }, running.job);
-    return withView({ ...state, estimates }, id, view => ({
+    const keeper = getIn(state.backedUp, event.job);
+    const kept = keeper === undefined
+        ? { ...state, estimates }
+        : withView({ ...state, estimates }, keeper, view => moveStream(view, event.job, event.produced, survival));
+    return withView(kept, id, view => ({
         ...moveStream(view, event.job, event.produced, survival),
         pace: running.started ? observePace(view.pace, streamCount(view), event.meanGapMs, event.maxGapMs) : view.pace,
     }));
@@ -410,7 +478,7 @@
     const estimates = produced > running.produced || whole
         ? observe(state.estimates, running.job.group, running.produced, Math.max(produced, running.produced), whole)
         : state.estimates;
-    return withView({ ...state, placed, estimates }, id, view => {
+    return withView(dropBackup({ ...state, placed, estimates }, job), id, view => {
         const breaker = outcome === "cancelled"
             ? onUnused(view.breaker)
             : onResult(view.breaker, outcome !== "failed", now);
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -48,12 +48,12 @@
 
 /** How a generation that ran elsewhere goes on. */
 export interface Continuation {
-    /** `ip:port` of the endpoint that ran it. */
+    /** `ip:port` of the endpoint that named the copy. */
     readonly source: string;
     /** The copy's name there. */
     readonly copy: string;
-    /** The last event that the caller has. */
-    readonly lastEvent: string;
+    /** The last event that the caller has; undefined while it has none. */
+    readonly lastEvent: string | undefined;
 }
 
 /** What this system says to an endpoint with a call. */
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -33,6 +33,16 @@
     readonly resumes: number;
     /** True from a resume's start until its stream answers. */
     readonly resuming: boolean;
+    /** Endpoint that keeps a copy of the generation as it grows. */
+    readonly backUp?: string | undefined;
+}
+
+/** A generation whose endpoint broke off and that is to go on elsewhere. */
+export interface Broken {
+    /** Index of the next token to pass on. */
+    readonly next: number;
+    readonly cause: LossCause;
+    readonly detail: string;
 }
 
 /** Limits of one request, pinned when it was accepted. Times are milliseconds on the host's monotonic clock. */
@@ -60,6 +70,8 @@
     readonly phase: Phase;
     readonly attempts: number;
     readonly attempt?: Attempt | undefined;
+    /** Set while an endpoint is sought where the generation goes on. */
+    readonly broken?: Broken | undefined;
     readonly record: DispatchRecord;
     /** Whether any byte of an answer has gone to the caller. */
     readonly committed: boolean;
@@ -74,7 +86,7 @@
 
 /** What can happen to a request. */
 export type RequestEvent =
-    | { readonly kind: "admitted"; readonly endpoint: string }
+    | { readonly kind: "admitted"; readonly endpoint: string; readonly backUp?: string | undefined }
     | {
         readonly kind: "notAdmitted";
         readonly code: FailCode;
@@ -111,7 +123,16 @@
         /** Whether no byte of the attempt before left. */
         readonly neverLeft?: boolean;
     }
-    | { readonly kind: "dispatch"; readonly attempt: string; readonly endpoint: string }
+    | {
+        readonly kind: "dispatch";
+        readonly attempt: string;
+        readonly endpoint: string;
+        readonly backUp?: string | undefined;
+        /** Index of the next token, where the generation goes on from a copy. */
+        readonly continueAt?: number | undefined;
+    }
+    /** Ask for the endpoint that keeps the generation's copy. */
+    | { readonly kind: "admitCopy"; readonly cause: LossCause }
     /** Pass the token of this event on (or hold it, where the answer is not streamed). */
     | { readonly kind: "forward"; readonly index: number }
     /** Forget tokens that are held: the attempt that made them is given up. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -41,17 +41,28 @@
 }
 
 const HANDLERS: { readonly [K in RequestEvent["kind"]]: Handler<K> } = {
-    admitted: (state, { endpoint }) => {
-        if (state.phase !== Phase.Waiting) return stay(state);
+    admitted: (state, { endpoint, backUp }) => {
+        if (state.phase !== Phase.Waiting && !state.broken) return stay(state);
         const number = state.attempts + 1;
-        const attempt: Attempt = { id: `${state.cfg.id}.${number}`, endpoint, next: 0, resumes: 0, resuming: false };
+        const continueAt = state.broken?.next;
+        const attempt: Attempt = {
+            id: `${state.cfg.id}.${number}`,
+            endpoint,
+            next: continueAt ?? 0,
+            resumes: 0,
+            resuming: false,
+            backUp,
+        };
         return {
-            state: { ...state, phase: Phase.Dispatched, attempts: number, attempt },
-            actions: [{ kind: "dispatch", attempt: attempt.id, endpoint }],
+            state: { ...state, phase: Phase.Dispatched, attempts: number, attempt, broken: undefined },
+            actions: [{ kind: "dispatch", attempt: attempt.id, endpoint, backUp, continueAt }],
         };
     },
-    notAdmitted: (state, { code, detail, retryAfterMs }) =>
-        state.phase === Phase.Waiting ? fail(state, code, detail, [], retryAfterMs) : stay(state),
+    notAdmitted: (state, { code, detail, retryAfterMs }) => {
+        // Where no copy is left, what broke the generation off is what its caller is told.
+        if (state.broken) return fail(state, FAIL_CODE[state.broken.cause], state.broken.detail, []);
+        return state.phase === Phase.Waiting ? fail(state, code, detail, [], retryAfterMs) : stay(state);
+    },
     sending: (state, { attempt }) =>
         isCurrent(state, attempt) ? stay({ ...state, record: recordSent(state.record, attempt) }) : stay(state),
     endpointRefused: (state, { attempt, detail, retryAfterMs }) => {
@@ -126,6 +137,7 @@
             next: current.next + 1,
             resumes: 0,
             resuming: false,
+            backUp: current.backUp,
         },
         record: state.record,
         committed: state.committed || state.cfg.streamed,
@@ -154,10 +166,23 @@
             actions: [{ kind: "resume", attempt: id, endpoint, generation, from: next }],
         };
     }
+    if (current.backUp !== undefined && CONTINUABLE.has(cause)) return continueFromCopy(state, cause, detail);
     const cancel = cancelCurrent(state);
     return canRetry(state) ? tryElsewhere(state, cancel) : fail(state, FAIL_CODE[cause], detail, cancel);
 }
 
+/** Losses after which an endpoint that keeps a copy may let the generation go on. */
+const CONTINUABLE: ReadonlySet<LossCause> = new Set(["reset", "idle", "reclaimed"]);
+
+/** The old attempt is cancelled first, so that the generation never goes on at two endpoints. */
+function continueFromCopy(state: RequestState, cause: LossCause, detail: string): Step {
+    const broken = { next: state.attempt!.next, cause, detail };
+    return {
+        state: { ...state, attempt: undefined, broken },
+        actions: [...cancelCurrent(state), { kind: "admitCopy", cause }],
+    };
+}
+
 /** An attempt whose connection never came up: another may be made, beyond those that the request is allowed. */
 function afterNeverSent(state: RequestState, detail: string): Step {
     if (!canRetry(state)) return fail(state, FailCode.EndpointLost, detail, cancelCurrent(state));
--- a/packages/standins/src/fault-world.ts
+++ b/packages/standins/src/fault-world.ts
@@ -102,6 +102,8 @@
             this.connection = undefined;
             this.waiting = true;
         },
+        // No endpoint of this world keeps copies.
+        admitCopy: () => undefined,
         dispatch: ({ attempt, endpoint }) => {
             this.waiting = false;
             this.dispatches += 1;
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -13,6 +13,7 @@
     share: "reports",
     ask: false,
     prefix: false,
+    backups: false,
     priorities: false,
     oracle: false,
 } as const;
