Placement weighs prompts still to be read, halls, and what cannot be reached; one budget of repeated sends

Hosts now tell how many prompt tokens are unread, and a worker's unread tokens count in its score. Streams prefer their own hall, as one elsewhere is lost when halls lose each other. A worker to which no connection comes up is left out at once, also where more than half are (a cut hall). A copy's keeper is remembered with its address: its registration may be gone when the copy is needed.

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -16,6 +16,8 @@
 export interface Held {
     readonly endpoint: string;
     readonly streams: number;
+    /** Prompt tokens of those that have not begun. */
+    readonly unread: number;
     /** Mean of the memory at each point of the horizon, in units of {@link TOKENS_PER_UNIT} tokens. */
     readonly mean: readonly number[];
     /** Its standard deviation, in the same units. */
@@ -81,13 +83,13 @@
  *
  * @example
  * ```ts
- * heldOf("e1", view.streams.size, view.curve);
+ * heldOf("e1", view.streams.size, unreadTokens(view), view.curve);
  * ```
  */
-export function heldOf(endpoint: string, streams: number, curve: Curve): Held {
+export function heldOf(endpoint: string, streams: number, unread: number, curve: Curve): Held {
     const mean = Array.from(curve.mean, value => Math.round(value / TOKENS_PER_UNIT));
     const deviation = Array.from(curve.variance, value => Math.round(Math.sqrt(value) / TOKENS_PER_UNIT));
-    return { endpoint, streams, mean, deviation };
+    return { endpoint, streams, unread, mean, deviation };
 }
 
 /**
@@ -125,7 +127,9 @@
 ): boolean {
     if (!last || last.owner !== owner) return holdsAny(held);
     if (!holdsAny(held) && !holdsAny(last.held)) return false;
-    if (held.streams !== last.held.streams || now - last.at >= REPEAT_MS) return true;
+    if (held.streams !== last.held.streams || held.unread !== last.held.unread || now - last.at >= REPEAT_MS) {
+        return true;
+    }
     return held.mean.some((mean, at) =>
         Math.abs(mean - last.held.mean[at]!) > CHANGE_SHARE * Math.max(1, last.held.mean[at]!)
     );
@@ -157,13 +161,15 @@
  */
 export function othersFor(account: Account, endpoint: string, host: string, now: number): Others {
     let streams = 0;
+    let unread = 0;
     let curve = zeroCurve();
     for (const [name, { held, at, granted }] of account.held.get(endpoint) ?? []) {
         if (name === host || now - at > HELD_VALID_MS) continue;
         streams += held.streams + granted.length;
+        unread += held.unread;
         curve = granted.reduce((sum, one) => addCurve(sum, one, 1), addCurve(curve, curveOf(held), 1));
     }
-    return { streams, curve };
+    return { streams, unread, curve };
 }
 
 /** A host's question whether a stream may be added on an endpoint; `held` is all that the host holds there, without it. */
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -6,7 +6,14 @@
  *
  * @module
  */
-import { addCurve, type EndpointTable, type SchedulerAction, type SchedulerEvent } from "@drumpaddle/policy";
+import {
+    addCurve,
+    type EndpointTable,
+    type Others,
+    type SchedulerAction,
+    type SchedulerEvent,
+    unreadTokens,
+} from "@drumpaddle/policy";
 import {
     type Account,
     curveOf,
@@ -101,7 +108,7 @@
     now: number,
 ): ShareStep {
     const views = endpoints.values();
-    const holdings = views.map(view => heldOf(view.cfg.id, view.streams.size, view.curve));
+    const holdings = views.map(view => heldOf(view.cfg.id, view.streams.size, unreadTokens(view), view.curve));
     const owners = ownersOf(state.owners, views.map(view => view.cfg.id), live);
     const { state: told, toSay } = planTelling(state.told, holdings, endpoint => owners.of.get(endpoint), now);
     const account = takeHeld(state.account, state.self, toSay.get(state.self) ?? [], now);
@@ -131,8 +138,12 @@
 }
 
 function sentOthers(account: Account, endpoint: string, host: string, now: number): Held {
-    const { streams, curve } = othersFor(account, endpoint, host, now);
-    return heldOf(endpoint, streams, curve);
+    const { streams, unread, curve } = othersFor(account, endpoint, host, now);
+    return heldOf(endpoint, streams, unread, curve);
+}
+
+function toOthers(held: Held): Others {
+    return { streams: held.streams, unread: held.unread, curve: curveOf(held) };
 }
 
 /** The question to an endpoint's owner that the host's decisions ask for; none where no owner is alive. */
@@ -147,8 +158,8 @@
     const view = endpoints.get(endpoint);
     if (to === undefined || !view) return { state, send: [], events: [] };
     // The stream is already counted in the view: what is held without it is told.
-    const held = heldOf(endpoint, view.streams.size - 1, addCurve(view.curve, curve, -1));
-    const message: ShareMessage = { kind: "question", job, held, stream: heldOf(endpoint, 1, curve), bounds };
+    const held = heldOf(endpoint, view.streams.size - 1, unreadTokens(view), addCurve(view.curve, curve, -1));
+    const message: ShareMessage = { kind: "question", job, held, stream: heldOf(endpoint, 1, 0, curve), bounds };
     return { state, send: [{ to, message }], events: [] };
 }
 
@@ -173,7 +184,7 @@
             ...others.map((held): SchedulerEvent => ({
                 kind: "others",
                 endpoint: held.endpoint,
-                others: { streams: held.streams, curve: curveOf(held) },
+                others: toOthers(held),
             })),
             ...owned.map((endpoint): SchedulerEvent => ({
                 kind: "leaving",
@@ -186,7 +197,7 @@
     question: (state, from, { job, held, stream, bounds }, endpoints, now) => {
         const { endpoint } = held;
         const own = endpoints.get(endpoint);
-        const mine = own ? [heldOf(endpoint, own.streams.size, own.curve)] : [];
+        const mine = own ? [heldOf(endpoint, own.streams.size, unreadTokens(own), own.curve)] : [];
         const fresh = takeHeld(state.account, state.self, mine, now);
         const { account, granted } = judge(fresh, from, { held, stream, bounds }, now);
         const answer: ShareMessage = { kind: "answer", job, granted, others: sentOthers(account, endpoint, from, now) };
@@ -199,7 +210,7 @@
     answer: (state, _from, { job, granted, others }) => ({
         state,
         send: [],
-        events: [{ kind: "answer", job, granted, others: { streams: others.streams, curve: curveOf(others) } }],
+        events: [{ kind: "answer", job, granted, others: toOthers(others) }],
     }),
 };
 
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -39,8 +39,6 @@
     readonly runs: OpenRuns;
     /** Time for a caller to send a body, in milliseconds. */
     readonly bodyMs: number;
-    /** Retries that this host may make for each request. */
-    readonly retryShare: number;
     /** Whether each call is logged. */
     readonly logCalls: boolean;
     /** What is declared now; undefined until it was learnt. */
@@ -155,7 +153,7 @@
     return rank === 1 ? "normal" : "batch";
 }
 
-function policyOf(deps: Forwarding, call: ForwardCall): JobPolicy {
+function policyOf(call: ForwardCall): JobPolicy {
     const { route } = call;
     return {
         priority: priorityOf(rankOf(call)),
@@ -166,11 +164,12 @@
         weightPrefix: 0,
         maxWaitMs: route.objectiveMs * WAIT_SHARE,
         queueLimit: QUEUE_LIMIT,
-        retryShare: deps.retryShare,
+        // All hosts share one budget, which is kept apart.
+        retryShare: 0,
     };
 }
 
-function jobOf(deps: Forwarding, call: ForwardCall): Job {
+function jobOf(call: ForwardCall): Job {
     const { head, route, workspace, service, engine } = call;
     const { generation } = head;
     return {
@@ -180,7 +179,7 @@
         maxTokens: generation?.maxTokens ?? 1,
         prefix: generation?.parts[0]?.id ?? "",
         prefixTokens: generation?.parts[0]?.tokens ?? 0,
-        policy: policyOf(deps, call),
+        policy: policyOf(call),
         tokensPerPiece: engine?.tokensPerEvent,
         backUp: engine?.canBackUp === true && (generation?.maxTokens ?? 0) >= BACK_UP_TOKENS,
     };
@@ -190,7 +189,7 @@
     const { at, out, head, route, engine } = call;
     if (out.destroyed) return;
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
-    const way: Way = { body, deadline: at + holdMs, lastEvent: undefined, failedAnswer: undefined };
+    const way: Way = { body, deadline: at + holdMs, keeper: undefined, lastEvent: undefined, failedAnswer: undefined };
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -200,7 +199,7 @@
             maxResumes: 0,
             deadline: way.deadline,
         },
-        job: jobOf(deps, call),
+        job: jobOf(call),
         placement: engine ? deps.engines : deps.plain,
         runner: runnerOf(deps, call, way),
         reply: forwardReply({
@@ -250,7 +249,8 @@
     const { head, out, route, workspace, target, req } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
-            const endpoint = deps.endpoint(incarnation);
+            const endpoint = way.keeper?.incarnation === incarnation ? way.keeper : deps.endpoint(incarnation);
+            way.keeper = backUp === undefined ? undefined : deps.endpoint(backUp);
             if (!endpoint) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
@@ -272,7 +272,7 @@
                     incarnation,
                     workspace: workspace?.name,
                     rank: rankOf(call),
-                    backUpTo: backUp === undefined ? undefined : deps.endpoint(backUp)?.address,
+                    backUpTo: way.keeper?.address,
                     continueFrom: continueAt === undefined
                         ? undefined
                         : { source: endpoint.address, copy: head.id, lastEvent: way.lastEvent },
@@ -304,6 +304,8 @@
     readonly body: Buffer | undefined;
     /** When the call is given up, on the monotonic clock. */
     readonly deadline: number;
+    /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
+    keeper: EndpointEntry | undefined;
     /** Id of the last event that went to the caller. */
     lastEvent: string | undefined;
     /** An endpoint's own failure that was to be tried again elsewhere. */
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
-import { DEFAULT_VARIANT, type EndpointCfg } from "@drumpaddle/policy";
+import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg } from "@drumpaddle/policy";
 import { EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { HostCfg } from "./config.js";
@@ -32,8 +32,6 @@
 const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true } as const;
 /** How long one call of a watch waits: a lost answer is noticed this late at most, within the shortest bound on news. */
 const WATCH_MS = 2_500;
-/** The part of the fleet's budget of retries that hosts plan with: they share it without asking each other. */
-const RETRY_BUDGET_SHARE = 0.5;
 /** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
 const STILL_SERVED_MS = 3_000;
 /** A stop ends this long before the platform ends the process. */
@@ -62,8 +60,14 @@
     const feed = new DeploymentFeed({ kv, wire: platformWire, log, metrics, signal });
     const runs = new OpenRuns();
     const seed = Math.floor(Math.random() * SEED_RANGE);
-    const engines = new Placement(signal, ENGINE_VARIANT, seed);
-    const plain = new Placement(signal, PLAIN_VARIANT, seed);
+    const retries = createFleetBudget({
+        windowMs: cfg["forward.retry-window"],
+        ratio: cfg["forward.retry-ratio"],
+        slack: cfg["forward.retry-slack"],
+    });
+    const options = { hall: cfg["host.hall"], retries };
+    const engines = new Placement(signal, ENGINE_VARIANT, seed, options);
+    const plain = new Placement(signal, PLAIN_VARIANT, seed, options);
     const deps: Forwarding = {
         wire: platformWire,
         log,
@@ -73,7 +77,6 @@
         plain,
         runs,
         bodyMs: cfg["callers.body-timeout"],
-        retryShare: cfg["forward.retry-ratio"] * RETRY_BUDGET_SHARE,
         logCalls: cfg["log.requests"],
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
@@ -87,7 +90,7 @@
         requestMs: cfg["callers.body-timeout"],
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
-    const peers = await Peers.start({ cfg, log, metrics, engines, spread: feed.spread, signal });
+    const peers = await Peers.start({ cfg, log, metrics, engines, plain, spread: feed.spread, signal });
     const operators = createProbes(() => feed.isReady && !runs.stopping, metrics);
     let known: Registry | undefined;
     const declare = (): void => {
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -55,6 +55,7 @@
 const HeldShape = Type.Object({
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
+    unread: Type.Number({ minimum: 0 }),
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
 });
@@ -115,6 +116,8 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly engines: Placement;
+    /** Decisions that hosts do not share, but that depend on how many hosts there are. */
+    readonly plain: Placement;
     readonly spread: Spread;
     readonly signal: AbortSignal;
 }
@@ -272,7 +275,9 @@
 
     /** A round of telling, at once and not only when it is due: for news that must not wait, such as leaving. */
     tellNow(): void {
-        this.follow(shareRound(this.share, this.endpoints, this.live, performance.now()));
+        const { live } = this;
+        this.host.plain.tell([{ kind: "hosts", count: Math.max(1, live.length) }]);
+        this.follow(shareRound(this.share, this.endpoints, live, performance.now()));
     }
 
     private sendTo(name: string, message: PeerMessage): void {
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -9,11 +9,13 @@
     DEFAULT_VARIANT,
     type EndpointCfg,
     type Job,
+    type JobOutcome,
     type LeavingSource,
     type LoadReport,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
+    type SchedulerOptions,
     type SchedulerState,
     type Variant,
 } from "@drumpaddle/policy";
@@ -37,8 +39,8 @@
     private readonly timer: NodeJS.Timeout;
     private onAsk: (action: AskAction) => void = () => undefined;
 
-    constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number) {
-        this.state = createScheduler(variant, seed);
+    constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number, options?: SchedulerOptions) {
+        this.state = createScheduler(variant, seed, options);
         this.timer = setInterval(() => {
             if (this.state.waiting.length + this.state.asked.size > 0) this.handle({ kind: "tick" });
         }, TICK_MS);
@@ -93,7 +95,7 @@
         this.handle({ kind: "progress", job, produced, meanGapMs, maxGapMs });
     }
 
-    ended(job: string, outcome: "whole" | "cancelled" | "refused" | "failed", produced: number): void {
+    ended(job: string, outcome: JobOutcome, produced: number): void {
         this.handle({ kind: "ended", job, outcome, produced });
     }
 
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { isProgressDue, type Job, type RefuseReason } from "@drumpaddle/policy";
+import { isProgressDue, type Job, type JobOutcome, type RefuseReason } from "@drumpaddle/policy";
 import {
     createRequest,
     FailCode,
@@ -149,7 +149,7 @@
     } = {
         admit: ({ avoid, retry, neverLeft }) => {
             // An endpoint that has no room and says so has not failed: it must not be ejected for it.
-            this.leave(this.refused ? "refused" : "failed");
+            this.leave(neverLeft ? "unreachable" : this.refused ? "refused" : "failed");
             // What never left costs no endpoint anything: it is neither a retry nor in need of a pause.
             if (!retry || neverLeft) return this.submit(avoid, false);
             // Full jitter: requests that lost the same endpoint do not all come back at one instant.
@@ -186,7 +186,9 @@
         },
         fail: ({ err }) => {
             this.deps.placement.withdraw(this.deps.job.id);
-            this.leave(OUTCOME_OF[err.code] ?? "failed");
+            // An endpoint that said nothing until the deadline has failed; one that was answering has not.
+            const silent = err.code === FailCode.DeadlinePassed && !this.state.tokenSeen;
+            this.leave(silent ? "failed" : OUTCOME_OF[err.code] ?? "failed");
             this.deps.reply.fail(err);
             this.end(err);
         },
@@ -250,7 +252,7 @@
         );
     }
 
-    private leave(outcome: "whole" | "cancelled" | "refused" | "failed"): void {
+    private leave(outcome: JobOutcome): void {
         if (this.placedAt === undefined) return;
         this.placedAt = undefined;
         const produced = (this.state.attempt?.next ?? 0) * this.tokensPerPiece;
--- a/packages/policy/src/breaker.ts
+++ b/packages/policy/src/breaker.ts
@@ -12,6 +12,8 @@
     readonly openUntil: number;
     /** A probe is on its way. */
     readonly probing: boolean;
+    /** Whether it is open because no connection came up, which is certain, rather than for failed answers. */
+    readonly unreachable?: boolean;
 }
 
 const FAILURES_TO_OPEN = 3;
@@ -48,6 +50,12 @@
     return { failures, openUntil: now + open, probing: false };
 }
 
+/** The breaker after an endpoint could not be reached: nothing is sent there for a while, not even after one failure. */
+export function onUnreachable(breaker: Breaker, now: number): Breaker {
+    const failures = Math.max(breaker.failures + 1, FAILURES_TO_OPEN);
+    return { ...onResult({ ...breaker, failures: failures - 1 }, false, now), unreachable: true };
+}
+
 /** The breaker after a probe ended with nothing learnt, as when its caller left. */
 export function onUnused(breaker: Breaker): Breaker {
     return breaker.probing ? { ...breaker, probing: false } : breaker;
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -6,11 +6,20 @@
 import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
 import { type Curve, peakOf, streamCurve } from "./curve.js";
-import { type EndpointView, plannedShare, streamCount } from "./endpoint.js";
+import { type EndpointView, plannedShare, streamCount, unreadTokens } from "./endpoint.js";
 import type { Survival } from "./estimate.js";
 import type { Job, Variant } from "./job.js";
 import { batchWithin } from "./pace.js";
 
+/**
+ * So many prompt tokens that are still to be read count as much as a whole engine's memory: an engine of the users' reads
+ * 14 a millisecond, so they take as long as a third of the time to the first token that counts in full.
+ */
+const UNREAD_SCALE = 8_000;
+/** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
+const AWAY_COST = 0.1;
+/** The same for plain services, in open calls: less than one, so that it decides between equals only. */
+const AWAY_CALLS = 0.5;
 /** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
 const MEMORY_RESERVE = 0.03;
 /** A new or returning endpoint takes this many streams at once, and more as it proves itself. */
@@ -78,7 +87,10 @@
 ): readonly EndpointView[] {
     const serving = [...views].filter(view => view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model));
     const closed = serving.filter(view => mayUse(view.breaker, now));
-    const kept = closed.length >= serving.length * (1 - MOST_EJECTED_SHARE) ? closed : serving;
+    // What cannot be reached stays out, however many they are: a hall may be cut off from the others.
+    const reachable = serving.filter(view => view.breaker.unreachable !== true || mayUse(view.breaker, now));
+    const known = reachable.length > 0 ? reachable : serving;
+    const kept = closed.length >= known.length * (1 - MOST_EJECTED_SHARE) ? closed : known;
     const fresh = kept.filter(view => !avoid.includes(view.cfg.id));
     return fresh.length > 0 ? fresh : kept;
 }
@@ -101,12 +113,14 @@
     { job, curve, z }: Wanted,
     primary: string,
     now: number,
+    hall?: string,
 ): string | undefined {
-    let chosen: { readonly id: string; readonly used: number } | undefined;
+    let chosen: { readonly id: string; readonly cost: number } | undefined;
     for (const view of usable(views, job, [primary], now)) {
         if (view.cfg.id === primary) continue;
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
-        if (used <= BACKUP_ROOM_SHARE && used < (chosen?.used ?? Infinity)) chosen = { id: view.cfg.id, used };
+        const cost = used + (hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0);
+        if (used <= BACKUP_ROOM_SHARE && cost < (chosen?.cost ?? Infinity)) chosen = { id: view.cfg.id, cost };
     }
     return chosen?.id;
 }
@@ -122,6 +136,7 @@
  * The endpoint as a candidate, or undefined where the request must not be added to it now.
  *
  * @param hosts Live hosts of the hall, this one included.
+ * @param hall Hall that endpoints are preferred of; none where it is absent.
  *
  * @example
  * ```ts
@@ -134,11 +149,13 @@
     variant: Variant,
     hosts: number,
     now: number,
+    hall?: string,
 ): Candidate | undefined {
     const { job, curve, z } = wanted;
     if (variant.admission === "none") {
         const bounds = { room: Infinity, limit: Infinity, z };
-        return { id: view.cfg.id, score: streamCount(view), crowded: false, bounds };
+        const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_CALLS : 0;
+        return { id: view.cfg.id, score: streamCount(view) + away, crowded: false, bounds };
     }
     const share = variant.share === "owner" ? plannedShare(view, hosts, now) : 1;
     const limit = share * streamLimit(view, job, variant, now);
@@ -154,7 +171,10 @@
     const cached = variant.prefix && view.prefixes.has(job.prefix)
         ? job.prefixTokens / Math.max(1, job.promptTokens)
         : 0;
-    const score = weightTail * streams / Math.min(limit, RAMP_FULL) + weightStall * peak / room - weightPrefix * cached;
+    const wait = (unreadTokens(view) + view.others.unread) / UNREAD_SCALE;
+    const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
+    const score = wait + away + weightTail * streams / Math.min(limit, RAMP_FULL) + weightStall * peak / room
+        - weightPrefix * cached;
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
     return { id: view.cfg.id, score, crowded, bounds: { room, limit: Math.max(1, limit), z } };
 }
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -49,6 +49,8 @@
 /** What other hosts have on the endpoint. */
 export interface Others {
     readonly streams: number;
+    /** Prompt tokens of streams that have not begun: work that a new stream's prompt waits for. */
+    readonly unread: number;
     readonly curve: Curve;
 }
 
@@ -72,7 +74,7 @@
     readonly prefixes: ReadonlyMap<string, number>;
 }
 
-const NO_OTHERS: Others = { streams: 0, curve: zeroCurve() };
+const NO_OTHERS: Others = { streams: 0, unread: 0, curve: zeroCurve() };
 /** Reports are at most this old: letter 1's engines lag by 0.5 to 5 s. */
 const LONGEST_LAG_MS = 6_000;
 const MAX_PREFIXES = 64;
@@ -99,6 +101,13 @@
     };
 }
 
+/** Prompt tokens of own streams that have not begun. */
+export function unreadTokens(view: EndpointView): number {
+    let unread = 0;
+    for (const { started, job } of view.streams.values()) if (!started) unread += job.promptTokens;
+    return unread;
+}
+
 /** Own and other hosts' streams. */
 export function streamCount(view: EndpointView): number {
     return view.streams.size + view.others.streams;
@@ -211,7 +220,7 @@
     }
     const streams = Math.max(0, report.running + report.waiting - ownStreams);
     const held = streams === 0 ? 0 : Math.max(0, report.memoryUsed - ownHeld);
-    return { ...view, others: { streams, curve: grownLike(view, held) } };
+    return { ...view, others: { streams, unread: 0, curve: grownLike(view, held) } };
 }
 
 /** A curve for memory whose streams are not known, shaped like that of own streams. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,4 @@
-export { type Breaker, CLOSED, mayUse, onResult, onUnused, onUse } from "./breaker.js";
+export { type Breaker, CLOSED, mayUse, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
 export { assess, type Bounds, type Candidate, usable, type Wanted, wantedOf } from "./choose.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
 export { EndpointTable } from "./endpoint-table.js";
@@ -15,6 +15,7 @@
     takeOthers,
     takeReport,
     TOLD_VALID_MS,
+    unreadTokens,
 } from "./endpoint.js";
 export {
     chanceToReach,
@@ -41,7 +42,16 @@
 } from "./limits.js";
 export { batchWithin, createPace, observePace, type PaceFit, type PaceLine, paceLine } from "./pace.js";
 export { expectedWait } from "./queue.js";
-export { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
+export {
+    countRequest,
+    createFleetBudget,
+    createRetryBudget,
+    earnRetry,
+    type FleetBudget,
+    type RetryBudget,
+    spendRetry,
+    takeRepeat,
+} from "./retry-budget.js";
 export {
     type Asked,
     createScheduler,
@@ -53,5 +63,6 @@
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
+    type SchedulerOptions,
     type SchedulerState,
 } from "./scheduler.js";
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
-import { onResult, onUnused, onUse } from "./breaker.js";
+import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
 import { assess, type Bounds, type Candidate, chooseBackup, usable, wantedOf } from "./choose.js";
 import type { Curve } from "./curve.js";
 import { EndpointTable } from "./endpoint-table.js";
@@ -33,7 +33,15 @@
 import { DEFAULT_VARIANT, type Job, PRIORITY_RANK, type Variant } from "./job.js";
 import { observePace } from "./pace.js";
 import { type DrainRate, expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
-import { createRetryBudget, earnRetry, type RetryBudget, spendRetry } from "./retry-budget.js";
+import {
+    countRequest,
+    createRetryBudget,
+    earnRetry,
+    type FleetBudget,
+    type RetryBudget,
+    spendRetry,
+    takeRepeat,
+} from "./retry-budget.js";
 import { deleteIn, emptyMap, getIn, setIn, type ShardMap } from "./shard-map.js";
 
 /** All that one host knows for its decisions. */
@@ -45,6 +53,10 @@
     readonly waiting: readonly Waiting[];
     readonly estimates: Estimates;
     readonly retries: RetryBudget;
+    /** Bounds repeated sends in place of `retries`, where hosts share one budget. */
+    readonly fleetRetries: FleetBudget | undefined;
+    /** Hall whose endpoints are preferred; undefined where all are of one hall. */
+    readonly hall: string | undefined;
     readonly drain: DrainRate | undefined;
     /** Endpoint of each running request. */
     readonly placed: ShardMap<string>;
@@ -66,7 +78,7 @@
 }
 
 /** How a dispatched request ended at its endpoint. */
-export type JobOutcome = "whole" | "cancelled" | "refused" | "failed";
+export type JobOutcome = "whole" | "cancelled" | "refused" | "failed" | "unreachable";
 
 /** What a host tells its decisions. */
 export type SchedulerEvent =
@@ -144,6 +156,12 @@
 /** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
 const NO_ENDPOINT_RETRY_MS = 5_000;
 
+/** What differs from host to host. */
+export interface SchedulerOptions {
+    readonly hall?: string | undefined;
+    readonly retries?: FleetBudget | undefined;
+}
+
 /**
  * Decisions that know of no endpoint yet.
  *
@@ -152,9 +170,15 @@
  * let { state } = decide(createScheduler(), { kind: "endpoints", endpoints }, now);
  * ```
  */
-export function createScheduler(variant: Variant = DEFAULT_VARIANT, seed = 1): SchedulerState {
+export function createScheduler(
+    variant: Variant = DEFAULT_VARIANT,
+    seed = 1,
+    { hall, retries }: SchedulerOptions = {},
+): SchedulerState {
     return {
         variant,
+        hall,
+        fleetRetries: retries,
         hosts: 1,
         endpoints: EndpointTable.of([]),
         waiting: [],
@@ -294,14 +318,27 @@
     return refuse(job.id, "noEndpoint", "no endpoint that takes new work runs the model", NO_ENDPOINT_RETRY_MS);
 }
 
-function arrive(state: SchedulerState, waiting: Waiting, now: number): Decision {
-    const { job, retry } = waiting;
-    const keys = [`w/${job.group.workspace}`, ...waiting.avoid.map(id => `e/${id}`)];
+/** The state after a request was counted or a repeated one paid for; undefined where the budget is used up. */
+function payFor(state: SchedulerState, { job, avoid, retry }: Waiting, now: number): SchedulerState | undefined {
+    if (state.fleetRetries) {
+        // What was never sent anywhere comes again without being a repeat, and is not another request either.
+        if (!retry && avoid.length > 0) return state;
+        const fleetRetries = retry
+            ? takeRepeat(state.fleetRetries, state.hosts, now)
+            : countRequest(state.fleetRetries, now);
+        return fleetRetries && { ...state, fleetRetries };
+    }
+    const keys = [`w/${job.group.workspace}`, ...avoid.map(id => `e/${id}`)];
     const retries = retry ? spendRetry(state.retries, keys) : earnRetry(state.retries, keys, job.policy.retryShare);
-    if (!retries) {
+    return retries && { ...state, retries };
+}
+
+function arrive(state: SchedulerState, waiting: Waiting, now: number): Decision {
+    const { job } = waiting;
+    const paid = payFor(state, waiting, now);
+    if (!paid) {
         return { state, actions: [refuse(job.id, "retryBudget", "the retry budget is used up", job.policy.maxWaitMs)] };
     }
-    const paid = { ...state, retries };
     if (!isServed(paid, job)) return { state: paid, actions: [refuseUnserved(job)] };
     if (state.waiting.length === 0) {
         const placed = place(paid, waiting, now);
@@ -323,7 +360,7 @@
     const survival = lengthsOf(state, job);
     const wanted = wantedOf(job, survival);
     const candidates = usable(state.endpoints.values(), job, waiting.avoid, now)
-        .map(view => assess(view, wanted, state.variant, state.hosts, now))
+        .map(view => assess(view, wanted, state.variant, state.hosts, now, state.hall))
         .filter(candidate => candidate !== undefined);
     if (candidates.length === 0) return undefined;
     const { id, crowded, bounds } = PICK[state.variant.choice](candidates, state.turn);
@@ -359,7 +396,7 @@
     const running = state.endpoints.get(endpoint)?.streams.get(job.id);
     if (!state.variant.backups || job.backUp !== true || !running) return { state, keeper: undefined };
     const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
-    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now);
+    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall);
     if (keeper === undefined) return { state, keeper };
     const kept = withView(state, keeper, view => addBackup(view, running));
     return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
@@ -453,6 +490,12 @@
     },
 };
 
+function afterOutcome(breaker: Breaker, outcome: JobOutcome, now: number): Breaker {
+    if (outcome === "cancelled") return onUnused(breaker);
+    if (outcome === "unreachable") return onUnreachable(breaker, now);
+    return onResult(breaker, outcome !== "failed", now);
+}
+
 function progress(state: SchedulerState, event: Extract<SchedulerEvent, { kind: "progress" }>): SchedulerState {
     const id = getIn(state.placed, event.job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(event.job);
@@ -479,10 +522,7 @@
         ? observe(state.estimates, running.job.group, running.produced, Math.max(produced, running.produced), whole)
         : state.estimates;
     return withView(dropBackup({ ...state, placed, estimates }, job), id, view => {
-        const breaker = outcome === "cancelled"
-            ? onUnused(view.breaker)
-            : onResult(view.breaker, outcome !== "failed", now);
-        return { ...removeStream(view, job, now), breaker };
+        return { ...removeStream(view, job, now), breaker: afterOutcome(view.breaker, outcome, now) };
     });
 }
 
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -248,11 +248,19 @@
         driver.tell({
             kind: "others",
             endpoint: "e0",
-            others: { streams: 1, curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) } },
+            others: {
+                streams: 1,
+                unread: 0,
+                curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
+            },
         }, 0);
         return driver;
     };
-    const others = { streams: 1, curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) } };
+    const others = {
+        streams: 1,
+        unread: 0,
+        curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
+    };
     const job = jobOf("a", { promptTokens: 900, maxTokens: 100 });
     const granted = crowded();
     t.is(granted.arrive(job, 1)?.kind, "ask");
@@ -262,7 +270,11 @@
     });
     const denied = crowded();
     denied.arrive(job, 1);
-    const full = { streams: 3, curve: { mean: new Float64Array(9).fill(2_900), variance: new Float64Array(9) } };
+    const full = {
+        streams: 3,
+        unread: 0,
+        curve: { mean: new Float64Array(9).fill(2_900), variance: new Float64Array(9) },
+    };
     t.deepEqual(denied.tell({ kind: "answer", job: "a", granted: false, others: full }, 2), []);
     t.is(denied.state.waiting.length, 1);
     t.is(denied.state.endpoints.get("e0")?.streams.size, 0);
