Generations on leaving workers are copied away and go on from the copy when the worker ends

When a worker says that it leaves, or its registration goes, each long stream on it without a copy at a staying worker is copied while it runs, again each 1.5 s; when its connection breaks it goes on at the copy after the last event. What ends in time is left alone and its copy given up.

--- /dev/null
+++ b/packages/host/src/copies.ts
@@ -0,0 +1,141 @@
+/**
+ * Copies running generations away from endpoints that are leaving, so that they can go on elsewhere when their endpoint
+ * ends. The generation goes on at its endpoint meanwhile; what ends in time needs no copy, and its copy is given up.
+ *
+ * @module
+ */
+import { jobsToRescue } from "@drumpaddle/policy";
+import { type CopyAnswer, type EndpointCall, errText, type PlatformWire } from "@drumpaddle/protocol";
+import type { EndpointEntry } from "@drumpaddle/routes";
+import { request } from "undici";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import type { CopyAction, Placement } from "./placement.js";
+
+/** A copy of a running generation. */
+export interface Copy {
+    /** Endpoint that holds it and may go on with it. */
+    readonly keeper: EndpointEntry;
+    /** Endpoint that made it. */
+    readonly source: EndpointEntry;
+    /** Its name at the source. */
+    readonly name: string;
+}
+
+/** A running call whose generation may be copied. */
+export interface Copied {
+    onCopied(copy: Copy): void;
+}
+
+/** What copies need of the gateway. */
+export interface CopiesDeps {
+    readonly engines: Placement;
+    readonly wire: PlatformWire;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly signal: AbortSignal;
+    endpoint(incarnation: string): EndpointEntry | undefined;
+}
+
+/** Copies of one endpoint's generations go over its link one after another: the last of a dozen takes some seconds. */
+const COPY_TIMEOUT_MS = 5_000;
+/** A copy is brought up to date this often, so that little is left to read and it does not lapse. */
+const REFRESH_MS = 1_500;
+/** Time for an endpoint to take back a copy. */
+const DROP_TIMEOUT_MS = 1_000;
+
+/** The copies that one host has made. */
+export class Copies {
+    private readonly calls = new Map<string, Copied>();
+    private readonly made = new Map<string, Copy>();
+    private readonly busy = new Set<string>();
+
+    constructor(private readonly deps: CopiesDeps) {}
+
+    /** A call began to run. */
+    add(call: string, copied: Copied): void {
+        this.calls.set(call, copied);
+    }
+
+    /** A call ended or goes on from its copy: a copy that nobody used is given up. */
+    end(call: string, used: boolean): void {
+        const copy = this.made.get(call);
+        this.made.delete(call);
+        if (!used) this.calls.delete(call);
+        if (copy && !used) void this.drop(copy);
+    }
+
+    /** Copies what runs on leaving endpoints and has no copy at one that stays. */
+    rescue(): void {
+        for (const job of jobsToRescue(this.deps.engines.view)) {
+            if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
+        }
+    }
+
+    private async copyAway(job: string): Promise<void> {
+        this.busy.add(job);
+        const plan = this.deps.engines.planRescue(job);
+        const source = plan && this.deps.endpoint(plan.from);
+        const keeper = plan && this.deps.endpoint(plan.to);
+        if (plan && source && keeper) await this.keepCopied(plan, source, keeper);
+        else this.deps.log.info({ req: job, planned: plan !== undefined }, "generation_not_copied");
+        this.busy.delete(job);
+    }
+
+    /** Makes the copy, and again and again while the generation still runs at its source. */
+    private async keepCopied({ job }: CopyAction, source: EndpointEntry, keeper: EndpointEntry): Promise<void> {
+        const { engines, wire, log, metrics } = this.deps;
+        const call = wire.copyCall(job, keeper.address);
+        while (this.calls.has(job) && engines.view.endpoints.get(source.incarnation)?.streams.has(job)) {
+            const began = performance.now();
+            const answer = await this.order(source.address, call);
+            const ms = Math.round(performance.now() - began);
+            metrics.countCopy(answer.kind);
+            const from = source.incarnation;
+            const to = keeper.incarnation;
+            if (answer.kind === "notMade") {
+                log.info({ req: job, from, to, ms, detail: answer.detail }, "generation_not_copied");
+                if (!this.made.has(job)) engines.copyLost(job);
+                return;
+            }
+            log.info({ req: job, from, to, ms, copy: answer.copy }, "generation_copied");
+            const copy = { keeper, source, name: answer.copy };
+            const target = this.calls.get(job);
+            if (!target) return void this.drop(copy);
+            this.made.set(job, copy);
+            target.onCopied(copy);
+            await new Promise(resolve => setTimeout(resolve, REFRESH_MS));
+        }
+    }
+
+    private async order(address: string, call: EndpointCall): Promise<CopyAnswer> {
+        try {
+            const { status, body } = await this.send(address, call, COPY_TIMEOUT_MS);
+            return this.deps.wire.readCopy(status, body);
+        }
+        catch (err) {
+            return { kind: "notMade", detail: errText(err) };
+        }
+    }
+
+    private async drop({ source, name }: Copy): Promise<void> {
+        try {
+            await this.send(source.address, this.deps.wire.dropCopyCall(name), DROP_TIMEOUT_MS);
+        }
+        catch (err) {
+            // The copy lapses by itself a few seconds later.
+            this.deps.log.debug({ copy: name, endpoint: source.incarnation, detail: errText(err) }, "copy_not_dropped");
+        }
+    }
+
+    private async send(
+        address: string,
+        { method, path, body }: EndpointCall,
+        timeoutMs: number,
+    ): Promise<{ readonly status: number; readonly body: string }> {
+        const signal = AbortSignal.any([this.deps.signal, AbortSignal.timeout(timeoutMs)]);
+        const headers = { "content-type": "application/json" };
+        const res = await request(`http://${address}${path}`, { method, headers, signal, body: body ?? null });
+        return { status: res.statusCode, body: await res.body.text() };
+    }
+}
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -94,8 +94,10 @@
         return this.current !== undefined && this.endpointsRead;
     }
 
+    /** An endpoint that is registered, or was until lately. */
     endpoint(incarnation: string): EndpointEntry | undefined {
-        return this.registry.endpoints.get(incarnation)?.entry;
+        const known = this.registry.endpoints.get(incarnation) ?? this.registry.departed.get(incarnation);
+        return known?.entry;
     }
 
     /** Calls back with each deployment that comes into force. */
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
-import type { CallHead, PlatformWire } from "@drumpaddle/protocol";
+import type { CallHead, Continuation, PlatformWire } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
 import {
     type EndpointEntry,
@@ -17,6 +17,7 @@
 } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ApiError } from "./answer.js";
+import type { Copies, Copy } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
@@ -37,6 +38,7 @@
     readonly engines: Placement;
     readonly plain: Placement;
     readonly runs: OpenRuns;
+    readonly copies: Copies;
     /** Time for a caller to send a body, in milliseconds. */
     readonly bodyMs: number;
     /** Whether each call is logged. */
@@ -189,7 +191,15 @@
     const { at, out, head, route, engine } = call;
     if (out.destroyed) return;
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
-    const way: Way = { body, deadline: at + holdMs, keeper: undefined, lastEvent: undefined, failedAnswer: undefined };
+    const way: Way = {
+        body,
+        attempt: "",
+        deadline: at + holdMs,
+        keeper: undefined,
+        copy: undefined,
+        lastEvent: undefined,
+        failedAnswer: undefined,
+    };
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -214,12 +224,21 @@
         onEnd: end => {
             queueMicrotask(() => deps.runs.delete(run));
             deps.metrics.open.dec();
+            deps.copies.end(head.id, false);
             onEnd(deps, call, end);
         },
     });
     deps.metrics.open.inc();
     if (run.ended) return;
     deps.runs.add(run);
+    if (engine?.canMove) {
+        deps.copies.add(head.id, {
+            onCopied: copy => {
+                way.copy = copy;
+                run.event({ kind: "copied", attempt: way.attempt, endpoint: copy.keeper.incarnation });
+            },
+        });
+    }
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
@@ -240,6 +259,9 @@
         detail: end.err?.detail,
         attempts: end.state.attempts,
         pieces: end.tokens,
+        prompt: call.head.generation?.promptTokens,
+        most: call.head.generation?.maxTokens,
+        hint: call.head.generation?.hintTokens,
         first_ms: end.firstTokenMs === undefined ? undefined : Math.round(end.firstTokenMs),
         ms: Math.round(performance.now() - call.at),
     }, "call_ended");
@@ -249,7 +271,11 @@
     const { head, out, route, workspace, target, req } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
-            const endpoint = way.keeper?.incarnation === incarnation ? way.keeper : deps.endpoint(incarnation);
+            const endpoint = knownKeeper(way, incarnation) ?? deps.endpoint(incarnation);
+            const copy = way.copy?.keeper.incarnation === incarnation ? way.copy : undefined;
+            way.copy = undefined;
+            way.attempt = attempt;
+            if (copy) deps.copies.end(head.id, true);
             way.keeper = backUp === undefined ? undefined : deps.endpoint(backUp);
             if (!endpoint) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
@@ -273,9 +299,7 @@
                     workspace: workspace?.name,
                     rank: rankOf(call),
                     backUpTo: way.keeper?.address,
-                    continueFrom: continueAt === undefined
-                        ? undefined
-                        : { source: endpoint.address, copy: head.id, lastEvent: way.lastEvent },
+                    continueFrom: continueAt === undefined ? undefined : continuation(head.id, endpoint, copy, way),
                 },
                 body: way.body,
                 repeatable: route.kind === RouteKind.Repeatable,
@@ -299,13 +323,28 @@
     };
 }
 
+function knownKeeper(way: Way, incarnation: string): EndpointEntry | undefined {
+    return [way.copy?.keeper, way.keeper].find(entry => entry?.incarnation === incarnation);
+}
+
+/** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
+function continuation(callId: string, endpoint: EndpointEntry, copy: Copy | undefined, way: Way): Continuation {
+    const { lastEvent } = way;
+    if (copy) return { source: copy.source.address, copy: copy.name, lastEvent };
+    return { source: endpoint.address, copy: callId, lastEvent };
+}
+
 /** What a call's attempts share. */
 interface Way {
     readonly body: Buffer | undefined;
     /** When the call is given up, on the monotonic clock. */
     readonly deadline: number;
+    /** Id of the latest attempt. */
+    attempt: string;
     /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
     keeper: EndpointEntry | undefined;
+    /** A copy that was made because the endpoint is leaving; goes before the one that grows with the generation. */
+    copy: Copy | undefined;
     /** Id of the last event that went to the caller. */
     lastEvent: string | undefined;
     /** An endpoint's own failure that was to be tried again elsewhere. */
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -9,6 +9,7 @@
 import { EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { HostCfg } from "./config.js";
+import { Copies } from "./copies.js";
 import { DeploymentFeed } from "./deployment-feed.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
@@ -68,6 +69,14 @@
     const options = { hall: cfg["host.hall"], retries };
     const engines = new Placement(signal, ENGINE_VARIANT, seed, options);
     const plain = new Placement(signal, PLAIN_VARIANT, seed, options);
+    const copies = new Copies({
+        engines,
+        wire: platformWire,
+        log,
+        metrics,
+        signal,
+        endpoint: incarnation => feed.endpoint(incarnation),
+    });
     const deps: Forwarding = {
         wire: platformWire,
         log,
@@ -76,6 +85,7 @@
         engines,
         plain,
         runs,
+        copies,
         bodyMs: cfg["callers.body-timeout"],
         logCalls: cfg["log.requests"],
         table: () => feed.table,
@@ -104,6 +114,7 @@
     feed.onEndpoints(registry => {
         known = registry;
         declare();
+        copies.rescue();
     });
     await Promise.all([listen(operators, cfg["operators.listen"]), listen(callers, cfg["callers.listen"])]);
     feed.start();
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -75,6 +75,9 @@
     private readonly storeCalls = this.counter("drumpaddle_store_calls_total", "Calls to the platform's store.", [
         "call",
     ]);
+    private readonly copies = this.counter("drumpaddle_copies_total", "Copies of running generations ordered.", [
+        "result",
+    ]);
     private readonly connections = this.counter("drumpaddle_connections_total", "Connections opened to endpoints.", []);
     private readonly peers = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", ["direction"]);
     readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
@@ -115,6 +118,10 @@
         this.storeCalls.inc({ call });
     }
 
+    countCopy(result: string): void {
+        this.copies.inc({ result });
+    }
+
     countConnection(): void {
         this.connections.inc();
     }
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -29,6 +29,9 @@
 /** A question to an endpoint's owner. */
 export type AskAction = Extract<SchedulerAction, { kind: "ask" }>;
 
+/** A copy to be made. */
+export type CopyAction = Extract<SchedulerAction, { kind: "copy" }>;
+
 /** Waiting requests are looked at this often even when nothing happens. */
 const TICK_MS = 50;
 
@@ -85,6 +88,16 @@
         this.handle({ kind: "continue", job, failed });
     }
 
+    /** Where a request whose endpoint is leaving is to be copied to; undefined where no endpoint has room. */
+    planRescue(job: string): CopyAction | undefined {
+        return this.handle({ kind: "rescue", job }).find(action => action.kind === "copy");
+    }
+
+    /** The copy of a request could not be made. */
+    copyLost(job: string): void {
+        this.handle({ kind: "copyLost", job });
+    }
+
     /** Takes back a request that waits. */
     withdraw(job: string): void {
         this.asking.delete(job);
@@ -104,10 +117,11 @@
         for (const event of events) this.handle(event);
     }
 
-    private handle(event: SchedulerEvent): void {
+    private handle(event: SchedulerEvent): readonly SchedulerAction[] {
         const { state, actions } = decide(this.state, event, performance.now());
         this.state = state;
         for (const action of actions) this.carryOut(action);
+        return actions;
     }
 
     private carryOut(action: SchedulerAction): void {
@@ -115,6 +129,8 @@
             this.onAsk(action);
             return;
         }
+        // Copies are made by whoever asked for the plan.
+        if (action.kind === "copy") return;
         const placed = this.asking.get(action.job);
         this.asking.delete(action.job);
         if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority, action.backUp);
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -98,10 +98,14 @@
 /** Backups are placed while memory is planned up to this share; what is above is for streams that run. */
 const BACKUP_ROOM_SHARE = 0.6;
 
+/** A stream whose endpoint is about to leave is copied while memory is planned up to this share: it will run there soon. */
+export const RESCUE_ROOM_SHARE = 0.9;
+
 /**
  * The endpoint that keeps a copy of a stream: the one with the most room, if any has some to spare.
  *
  * @param primary Where the stream runs.
+ * @param roomShare Share of an endpoint's memory that may be planned with the copy.
  *
  * @example
  * ```ts
@@ -114,13 +118,14 @@
     primary: string,
     now: number,
     hall?: string,
+    roomShare = BACKUP_ROOM_SHARE,
 ): string | undefined {
     let chosen: { readonly id: string; readonly cost: number } | undefined;
     for (const view of usable(views, job, [primary], now)) {
         if (view.cfg.id === primary) continue;
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
         const cost = used + (hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0);
-        if (used <= BACKUP_ROOM_SHARE && cost < (chosen?.cost ?? Infinity)) chosen = { id: view.cfg.id, cost };
+        if (used <= roomShare && cost < (chosen?.cost ?? Infinity)) chosen = { id: view.cfg.id, cost };
     }
     return chosen?.id;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -59,6 +59,7 @@
     type Decision,
     isProgressDue,
     type JobOutcome,
+    jobsToRescue,
     PROGRESS_EVERY,
     type RefuseReason,
     type SchedulerAction,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,7 +8,7 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { assess, type Bounds, type Candidate, chooseBackup, usable, wantedOf } from "./choose.js";
+import { assess, type Bounds, type Candidate, chooseBackup, RESCUE_ROOM_SHARE, usable, wantedOf } from "./choose.js";
 import type { Curve } from "./curve.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
@@ -105,6 +105,10 @@
     | { readonly kind: "ended"; readonly job: string; readonly outcome: JobOutcome; readonly produced: number }
     /** A request's endpoint broke off: it is to go on where its copy is kept. `failed`: the endpoint is to blame. */
     | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
+    /** A request's endpoint is leaving: another is to take a copy, if there is room. */
+    | { readonly kind: "rescue"; readonly job: string }
+    /** The copy of a request could not be made. */
+    | { readonly kind: "copyLost"; readonly job: string }
     /** A caller left before its request was placed. */
     | { readonly kind: "withdraw"; readonly job: string }
     | { readonly kind: "tick" };
@@ -130,6 +134,8 @@
         readonly curve: Curve;
         readonly bounds: Bounds;
     }
+    /** Copy a running request's memory from one endpoint to the other. */
+    | { readonly kind: "copy"; readonly job: string; readonly from: string; readonly to: string }
     | {
         readonly kind: "refuse";
         readonly job: string;
@@ -268,6 +274,8 @@
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
+    rescue: (state, { job }, now) => rescue(state, job, now),
+    copyLost: (state, { job }) => ({ state: dropBackup(state, job), actions: [] }),
     withdraw: (state, { job }, now) => {
         const waiting = state.waiting.filter(other => other.job.id !== job);
         return { state: { ...takeBack(state, job, now), waiting }, actions: [] };
@@ -382,7 +390,9 @@
 /** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
 function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
     const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    const { state: next, keeper } = backUp(state, job, endpoint, now);
+    const { state: next, keeper } = job.backUp === true && state.variant.backups
+        ? backUp(state, job, endpoint, now)
+        : { state, keeper: undefined };
     return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
 }
 
@@ -392,16 +402,55 @@
     job: Job,
     endpoint: string,
     now: number,
+    roomShare?: number,
 ): { readonly state: SchedulerState; readonly keeper: string | undefined } {
     const running = state.endpoints.get(endpoint)?.streams.get(job.id);
-    if (!state.variant.backups || job.backUp !== true || !running) return { state, keeper: undefined };
+    if (!running) return { state, keeper: undefined };
     const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
-    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall);
+    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
     if (keeper === undefined) return { state, keeper };
     const kept = withView(state, keeper, view => addBackup(view, running));
     return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
 }
 
+/** Whether an endpoint is leaving or no longer declared. */
+function isLeaving(view: EndpointView | undefined): boolean {
+    return !view || view.leavingBy.length > 0 || view.cfg.models.length === 0;
+}
+
+/**
+ * Requests that asked for a copy, whose endpoint is leaving and that have none at an endpoint that stays.
+ *
+ * @example
+ * ```ts
+ * for (const job of jobsToRescue(state)) decide(state, { kind: "rescue", job }, now);
+ * ```
+ */
+export function jobsToRescue(state: SchedulerState): readonly string[] {
+    const jobs: string[] = [];
+    for (const view of state.endpoints.values()) {
+        if (!isLeaving(view)) continue;
+        for (const { job } of view.streams.values()) {
+            if (job.backUp === true && !hasSafeCopy(state, job.id)) jobs.push(job.id);
+        }
+    }
+    return jobs;
+}
+
+function hasSafeCopy(state: SchedulerState, job: string): boolean {
+    const keeper = getIn(state.backedUp, job);
+    return keeper !== undefined && !isLeaving(state.endpoints.get(keeper));
+}
+
+function rescue(state: SchedulerState, job: string, now: number): Decision {
+    const from = getIn(state.placed, job);
+    const running = from === undefined ? undefined : state.endpoints.get(from)?.streams.get(job);
+    if (from === undefined || !running) return { state, actions: [] };
+    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
+    if (keeper === undefined) return { state, actions: [] };
+    return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
+}
+
 /** The state without the copy of a request. */
 function dropBackup(state: SchedulerState, job: string): SchedulerState {
     const keeper = getIn(state.backedUp, job);
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -104,6 +104,19 @@
     readonly detail: string;
 }
 
+/** A call of this system's own to an endpoint. */
+export interface EndpointCall {
+    readonly method: "GET" | "POST" | "DELETE";
+    readonly path: string;
+    readonly body: string | undefined;
+}
+
+/** What an endpoint answers to the order to copy a running generation. */
+export type CopyAnswer =
+    /** The copy's name at the endpoint that made it. */
+    | { readonly kind: "copied"; readonly copy: string }
+    | { readonly kind: "notMade"; readonly detail: string };
+
 /** Names and formats of one platform. Decides nothing. */
 export interface PlatformWire {
     readonly storeKeys: {
@@ -117,6 +130,11 @@
     readCall(headers: RawHeaders): Decoded<CallHead, HeadError>;
     writeSend(send: SendHead): string[];
     readAnswer(headers: RawHeaders): AnswerHead;
+    /** The order to copy a running generation to another endpoint, `ip:port`, while it goes on. */
+    copyCall(callId: string, target: string): EndpointCall;
+    readCopy(status: number, body: string): CopyAnswer;
+    /** Gives up a copy; sent to the endpoint that made it. */
+    dropCopyCall(copy: string): EndpointCall;
     /** Path at which the platform asks whether this host takes new connections. */
     readonly readyPath: string;
     /** Headers of an answer of this system's own; `retryAfterMs` tells when to come back. */
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -108,6 +108,8 @@
     /** The endpoint answered, whole, that it failed: passed on unless the request may be tried elsewhere. */
     | { readonly kind: "failedAnswer"; readonly attempt: string; readonly generation: string }
     | { readonly kind: "lost"; readonly attempt: string; readonly cause: LossCause; readonly detail: string }
+    /** A copy of the running generation was made at an endpoint, which may go on with it. */
+    | { readonly kind: "copied"; readonly attempt: string; readonly endpoint: string }
     | { readonly kind: "callerGone" }
     | { readonly kind: "deadline" }
     /** The host was told to stop. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -107,6 +107,8 @@
         if (!neverSent) return breakOff(state, cause, detail);
         return afterNeverSent({ ...state, record: recordNeverSent(state.record, attempt) }, detail);
     },
+    copied: (state, { attempt, endpoint }) =>
+        isCurrent(state, attempt) ? stay({ ...state, attempt: { ...state.attempt!, backUp: endpoint } }) : stay(state),
     callerGone: state => fail(state, FailCode.CallerGone, "the caller left", cancelCurrent(state)),
     deadline: state => fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state)),
     stopping: state =>
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -12,6 +12,7 @@
 } from "./deployment.js";
 export {
     applyChanges,
+    type Departed,
     EMPTY_REGISTRY,
     expireLapsed,
     LAPSE_GRACE_MS,
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -23,12 +23,23 @@
 /** All endpoints, and what is known of the store that names them. */
 export interface Registry {
     readonly endpoints: ReadonlyMap<string, Registered>;
+    /** Endpoints whose registration is gone: what runs there may go on for a while, but nothing new is sent. */
+    readonly departed: ReadonlyMap<string, Departed>;
     /** Whether the store has answered since it last failed to. */
     readonly storeAway: boolean;
     /** When the store came back last; undefined if it was never away. */
     readonly storeBackAt: number | undefined;
 }
 
+/** An endpoint whose registration is gone. */
+export interface Departed {
+    readonly entry: EndpointEntry;
+    readonly at: number;
+}
+
+/** Departed endpoints are remembered for as long as they may still finish what they run. */
+export const DEPARTED_KEPT_MS = 30_000;
+
 /** A registration that was written or, with no entry, deleted. */
 export interface RegistryChange {
     readonly incarnation: string;
@@ -36,7 +47,12 @@
 }
 
 /** A registry that knows of no endpoint. */
-export const EMPTY_REGISTRY: Registry = { endpoints: new Map(), storeAway: false, storeBackAt: undefined };
+export const EMPTY_REGISTRY: Registry = {
+    endpoints: new Map(),
+    departed: new Map(),
+    storeAway: false,
+    storeBackAt: undefined,
+};
 
 /** The registry when a call to the store failed. */
 export function storeFailed(registry: Registry): Registry {
@@ -68,7 +84,16 @@
         if (entry) endpoints.set(incarnation, { entry, lapsedAt: undefined });
         else vanish(registry, endpoints, incarnation, now);
     }
-    return { ...registry, endpoints };
+    return withEndpoints(registry, endpoints, now);
+}
+
+/** The registry with other endpoints; those that it had and has no more have departed. */
+function withEndpoints(registry: Registry, endpoints: ReadonlyMap<string, Registered>, now: number): Registry {
+    const departed = new Map([...registry.departed].filter(([, { at }]) => now - at < DEPARTED_KEPT_MS));
+    for (const [incarnation, { entry }] of registry.endpoints) {
+        if (!endpoints.has(incarnation)) departed.set(incarnation, { entry, at: now });
+    }
+    return { ...registry, endpoints, departed };
 }
 
 function vanish(registry: Registry, endpoints: Map<string, Registered>, incarnation: string, now: number): void {
@@ -96,5 +121,5 @@
     const kept = [...registry.endpoints].filter(([, { lapsedAt }]) =>
         lapsedAt === undefined || now - since < LAPSE_GRACE_MS
     );
-    return kept.length === registry.endpoints.size ? registry : { ...registry, endpoints: new Map(kept) };
+    return kept.length === registry.endpoints.size ? registry : withEndpoints(registry, new Map(kept), now);
 }
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -309,6 +309,8 @@
             this.end(stream);
             return;
         }
+        // The experiment's engines neither leave nor keep copies.
+        if (action.kind === "copy") return;
         stream.engine = Number(action.endpoint.slice(1));
         stream.bound90 = this.statedBound(stream);
         stream.attempt += 1;
