Tests of the gateway on a stand-in platform, of copies, continuation, registry, routes and the store's contract

Ruled out: a reset made by resetAndDestroy in a stand-in, which sends a FIN first; a socket that is closed with unread bytes resets, which the tests of the connections use.

--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -134,7 +134,7 @@
         timeoutMs: number,
     ): Promise<{ readonly status: number; readonly body: string }> {
         const signal = AbortSignal.any([this.deps.signal, AbortSignal.timeout(timeoutMs)]);
-        const headers = { "content-type": "application/json" };
+        const headers = body === undefined ? {} : { "content-type": "application/json" };
         const res = await request(`http://${address}${path}`, { method, headers, signal, body: body ?? null });
         return { status: res.statusCode, body: await res.body.text() };
     }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -25,6 +25,8 @@
 export interface Gateway {
     /** Refuses new streams, serves what it can until its time is over, then ends. */
     stop(): Promise<void>;
+    /** Ends at once; calls are cut. */
+    kill(): Promise<void>;
 }
 
 /** Plain services have no memory to plan with: the endpoint with the fewest open calls is taken. */
@@ -119,6 +121,11 @@
     await Promise.all([listen(operators, cfg["operators.listen"]), listen(callers, cfg["callers.listen"])]);
     feed.start();
     log.info({ host: cfg["host.name"], hall: cfg["host.hall"], callers: cfg["callers.listen"] }, "listening");
+    const kill = async (): Promise<void> => {
+        own.abort();
+        callers.server.closeAllConnections();
+        await Promise.all([callers.close(), operators.close()]);
+    };
     const stop = async (): Promise<void> => {
         log.info({ open: runs.size }, "stopping");
         peers.leave();
@@ -127,9 +134,9 @@
         await pause(STILL_SERVED_MS);
         await Promise.race([drained, pause(end - performance.now())]);
         log.info({ open: runs.size }, "stopped");
-        own.abort();
+        await kill();
     };
-    return { stop };
+    return { stop, kill };
 }
 
 function pause(ms: number): Promise<void> {
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -9,6 +9,7 @@
 } from "./config.js";
 export { type Daemon, startDaemon } from "./daemon.js";
 export { Directory, hashSecret } from "./directory.js";
+export { type Gateway, startGateway } from "./gateway.js";
 export { createLog, formatRecord, type Log } from "./log.js";
 export { Metrics, Timing } from "./metrics.js";
 export { isOnce, plainModel } from "./plain.js";
--- /dev/null
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -0,0 +1,133 @@
+import test, { type ExecutionContext } from "ava";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { EndpointConnections, type Exchange } from "../src/endpoint-connections.js";
+
+interface Endpoint {
+    readonly address: string;
+    readonly sockets: Socket[];
+}
+
+/** An endpoint that never reads; closing it with bytes unread resets the connection. */
+async function deafEndpoint(t: ExecutionContext, onSocket: (socket: Socket) => void): Promise<Endpoint> {
+    const sockets: Socket[] = [];
+    const server = createServer({ pauseOnConnect: true }, socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        onSocket(socket);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        for (const socket of sockets) socket.destroy();
+        server.close();
+    });
+    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sockets };
+}
+
+type Ended = "orderly" | "reset" | "broken";
+
+interface Sent {
+    readonly exchange: Exchange;
+    readonly ended: Promise<Ended>;
+    readonly sent: () => boolean;
+}
+
+function connectionsOf(t: ExecutionContext): { connections: EndpointConnections; opened: () => number } {
+    const own = new AbortController();
+    t.teardown(() => own.abort());
+    let opened = 0;
+    const connections = new EndpointConnections(own.signal, () => opened += 1);
+    return { connections, opened: () => opened };
+}
+
+function send(connections: EndpointConnections, address: string): Sent {
+    let sent = false;
+    let end: (ended: Ended) => void = () => undefined;
+    const ended = new Promise<Ended>(resolve => end = resolve);
+    const exchange = connections.send(address, { method: "GET", path: "/", headers: [], body: undefined }, {
+        onSending: () => sent = true,
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: orderly => end(orderly ? "orderly" : "reset"),
+        onBroken: () => end("broken"),
+    });
+    return { exchange, ended, sent: () => sent };
+}
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it";
+const WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const AFTER_DATA_MS = 50;
+
+test("an answer without a length that ends with an orderly close ends orderly", async t => {
+    const { connections } = connectionsOf(t);
+    const { address } = await deafEndpoint(t, socket => {
+        socket.resume();
+        socket.end(UNFRAMED);
+    });
+    t.is(await send(connections, address).ended, "orderly");
+});
+
+test("an answer without a length whose connection is reset does not end orderly", async t => {
+    const { connections } = connectionsOf(t);
+    const { address } = await deafEndpoint(
+        t,
+        socket => socket.write(UNFRAMED, () => setTimeout(() => socket.destroy(), AFTER_DATA_MS)),
+    );
+    t.not(await send(connections, address).ended, "orderly");
+});
+
+test("an answer with a length that stops short is broken", async t => {
+    const { connections } = connectionsOf(t);
+    const { address } = await deafEndpoint(t, socket => {
+        socket.resume();
+        socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    });
+    t.is(await send(connections, address).ended, "broken");
+});
+
+test("a call to an address where nothing listens never left", async t => {
+    const { connections } = connectionsOf(t);
+    const { address, sockets } = await deafEndpoint(t, () => undefined);
+    t.is(sockets.length, 0);
+    const call = send(connections, address.replace(/:\d+$/, ":1"));
+    t.is(await call.ended, "broken");
+    t.false(call.sent());
+});
+
+test("a connection is used again after a whole answer, and not once it was closed or spoke unasked", async t => {
+    const { connections, opened } = connectionsOf(t);
+    const { address, sockets } = await deafEndpoint(t, socket => {
+        socket.resume();
+        socket.on("data", () => socket.write(WHOLE));
+    });
+    const answered = async (): Promise<void> => {
+        const { exchange, ended } = send(connections, address);
+        t.is(await ended, "orderly");
+        exchange.release(undefined);
+    };
+    await answered();
+    await answered();
+    t.is(opened(), 1);
+    sockets[0]!.write("bytes that belong to no call");
+    await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+    await answered();
+    t.is(opened(), 2);
+    sockets[1]!.destroy();
+    await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+    await answered();
+    t.is(opened(), 3);
+});
+
+test("a connection that rested too long for its endpoint is not used again", async t => {
+    const { connections, opened } = connectionsOf(t);
+    const { address } = await deafEndpoint(t, socket => {
+        socket.resume();
+        socket.on("data", () => socket.write(WHOLE));
+    });
+    for (let at = 0; at < 2; at++) {
+        const { exchange, ended } = send(connections, address);
+        await ended;
+        // The endpoint keeps idle connections for as long as the margin: none is left.
+        exchange.release(1_000);
+    }
+    t.is(opened(), 2);
+});
--- /dev/null
+++ b/packages/policy/test/carry.test.ts
@@ -0,0 +1,207 @@
+import test from "ava";
+import {
+    countRequest,
+    createFleetBudget,
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
+    type EndpointCfg,
+    type FleetBudget,
+    type Job,
+    jobsToRescue,
+    type SchedulerEvent,
+    type SchedulerState,
+    takeRepeat,
+    type Variant,
+} from "../src/index.js";
+
+const VARIANT: Variant = { ...DEFAULT_VARIANT, backups: true, prefix: false };
+
+function endpointOf(id: string, hall = "h1", memoryTokens = 30_000): EndpointCfg {
+    return { id, hall, models: ["m"], memoryTokens };
+}
+
+function jobOf(id: string, more: Partial<Job> = {}): Job {
+    return {
+        id,
+        group: { workspace: "w", service: "s", model: "m" },
+        promptTokens: 2_000,
+        maxTokens: 500,
+        prefix: "",
+        prefixTokens: 0,
+        backUp: true,
+        policy: {
+            priority: "normal",
+            quantile: 0.95,
+            gapTargetMs: 60_000,
+            weightTail: 1,
+            weightStall: 1,
+            weightPrefix: 0,
+            maxWaitMs: 400,
+            queueLimit: 10,
+            retryShare: 0,
+        },
+        ...more,
+    };
+}
+
+interface Driven {
+    readonly state: SchedulerState;
+    readonly actions: ReturnType<typeof decide>["actions"];
+}
+
+function drive(state: SchedulerState, events: readonly SchedulerEvent[], now = 0): Driven {
+    return events.reduce<Driven>((before, event) => decide(before.state, event, now), { state, actions: [] });
+}
+
+function fleetOf(endpoints: readonly EndpointCfg[], hall?: string): SchedulerState {
+    return drive(createScheduler(VARIANT, 1, { hall }), [{ kind: "endpoints", endpoints }]).state;
+}
+
+const arrive = (job: Job): SchedulerEvent => ({ kind: "arrive", job, avoid: [], retry: false });
+const leaving = (endpoint: string): SchedulerEvent => ({
+    kind: "leaving",
+    endpoint,
+    source: "registry",
+    leaving: true,
+});
+const THREE = [endpointOf("e1"), endpointOf("e2"), endpointOf("e3")];
+
+function dispatched({ actions }: Driven): { readonly endpoint: string; readonly backUp: string | undefined } {
+    const action = actions.find(({ kind }) => kind === "dispatch");
+    if (action?.kind !== "dispatch") throw new Error("not dispatched");
+    return action;
+}
+
+test("a stream that asks for it is backed up at another endpoint, whose memory is counted and whose batch is not", t => {
+    const after = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+    const { endpoint, backUp } = dispatched(after);
+    t.not(backUp, undefined);
+    t.not(backUp, endpoint);
+    const keeper = after.state.endpoints.get(backUp!)!;
+    t.is(keeper.streams.size, 0);
+    t.true(keeper.curve.mean[0]! >= 2_000);
+});
+
+test("none is backed up where it did not ask, or where memory is planned too far", t => {
+    t.is(dispatched(drive(fleetOf(THREE), [arrive(jobOf("j", { backUp: false }))])).backUp, undefined);
+    const small = [endpointOf("e1"), endpointOf("e2", "h1", 3_000)];
+    t.is(dispatched(drive(fleetOf(small), [arrive(jobOf("j"))])).backUp, undefined);
+});
+
+test("memory of stream and copy is free again when it ends", t => {
+    const before = drive(fleetOf(THREE), [arrive(jobOf("j"))]).state;
+    const { state } = drive(before, [{ kind: "ended", job: "j", outcome: "whole", produced: 40 }]);
+    for (const view of state.endpoints.values()) {
+        t.is(view.streams.size + view.backups.size, 0);
+        t.true(Math.abs(view.curve.mean[0]!) < 1e-6);
+    }
+});
+
+test("it goes on at its copy, which then runs, and gets another copy", t => {
+    const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+    const { endpoint, backUp } = dispatched(placed);
+    const going = drive(placed.state, [{ kind: "continue", job: "j", failed: false }]);
+    t.is(dispatched(going).endpoint, backUp!);
+    t.not(dispatched(going).backUp, backUp);
+    t.is(going.state.endpoints.get(endpoint)!.streams.size, 0);
+    t.true(going.state.endpoints.get(backUp!)!.streams.has("j"));
+});
+
+test("without a copy it does not go on", t => {
+    const alone = drive(fleetOf([endpointOf("e1")]), [arrive(jobOf("j"))]);
+    t.like(drive(alone.state, [{ kind: "continue", job: "j", failed: true }]).actions, [{ kind: "refuse" }]);
+});
+
+test("streams of a leaving endpoint are rescued unless their copy's keeper stays", t => {
+    const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+    const { endpoint, backUp } = dispatched(placed);
+    const left = drive(placed.state, [leaving(endpoint)]).state;
+    t.deepEqual(jobsToRescue(left), []);
+    const both = drive(left, [leaving(backUp!)]).state;
+    t.deepEqual(jobsToRescue(both), ["j"]);
+    const third = THREE.map(({ id }) => id).find(id => id !== endpoint && id !== backUp)!;
+    const rescued = drive(both, [{ kind: "rescue", job: "j" }]);
+    t.deepEqual(rescued.actions, [{ kind: "copy", job: "j", from: endpoint, to: third }]);
+    t.deepEqual(jobsToRescue(rescued.state), []);
+    t.deepEqual(jobsToRescue(drive(rescued.state, [{ kind: "copyLost", job: "j" }]).state), ["j"]);
+});
+
+test("streams of an endpoint that is declared no more are rescued too", t => {
+    const placed = drive(fleetOf([endpointOf("e1"), endpointOf("e2", "h1", 2_500)]), [arrive(jobOf("j"))]);
+    t.is(dispatched(placed).backUp, undefined);
+    const { state } = drive(placed.state, [{ kind: "endpoints", endpoints: [endpointOf("e3")] }]);
+    t.deepEqual(jobsToRescue(state), ["j"]);
+});
+
+test("prompts that are still to be read make an endpoint wait, those of other hosts as well", t => {
+    const [first, second] = [endpointOf("e1"), endpointOf("e2")];
+    const busy = drive(fleetOf([first, second]), [{
+        kind: "others",
+        endpoint: "e1",
+        others: { streams: 1, unread: 4_000, curve: { mean: new Float64Array(9), variance: new Float64Array(9) } },
+    }]);
+    t.is(dispatched(drive(busy.state, [arrive(jobOf("j"))])).endpoint, "e2");
+});
+
+test("the own hall goes first among endpoints that are otherwise alike", t => {
+    for (const hall of ["h1", "h2"]) {
+        const fleet = fleetOf([endpointOf("e1", "h1"), endpointOf("e2", "h2")], hall);
+        t.is(dispatched(drive(fleet, [arrive(jobOf("j"))])).endpoint, hall === "h1" ? "e1" : "e2");
+    }
+});
+
+test("what cannot be reached gets nothing more for a while, also where it is most of them", t => {
+    let state = fleetOf(THREE);
+    for (const id of ["a", "b"]) {
+        const placed = drive(state, [arrive(jobOf(id, { backUp: false }))]);
+        const unreachable = { kind: "ended", job: id, outcome: "unreachable", produced: 0 } as const;
+        state = drive(placed.state, [unreachable]).state;
+    }
+    const reached = new Set<string>();
+    for (let at = 0; at < 4; at++) {
+        const placed = drive(state, [arrive(jobOf(`j${at}`, { backUp: false }))]);
+        reached.add(dispatched(placed).endpoint);
+        state = placed.state;
+    }
+    t.is(reached.size, 1);
+});
+
+function budgetAfter(requests: number, now = 0): FleetBudget {
+    let budget = createFleetBudget({ windowMs: 10_000, ratio: 0.2, slack: 60 });
+    for (let at = 0; at < requests; at++) budget = countRequest(budget, now);
+    return budget;
+}
+
+function repeatsOf(start: FleetBudget, hosts: number, now = 0): number {
+    let budget: FleetBudget | undefined = start;
+    let taken = 0;
+    for (;;) {
+        budget = takeRepeat(budget, hosts, now);
+        if (!budget) return taken;
+        taken += 1;
+    }
+}
+
+test("all hosts together stay within the fleet's budget of repeated sends", t => {
+    const hosts = 10;
+    const requests = 100;
+    const all = hosts * repeatsOf(budgetAfter(requests), hosts);
+    t.true(all > 0);
+    t.true(all <= 0.2 * requests * hosts + 60);
+});
+
+test("a host that sees few others does not take their parts", t => {
+    let budget = budgetAfter(0);
+    budget = takeRepeat(budget, 20, 0)!;
+    t.true(repeatsOf(budget, 1) <= repeatsOf(budgetAfter(0), 20));
+});
+
+test("the budget forgets what left its window, and only that", t => {
+    const used = budgetAfter(200);
+    const most = repeatsOf(used, 6);
+    let spent: FleetBudget = used;
+    for (let at = 0; at < most; at++) spent = takeRepeat(spent, 6, 0)!;
+    t.is(takeRepeat(spent, 6, 9_000), undefined);
+    t.not(takeRepeat(spent, 6, 12_000), undefined);
+});
--- /dev/null
+++ b/packages/request/test/continue.test.ts
@@ -0,0 +1,125 @@
+import test from "ava";
+import {
+    createRequest,
+    type LossCause,
+    Phase,
+    type RequestAction,
+    type RequestCfg,
+    type RequestEvent,
+    type RequestState,
+    step,
+} from "../src/index.js";
+
+const CFG: RequestCfg = { id: "r", repeatable: false, streamed: true, maxAttempts: 1, maxResumes: 0, deadline: 1e9 };
+
+interface Driven {
+    readonly state: RequestState;
+    /** Actions of the last event. */
+    readonly actions: readonly RequestAction[];
+}
+
+function drive(events: readonly RequestEvent[], cfg: Partial<RequestCfg> = {}): Driven {
+    return events.reduce<Driven>(({ state }, event) => step(state, event), createRequest({ ...CFG, ...cfg }));
+}
+
+const admitted = (endpoint: string, backUp?: string): RequestEvent => ({ kind: "admitted", endpoint, backUp });
+const sending = (attempt: string): RequestEvent => ({ kind: "sending", attempt });
+const token = (attempt: string, index: number): RequestEvent => ({
+    kind: "token",
+    attempt,
+    generation: attempt,
+    index,
+});
+const lost = (attempt: string, cause: LossCause): RequestEvent => ({
+    kind: "lost",
+    attempt,
+    cause,
+    detail: "it broke",
+});
+
+const RUNNING = [admitted("e1", "e2"), sending("r.1"), token("r.1", 0), token("r.1", 1)];
+
+for (const cause of ["reset", "idle", "reclaimed"] as const) {
+    test(`a generation with a copy that is lost by ${cause} is cancelled and goes on at the next token`, t => {
+        const broken = drive([...RUNNING, lost("r.1", cause)]);
+        t.deepEqual(broken.actions.map(action => action.kind), ["cancel", "admitCopy"]);
+        const { actions } = step(broken.state, admitted("e2", "e3"));
+        t.deepEqual(actions, [{ kind: "dispatch", attempt: "r.2", endpoint: "e2", backUp: "e3", continueAt: 2 }]);
+    });
+}
+
+for (const cause of ["connect", "invalid", "resumeRefused"] as const) {
+    test(`a loss by ${cause} does not go on from a copy`, t => {
+        const { state } = drive([...RUNNING, lost("r.1", cause)]);
+        t.is(state.phase, Phase.Ended);
+    });
+}
+
+test("what goes on gives each token once: those before are dropped, and a gap ends it", t => {
+    const going = [...RUNNING, lost("r.1", "reset"), admitted("e2"), sending("r.2")];
+    t.deepEqual(drive([...going, token("r.2", 1)]).actions, []);
+    t.deepEqual(drive([...going, token("r.2", 2)]).actions, [{ kind: "forward", index: 2 }]);
+    t.is(drive([...going, token("r.2", 3)]).state.phase, Phase.Ended);
+    t.deepEqual(drive([...going, token("r.1", 2)]).actions, [], "the attempt before is heard no more");
+});
+
+test("it ends whole with the count of all its tokens", t => {
+    const events = [
+        ...RUNNING,
+        lost("r.1", "reset"),
+        admitted("e2"),
+        sending("r.2"),
+        token("r.2", 2),
+        { kind: "finished", attempt: "r.2", generation: "r.2", total: 3 } as const,
+    ];
+    t.deepEqual(drive(events).actions, [{ kind: "complete", tokens: 3 }]);
+});
+
+test("where no copy is left, the loss is what its caller is told, and never that nothing ran", t => {
+    const { actions } = drive([...RUNNING, lost("r.1", "reset"), {
+        kind: "notAdmitted",
+        code: "no_endpoint",
+        detail: "none",
+    }]);
+    t.like(actions, [{ kind: "fail", err: { code: "endpoint_lost", ran: "yes", detail: "it broke" } }]);
+});
+
+test("a refusal of the copy's keeper proves nothing about what ran before", t => {
+    const { actions } = drive([
+        ...RUNNING,
+        lost("r.1", "reset"),
+        admitted("e2"),
+        sending("r.2"),
+        { kind: "endpointRefused", attempt: "r.2", detail: "no such copy" },
+    ]);
+    t.like(actions, [{ kind: "fail", err: { ran: "yes" } }]);
+});
+
+test("a copy that was made while it runs lets it go on; one of another attempt does not", t => {
+    const alone = [admitted("e1"), sending("r.1"), token("r.1", 0)];
+    const copied = (attempt: string): RequestEvent => ({ kind: "copied", attempt, endpoint: "e9" });
+    t.is(drive([...alone, lost("r.1", "reset")]).state.phase, Phase.Ended);
+    t.is(drive([...alone, copied("r.0"), lost("r.1", "reset")]).state.phase, Phase.Ended);
+    t.true(drive([...alone, copied("r.1"), lost("r.1", "reset")]).actions.some(({ kind }) => kind === "admitCopy"));
+});
+
+test("a caller that leaves while the copy is sought ends it", t => {
+    const { state } = drive([...RUNNING, lost("r.1", "reset"), { kind: "callerGone" }]);
+    t.is(state.phase, Phase.Ended);
+});
+
+test("attempts that never left do not use up the one that is allowed, and are bounded", t => {
+    const events: RequestEvent[] = [];
+    for (let at = 1; at <= 4; at++) {
+        events.push(admitted(`e${at}`), lost(`r.${at}`, "connect"));
+        if (at < 4) t.like(drive(events).actions.at(-1), { kind: "admit", neverLeft: true });
+    }
+    t.like(drive(events).actions.at(-1), { kind: "fail", err: { ran: "no" } });
+});
+
+test("an endpoint's own failure is tried elsewhere where that is allowed, and else passed on", t => {
+    const failed: RequestEvent = { kind: "failedAnswer", attempt: "r.1", generation: "r.1" };
+    const begun = [admitted("e1"), sending("r.1"), failed];
+    t.deepEqual(drive(begun).actions, [{ kind: "forward", index: 0 }, { kind: "complete", tokens: 1 }]);
+    t.like(drive(begun, { repeatable: true, maxAttempts: 2 }).actions.at(-1), { kind: "admit", retry: true });
+});
--- /dev/null
+++ b/packages/routes/test/routes.test.ts
@@ -0,0 +1,133 @@
+import test from "ava";
+import {
+    applyChanges,
+    type Deployment,
+    EMPTY_REGISTRY,
+    type EndpointEntry,
+    EndpointState,
+    expireLapsed,
+    LAPSE_GRACE_MS,
+    pickService,
+    type Registry,
+    replaceAll,
+    type Route,
+    RouteKind,
+    RouteTable,
+    storeAnswered,
+    storeFailed,
+} from "../src/index.js";
+
+function routeOf(name: string, host: string, prefix: string): Route {
+    return {
+        name,
+        host,
+        prefix,
+        kind: RouteKind.Repeatable,
+        timeoutMs: 1_000,
+        objectiveMs: 100,
+        gapMs: undefined,
+        rank: 1,
+        attempts: 1,
+        isPublic: false,
+        resumable: false,
+        services: [{ service: "app", weight: 1 }],
+    };
+}
+
+function deploymentOf(routes: readonly Route[]): Deployment {
+    return {
+        version: 3,
+        routes,
+        services: [{ name: "app", maxConnections: 10, engine: undefined }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
+        workspaces: [{ name: "payroll", keys: ["k1", "k2"], rank: undefined }],
+    };
+}
+
+const TABLE = RouteTable.of(deploymentOf([
+    routeOf("all", "a.example", "/"),
+    routeOf("deep", "a.example", "/x/y/"),
+    routeOf("shallow", "a.example", "/x/"),
+    routeOf("other", "b.example", "/x/"),
+]));
+
+const FOUND: Readonly<Record<string, readonly [host: string, target: string, name: string | undefined]>> = {
+    "the longest prefix": ["a.example", "/x/y/z", "deep"],
+    "a shorter prefix": ["a.example", "/x/yy", "shallow"],
+    "a prefix ends with its slash": ["a.example", "/x", "all"],
+    "a query is not of the path": ["a.example", "/?/x/y/", "all"],
+    "a port and capitals in the host": ["A.Example:8080", "/x/y/", "deep"],
+    "another host": ["b.example", "/x/y/", "other"],
+    "no route of the host": ["b.example", "/", undefined],
+    "no host": ["c.example", "/x/", undefined],
+};
+
+for (const [what, [host, target, name]] of Object.entries(FOUND)) {
+    test(`route: ${what}`, t => t.is(TABLE.find(host, target)?.name, name));
+}
+
+test("keys name their workspace", t => {
+    t.is(TABLE.workspaceOf("k2")?.name, "payroll");
+    t.is(TABLE.workspaceOf("k3"), undefined);
+    t.true(TABLE.usesKeys);
+});
+
+test("services get their part of the calls, and none gets any without weight", t => {
+    const services = [{ service: "a", weight: 90 }, { service: "b", weight: 10 }, { service: "c", weight: 0 }];
+    t.deepEqual([0, 0.89, 0.91, 0.999].map(draw => pickService(services, draw)), ["a", "a", "b", "b"]);
+    t.is(pickService([], 0.5), undefined);
+});
+
+function entryOf(incarnation: string, state: EndpointState = EndpointState.Ready): EndpointEntry {
+    return { incarnation, service: "app", address: "10.0.0.1:80", hall: "h", slots: 1, state, coldMs: 0 };
+}
+
+function registryOf(...incarnations: readonly string[]): Registry {
+    return replaceAll(EMPTY_REGISTRY, incarnations.map(name => entryOf(name)), 0);
+}
+
+function namesOf(registry: Registry): readonly string[] {
+    return [...registry.endpoints.keys()].sort();
+}
+
+function gone(registry: Registry, incarnation: string, now: number): Registry {
+    return applyChanges(registry, [{ incarnation, entry: undefined }], now);
+}
+
+test("a registration that goes while the store is well is gone at once, and remembered as departed", t => {
+    const after = gone(registryOf("i-1", "i-2"), "i-1", 10);
+    t.deepEqual(namesOf(after), ["i-2"]);
+    t.true(after.departed.has("i-1"));
+});
+
+test("one that goes while the store is away is kept until its time to come back is over", t => {
+    const away = gone(storeFailed(registryOf("i-1")), "i-1", 100);
+    t.deepEqual(namesOf(expireLapsed(away, 60_000)), ["i-1"]);
+    const back = storeAnswered(away, 70_000);
+    t.deepEqual(namesOf(expireLapsed(back, 70_000 + LAPSE_GRACE_MS - 1)), ["i-1"]);
+    t.deepEqual(namesOf(expireLapsed(back, 70_000 + LAPSE_GRACE_MS)), []);
+});
+
+test("one that goes just after the store's return may have lapsed in the outage", t => {
+    const back = storeAnswered(storeFailed(registryOf("i-1")), 1_000);
+    t.deepEqual(namesOf(gone(back, "i-1", 1_500)), ["i-1"]);
+    t.deepEqual(namesOf(gone(back, "i-1", 1_000 + LAPSE_GRACE_MS)), []);
+});
+
+test("one that lapsed and registers again stays", t => {
+    const lapsed = gone(storeFailed(registryOf("i-1")), "i-1", 0);
+    const again = applyChanges(storeAnswered(lapsed, 100), [{ incarnation: "i-1", entry: entryOf("i-1") }], 200);
+    t.deepEqual(namesOf(expireLapsed(again, 10_000)), ["i-1"]);
+});
+
+test("an endpoint that said that it leaves does not lapse: it is gone", t => {
+    const leaving = applyChanges(registryOf("i-1"), [
+        { incarnation: "i-1", entry: entryOf("i-1", EndpointState.Leaving) },
+    ], 0);
+    t.deepEqual(namesOf(gone(storeFailed(leaving), "i-1", 10)), []);
+});
+
+test("what a full read lacks has vanished, by the same rules", t => {
+    t.deepEqual(namesOf(replaceAll(registryOf("i-1", "i-2"), [entryOf("i-2")], 5)), ["i-2"]);
+    t.deepEqual(namesOf(replaceAll(storeFailed(registryOf("i-1", "i-2")), [entryOf("i-2")], 5)), ["i-1", "i-2"]);
+});
