Owners tell hosts only what is new; a host that restarts on a set-back clock is heard

Messages are checked by compiled schemas. A restarted host whose clock was set back had a lower incarnation and was not heard for a minute; its own word is taken once the one known before is dead.

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -127,12 +127,13 @@
 ): boolean {
     if (!last || last.owner !== owner) return holdsAny(held);
     if (!holdsAny(held) && !holdsAny(last.held)) return false;
-    if (held.streams !== last.held.streams || held.unread !== last.held.unread || now - last.at >= REPEAT_MS) {
-        return true;
-    }
-    return held.mean.some((mean, at) =>
-        Math.abs(mean - last.held.mean[at]!) > CHANGE_SHARE * Math.max(1, last.held.mean[at]!)
-    );
+    return now - last.at >= REPEAT_MS || isNews(last.held, held);
+}
+
+/** Whether a host's holdings differ from those that were said last by enough to say them again. */
+export function isNews(last: Held, held: Held): boolean {
+    if (held.streams !== last.streams || held.unread !== last.unread) return true;
+    return held.mean.some((mean, at) => Math.abs(mean - last.mean[at]!) > CHANGE_SHARE * Math.max(1, last.mean[at]!));
 }
 
 /** Copies of streams hold memory without being streams. */
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -169,10 +169,12 @@
  */
 export function hear(state: Membership, news: readonly MemberNews[], now: number): Membership {
     const members = new Map(state.members);
-    for (const item of news) {
+    for (const [at, item] of news.entries()) {
         if (item.name === state.self.name) continue;
         const known = members.get(item.name);
-        if (!known || isNewer(item, known)) members.set(item.name, { ...item, movedAt: now });
+        if (!known || isNewer(item, known) || at === 0 && isReturned(state, item, known, now)) {
+            members.set(item.name, { ...item, movedAt: now });
+        }
     }
     return { ...state, members };
 }
@@ -182,6 +184,14 @@
     return news.counter > known.counter;
 }
 
+/**
+ * Whether news of a lower incarnation, which a host gives of itself (its heartbeats begin with that), is of a host that
+ * came back: the one known before is dead, and its incarnation was made on a clock that has been set back since.
+ */
+function isReturned(state: Membership, news: MemberNews, known: Member, now: number): boolean {
+    return news.incarnation !== known.incarnation && !isAlive(state, known, now);
+}
+
 /** This host says that it is leaving; its next heartbeats carry it. */
 export function leave(state: Membership): Membership {
     return { ...state, leaving: true };
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -20,11 +20,13 @@
     EMPTY_ACCOUNT,
     type Held,
     heldOf,
+    isNews,
     judge,
     NOTHING_TOLD,
     othersFor,
     planTelling,
     type Question,
+    REPEAT_MS,
     takeHeld,
     type Told,
 } from "./load-share.js";
@@ -37,10 +39,20 @@
     readonly account: Account;
     /** As a holder: what was told to owners. */
     readonly told: Told;
+    /** As an owner: what was told to each host of its endpoints. */
+    readonly toldOthers: ReadonlyMap<string, ToldOthers>;
     /** Owners by endpoint, kept while hosts and endpoints stay the same: ranking all of them costs thousands of hashes. */
     readonly owners: Owners;
 }
 
+/** What an owner told one host last, so that it says only what is new. */
+interface ToldOthers {
+    readonly held: ReadonlyMap<string, { readonly held: Held; readonly at: number }>;
+    /** Which endpoints were said to be owned and leaving, and when. */
+    readonly basis: string;
+    readonly at: number;
+}
+
 interface Owners {
     /** What the map was worked out from. */
     readonly basis: string;
@@ -78,7 +90,13 @@
 
 /** A host that has told and heard nothing. */
 export function createShare(self: string): ShareState {
-    return { self, account: EMPTY_ACCOUNT, told: NOTHING_TOLD, owners: { basis: "", of: new Map() } };
+    return {
+        self,
+        account: EMPTY_ACCOUNT,
+        told: NOTHING_TOLD,
+        toldOthers: new Map(),
+        owners: { basis: "", of: new Map() },
+    };
 }
 
 /** The owner of an endpoint among live hosts. */
@@ -116,15 +134,14 @@
         .map(([to, list]): Addressed => ({ to, message: { kind: "held", held: list } }));
     const owned = views.map(view => view.cfg.id).filter(endpoint => owners.of.get(endpoint) === state.self);
     const leaving = owned.filter(endpoint => endpoints.get(endpoint)?.leavingBy.includes("endpoint"));
-    const others = live.filter(name => name !== state.self && owned.length > 0).map((to): Addressed => ({
-        to,
-        message: {
-            kind: "others",
-            others: owned.map(endpoint => sentOthers(account, endpoint, to, now)),
-            owned,
-            leaving,
-        },
-    }));
+    const toldOthers = new Map<string, ToldOthers>();
+    const others = live.flatMap((to): readonly Addressed[] => {
+        if (to === state.self || owned.length === 0) return [];
+        const known = owned.map(endpoint => sentOthers(account, endpoint, to, now));
+        const { told: next, message } = planOthers(state.toldOthers.get(to), known, { owned, leaving }, now);
+        toldOthers.set(to, next);
+        return message ? [{ to, message }] : [];
+    });
     const events: SchedulerEvent[] = [
         { kind: "hosts", count: Math.max(1, live.length) },
         { kind: "owns", endpoints: owned },
@@ -134,7 +151,26 @@
             others: othersFor(account, endpoint, state.self, now),
         })),
     ];
-    return { state: { ...state, account, told, owners }, send: [...held, ...others], events };
+    return { state: { ...state, account, told, toldOthers, owners }, send: [...held, ...others], events };
+}
+
+/** What of an owner's knowledge is worth saying to one host now; nothing where nothing is new. */
+function planOthers(
+    last: ToldOthers | undefined,
+    known: readonly Held[],
+    { owned, leaving }: { readonly owned: readonly string[]; readonly leaving: readonly string[] },
+    now: number,
+): { readonly told: ToldOthers; readonly message: ShareMessage | undefined } {
+    const held = new Map(last?.held);
+    const others = known.filter(item => {
+        const before = held.get(item.endpoint);
+        return !before || now - before.at >= REPEAT_MS || isNews(before.held, item);
+    });
+    for (const item of others) held.set(item.endpoint, { held: item, at: now });
+    const basis = `${owned.join(",")};${leaving.join(",")}`;
+    const repeats = last === undefined || last.basis !== basis || now - last.at >= REPEAT_MS;
+    if (others.length === 0 && !repeats) return { told: last, message: undefined };
+    return { told: { held, basis, at: now }, message: { kind: "others", others, owned, leaving } };
 }
 
 function sentOthers(account: Account, endpoint: string, host: string, now: number): Held {
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -1,9 +1,19 @@
-import { addCurve, createEstimates, peakOf, streamCurve, survivalOf, zeroCurve } from "@drumpaddle/policy";
+import {
+    addCurve,
+    createEndpoint,
+    createEstimates,
+    EndpointTable,
+    peakOf,
+    streamCurve,
+    survivalOf,
+    zeroCurve,
+} from "@drumpaddle/policy";
 import { snapshotOf } from "@drumpaddle/settings";
 import test from "ava";
 import {
     askAfter,
     createMembership,
+    createShare,
     cut,
     DEAD_AFTER_MS,
     EMPTY_ACCOUNT,
@@ -16,6 +26,7 @@
     judge,
     leave,
     liveHosts,
+    type MemberNews,
     type Membership,
     NOTHING_TOLD,
     othersFor,
@@ -23,7 +34,9 @@
     placeIn,
     planTelling,
     rank,
+    REPEAT_MS,
     shareOf,
+    shareRound,
     takeGiven,
     takeHeld,
     watches,
@@ -196,3 +209,29 @@
     t.deepEqual(takeGiven(older, given), newer.snapshot);
     t.is(give(undefined, ask), undefined);
 });
+
+test("a host that starts again on a clock that was set back is heard once the one before is dead", t => {
+    const news = (name: string, incarnation: number): { news: MemberNews[] } => ({
+        news: [{ name, hall: "h", address: addressOf(name), incarnation, counter: 1, leaving: false }],
+    });
+    const first = createMembership({ name: "a", hall: "h", address: addressOf("a"), incarnation: 1 }, []);
+    const known = hear(first, news("b", 2_000).news, 0);
+    const dead = DEAD_AFTER_MS + 1;
+    t.deepEqual(liveHosts(hear(known, news("b", 1_000).news, 100), dead), ["a"], "not while the other may live");
+    t.deepEqual(liveHosts(hear(known, news("b", 1_000).news, dead), dead), ["a", "b"]);
+    const relayed = [...news("c", 1).news, ...news("b", 1_000).news];
+    t.deepEqual(liveHosts(hear(known, relayed, dead), dead), ["a", "c"], "only by its own word");
+});
+
+test("an owner tells a host what is new, and all of it again after a while", t => {
+    const endpoints = EndpointTable.of([createEndpoint({ id: "e1", hall: "h", models: ["m"], memoryTokens: 9 }, 0)]);
+    const hosts = ["a", "b"];
+    const self = ownerOf("endpoint/e1", hosts)!;
+    const first = shareRound(createShare(self), endpoints, hosts, 0);
+    t.is(first.send.length, 1);
+    const second = shareRound(first.state, endpoints, hosts, 100);
+    t.is(second.send.length, 0);
+    t.is(shareRound(second.state, endpoints, hosts, REPEAT_MS).send.length, 1);
+    const heard = { ...second.state, account: takeHeld(second.state.account, "c", [heldBy(2)], 150) };
+    t.is(shareRound(heard, endpoints, hosts, 200).send.length, 1);
+});
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -36,7 +36,7 @@
 import type { EndpointTable } from "@drumpaddle/policy";
 import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import type { HostCfg } from "./config.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
@@ -87,6 +87,9 @@
     answer: Type.Object({ job: Type.String(), granted: Type.Boolean(), others: HeldShape }),
 } as const;
 
+/** Compiled once: messages come by the hundred each second. */
+const CHECKS = Object.fromEntries(Object.entries(SHAPES).map(([kind, shape]) => [kind, TypeCompiler.Compile(shape)]));
+
 /** Messages between hosts. */
 export type PeerMessage =
     | { readonly kind: "heartbeat"; readonly news: readonly MemberNews[]; readonly settings: VersionNews }
@@ -229,8 +232,7 @@
     }
 
     private receive(from: PeerName, message: FrameMessage): void {
-        const shape = Object.hasOwn(SHAPES, message.kind) ? SHAPES[message.kind as PeerMessage["kind"]] : undefined;
-        if (!shape || !Value.Check(shape, message)) {
+        if (!Object.hasOwn(CHECKS, message.kind) || !CHECKS[message.kind]!.Check(message)) {
             this.host.log.warn({ peer: from.name, message: message.kind }, "peer_message_refused");
             return;
         }
