Own halls weigh more, copies are refreshed more often and placed up to 0.75 of memory

An engine elsewhere now costs 0.25 of a memory, copies at the notice are refreshed each 0.8 s, standing copies are placed while a keeper's memory is planned to less than 0.75 (0.6 before). Ruled out: a wrong view of the workers' memory: their reports, read on a scratch copy, agreed with it within the age of the report.

--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -40,7 +40,7 @@
 /** Copies of one endpoint's generations go over its link one after another: the last of a dozen takes some seconds. */
 const COPY_TIMEOUT_MS = 5_000;
 /** A copy is brought up to date this often, so that little is left to read and it does not lapse. */
-const REFRESH_MS = 1_500;
+const REFRESH_MS = 800;
 /** Time for an endpoint to take back a copy. */
 const DROP_TIMEOUT_MS = 1_000;
 
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -259,6 +259,7 @@
         detail: end.err?.detail,
         attempts: end.state.attempts,
         pieces: end.tokens,
+        longest_gap_ms: Math.round(end.longestGapMs),
         prompt: call.head.generation?.promptTokens,
         most: call.head.generation?.maxTokens,
         hint: call.head.generation?.hintTokens,
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -69,6 +69,8 @@
     /** Stall time: the sum of what its gaps lie above the target, in milliseconds. */
     readonly stallMs: number;
     readonly firstTokenMs?: number | undefined;
+    /** Longest pause between two pieces, in milliseconds. */
+    readonly longestGapMs: number;
 }
 
 /** What a dispatch is to its request. */
@@ -111,6 +113,7 @@
     private lastTokenAt = 0;
     private firstTokenMs: number | undefined;
     private stallMs = 0;
+    private longestGapMs = 0;
     private sinceProgress = { tokens: 0, sum: 0, max: 0 };
 
     constructor(private readonly deps: RunDeps<T>) {
@@ -232,6 +235,7 @@
         else {
             const gap = now - this.lastTokenAt;
             this.deps.onGap(gap);
+            this.longestGapMs = Math.max(this.longestGapMs, gap);
             this.stallMs += Math.max(0, gap - this.deps.job.policy.gapTargetMs);
             this.sinceProgress.tokens += 1;
             this.sinceProgress.sum += gap;
@@ -268,7 +272,7 @@
         clearTimeout(this.retryTimer);
         // A whole answer's stream ends by itself in a moment, and its connection can be used again; only others are cut.
         if (err) this.connection?.abort();
-        const { state, stallMs, firstTokenMs } = this;
+        const { state, stallMs, firstTokenMs, longestGapMs } = this;
         this.deps.onEnd({
             state,
             tokens: state.attempt?.next ?? 0,
@@ -276,6 +280,7 @@
             endpoint: state.attempt?.endpoint,
             stallMs,
             firstTokenMs,
+            longestGapMs,
         });
     }
 }
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -17,7 +17,7 @@
  */
 const UNREAD_SCALE = 8_000;
 /** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
-const AWAY_COST = 0.1;
+const AWAY_COST = 0.25;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
 const AWAY_CALLS = 0.5;
 /** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
@@ -96,7 +96,7 @@
 }
 
 /** Backups are placed while memory is planned up to this share; what is above is for streams that run. */
-const BACKUP_ROOM_SHARE = 0.6;
+const BACKUP_ROOM_SHARE = 0.75;
 
 /** A stream whose endpoint is about to leave is copied while memory is planned up to this share: it will run there soon. */
 export const RESCUE_ROOM_SHARE = 0.9;
