--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,4 +1,5 @@
 export { call, type CallResult, type ClientCfg } from "./client.js";
+export { explain, type LogLine, readLine, storyOf } from "./explain.js";
 export { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 export { Exit, type Outcome, showChanges } from "./output.js";
 export * as settings from "./settings.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { SingleBar } from "cli-progress";
 import sade from "sade";
 import type { ClientCfg } from "./client.js";
+import { explain } from "./explain.js";
 import { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 import { Exit, type Outcome } from "./output.js";
 import * as settings from "./settings.js";
@@ -22,6 +23,8 @@
     readonly service?: string;
     readonly hall?: string;
     readonly role?: string;
+    /** Arguments beyond those that the command names. */
+    readonly _?: readonly string[];
 }
 
 const DEFAULT_HOST = "http://127.0.0.1:9080";
@@ -38,6 +41,10 @@
     };
 }
 
+function filesOf(flags: Flags): readonly string[] {
+    return (flags._ ?? []).map(String);
+}
+
 function whyOf(flags: Flags): string {
     return flags.why ?? "";
 }
@@ -158,6 +165,9 @@
     .action((text: string, flags: Flags) => finish(flags, () => waitWithBar(flags, text)));
 program.command("status", "Show which host has which version, its load, and who is behind").example("status --json")
     .action((flags: Flags) => finish(flags, () => settings.status(clientOf(flags))));
+program.command("explain <request>", "Tell a request's story from daemons' log files, named after it")
+    .example("explain 9c41d07be2a35f68 host-a.log host-b.log")
+    .action((request: string | number, flags: Flags) => finish(flags, () => explain(String(request), filesOf(flags))));
 program.command("keys issue <workspace>", "Issue a key for a workspace; its secret is shown once").option(
     "--why",
     "Reason, for the audit trail",
