Mutations of the new promises

Thirteen more mutations, each with the tests that must catch it; words after the command choose some.

--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -22,6 +22,13 @@
 const POLICY = "packages/policy/test/policy.test.ts";
 const SETTINGS = "packages/settings/test/settings.test.ts";
 const HALL = "packages/hall/test/hall.test.ts";
+const GATEWAY = "platform/test/gateway.test.ts";
+const CODEC = "platform/test/codec.test.ts";
+const CONNECTIONS = "packages/host/test/endpoint-connections.test.ts";
+const CONTINUE = "packages/request/test/continue.test.ts";
+const CARRY = "packages/policy/test/carry.test.ts";
+const ROUTES = "packages/routes/test/routes.test.ts";
+const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
 const PROOF = "packages/request/src/proof.ts";
 
@@ -50,8 +57,8 @@
     {
         promise: "no second attempt once anything went out",
         file: STEP,
-        find: "if (state.committed || state.attempts >= state.cfg.maxAttempts) return false;",
-        replace: "if (state.attempts >= state.cfg.maxAttempts) return false;",
+        find: "if (state.committed || sent.length >= state.cfg.maxAttempts ||",
+        replace: "if (sent.length >= state.cfg.maxAttempts ||",
         tests: [FAULTS],
     },
     {
@@ -138,6 +145,97 @@
         replace: "granted: entry.granted",
         tests: [HALL],
     },
+    {
+        promise: "a generation never runs at two endpoints",
+        file: STEP,
+        find: 'actions: [...cancelCurrent(state), { kind: "admitCopy", cause }],',
+        replace: 'actions: [{ kind: "admitCopy", cause }],',
+        tests: [CONTINUE],
+    },
+    {
+        promise: "a forwarded answer is the call's own",
+        file: ATTEMPT,
+        find: "if (head.id !== undefined && head.id !== call)",
+        replace: 'if (head.id === "")',
+        tests: [GATEWAY],
+    },
+    {
+        promise: "a forwarded success is an endpoint's",
+        file: ATTEMPT,
+        find: "if (!head.sealed)",
+        replace: "if (head.sealed === undefined)",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "an endpoint's status promises only what it says",
+        file: ATTEMPT,
+        find: "if (PROMISES.has(status))",
+        replace: "if (status === 0)",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "a cut answer without a length does not look whole",
+        file: "packages/host/src/forward-reply.ts",
+        find: "const close = closing() || !framed ?",
+        replace: "const close = closing() ?",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "nor does one that was reset",
+        file: "packages/host/src/endpoint-connections.ts",
+        find: "sink.onEnd(!connection.failed);",
+        replace: "sink.onEnd(true);",
+        tests: [CONNECTIONS],
+    },
+    {
+        promise: "only whole events are passed on",
+        file: "packages/protocol/src/event-splitter.ts",
+        find: "if (lf < 0) return undefined;",
+        replace: "if (lf < 0) return bytes.length > start ? bytes.length : undefined;",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "a caller's key goes no further",
+        file: "platform/src/headers.ts",
+        find: "const SYSTEM_HEADERS: ReadonlySet<string> = new Set([\n    NAME.key,",
+        replace: "const SYSTEM_HEADERS: ReadonlySet<string> = new Set<string>([",
+        tests: [CODEC],
+    },
+    {
+        promise: "a deployment never goes back",
+        file: "packages/host/src/deployment-feed.ts",
+        find: "if (known !== undefined && version <= known) {",
+        replace: "if (known !== undefined && version === known) {",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "registrations that lapse in an outage are kept",
+        file: "packages/routes/src/registry.ts",
+        find: "const stays = mayBeLapse(registry, now) &&",
+        replace: "const stays = now < 0 &&",
+        tests: [ROUTES],
+    },
+    {
+        promise: "all hosts together stay within the budget of repeated sends",
+        file: "packages/policy/src/retry-budget.ts",
+        find: "budget.slack / mostHosts",
+        replace: "budget.slack",
+        tests: [CARRY],
+    },
+    {
+        promise: "a registered endpoint that leaves gets nothing new",
+        file: "packages/host/src/gateway.ts",
+        find: "const leaving = entry.state === EndpointState.Leaving;",
+        replace: "const leaving = entry.state === undefined;",
+        tests: [GATEWAY],
+    },
+    {
+        promise: "half a request reaches no endpoint",
+        file: "packages/host/src/request-body.ts",
+        find: 'req.on("close", () => end({ kind: "gone" }));',
+        replace: 'req.on("close", () => end({ kind: "whole", bytes: bodyOf(chunks) }));',
+        tests: [GATEWAY],
+    },
 ];
 
 /** Whether the tests fail with the mutation in place. */
@@ -153,11 +251,14 @@
     }
 }
 
+/** With words after the command, only promises that hold one of them. */
+const words = process.argv.slice(2);
+const chosen = MUTATIONS.filter(({ promise }) => words.length === 0 || words.some(word => promise.includes(word)));
 let missed = 0;
-for (const mutation of MUTATIONS) {
+for (const mutation of chosen) {
     const caught = isCaught(mutation);
     if (!caught) missed += 1;
     process.stdout.write(`${caught ? "caught" : "MISSED"}: ${mutation.promise} (${mutation.file})\n`);
 }
-process.stdout.write(`${MUTATIONS.length - missed} of ${MUTATIONS.length} mutations caught\n`);
+process.stdout.write(`${chosen.length - missed} of ${chosen.length} mutations caught\n`);
 process.exitCode = missed === 0 ? 0 : 1;
