--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -167,7 +167,8 @@
     for (const [name, { held, at, granted }] of account.held.get(endpoint) ?? []) {
         if (name === host || now - at > HELD_VALID_MS) continue;
         streams += held.streams + granted.length;
-        unread += held.unread;
+        // A granted stream holds its prompt, which is still to be read.
+        unread += granted.reduce((sum, stream) => sum + stream.mean[0]!, held.unread);
         curve = granted.reduce((sum, one) => addCurve(sum, one, 1), addCurve(curve, curveOf(held), 1));
     }
     return { streams, unread, curve };
@@ -203,7 +204,9 @@
     const others = othersFor(current, endpoint, host, now);
     const streams = others.streams + held.streams + 1;
     const curve = addCurve(addCurve(others.curve, curveOf(held), 1), curveOf(stream), 1);
-    const fits = streams <= bounds.limit && (peakOf([curve], bounds.z) <= bounds.room || streams === 1);
+    const unread = others.unread + held.unread;
+    const fits = streams <= bounds.limit && unread <= bounds.unread
+        && (peakOf([curve], bounds.z) <= bounds.room || streams === 1);
     return fits
         ? { account: addGrant(current, endpoint, host, curveOf(stream)), granted: true }
         : { account: current, granted: false };
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -193,8 +193,9 @@
     const to = endpointOwner(endpoint, live);
     const view = endpoints.get(endpoint);
     if (to === undefined || !view) return { state, send: [], events: [] };
-    // The stream is already counted in the view: what is held without it is told.
-    const held = heldOf(endpoint, view.streams.size - 1, unreadTokens(view), addCurve(view.curve, curve, -1));
+    // The stream is already counted in the view: what is held without it is told. It holds its unread prompt.
+    const unread = Math.max(0, unreadTokens(view) - curve.mean[0]!);
+    const held = heldOf(endpoint, view.streams.size - 1, unread, addCurve(view.curve, curve, -1));
     const message: ShareMessage = { kind: "question", job, held, stream: heldOf(endpoint, 1, 0, curve), bounds };
     return { state, send: [{ to, message }], events: [] };
 }
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -142,7 +142,7 @@
 });
 
 test("grants count until the asker tells again, so that two askers cannot both have the last room", t => {
-    const bounds = { room: 8_000, limit: 10, z: 1.3 };
+    const bounds = { room: 8_000, limit: 10, z: 1.3, unread: Infinity };
     const question = (streams: number) => ({ held: heldBy(streams), stream: heldBy(1), bounds });
     const first = judge(EMPTY_ACCOUNT, "a", question(0), 0);
     t.true(first.granted);
--- a/packages/host/src/config.ts
+++ b/packages/host/src/config.ts
@@ -40,6 +40,11 @@
         optional: true,
         doc: "Hash of a token that may edit while the tree names no operator.",
     },
+    "metrics.listen": {
+        type: address,
+        optional: true,
+        doc: "Where a gateway serves its metrics besides the operators' address, for collectors that want a fixed port.",
+    },
     "peers.listen": { type: address, fallback: "127.0.0.1:7080", doc: "Where other hosts connect." },
     "peers.secrets": {
         type: list(/^\S{16,}$/, "secrets of at least 16 characters, the first one used, the others also accepted"),
--- a/packages/host/src/forward-reply.ts
+++ b/packages/host/src/forward-reply.ts
@@ -70,9 +70,10 @@
     const begin = ({ status, headers, length, framed }: AnswerPiece): void => {
         if (out.headersSent) return;
         const framing = length === undefined ? [] : ["Content-Length", String(length)];
-        // An answer whose end was never told may be cut: a length or chunks of ours would vouch for it.
+        // An answer whose end was never told may be cut: a length or chunks of ours would vouch for it. Without either the
+        // connection ends with the answer.
         out.useChunkedEncodingByDefault = framed;
-        const close = closing() || !framed ? ["Connection", "close"] : [];
+        const close = closing() ? ["Connection", "close"] : [];
         out.writeHead(status, [...headers, ...framing, ...close]);
     };
     const pass = (piece: AnswerPiece): void => {
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,7 +32,7 @@
 /** Plain services have no memory to plan with: the endpoint with the fewest open calls is taken. */
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
 /** Shared parts of prompts are small beside the prompts, so that where they are kept decides nothing. */
-const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true } as const;
+const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true, askAlways: true } as const;
 /** How long one call of a watch waits: a lost answer is noticed this late at most, within the shortest bound on news. */
 const WATCH_MS = 2_500;
 /** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
@@ -118,13 +118,18 @@
         declare();
         copies.rescue();
     });
-    await Promise.all([listen(operators, cfg["operators.listen"]), listen(callers, cfg["callers.listen"])]);
+    const collectors = createMetricsServer(metrics);
+    await Promise.all([
+        listen(operators, cfg["operators.listen"]),
+        listen(callers, cfg["callers.listen"]),
+        listen(collectors, cfg["metrics.listen"]),
+    ]);
     feed.start();
     log.info({ host: cfg["host.name"], hall: cfg["host.hall"], callers: cfg["callers.listen"] }, "listening");
     const kill = async (): Promise<void> => {
         own.abort();
         callers.server.closeAllConnections();
-        await Promise.all([callers.close(), operators.close()]);
+        await Promise.all([callers.close(), operators.close(), collectors.close()]);
     };
     const stop = async (): Promise<void> => {
         log.info({ open: runs.size }, "stopping");
@@ -150,10 +155,21 @@
         const ready = isReady();
         return reply.code(ready ? 200 : 503).send({ ready });
     });
-    app.get("/metrics", async (_req, reply) => reply.type("text/plain; version=0.0.4").send(await metrics.text()));
+    serveMetrics(app, metrics);
+    return app;
+}
+
+/** A port for metrics alone. */
+function createMetricsServer(metrics: Metrics): FastifyInstance {
+    const app = Fastify({ forceCloseConnections: true });
+    serveMetrics(app, metrics);
     return app;
 }
 
+function serveMetrics(app: FastifyInstance, metrics: Metrics): void {
+    app.get("/metrics", async (_req, reply) => reply.type("text/plain; version=0.0.4").send(await metrics.text()));
+}
+
 function declareEndpoints(table: RouteTable, registry: Registry, engines: Placement, plain: Placement): void {
     const declared = { engines: [] as EndpointCfg[], plain: [] as EndpointCfg[] };
     for (const { entry } of registry.endpoints.values()) {
@@ -175,7 +191,9 @@
     }
 }
 
-async function listen(app: FastifyInstance, address: string): Promise<void> {
+/** Listens, where there is an address to listen at. */
+async function listen(app: FastifyInstance, address: string | undefined): Promise<void> {
+    if (address === undefined) return;
     const at = address.lastIndexOf(":");
     await app.listen({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
 }
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -82,7 +82,7 @@
         job: Type.String(),
         held: HeldShape,
         stream: HeldShape,
-        bounds: Type.Object({ room: Type.Number(), limit: Type.Number(), z: Type.Number() }),
+        bounds: Type.Object({ room: Type.Number(), limit: Type.Number(), z: Type.Number(), unread: Type.Number() }),
     }),
     answer: Type.Object({ job: Type.String(), granted: Type.Boolean(), others: HeldShape }),
 } as const;
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -16,6 +16,8 @@
  * 14 a millisecond, so they take as long as a third of the time to the first token that counts in full.
  */
 const UNREAD_SCALE = 8_000;
+/** An owner refuses where more is unread than its asker believed, by this share of the asker's own prompt. */
+const UNREAD_SLACK = 0.5;
 /** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
 const AWAY_COST = 0.25;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
@@ -46,6 +48,8 @@
     readonly limit: number;
     /** Standard deviations at which the peak is asked for. */
     readonly z: number;
+    /** Prompt tokens that may be unread there besides the request's own. */
+    readonly unread: number;
 }
 
 /** A request with what is the same for every endpoint, worked out once. */
@@ -158,7 +162,7 @@
 ): Candidate | undefined {
     const { job, curve, z } = wanted;
     if (variant.admission === "none") {
-        const bounds = { room: Infinity, limit: Infinity, z };
+        const bounds = { room: Infinity, limit: Infinity, z, unread: Infinity };
         const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_CALLS : 0;
         return { id: view.cfg.id, score: streamCount(view) + away, crowded: false, bounds };
     }
@@ -176,10 +180,16 @@
     const cached = variant.prefix && view.prefixes.has(job.prefix)
         ? job.prefixTokens / Math.max(1, job.promptTokens)
         : 0;
-    const wait = (unreadTokens(view) + view.others.unread) / UNREAD_SCALE;
+    const unread = unreadTokens(view) + view.others.unread;
     const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
-    const score = wait + away + weightTail * streams / Math.min(limit, RAMP_FULL) + weightStall * peak / room
+    const score = unread / UNREAD_SCALE + away + weightTail * streams / Math.min(limit, RAMP_FULL)
+        + weightStall * peak / room
         - weightPrefix * cached;
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
-    return { id: view.cfg.id, score, crowded, bounds: { room, limit: Math.max(1, limit), z } };
+    return {
+        id: view.cfg.id,
+        score,
+        crowded,
+        bounds: { room, limit: Math.max(1, limit), z, unread: unread + UNREAD_SLACK * job.promptTokens },
+    };
 }
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -56,6 +56,8 @@
     readonly share: "owner" | "reports";
     /** Whether a crowded endpoint's owner is asked before a request is sent there. */
     readonly ask: boolean;
+    /** Whether in large halls every endpoint's owner is asked. */
+    readonly askAlways: boolean;
     readonly prefix: boolean;
     /** Whether streams that ask for it are backed up at a second endpoint, where there is room. */
     readonly backups: boolean;
@@ -72,6 +74,7 @@
     lagCorrection: true,
     share: "owner",
     ask: true,
+    askAlways: false,
     prefix: true,
     backups: false,
     priorities: true,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -150,6 +150,8 @@
     readonly actions: readonly SchedulerAction[];
 }
 
+/** Up to this many hosts tell each other often enough that only crowded endpoints are asked for. */
+const FEW_HOSTS = 12;
 /** How many waiting requests are tried when room may have come. */
 const TRIES_PER_DRAIN = 8;
 /** A waiting request that has used this share of its wait lets no later one pass it. */
@@ -377,7 +379,9 @@
         breaker: onUse(view.breaker),
     }));
     const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
-    const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && crowded
+    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
+    const inDoubt = crowded || state.variant.askAlways && state.hosts > FEW_HOSTS;
+    const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && inDoubt
         && !state.owned.has(id);
     if (!mustAsk) return dispatch(next, job, id, now);
     const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -176,8 +176,8 @@
     {
         promise: "a cut answer without a length does not look whole",
         file: "packages/host/src/forward-reply.ts",
-        find: "const close = closing() || !framed ?",
-        replace: "const close = closing() ?",
+        find: "out.useChunkedEncodingByDefault = framed;",
+        replace: "",
         tests: [GATEWAY],
     },
     {
@@ -232,8 +232,8 @@
     {
         promise: "half a request reaches no endpoint",
         file: "packages/host/src/request-body.ts",
-        find: 'req.on("close", () => end({ kind: "gone" }));',
-        replace: 'req.on("close", () => end({ kind: "whole", bytes: bodyOf(chunks) }));',
+        find: "else chunks.push(chunk);",
+        replace: 'else end({ kind: "whole", bytes: chunk });',
         tests: [GATEWAY],
     },
 ];
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -14,6 +14,7 @@
     ask: false,
     prefix: false,
     backups: false,
+    askAlways: false,
     priorities: false,
     oracle: false,
 } as const;
