A request at the end of its wait goes where it fits now before it is refused; waits are measured while something waits

And two streams were refused at 14 s with 'the wait would be too long' though one request waited: the pause since the last start of a waiting request counted time in which nothing waited.

--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,7 +32,7 @@
 /** Plain services have no memory to plan with: the endpoint with the fewest open calls is taken. */
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
 /** Shared parts of prompts are small beside the prompts, so that where they are kept decides nothing. */
-const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true, askAlways: true } as const;
+const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true, askAlways: true, lastResort: true } as const;
 /** How long one call of a watch waits: a lost answer is noticed this late at most, within the shortest bound on news. */
 const WATCH_MS = 2_500;
 /** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -59,6 +59,8 @@
     /** Whether in large halls every endpoint's owner is asked. */
     readonly askAlways: boolean;
     readonly prefix: boolean;
+    /** Whether a request at the end of its wait goes where it fits now, though not by the plan, before it is refused. */
+    readonly lastResort: boolean;
     /** Whether streams that ask for it are backed up at a second endpoint, where there is room. */
     readonly backups: boolean;
     readonly priorities: boolean;
@@ -76,6 +78,7 @@
     ask: true,
     askAlways: false,
     prefix: true,
+    lastResort: false,
     backups: false,
     priorities: true,
     oracle: false,
--- a/packages/policy/src/queue.ts
+++ b/packages/policy/src/queue.ts
@@ -37,25 +37,27 @@
     return waiting.since + waiting.job.policy.maxWaitMs;
 }
 
-/** The drain rate after a waiting request was started. */
-export function onStart(rate: DrainRate | undefined, now: number): DrainRate {
+/** The drain rate after a waiting request was started; it had waited since `since`. */
+export function onStart(rate: DrainRate | undefined, now: number, since = -Infinity): DrainRate {
     if (!rate) return { lastStart: now, meanMs: 0 };
-    const gap = now - rate.lastStart;
+    // Time in which nothing waited says nothing about how fast waiting requests are started.
+    const gap = now - Math.max(rate.lastStart, since);
     const meanMs = rate.meanMs === 0 ? gap : DRAIN_DECAY * rate.meanMs + (1 - DRAIN_DECAY) * gap;
     return { lastStart: now, meanMs };
 }
 
 /**
- * How long a request with `ahead` others before it will probably wait, in milliseconds.
+ * How long a request with `ahead` others before it, the oldest of which waits since `since`, will probably wait, in
+ * milliseconds.
  *
  * @example
  * ```ts
- * expectedWait(rate, 12, now);
+ * expectedWait(rate, 12, now, oldest.since);
  * ```
  */
-export function expectedWait(rate: DrainRate | undefined, ahead: number, now: number): number {
+export function expectedWait(rate: DrainRate | undefined, ahead: number, now: number, since = -Infinity): number {
     if (!rate) return 0;
-    // A stall since the last start counts too: the queue may have stopped moving.
-    const pause = Math.max(rate.meanMs, now - rate.lastStart);
+    // A stall since the last start counts too, as the queue may have stopped moving; but only while anything waited.
+    const pause = Math.max(rate.meanMs, now - Math.max(rate.lastStart, since));
     return ahead * (DRAIN_DECAY * rate.meanMs + (1 - DRAIN_DECAY) * pause);
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -354,12 +354,13 @@
         const placed = place(paid, waiting, now);
         if (placed) return placed;
     }
-    const wait = expectedWait(state.drain, state.waiting.length, now);
+    const wait = expectedWait(state.drain, state.waiting.length, now, state.waiting[0]?.since);
     if (state.waiting.length >= job.policy.queueLimit) {
         return { state: paid, actions: [refuse(job.id, "queueFull", "too many requests wait", wait)] };
     }
     if (wait > job.policy.maxWaitMs * EARLY_REFUSAL) {
-        return { state: paid, actions: [refuse(job.id, "waitTooLong", "the wait would be too long", wait)] };
+        return placeAtLast(paid, waiting, now)
+            ?? { state: paid, actions: [refuse(job.id, "waitTooLong", "the wait would be too long", wait)] };
     }
     return drain({ ...paid, waiting: [...state.waiting, waiting] }, now);
 }
@@ -391,6 +392,17 @@
     };
 }
 
+/**
+ * Gives a request that would else be refused to an endpoint that has room for it now, whatever is planned for later: what
+ * is refused comes back, often to be refused again.
+ */
+function placeAtLast(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
+    const { variant } = state;
+    if (!variant.lastResort) return undefined;
+    const placed = place({ ...state, variant: { ...variant, admission: "free", ask: false } }, waiting, now);
+    return placed && { ...placed, state: { ...placed.state, variant } };
+}
+
 /** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
 function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
     const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
@@ -584,16 +596,23 @@
     if (state.waiting.length === 0) return { state, actions: [] };
     const actions: SchedulerAction[] = [];
     const kept: Waiting[] = [];
+    let next = state;
     for (const waiting of state.waiting) {
         const { job } = waiting;
-        if (now >= waitDeadline(waiting)) {
-            const wait = expectedWait(state.drain, kept.length, now);
+        const overdue = now >= waitDeadline(waiting);
+        const placed = overdue ? placeAtLast(next, waiting, now) : undefined;
+        if (placed) {
+            next = placed.state;
+            actions.push(...placed.actions);
+        }
+        else if (overdue) {
+            const wait = expectedWait(state.drain, kept.length, now, kept[0]?.since);
             actions.push(refuse(job.id, "waitTooLong", "no engine had room in time", wait));
         }
         else if (!isServed(state, job)) actions.push(refuseUnserved(job));
         else kept.push(waiting);
     }
-    let next: SchedulerState = { ...state, waiting: kept };
+    next = { ...next, waiting: kept };
     for (const waiting of mostUrgent(next, now)) {
         const placed = place(next, waiting, now);
         if (!placed) {
@@ -603,7 +622,7 @@
         next = {
             ...placed.state,
             waiting: placed.state.waiting.filter(other => other !== waiting),
-            drain: onStart(next.drain, now),
+            drain: onStart(next.drain, now, waiting.since),
         };
         actions.push(...placed.actions);
     }
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -6,6 +6,7 @@
     decide,
     DEFAULT_VARIANT,
     type EndpointCfg,
+    expectedWait,
     type FleetBudget,
     type Job,
     jobsToRescue,
@@ -205,3 +206,43 @@
     t.is(takeRepeat(spent, 6, 9_000), undefined);
     t.not(takeRepeat(spent, 6, 12_000), undefined);
 });
+
+const FULL: SchedulerEvent = {
+    kind: "others",
+    endpoint: "e1",
+    // Fits now, and by the plan never: what runs there is expected to grow beyond the memory.
+    others: { streams: 4, unread: 0, curve: { mean: new Float64Array(9).fill(40_000), variance: new Float64Array(9) } },
+};
+
+function almostFull(now: number): SchedulerEvent {
+    const mean = new Float64Array(9).fill(now);
+    mean[0] = 10_000;
+    return {
+        ...FULL,
+        others: { streams: 4, unread: 0, curve: { mean, variance: new Float64Array(9) } },
+    } as SchedulerEvent;
+}
+
+test("a request at the end of its wait goes where it fits now, before it is refused", t => {
+    for (const lastResort of [true, false]) {
+        const variant = { ...VARIANT, lastResort };
+        const one = drive(createScheduler(variant, 1), [{ kind: "endpoints", endpoints: [endpointOf("e1")] }]).state;
+        const waiting = drive(one, [almostFull(40_000), arrive(jobOf("j"))]);
+        t.deepEqual(waiting.actions, []);
+        t.is(drive(waiting.state, [{ kind: "tick" }], 500).actions[0]?.kind, lastResort ? "dispatch" : "refuse");
+    }
+});
+
+test("where it does not fit even now, it is refused", t => {
+    const one = drive(createScheduler({ ...VARIANT, lastResort: true }, 1), [
+        { kind: "endpoints", endpoints: [endpointOf("e1")] },
+    ]).state;
+    const waiting = drive(one, [FULL, arrive(jobOf("j"))]);
+    t.is(drive(waiting.state, [{ kind: "tick" }], 500).actions[0]?.kind, "refuse");
+});
+
+test("time in which nothing waited does not make a wait look long", t => {
+    const rate = { lastStart: 0, meanMs: 20 };
+    t.true(expectedWait(rate, 1, 60_000, 59_990) < 50);
+    t.true(expectedWait(rate, 1, 60_000) > 5_000, "a queue that stands still does");
+});
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -13,6 +13,7 @@
     share: "reports",
     ask: false,
     prefix: false,
+    lastResort: false,
     backups: false,
     askAlways: false,
     priorities: false,
