The scheduler's state and its copies stand in modules of their own

Types, events and actions are scheduler-state.ts, standing copies and rescues carry.ts; nothing else changed.

--- /dev/null
+++ b/packages/policy/src/carry.ts
@@ -0,0 +1,75 @@
+/**
+ * Copies of running requests at other endpoints: standing ones that grow with a stream, and those that are made when an
+ * endpoint is about to leave.
+ *
+ * @module
+ */
+import { chooseBackup, RESCUE_ROOM_SHARE, wantedOf } from "./choose.js";
+import { addBackup, type EndpointView, removeBackup } from "./endpoint.js";
+import type { Job } from "./job.js";
+import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
+import { deleteIn, getIn, setIn } from "./shard-map.js";
+
+/** Chooses who keeps a request's copy and counts the copy there. */
+export function backUp(
+    state: SchedulerState,
+    job: Job,
+    endpoint: string,
+    now: number,
+    roomShare?: number,
+): { readonly state: SchedulerState; readonly keeper: string | undefined } {
+    const running = state.endpoints.get(endpoint)?.streams.get(job.id);
+    if (!running) return { state, keeper: undefined };
+    const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
+    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
+    if (keeper === undefined) return { state, keeper };
+    const kept = withView(state, keeper, view => addBackup(view, running));
+    return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
+}
+
+/** Whether an endpoint is leaving or no longer declared. */
+function isLeaving(view: EndpointView | undefined): boolean {
+    return !view || view.leavingBy.length > 0 || view.cfg.models.length === 0;
+}
+
+/**
+ * Requests that asked for a copy, whose endpoint is leaving and that have none at an endpoint that stays.
+ *
+ * @example
+ * ```ts
+ * for (const job of jobsToRescue(state)) decide(state, { kind: "rescue", job }, now);
+ * ```
+ */
+export function jobsToRescue(state: SchedulerState): readonly string[] {
+    const jobs: string[] = [];
+    for (const view of state.endpoints.values()) {
+        if (!isLeaving(view)) continue;
+        for (const { job } of view.streams.values()) {
+            if (job.backUp === true && !hasSafeCopy(state, job.id)) jobs.push(job.id);
+        }
+    }
+    return jobs;
+}
+
+function hasSafeCopy(state: SchedulerState, job: string): boolean {
+    const keeper = getIn(state.backedUp, job);
+    return keeper !== undefined && !isLeaving(state.endpoints.get(keeper));
+}
+
+/** The state after a request's copy was planned, and the copy to be made; none where no endpoint has room. */
+export function rescue(state: SchedulerState, job: string, now: number): Decision {
+    const from = getIn(state.placed, job);
+    const running = from === undefined ? undefined : state.endpoints.get(from)?.streams.get(job);
+    if (from === undefined || !running) return { state, actions: [] };
+    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
+    if (keeper === undefined) return { state, actions: [] };
+    return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
+}
+
+/** The state without the copy of a request. */
+export function dropBackup(state: SchedulerState, job: string): SchedulerState {
+    const keeper = getIn(state.backedUp, job);
+    if (keeper === undefined) return state;
+    const freed = withView(state, keeper, view => removeBackup(view, job));
+    return { ...freed, backedUp: deleteIn(freed.backedUp, job) };
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,5 @@
 export { type Breaker, CLOSED, mayUse, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
+export { jobsToRescue } from "./carry.js";
 export { assess, type Bounds, type Candidate, usable, type Wanted, wantedOf } from "./choose.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
 export { EndpointTable } from "./endpoint-table.js";
@@ -55,15 +56,12 @@
 export {
     type Asked,
     createScheduler,
-    decide,
     type Decision,
-    isProgressDue,
     type JobOutcome,
-    jobsToRescue,
-    PROGRESS_EVERY,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
     type SchedulerOptions,
     type SchedulerState,
-} from "./scheduler.js";
+} from "./scheduler-state.js";
+export { decide, isProgressDue, PROGRESS_EVERY } from "./scheduler.js";
--- /dev/null
+++ b/packages/policy/src/scheduler-state.ts
@@ -0,0 +1,168 @@
+/**
+ * What one host knows for its decisions, what it is told and what follows: the values that the scheduler works on.
+ *
+ * @module
+ */
+import type { Bounds } from "./choose.js";
+import type { Curve } from "./curve.js";
+import { EndpointTable } from "./endpoint-table.js";
+import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others } from "./endpoint.js";
+import { createEstimates, type Estimates } from "./estimate.js";
+import { DEFAULT_VARIANT, type Job, type Variant } from "./job.js";
+import type { DrainRate, Waiting } from "./queue.js";
+import { createRetryBudget, type FleetBudget, type RetryBudget } from "./retry-budget.js";
+import { emptyMap, type ShardMap } from "./shard-map.js";
+
+/** All that one host knows for its decisions. */
+export interface SchedulerState {
+    readonly variant: Variant;
+    /** Live hosts of the hall, this one included. */
+    readonly hosts: number;
+    readonly endpoints: EndpointTable;
+    readonly waiting: readonly Waiting[];
+    readonly estimates: Estimates;
+    readonly retries: RetryBudget;
+    /** Bounds repeated sends in place of `retries`, where hosts share one budget. */
+    readonly fleetRetries: FleetBudget | undefined;
+    /** Hall whose endpoints are preferred; undefined where all are of one hall. */
+    readonly hall: string | undefined;
+    readonly drain: DrainRate | undefined;
+    /** Endpoint of each running request. */
+    readonly placed: ShardMap<string>;
+    /** Endpoint that keeps a copy of each running request that has one. */
+    readonly backedUp: ShardMap<string>;
+    /** Endpoints that this host owns. */
+    readonly owned: ReadonlySet<string>;
+    /** Requests whose endpoint's owner was asked and has not answered. */
+    readonly asked: ReadonlyMap<string, Asked>;
+    /** Turn of round robin, and the seed of two choices; advances with each choice. */
+    readonly turn: number;
+}
+
+/** A request that waits for an owner's word; its stream is already counted on the endpoint. */
+export interface Asked {
+    readonly waiting: Waiting;
+    readonly endpoint: string;
+    readonly at: number;
+}
+
+/** How a dispatched request ended at its endpoint. */
+export type JobOutcome = "whole" | "cancelled" | "refused" | "failed" | "unreachable";
+
+/** What a host tells its decisions. */
+export type SchedulerEvent =
+    | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
+    | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
+    | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
+    /** How many hosts of the hall are alive. */
+    | { readonly kind: "hosts"; readonly count: number }
+    /** Which endpoints this host owns. */
+    | { readonly kind: "owns"; readonly endpoints: readonly string[] }
+    /** An owner's word on a request, with what others hold there. */
+    | { readonly kind: "answer"; readonly job: string; readonly granted: boolean; readonly others: Others }
+    /** What other hosts hold on an endpoint, as told by its owner. */
+    | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
+    | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
+    /** A stream went on: tokens so far, and mean and largest gap since the last such event, in milliseconds. */
+    | {
+        readonly kind: "progress";
+        readonly job: string;
+        readonly produced: number;
+        readonly meanGapMs: number;
+        readonly maxGapMs: number;
+    }
+    | { readonly kind: "ended"; readonly job: string; readonly outcome: JobOutcome; readonly produced: number }
+    /** A request's endpoint broke off: it is to go on where its copy is kept. `failed`: the endpoint is to blame. */
+    | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
+    /** A request's endpoint is leaving: another is to take a copy, if there is room. */
+    | { readonly kind: "rescue"; readonly job: string }
+    /** The copy of a request could not be made. */
+    | { readonly kind: "copyLost"; readonly job: string }
+    /** A caller left before its request was placed. */
+    | { readonly kind: "withdraw"; readonly job: string }
+    | { readonly kind: "tick" };
+
+/** Why a request is refused. */
+export type RefuseReason = "noEndpoint" | "queueFull" | "waitTooLong" | "retryBudget";
+
+/** What a host is asked to do. */
+export type SchedulerAction =
+    | {
+        readonly kind: "dispatch";
+        readonly job: string;
+        readonly endpoint: string;
+        readonly priority: number;
+        /** Where a copy of the stream is to be kept as it grows. */
+        readonly backUp: string | undefined;
+    }
+    /** Ask the endpoint's owner whether a stream with this curve may be added; answer with an `answer` event. */
+    | {
+        readonly kind: "ask";
+        readonly job: string;
+        readonly endpoint: string;
+        readonly curve: Curve;
+        readonly bounds: Bounds;
+    }
+    /** Copy a running request's memory from one endpoint to the other. */
+    | { readonly kind: "copy"; readonly job: string; readonly from: string; readonly to: string }
+    | {
+        readonly kind: "refuse";
+        readonly job: string;
+        readonly reason: RefuseReason;
+        readonly detail: string;
+        readonly retryAfterMs: number;
+    };
+
+/** The next state and what to do. */
+export interface Decision {
+    readonly state: SchedulerState;
+    readonly actions: readonly SchedulerAction[];
+}
+
+/** What differs from host to host. */
+export interface SchedulerOptions {
+    readonly hall?: string | undefined;
+    readonly retries?: FleetBudget | undefined;
+}
+
+/**
+ * Decisions that know of no endpoint yet.
+ *
+ * @example
+ * ```ts
+ * let { state } = decide(createScheduler(), { kind: "endpoints", endpoints }, now);
+ * ```
+ */
+export function createScheduler(
+    variant: Variant = DEFAULT_VARIANT,
+    seed = 1,
+    { hall, retries }: SchedulerOptions = {},
+): SchedulerState {
+    return {
+        variant,
+        hall,
+        fleetRetries: retries,
+        hosts: 1,
+        endpoints: EndpointTable.of([]),
+        waiting: [],
+        estimates: createEstimates(),
+        retries: createRetryBudget(),
+        drain: undefined,
+        placed: emptyMap(),
+        backedUp: emptyMap(),
+        owned: new Set(),
+        asked: new Map(),
+        turn: seed,
+    };
+}
+
+/** The state with one endpoint changed; an unknown one changes nothing. */
+export function withView(
+    state: SchedulerState,
+    id: string,
+    change: (view: EndpointView) => EndpointView,
+): SchedulerState {
+    const view = state.endpoints.get(id);
+    if (!view) return state;
+    return { ...state, endpoints: state.endpoints.with(id, change(view)) };
+}
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,147 +8,36 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { assess, type Bounds, type Candidate, chooseBackup, RESCUE_ROOM_SHARE, usable, wantedOf } from "./choose.js";
-import type { Curve } from "./curve.js";
+import { backUp, dropBackup, rescue } from "./carry.js";
+import { assess, type Candidate, usable, wantedOf } from "./choose.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
-    addBackup,
     addStream,
     createEndpoint,
-    type EndpointCfg,
-    type EndpointView,
-    type LeavingSource,
-    type LoadReport,
     moveStream,
     type Others,
     promoteBackup,
-    removeBackup,
     removeStream,
     setLeaving,
     streamCount,
     takeOthers,
     takeReport,
 } from "./endpoint.js";
-import { createEstimates, type Estimates, knownLength, observe, type Survival, survivalOf } from "./estimate.js";
-import { DEFAULT_VARIANT, type Job, PRIORITY_RANK, type Variant } from "./job.js";
+import { knownLength, observe, type Survival, survivalOf } from "./estimate.js";
+import { type Job, PRIORITY_RANK, type Variant } from "./job.js";
 import { observePace } from "./pace.js";
-import { type DrainRate, expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
+import { expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
+import { countRequest, earnRetry, spendRetry, takeRepeat } from "./retry-budget.js";
 import {
-    countRequest,
-    createRetryBudget,
-    earnRetry,
-    type FleetBudget,
-    type RetryBudget,
-    spendRetry,
-    takeRepeat,
-} from "./retry-budget.js";
-import { deleteIn, emptyMap, getIn, setIn, type ShardMap } from "./shard-map.js";
-
-/** All that one host knows for its decisions. */
-export interface SchedulerState {
-    readonly variant: Variant;
-    /** Live hosts of the hall, this one included. */
-    readonly hosts: number;
-    readonly endpoints: EndpointTable;
-    readonly waiting: readonly Waiting[];
-    readonly estimates: Estimates;
-    readonly retries: RetryBudget;
-    /** Bounds repeated sends in place of `retries`, where hosts share one budget. */
-    readonly fleetRetries: FleetBudget | undefined;
-    /** Hall whose endpoints are preferred; undefined where all are of one hall. */
-    readonly hall: string | undefined;
-    readonly drain: DrainRate | undefined;
-    /** Endpoint of each running request. */
-    readonly placed: ShardMap<string>;
-    /** Endpoint that keeps a copy of each running request that has one. */
-    readonly backedUp: ShardMap<string>;
-    /** Endpoints that this host owns. */
-    readonly owned: ReadonlySet<string>;
-    /** Requests whose endpoint's owner was asked and has not answered. */
-    readonly asked: ReadonlyMap<string, Asked>;
-    /** Turn of round robin, and the seed of two choices; advances with each choice. */
-    readonly turn: number;
-}
-
-/** A request that waits for an owner's word; its stream is already counted on the endpoint. */
-export interface Asked {
-    readonly waiting: Waiting;
-    readonly endpoint: string;
-    readonly at: number;
-}
-
-/** How a dispatched request ended at its endpoint. */
-export type JobOutcome = "whole" | "cancelled" | "refused" | "failed" | "unreachable";
-
-/** What a host tells its decisions. */
-export type SchedulerEvent =
-    | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
-    | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
-    | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
-    /** How many hosts of the hall are alive. */
-    | { readonly kind: "hosts"; readonly count: number }
-    /** Which endpoints this host owns. */
-    | { readonly kind: "owns"; readonly endpoints: readonly string[] }
-    /** An owner's word on a request, with what others hold there. */
-    | { readonly kind: "answer"; readonly job: string; readonly granted: boolean; readonly others: Others }
-    /** What other hosts hold on an endpoint, as told by its owner. */
-    | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
-    | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
-    /** A stream went on: tokens so far, and mean and largest gap since the last such event, in milliseconds. */
-    | {
-        readonly kind: "progress";
-        readonly job: string;
-        readonly produced: number;
-        readonly meanGapMs: number;
-        readonly maxGapMs: number;
-    }
-    | { readonly kind: "ended"; readonly job: string; readonly outcome: JobOutcome; readonly produced: number }
-    /** A request's endpoint broke off: it is to go on where its copy is kept. `failed`: the endpoint is to blame. */
-    | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
-    /** A request's endpoint is leaving: another is to take a copy, if there is room. */
-    | { readonly kind: "rescue"; readonly job: string }
-    /** The copy of a request could not be made. */
-    | { readonly kind: "copyLost"; readonly job: string }
-    /** A caller left before its request was placed. */
-    | { readonly kind: "withdraw"; readonly job: string }
-    | { readonly kind: "tick" };
-
-/** Why a request is refused. */
-export type RefuseReason = "noEndpoint" | "queueFull" | "waitTooLong" | "retryBudget";
-
-/** What a host is asked to do. */
-export type SchedulerAction =
-    | {
-        readonly kind: "dispatch";
-        readonly job: string;
-        readonly endpoint: string;
-        readonly priority: number;
-        /** Where a copy of the stream is to be kept as it grows. */
-        readonly backUp: string | undefined;
-    }
-    /** Ask the endpoint's owner whether a stream with this curve may be added; answer with an `answer` event. */
-    | {
-        readonly kind: "ask";
-        readonly job: string;
-        readonly endpoint: string;
-        readonly curve: Curve;
-        readonly bounds: Bounds;
-    }
-    /** Copy a running request's memory from one endpoint to the other. */
-    | { readonly kind: "copy"; readonly job: string; readonly from: string; readonly to: string }
-    | {
-        readonly kind: "refuse";
-        readonly job: string;
-        readonly reason: RefuseReason;
-        readonly detail: string;
-        readonly retryAfterMs: number;
-    };
-
-/** The next state and what to do. */
-export interface Decision {
-    readonly state: SchedulerState;
-    readonly actions: readonly SchedulerAction[];
-}
+    type Decision,
+    type JobOutcome,
+    type RefuseReason,
+    type SchedulerAction,
+    type SchedulerEvent,
+    type SchedulerState,
+    withView,
+} from "./scheduler-state.js";
+import { deleteIn, getIn, setIn } from "./shard-map.js";
 
 /** Up to this many hosts tell each other often enough that only crowded endpoints are asked for. */
 const FEW_HOSTS = 12;
@@ -164,43 +53,6 @@
 /** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
 const NO_ENDPOINT_RETRY_MS = 5_000;
 
-/** What differs from host to host. */
-export interface SchedulerOptions {
-    readonly hall?: string | undefined;
-    readonly retries?: FleetBudget | undefined;
-}
-
-/**
- * Decisions that know of no endpoint yet.
- *
- * @example
- * ```ts
- * let { state } = decide(createScheduler(), { kind: "endpoints", endpoints }, now);
- * ```
- */
-export function createScheduler(
-    variant: Variant = DEFAULT_VARIANT,
-    seed = 1,
-    { hall, retries }: SchedulerOptions = {},
-): SchedulerState {
-    return {
-        variant,
-        hall,
-        fleetRetries: retries,
-        hosts: 1,
-        endpoints: EndpointTable.of([]),
-        waiting: [],
-        estimates: createEstimates(),
-        retries: createRetryBudget(),
-        drain: undefined,
-        placed: emptyMap(),
-        backedUp: emptyMap(),
-        owned: new Set(),
-        asked: new Map(),
-        turn: seed,
-    };
-}
-
 /** Progress is told at the first token, then this often up to {@link PROGRESS_EARLY}, then at {@link PROGRESS_EVERY}. */
 const PROGRESS_FIRST = 16;
 const PROGRESS_EARLY = 64;
@@ -296,12 +148,6 @@
     },
 };
 
-function withView(state: SchedulerState, id: string, change: (view: EndpointView) => EndpointView): SchedulerState {
-    const view = state.endpoints.get(id);
-    if (!view) return state;
-    return { ...state, endpoints: state.endpoints.with(id, change(view)) };
-}
-
 function lengthsOf(state: SchedulerState, job: Job): Survival {
     if (state.variant.oracle && job.knownTokens !== undefined) return knownLength(job.knownTokens);
     return survivalOf(state.estimates, job.group, job.maxTokens);
@@ -412,69 +258,6 @@
     return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
 }
 
-/** Chooses who keeps a request's copy and counts the copy there. */
-function backUp(
-    state: SchedulerState,
-    job: Job,
-    endpoint: string,
-    now: number,
-    roomShare?: number,
-): { readonly state: SchedulerState; readonly keeper: string | undefined } {
-    const running = state.endpoints.get(endpoint)?.streams.get(job.id);
-    if (!running) return { state, keeper: undefined };
-    const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
-    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
-    if (keeper === undefined) return { state, keeper };
-    const kept = withView(state, keeper, view => addBackup(view, running));
-    return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
-}
-
-/** Whether an endpoint is leaving or no longer declared. */
-function isLeaving(view: EndpointView | undefined): boolean {
-    return !view || view.leavingBy.length > 0 || view.cfg.models.length === 0;
-}
-
-/**
- * Requests that asked for a copy, whose endpoint is leaving and that have none at an endpoint that stays.
- *
- * @example
- * ```ts
- * for (const job of jobsToRescue(state)) decide(state, { kind: "rescue", job }, now);
- * ```
- */
-export function jobsToRescue(state: SchedulerState): readonly string[] {
-    const jobs: string[] = [];
-    for (const view of state.endpoints.values()) {
-        if (!isLeaving(view)) continue;
-        for (const { job } of view.streams.values()) {
-            if (job.backUp === true && !hasSafeCopy(state, job.id)) jobs.push(job.id);
-        }
-    }
-    return jobs;
-}
-
-function hasSafeCopy(state: SchedulerState, job: string): boolean {
-    const keeper = getIn(state.backedUp, job);
-    return keeper !== undefined && !isLeaving(state.endpoints.get(keeper));
-}
-
-function rescue(state: SchedulerState, job: string, now: number): Decision {
-    const from = getIn(state.placed, job);
-    const running = from === undefined ? undefined : state.endpoints.get(from)?.streams.get(job);
-    if (from === undefined || !running) return { state, actions: [] };
-    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
-    if (keeper === undefined) return { state, actions: [] };
-    return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
-}
-
-/** The state without the copy of a request. */
-function dropBackup(state: SchedulerState, job: string): SchedulerState {
-    const keeper = getIn(state.backedUp, job);
-    if (keeper === undefined) return state;
-    const freed = withView(state, keeper, view => removeBackup(view, job));
-    return { ...freed, backedUp: deleteIn(freed.backedUp, job) };
-}
-
 /** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
 function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
     const source = getIn(state.placed, job);
