A stopping host refuses what may outlast it, and ends only when nothing runs

Calls that came while the host stopped were taken to the end; and a host whose calls had once all ended could end under later ones. A call is taken only if its route's time ends before the host does, looked at again when its body is whole; the host ends when nothing runs, and refuses all in its last moment. The test fails before (the caller's connection is closed without an answer) and passes after.

--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -46,6 +46,8 @@
     /** What is declared now; undefined until it was learnt. */
     table(): RouteTable | undefined;
     endpoint(incarnation: string): EndpointEntry | undefined;
+    /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
+    endsAt(): number | undefined;
     /** An endpoint is not the one that was called: its address has another life. */
     onOtherIncarnation(incarnation: string): void;
 }
@@ -125,7 +127,7 @@
     if (!route) return refuse(deps, out, head.id, OWN.noRoute);
     const workspace = head.key === undefined ? undefined : table.workspaceOf(head.key);
     if (table.usesKeys && !route.isPublic && !workspace) return refuse(deps, out, head.id, OWN.badKey);
-    if (deps.runs.stopping && route.kind === RouteKind.Stream) return refuse(deps, out, head.id, OWN.stopping);
+    if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const service = pickService(route.services, Math.random()) ?? "";
     const engine = table.service(service)?.engine;
     const call = { at, req, out, target, head, route, workspace, service, engine, version: table.version };
@@ -137,6 +139,13 @@
     });
 }
 
+/** Whether a call of this route that begins now is over before this host ends. Streams are longer than any stop. */
+function canFinish(deps: Forwarding, route: Route): boolean {
+    const endsAt = deps.endsAt();
+    if (endsAt === undefined) return true;
+    return route.kind !== RouteKind.Stream && performance.now() + route.timeoutMs < endsAt;
+}
+
 function refuse(deps: Forwarding, out: ServerResponse, callId: string | undefined, err: ApiError): void {
     deps.metrics.countOutcome("refused", err.ran);
     if (deps.logCalls) {
@@ -190,6 +199,8 @@
 function start(deps: Forwarding, call: ForwardCall, body: Buffer | undefined): void {
     const { at, out, head, route, engine } = call;
     if (out.destroyed) return;
+    // The body took its time: the host may have been told to stop meanwhile.
+    if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const way: Way = {
         body,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -47,7 +47,10 @@
 /** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
 const STILL_SERVED_MS = 3_000;
 /** A stop ends this long before the platform ends the process. */
-const STOP_MARGIN_MS = 300;
+const STOP_MARGIN_MS = 400;
+/** A stopping host looks this often whether anything still runs, and gives its last refusals this long to leave. */
+const STOP_LOOK_MS = 50;
+const STOP_FLUSH_MS = 100;
 const SEED_RANGE = 1_000_000;
 
 /**
@@ -88,6 +91,7 @@
         signal,
         endpoint: incarnation => feed.endpoint(incarnation),
     });
+    let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
         log,
@@ -99,6 +103,7 @@
         copies,
         bodyMs: cfg["callers.body-timeout"],
         logCalls: cfg["log.requests"],
+        endsAt: () => endsAt,
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
         onOtherIncarnation: incarnation => {
@@ -143,10 +148,14 @@
     const stop = async (): Promise<void> => {
         log.info({ open: runs.size }, "stopping");
         peers.leave();
-        const drained = runs.drain();
+        void runs.drain();
         const end = performance.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
+        endsAt = end;
         await pause(STILL_SERVED_MS);
-        await Promise.race([drained, pause(end - performance.now())]);
+        while (runs.size > 0 && performance.now() < end) await pause(STOP_LOOK_MS);
+        // From here on every call is refused as not run; the answers get a moment to leave.
+        endsAt = performance.now();
+        await pause(STOP_FLUSH_MS);
         log.info({ open: runs.size }, "stopped");
         await kill();
     };
