A peer's list of endpoints is checked before it is taken

Ruled out: the frame's own check, which knows the parts only as texts. Before: the three tests of deployment-feed.test fail (two throw, one takes an endpoint without an address as read). After: they pass; a typed error, one log line, and what is known stays. Conclusion: the list has one writer and one checked reader in the package routes.

--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -11,12 +11,14 @@
     EMPTY_REGISTRY,
     type EndpointEntry,
     expireLapsed,
+    readEndpoints,
     type Registry,
     type RegistryChange,
     replaceAll,
     RouteTable,
     storeAnswered,
     storeFailed,
+    writeEndpoints,
 } from "@drumpaddle/routes";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
@@ -74,7 +76,7 @@
     private toGive(): SettingsGive | undefined {
         if (!this.current) return undefined;
         const { table, text } = this.current;
-        const endpoints = JSON.stringify([...this.registry.endpoints.values()].map(({ entry }) => entry));
+        const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
         return { head: { version: table.version, parts: {}, hash: "" }, parts: { deployment: text, endpoints } };
     }
 
@@ -83,10 +85,14 @@
         if (deployment !== undefined) this.offer(deployment, "peer");
         // The store's own word goes first: a peer's is taken only by a host that has never heard it.
         if (endpoints === undefined || this.endpointsRead) return;
-        const entries = JSON.parse(endpoints) as readonly EndpointEntry[];
+        const read = readEndpoints(endpoints);
+        if (!read.ok) {
+            this.deps.log.warn({ source: "peer", err: read.err.kind, detail: read.err.detail }, "endpoints_ignored");
+            return;
+        }
         this.endpointsRead = true;
-        this.deps.log.info({ endpoints: entries.length }, "endpoints_from_peer");
-        this.setRegistry(replaceAll(storeFailed(this.registry), entries, performance.now()));
+        this.deps.log.info({ endpoints: read.value.length }, "endpoints_from_peer");
+        this.setRegistry(replaceAll(storeFailed(this.registry), read.value, performance.now()));
     }
 
     /** Whether deployment and endpoints were read. */
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -10,6 +10,7 @@
     type WeightedService,
     type WorkspaceCfg,
 } from "./deployment.js";
+export { type EndpointListError, type EndpointListResult, readEndpoints, writeEndpoints } from "./endpoint-list.js";
 export {
     applyChanges,
     type Departed,
