In large halls two hosts watch the store for all; what is deaf hears of workers from peers

A host that the store turned away heard of configurations from its peers, but not of workers that leave. Ruled out: relaying between all hosts (the bytes between halls cost more than calls in small fleets). Now: hosts of halls of more than four follow the first two by rank, which say every 250 ms where they stand; one that is silent or deaf is passed over; a host that hears of none watches by itself. Endpoints travel with the store's revision, so older news never replaces newer. A lost watch is noticed after 2.4 s at most (1.4 s where others rely on it), a read after 1 s, and tries are 0.5 s apart.

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -1,3 +1,13 @@
+export {
+    createFollowing,
+    type Following,
+    type FollowPlan,
+    hearWatcher,
+    MOST_ALL_WATCH,
+    planFollowing,
+    WORD_EVERY_MS,
+    WORD_VALID_MS,
+} from "./following.js";
 export { cut, type Place, placeIn, shareOf } from "./limit-share.js";
 export {
     type Account,
@@ -29,6 +39,7 @@
     leave,
     listHosts,
     liveHosts,
+    liveInHall,
     type Member,
     type MemberNews,
     type Membership,
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -14,6 +14,8 @@
 export interface HostInfo {
     readonly name: string;
     readonly hall: string;
+    /** Hosts of the same scope share their endpoints; the hall's name where halls share nothing. */
+    readonly scope: string;
     /** Where its peers connect, as `ip:port`. */
     readonly address: string;
     /** Made at start; a restarted host of the same name has a higher one. */
@@ -62,7 +64,7 @@
  *
  * @example
  * ```ts
- * createMembership({ name: "k1-a", hall: "k1", address: "10.0.0.1:7080", incarnation: Date.now() }, []);
+ * createMembership({ name: "k1-a", hall: "k1", scope: "k1", address: "10.0.0.1:7080", incarnation: Date.now() }, []);
  * ```
  */
 export function createMembership(self: HostInfo, candidates: readonly string[]): Membership {
@@ -92,7 +94,7 @@
 }
 
 /**
- * Names of the hall's live hosts that take new work, this one included unless it is leaving, in order of name.
+ * Names of the scope's live hosts that take new work, this one included unless it is leaving, in order of name.
  *
  * @example
  * ```ts
@@ -100,8 +102,24 @@
  * ```
  */
 export function liveHosts(state: Membership, now: number): readonly string[] {
+    return namesOf(state, member => member.scope === state.self.scope, now);
+}
+
+/**
+ * The same for this host's own hall alone.
+ *
+ * @example
+ * ```ts
+ * liveInHall(state, now); // ["k1-a"]
+ * ```
+ */
+export function liveInHall(state: Membership, now: number): readonly string[] {
+    return namesOf(state, member => member.hall === state.self.hall, now);
+}
+
+function namesOf(state: Membership, belongs: (member: Member) => boolean, now: number): readonly string[] {
     const others = [...state.members.values()].filter(member =>
-        member.hall === state.self.hall && !member.leaving && isAlive(state, member, now)
+        belongs(member) && !member.leaving && isAlive(state, member, now)
     );
     const names = others.map(member => member.name);
     return (state.leaving ? names : [...names, state.self.name]).sort();
@@ -144,9 +162,10 @@
 
 function newsOfOthers(alive: readonly Member[]): readonly MemberNews[] {
     const latest = alive.toSorted((a, b) => b.movedAt - a.movedAt).slice(0, NEWS_PER_HEARTBEAT);
-    return latest.map(({ name, hall, address, incarnation, counter, leaving }) => ({
+    return latest.map(({ name, hall, scope, address, incarnation, counter, leaving }) => ({
         name,
         hall,
+        scope,
         address,
         incarnation,
         counter,
--- /dev/null
+++ b/packages/hall/test/following.test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { createFollowing, type Following, hearWatcher, planFollowing, WORD_VALID_MS } from "../src/index.js";
+
+const HOSTS = ["a", "b", "c", "d", "e", "f"];
+
+/** Who watches among hosts that all hear of each other at once; `deaf` are those that the store does not answer. */
+function settle(
+    hosts: readonly string[],
+    deaf: readonly string[] = [],
+    silent: readonly string[] = [],
+): readonly string[] {
+    const states = new Map(hosts.map(host => [host, createFollowing(host)]));
+    let watching: string[] = [];
+    for (let now = 0; now < 20_000; now += 250) {
+        const words: { readonly host: string; readonly hears: boolean }[] = [];
+        watching = [];
+        for (const [host, state] of states) {
+            const hears = !deaf.includes(host);
+            const plan = planFollowing(state, hosts, hears, now);
+            states.set(host, plan.state);
+            if (plan.watches) watching.push(host);
+            if (plan.place !== undefined && !silent.includes(host)) words.push({ host, hears });
+            if (!hears) words.push({ host, hears });
+        }
+        for (const { host, hears } of words) {
+            for (const [other, state] of states) {
+                if (other !== host) states.set(other, hearWatcher(state, host, hears, now));
+            }
+        }
+    }
+    return watching;
+}
+
+test("all hosts of a small hall watch", t => {
+    t.deepEqual(settle(["a", "b", "c"]), ["a", "b", "c"]);
+});
+
+test("in a large hall two watch for all", t => {
+    t.is(settle(HOSTS).length, 2);
+});
+
+test("a watcher that the store does not answer is passed over", t => {
+    const [first] = settle(HOSTS);
+    const after = settle(HOSTS, [first!]);
+    t.is(after.length, 2);
+    t.false(after.includes(first!));
+});
+
+test("a watcher that says nothing is passed over", t => {
+    const [first] = settle(HOSTS);
+    // It takes itself for a watcher still, which only costs calls.
+    const others = settle(HOSTS, [], [first!]).filter(host => host !== first);
+    t.is(others.length, 2);
+});
+
+test("a host that hears of no watcher watches by itself", t => {
+    let state: Following = createFollowing("z");
+    const hosts = [...HOSTS, "z"];
+    for (const host of HOSTS) state = hearWatcher(state, host, true, 0);
+    state = planFollowing(state, hosts, undefined, 0).state;
+    const silence = WORD_VALID_MS + 1;
+    t.true(planFollowing(state, hosts, undefined, silence).watches);
+});
+
+test("a host alone watches", t => {
+    t.true(planFollowing(createFollowing("a"), ["a"], undefined, 0).watches);
+});
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -50,7 +50,10 @@
         names.map(
             name => [
                 name,
-                createMembership({ name, hall: "h", address: addressOf(name), incarnation: 1 }, names.map(addressOf)),
+                createMembership(
+                    { name, hall: "h", scope: "h", address: addressOf(name), incarnation: 1 },
+                    names.map(addressOf),
+                ),
             ],
         ),
     );
@@ -108,7 +111,7 @@
     const leaving = leave(hall.get("b")!);
     const told = hear(hall.get("a")!, heartbeat(leaving, 3_000).news, 3_000);
     t.deepEqual(liveHosts(told, 3_000), ["a", "c", "d"]);
-    const again = createMembership({ name: "b", hall: "h", address: "10.0.0.9:1", incarnation: 2 }, []);
+    const again = createMembership({ name: "b", hall: "h", scope: "h", address: "10.0.0.9:1", incarnation: 2 }, []);
     t.deepEqual(liveHosts(hear(told, heartbeat(again, 3_100).news, 3_100), 3_100), NAMES);
     const old = hear(hear(told, heartbeat(again, 3_100).news, 3_100), heartbeat(leaving, 3_200).news, 3_200);
     t.deepEqual(liveHosts(old, 3_200), NAMES, "older news of it changes nothing");
@@ -212,9 +215,9 @@
 
 test("a host that starts again on a clock that was set back is heard once the one before is dead", t => {
     const news = (name: string, incarnation: number): { news: MemberNews[] } => ({
-        news: [{ name, hall: "h", address: addressOf(name), incarnation, counter: 1, leaving: false }],
+        news: [{ name, hall: "h", scope: "h", address: addressOf(name), incarnation, counter: 1, leaving: false }],
     });
-    const first = createMembership({ name: "a", hall: "h", address: addressOf("a"), incarnation: 1 }, []);
+    const first = createMembership({ name: "a", hall: "h", scope: "h", address: addressOf("a"), incarnation: 1 }, []);
     const known = hear(first, news("b", 2_000).news, 0);
     const dead = DEAD_AFTER_MS + 1;
     t.deepEqual(liveHosts(hear(known, news("b", 1_000).news, 100), dead), ["a"], "not while the other may live");
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -1,12 +1,14 @@
 /**
- * Keeps the newest deployment and the endpoints at this host: read at start, then a watch. What comes from peers enters
- * by the same door; a version only ever grows within the life of a process.
+ * Keeps the newest deployment and the endpoints at this host: read at start, then a watch, or the word of peers that
+ * watch. What comes from peers enters by the same door; a version only ever grows within the life of a process, and so
+ * does the store's revision.
  *
  * @module
  */
-import type { SettingsGive } from "@drumpaddle/hall";
+import { type SettingsGive, WORD_VALID_MS } from "@drumpaddle/hall";
 import type { KeyValue, KvChange, KvEntry, PlatformWire } from "@drumpaddle/protocol";
 import {
+    adoptEndpoints,
     applyChanges,
     EMPTY_REGISTRY,
     type EndpointEntry,
@@ -22,7 +24,7 @@
 } from "@drumpaddle/routes";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
-import type { Spread } from "./peers.js";
+import type { Spread, StoreFollower, StoreState, StoreWord } from "./peers.js";
 
 /** What the feed is made of. */
 export interface DeploymentFeedDeps {
@@ -40,7 +42,10 @@
 const NO_VERSION = -1;
 /** Pauses between two tries to read the store, in milliseconds: short, as a host that knows nothing serves nobody. */
 const FIRST_RETRY_MS = 100;
-const LONGEST_RETRY_MS = 1_000;
+/** With the time for a read (1 s) well within the least time after the store's return by which its news must be in force (3 s). */
+const LONGEST_RETRY_MS = 500;
+/** What other hosts rely on is known to be cut off this soon: their own bound on news is 2 s at the least. */
+const RELIED_WATCH_MS = 1_000;
 /** Lapsed registrations are looked at this often. */
 const EXPIRE_EVERY_MS = 250;
 /** The store's whole content is watched by one call: deployment and endpoints have no prefix in common. */
@@ -51,6 +56,15 @@
     private current: { readonly table: RouteTable; readonly text: string } | undefined;
     private registry: Registry = EMPTY_REGISTRY;
     private endpointsRead = false;
+    /** The store's revision that this host is up to date with. */
+    private revision: number | undefined;
+    /** Whether the store answered last; undefined before the first answer. */
+    private answered: boolean | undefined;
+    /** When a peer that the store answers was last heard. */
+    private followedAt = -Infinity;
+    private watching: AbortController | undefined;
+    private relied = false;
+    private readonly changeListeners = new Set<(word: StoreWord) => void>();
     private readonly deploymentListeners = new Set<(table: RouteTable) => void>();
     private readonly endpointListeners = new Set<(registry: Registry) => void>();
 
@@ -68,7 +82,6 @@
             ask: ({ version }) => version > (this.table?.version ?? NO_VERSION) ? { have: {} } : undefined,
             give: () => this.toGive(),
             take: given => this.takeGiven(given),
-            // Every host watches: news of endpoints that leave must not wait for another host.
             setWatching: () => undefined,
         };
     }
@@ -76,23 +89,66 @@
     private toGive(): SettingsGive | undefined {
         if (!this.current) return undefined;
         const { table, text } = this.current;
-        const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
-        return { head: { version: table.version, parts: {}, hash: "" }, parts: { deployment: text, endpoints } };
+        return { head: { version: table.version, parts: {}, hash: "" }, parts: { deployment: text } };
     }
 
     private takeGiven({ parts }: SettingsGive): void {
-        const { deployment, endpoints } = parts;
-        if (deployment !== undefined) this.offer(deployment, "peer");
-        // The store's own word goes first: a peer's is taken only by a host that has never heard it.
-        if (endpoints === undefined || this.endpointsRead) return;
+        if (parts.deployment !== undefined) this.offer(parts.deployment, "peer");
+    }
+
+    /** How this host and its peers share what they hear of the store. */
+    get follower(): StoreFollower {
+        return {
+            hears: () => this.watching ? this.answered : undefined,
+            word: () => this.word([]),
+            setWatching: (watches, relied) => this.setWatching(watches, relied),
+            onChanges: listener => void this.changeListeners.add(listener),
+            hear: word => this.hear(word),
+            state: () => this.state(),
+            take: state => this.takeState(state),
+        };
+    }
+
+    /** What this host says of the store: how far it is, and what has just changed. */
+    private word(changes: readonly KvChange[], after = this.revision): StoreWord | undefined {
+        if (this.revision === undefined || after === undefined) return undefined;
+        return { revision: this.revision, hears: this.answered === true, after, changes };
+    }
+
+    /** Takes in a watcher's word; true if changes before it are missing here. */
+    private hear({ hears, after, changes }: StoreWord): boolean {
+        if (!hears) return false;
+        this.followedAt = performance.now();
+        if (this.revision === undefined || after > this.revision) return true;
+        this.take(changes, "peer");
+        return false;
+    }
+
+    private state(): StoreState | undefined {
+        if (this.revision === undefined || !this.current) return undefined;
+        const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
+        return {
+            revision: this.revision,
+            hears: this.answered === true,
+            deployment: this.current.text,
+            endpoints,
+        };
+    }
+
+    /** Takes over what a peer knows, if it is further than this host. */
+    private takeState({ revision, hears, deployment, endpoints }: StoreState): void {
+        if (hears) this.followedAt = performance.now();
+        this.offer(deployment, "peer");
+        if (revision <= (this.revision ?? -1)) return;
         const read = readEndpoints(endpoints);
         if (!read.ok) {
             this.deps.log.warn({ source: "peer", err: read.err.kind, detail: read.err.detail }, "endpoints_ignored");
             return;
         }
         this.endpointsRead = true;
-        this.deps.log.info({ endpoints: read.value.length }, "endpoints_from_peer");
-        this.setRegistry(replaceAll(storeFailed(this.registry), read.value, performance.now()));
+        this.revision = revision;
+        this.deps.log.info({ endpoints: read.value.length, revision, hears }, "endpoints_from_peer");
+        this.setRegistry(adoptEndpoints(this.registry, read.value, performance.now()));
     }
 
     /** Whether deployment and endpoints were read. */
@@ -123,7 +179,22 @@
             EXPIRE_EVERY_MS,
         );
         this.deps.signal.addEventListener("abort", () => clearInterval(timer), { once: true });
-        void this.follow();
+        this.setWatching(true, false);
+    }
+
+    /** Begins or ends to watch; `relied` says whether other hosts rely on this one. */
+    private setWatching(watches: boolean, relied: boolean): void {
+        this.relied = relied;
+        if (watches === (this.watching !== undefined)) return;
+        this.deps.log.info({ watches, relied, revision: this.revision }, "store_watching");
+        if (!watches) {
+            this.watching?.abort();
+            this.watching = undefined;
+            return;
+        }
+        const own = new AbortController();
+        this.watching = own;
+        void this.follow(AbortSignal.any([this.deps.signal, own.signal]));
     }
 
     /** Judges a deployment and puts it in force if it is newer; a malformed one is ignored with a log line. */
@@ -149,17 +220,21 @@
         for (const listener of this.deploymentListeners) listener(table);
     }
 
-    private async follow(): Promise<void> {
-        const { kv, signal, log } = this.deps;
+    private async follow(signal: AbortSignal): Promise<void> {
+        const { kv, log } = this.deps;
         let pauseMs = FIRST_RETRY_MS;
         while (!signal.aborted) {
-            const revision = await this.readAll();
+            const revision = await this.readAll(signal);
             if (revision !== undefined) {
                 pauseMs = FIRST_RETRY_MS;
-                const watch = { prefix: EVERYTHING, after: revision };
-                const ended = await kv.watch(watch, changes => this.take(changes), signal);
+                const watch = {
+                    prefix: EVERYTHING,
+                    after: revision,
+                    ...(this.relied ? { waitMs: RELIED_WATCH_MS } : {}),
+                };
+                const ended = await kv.watch(watch, changes => this.take(changes, "store"), signal);
                 if (signal.aborted) return;
-                if (ended.kind !== "compacted") this.setRegistry(storeFailed(this.registry));
+                if (ended.kind !== "compacted") this.onStoreAway();
                 log.warn({ err: ended.kind, detail: ended.detail }, "store_watch_ended");
                 continue;
             }
@@ -169,23 +244,27 @@
     }
 
     /** Reads everything; returns the revision to watch from, or undefined where the store did not answer. */
-    private async readAll(): Promise<number | undefined> {
-        const { kv, wire, signal, log } = this.deps;
+    private async readAll(signal: AbortSignal): Promise<number | undefined> {
+        const { kv, wire, log } = this.deps;
         const listed = await kv.list(EVERYTHING, signal);
+        if (signal.aborted) return undefined;
         if (!listed.ok) {
-            this.setRegistry(storeFailed(this.registry));
+            this.onStoreAway();
             if (!signal.aborted) log.warn({ err: listed.err.kind, detail: listed.err.detail }, "store_read_failed");
             return undefined;
         }
         const { entries, revision } = listed.value;
         const now = performance.now();
+        this.answered = true;
+        this.revision = Math.max(revision, this.revision ?? revision);
         const answered = storeAnswered(this.registry, now);
         const endpoints = entries.flatMap(entry => this.endpointOf(entry) ?? []);
         this.endpointsRead = true;
         const deployment = entries.find(entry => entry.key === wire.storeKeys.deployment);
         if (deployment) this.offer(deployment.value, "store");
         log.info({ revision, endpoints: endpoints.length, deployment: deployment !== undefined }, "store_read");
-        this.setRegistry(replaceAll(answered, endpoints, now));
+        // A peer may have told of changes after this read.
+        this.setRegistry(revision < this.revision ? answered : replaceAll(answered, endpoints, now));
         return revision;
     }
 
@@ -204,12 +283,22 @@
         return key.startsWith(start) ? key.slice(start.length) : undefined;
     }
 
-    private take(changes: readonly KvChange[]): void {
+    /** The store does not answer this host; that it is away is believed only while no peer is answered either. */
+    private onStoreAway(): void {
+        this.answered = false;
+        if (performance.now() - this.followedAt > WORD_VALID_MS) this.setRegistry(storeFailed(this.registry));
+    }
+
+    private take(changes: readonly KvChange[], source: DeploymentSource): void {
         const now = performance.now();
+        if (source === "store") this.answered = true;
         const answered = storeAnswered(this.registry, now);
         const endpoints: RegistryChange[] = [];
-        for (const { key, value, modRevision } of changes) {
-            if (key === this.deps.wire.storeKeys.deployment && value !== undefined) this.offer(value, "store");
+        const after = this.revision ?? -1;
+        const news = changes.filter(change => change.modRevision > after);
+        for (const { key, value, modRevision } of news) {
+            this.revision = Math.max(this.revision ?? -1, modRevision);
+            if (key === this.deps.wire.storeKeys.deployment && value !== undefined) this.offer(value, source);
             const incarnation = this.incarnationOf(key);
             if (incarnation === undefined) continue;
             const entry = value === undefined ? undefined : this.endpointOf({ key, value, modRevision });
@@ -222,6 +311,9 @@
             );
         }
         this.setRegistry(endpoints.length > 0 ? applyChanges(answered, endpoints, now) : answered);
+        if (source === "peer" || news.length === 0) return;
+        const word = this.word(news, after);
+        if (word) { for (const listener of this.changeListeners) listener(word); }
     }
 
     private setRegistry(registry: Registry): void {
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -42,8 +42,9 @@
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
 /** Shared parts of prompts are small beside the prompts, so that where they are kept decides nothing. */
 const ENGINE_VARIANT = { ...DEFAULT_VARIANT, prefix: false, backups: true, askAlways: true, lastResort: true } as const;
-/** How long one call of a watch waits: a lost answer is noticed this late at most, within the shortest bound on news. */
-const WATCH_MS = 2_500;
+/** How long one call of a watch waits, and the time for its answer beyond that: a lost one is noticed within their sum. */
+const WATCH_MS = 2_000;
+const WATCH_MARGIN_MS = 400;
 /** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
 const STILL_SERVED_MS = 3_000;
 /** A stop ends this long before the platform ends the process. */
@@ -70,6 +71,7 @@
         url: cfg["platform.key-value"],
         timeoutMs: cfg["platform.timeout"],
         watchMs: WATCH_MS,
+        watchMarginMs: WATCH_MARGIN_MS,
         onCall: call => metrics.countStoreCall(call),
     });
     const feed = new DeploymentFeed({ kv, wire: platformWire, log, metrics, signal });
@@ -116,7 +118,16 @@
         requestMs: cfg["callers.body-timeout"],
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
-    const peers = await Peers.start({ cfg, log, metrics, engines, plain, spread: feed.spread, signal });
+    const peers = await Peers.start({
+        cfg,
+        log,
+        metrics,
+        engines,
+        plain,
+        spread: feed.spread,
+        follower: feed.follower,
+        signal,
+    });
     const operators = createProbes(() => feed.isReady && !runs.stopping, metrics);
     let known: Registry | undefined;
     const declare = (): void => {
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -6,19 +6,24 @@
  */
 import {
     askAfter,
+    createFollowing,
     createMembership,
     createShare,
     endpointOwner,
+    type Following,
     give,
     hear,
     heartbeat,
+    hearWatcher,
     isAlive,
     leave,
     listHosts,
     liveHosts,
+    liveInHall,
     type MemberNews,
     type Membership,
     newsOf,
+    planFollowing,
     type SettingsAsk,
     type SettingsGive,
     shareAsk,
@@ -32,9 +37,10 @@
     tellEvery,
     type VersionNews,
     watches,
+    WORD_EVERY_MS,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
-import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
+import { type FrameMessage, type KvChange, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { TypeCompiler } from "@sinclair/typebox/compiler";
 import type { HostCfg } from "./config.js";
@@ -47,6 +53,7 @@
 const News = Type.Object({
     name: Type.String(),
     hall: Type.String(),
+    scope: Type.String(),
     address: Type.String(),
     incarnation: Type.Number(),
     counter: Type.Number(),
@@ -59,6 +66,8 @@
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
 });
+const Revision = Type.Integer({ minimum: 0 });
+const Change = Type.Object({ key: Type.String(), value: Type.Optional(Type.String()), modRevision: Revision });
 const Texts = Type.Record(Type.String(), Type.String());
 
 /** Shape of each message; one that is not so is dropped and counted. */
@@ -85,6 +94,19 @@
         bounds: Type.Object({ room: Type.Number(), limit: Type.Number(), z: Type.Number(), unread: Type.Number() }),
     }),
     answer: Type.Object({ job: Type.String(), granted: Type.Boolean(), others: HeldShape }),
+    storeWord: Type.Object({
+        revision: Revision,
+        hears: Type.Boolean(),
+        after: Revision,
+        changes: Type.Array(Change),
+    }),
+    storeAsk: Type.Object({ revision: Type.Integer() }),
+    storeState: Type.Object({
+        revision: Revision,
+        hears: Type.Boolean(),
+        deployment: Type.String(),
+        endpoints: Type.String(),
+    }),
 } as const;
 
 /** Compiled once: messages come by the hundred each second. */
@@ -95,8 +117,49 @@
     | { readonly kind: "heartbeat"; readonly news: readonly MemberNews[]; readonly settings: VersionNews }
     | { readonly kind: "ask" } & SettingsAsk
     | { readonly kind: "give" } & SettingsGive
+    /** Told by a watcher of the store: how far it is, and what has just changed. */
+    | { readonly kind: "storeWord" } & StoreWord
+    /** Asks for all that a peer knows, if it is further than this revision. */
+    | { readonly kind: "storeAsk"; readonly revision: number }
+    | { readonly kind: "storeState" } & StoreState
     | ShareMessage;
 
+/** What a host that watches the store says of it. */
+export interface StoreWord {
+    /** The store's revision that it is up to date with. */
+    readonly revision: number;
+    /** Whether the store answers it. */
+    readonly hears: boolean;
+    /** Where it stood before `changes`. */
+    readonly after: number;
+    readonly changes: readonly KvChange[];
+}
+
+/** All that a host knows by the store's word. */
+export interface StoreState {
+    readonly revision: number;
+    readonly hears: boolean;
+    /** The deployment in force, as the store holds it. */
+    readonly deployment: string;
+    /** The endpoints, as the package `routes` writes them. */
+    readonly endpoints: string;
+}
+
+/** How hosts share what some of them hear of the store. */
+export interface StoreFollower {
+    /** Whether the store answers this host; undefined while it does not watch. */
+    hears(): boolean | undefined;
+    /** Undefined before anything was learnt. */
+    word(): StoreWord | undefined;
+    setWatching(watches: boolean, relied: boolean): void;
+    /** Calls back with what this host learns from the store itself. */
+    onChanges(listener: (word: StoreWord) => void): void;
+    /** Takes in a watcher's word; true if changes before it are missing here. */
+    hear(word: StoreWord): boolean;
+    state(): StoreState | undefined;
+    take(state: StoreState): void;
+}
+
 type Handlers = {
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
 };
@@ -122,6 +185,8 @@
     /** Decisions that hosts do not share, but that depend on how many hosts there are. */
     readonly plain: Placement;
     readonly spread: Spread;
+    /** Where it is given, few hosts of a large hall watch the store for all. */
+    readonly follower?: StoreFollower;
     readonly signal: AbortSignal;
 }
 
@@ -141,11 +206,15 @@
 export class Peers {
     private membership: Membership;
     private share: ShareState;
+    private following: Following;
+    /** Turns the choice of whom a host asks that the store does not answer. */
+    private askTurn = 0;
 
     private constructor(private readonly host: PeersDeps, private readonly mesh: PeerMesh, seeds: readonly string[]) {
-        const { "host.name": name, "host.hall": ownHall, "peers.scope": hall = ownHall } = host.cfg;
+        const { "host.name": name, "host.hall": hall, "peers.scope": scope = hall } = host.cfg;
         this.share = createShare(name);
-        this.membership = createMembership({ name, hall, address: mesh.at, incarnation: Date.now() }, seeds);
+        this.following = createFollowing(name);
+        this.membership = createMembership({ name, hall, scope, address: mesh.at, incarnation: Date.now() }, seeds);
     }
 
     /** Starts to listen and to send heartbeats; ends with the host's signal. */
@@ -176,6 +245,40 @@
         const every = cfg["control.heartbeat"];
         repeat(() => this.beat(), () => every * stretch(this.live.length), signal);
         repeat(() => this.tellNow(), () => tellEvery(this.live.length), signal);
+        const { follower } = this.host;
+        if (!follower) return;
+        repeat(() => this.planFollowing(follower), () => WORD_EVERY_MS, signal);
+        follower.onChanges(word => this.relay(word));
+    }
+
+    /** Sees whether this host watches the store, says so, and asks a peer where the store does not answer. */
+    private planFollowing(follower: StoreFollower): void {
+        const now = performance.now();
+        const hears = follower.hears();
+        const { state, watches, place } = planFollowing(this.following, liveInHall(this.membership, now), hears, now);
+        this.following = state;
+        follower.setWatching(watches, place !== undefined);
+        const word = follower.word();
+        if (place !== undefined && hears !== undefined && word) this.tellHall({ kind: "storeWord", ...word });
+        if (hears === false) this.askNextPeer(word?.revision);
+    }
+
+    /** Passes on what this host learnt from the store; the first of a hall's watchers does, the others stand by. */
+    private relay(word: StoreWord): void {
+        const now = performance.now();
+        const { place } = planFollowing(this.following, liveInHall(this.membership, now), true, now);
+        if (place === 0) this.tellHall({ kind: "storeWord", ...word });
+    }
+
+    private tellHall(message: PeerMessage): void {
+        for (const name of liveInHall(this.membership, performance.now())) this.sendTo(name, message);
+    }
+
+    private askNextPeer(revision = -1): void {
+        const others = this.live.filter(name => name !== this.host.cfg["host.name"]);
+        this.askTurn += 1;
+        const name = others[this.askTurn % Math.max(1, others.length)];
+        if (name !== undefined) this.sendTo(name, { kind: "storeAsk", revision });
     }
 
     /** Where peers reach this host. */
@@ -224,7 +327,7 @@
     private beat(): void {
         const { message, to } = this.nextHeartbeat();
         for (const address of to) this.send(address, message);
-        this.host.spread.setWatching(watches(this.host.cfg["host.name"], this.live));
+        if (!this.host.follower) this.host.spread.setWatching(watches(this.host.cfg["host.name"], this.live));
     }
 
     private send(address: string, message: PeerMessage): void {
@@ -258,6 +361,18 @@
         others: (from, message) => this.hearShare(from, message),
         question: (from, message) => this.hearShare(from, message),
         answer: (from, message) => this.hearShare(from, message),
+        storeWord: (from, word) => {
+            this.following = hearWatcher(this.following, from.name, word.hears, performance.now());
+            const { follower } = this.host;
+            if (follower?.hear(word)) {
+                this.send(from.address, { kind: "storeAsk", revision: follower.word()?.revision ?? -1 });
+            }
+        },
+        storeAsk: (from, { revision }) => {
+            const state = this.host.follower?.state();
+            if (state && state.revision > revision) this.send(from.address, { kind: "storeState", ...state });
+        },
+        storeState: (_from, state) => this.host.follower?.take(state),
     };
 
     private get endpoints(): EndpointTable {
--- a/packages/protocol/src/kv.ts
+++ b/packages/protocol/src/kv.ts
@@ -54,6 +54,8 @@
     readonly prefix: string;
     /** Changes after this revision are told; only coming ones where it is absent. */
     readonly after?: number;
+    /** How long one call may wait for a change, in milliseconds, where a watch is made of calls. */
+    readonly waitMs?: number;
 }
 
 /** The key-value service. Every call takes a signal that ends it. */
--- a/packages/routes/src/endpoint-list.ts
+++ b/packages/routes/src/endpoint-list.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Static, Type } from "@sinclair/typebox";
+import { Type } from "@sinclair/typebox";
 import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { type EndpointEntry, EndpointState } from "./deployment.js";
 
@@ -50,7 +50,7 @@
     catch (err) {
         return { ok: false, err: { kind: "notJson", detail: (err as Error).message } };
     }
-    if (check.Check(value)) return { ok: true, value: value as Static<typeof Entries> };
+    if (check.Check(value)) return { ok: true, value };
     const first = check.Errors(value).First();
     return {
         ok: false,
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -12,6 +12,7 @@
 } from "./deployment.js";
 export { type EndpointListError, type EndpointListResult, readEndpoints, writeEndpoints } from "./endpoint-list.js";
 export {
+    adoptEndpoints,
     applyChanges,
     type Departed,
     EMPTY_REGISTRY,
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -114,6 +114,15 @@
     ], now);
 }
 
+/**
+ * The registry with the endpoints of a host that the store answers, taken over as they are: which of them have lapsed was
+ * judged there.
+ */
+export function adoptEndpoints(registry: Registry, entries: readonly EndpointEntry[], now: number): Registry {
+    const endpoints = new Map(entries.map(entry => [entry.incarnation, { entry, lapsedAt: undefined }]));
+    return withEndpoints(registry, endpoints, now);
+}
+
 /** The registry without the lapsed registrations whose time to come back is over. */
 export function expireLapsed(registry: Registry, now: number): Registry {
     if (registry.storeAway) return registry;
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -132,12 +132,14 @@
     let state = createMembership({
         name: "hall-1-00",
         hall: "hall-1",
+        scope: "hall-1",
         address: "10.0.0.1:7080",
         incarnation: 1_780_000_000_000,
     }, []);
     const news = Array.from({ length: HOST.hallHosts - 1 }, (_, at) => ({
         name: `hall-1-${String(at + 1).padStart(2, "0")}`,
         hall: "hall-1",
+        scope: "hall-1",
         address: `10.0.1.${at}:7080`,
         incarnation: 1_780_000_000_000,
         counter: 1_000 + at,
