--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -11,19 +11,20 @@
 export { cut, type Place, placeIn, shareOf } from "./limit-share.js";
 export {
     type Account,
+    addGrant,
     curveOf,
+    dropStale,
     EMPTY_ACCOUNT,
+    type Grant,
     type Held,
     HELD_VALID_MS,
     heldOf,
-    judge,
-    type Judgement,
     NOTHING_TOLD,
     othersFor,
     planTelling,
-    type Question,
     REPEAT_MS,
     takeHeld,
+    TELL_OWNERS_MS,
     tellEvery,
     type Told,
 } from "./load-share.js";
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import { addCurve, type Bounds, type Curve, type Others, peakOf, zeroCurve } from "@drumpaddle/policy";
+import { addCurve, type Curve, type Others, zeroCurve } from "@drumpaddle/policy";
 
 /** What one host holds on one endpoint. */
 export interface Held {
@@ -26,14 +26,20 @@
 
 /** What an owner has been told, by endpoint and host, with what it granted since. */
 export interface Account {
-    readonly held: ReadonlyMap<string, ReadonlyMap<string, Entry>>;
+    readonly held: ReadonlyMap<string, Tally>;
 }
 
+/** What all hosts hold on one endpoint, with the sum over them: it is asked for with every request. */
+interface Tally {
+    readonly hosts: ReadonlyMap<string, Entry>;
+    readonly sum: Others;
+}
+
+/** What one host holds on one endpoint by the account. */
 interface Entry {
-    readonly held: Held;
+    /** What it told, and what was granted to it since. */
+    readonly others: Others;
     readonly at: number;
-    /** Streams granted to the host since it last told. */
-    readonly granted: readonly Curve[];
 }
 
 /** What a host has told owners, so that it says only what is new. */
@@ -45,16 +51,19 @@
 export const HELD_VALID_MS = 15_000;
 /** Unchanged holdings are said again this often. */
 export const REPEAT_MS = 4_000;
-/** How often holdings are told in a hall of up to {@link SMALL_ROUND} hosts, in milliseconds. */
+/** How often owners tell hosts in a hall of up to {@link SMALL_ROUND} hosts, in milliseconds. */
 const TELL_MS = 250;
 const SMALL_ROUND = 2.5;
 /** Up to this many hosts rounds are short: what they send then still fits the budget of a host. */
 const FEW_HOSTS = 12;
 const FEW_HOSTS_TELL_MS = 100;
 
+/** How often hosts of larger halls tell owners what they hold: what an owner advises by is this old at most. */
+export const TELL_OWNERS_MS = 250;
+
 /**
- * How often a host tells owners what it holds, and owners tell hosts: more rarely in larger halls, where asking before
- * crowded endpoints carries what rounds no longer do.
+ * How often owners tell hosts what others hold: more rarely in larger halls, where asking owners carries what rounds no
+ * longer do.
  *
  * @example
  * ```ts
@@ -141,82 +150,82 @@
     return streams > 0 || mean[0]! > 0;
 }
 
+const NO_TALLY: Tally = { hosts: new Map(), sum: { streams: 0, unread: 0, curve: zeroCurve() } };
+
+function plus(a: Others, b: Others, sign: 1 | -1): Others {
+    return {
+        streams: a.streams + sign * b.streams,
+        unread: a.unread + sign * b.unread,
+        curve: addCurve(a.curve, b.curve, sign),
+    };
+}
+
+function withEntry({ hosts, sum }: Tally, host: string, entry: Entry): Tally {
+    const known = hosts.get(host);
+    const rest = known ? plus(sum, known.others, -1) : sum;
+    return { hosts: new Map(hosts).set(host, entry), sum: plus(rest, entry.others, 1) };
+}
+
+/** What was sent of one endpoint. */
+export function othersOf(held: Held): Others {
+    return { streams: held.streams, unread: held.unread, curve: curveOf(held) };
+}
+
 /** The account after a host told what it holds. Anything of another shape than a {@link Held} is left out. */
 export function takeHeld(account: Account, host: string, holdings: readonly Held[], now: number): Account {
+    if (holdings.length === 0) return account;
     const next = new Map(account.held);
     for (const held of holdings) {
-        const hosts = new Map(next.get(held.endpoint));
-        hosts.set(host, { held, at: now, granted: [] });
-        next.set(held.endpoint, hosts);
+        const tally = next.get(held.endpoint) ?? NO_TALLY;
+        next.set(held.endpoint, withEntry(tally, host, { others: othersOf(held), at: now }));
     }
     return { held: next };
 }
 
-/**
- * What hosts other than `host` hold on an endpoint by the account.
- *
- * @example
- * ```ts
- * othersFor(account, "e1", "k1-a", now).streams;
- * ```
- */
-export function othersFor(account: Account, endpoint: string, host: string, now: number): Others {
-    let streams = 0;
-    let unread = 0;
-    let curve = zeroCurve();
-    for (const [name, { held, at, granted }] of account.held.get(endpoint) ?? []) {
-        if (name === host || now - at > HELD_VALID_MS) continue;
-        streams += held.streams + granted.length;
-        // A granted stream holds its prompt, which is still to be read.
-        unread += granted.reduce((sum, stream) => sum + stream.mean[0]!, held.unread);
-        curve = granted.reduce((sum, one) => addCurve(sum, one, 1), addCurve(curve, curveOf(held), 1));
+/** The account without what hosts said so long ago that it no longer counts. */
+export function dropStale(account: Account, now: number): Account {
+    const held = new Map<string, Tally>();
+    for (const [endpoint, tally] of account.held) {
+        const fresh = [...tally.hosts].filter(([, { at }]) => now - at <= HELD_VALID_MS);
+        if (fresh.length === 0) continue;
+        const sum = fresh.length === tally.hosts.size
+            ? tally.sum
+            : fresh.reduce((total, [, { others }]) => plus(total, others, 1), NO_TALLY.sum);
+        held.set(endpoint, { hosts: new Map(fresh), sum });
     }
-    return { streams, unread, curve };
-}
-
-/** A host's question whether a stream may be added on an endpoint; `held` is all that the host holds there, without it. */
-export interface Question {
-    readonly held: Held;
-    /** The stream, as a {@link Held} of one. */
-    readonly stream: Held;
-    readonly bounds: Bounds;
-}
-
-/** An owner's judgement. */
-export interface Judgement {
-    readonly account: Account;
-    readonly granted: boolean;
+    return { held };
 }
 
 /**
- * Judges a host's question by all that is held: a grant is kept in the account until the host next tells what it holds.
+ * What hosts other than `host` hold on an endpoint by the account.
  *
  * @example
  * ```ts
- * const { account: next, granted } = judge(account, "k1-b", question, now);
+ * othersFor(account, "e1", "k1-a").streams;
  * ```
  */
-export function judge(account: Account, host: string, { held, stream, bounds }: Question, now: number): Judgement {
-    const { endpoint } = held;
-    const known = account.held.get(endpoint)?.get(host);
-    // What was granted to the host since it last told is in what it tells now.
-    const current = takeHeld(account, host, [held], known ? Math.max(known.at, now) : now);
-    const others = othersFor(current, endpoint, host, now);
-    const streams = others.streams + held.streams + 1;
-    const curve = addCurve(addCurve(others.curve, curveOf(held), 1), curveOf(stream), 1);
-    const unread = others.unread + held.unread;
-    const fits = streams <= bounds.limit && unread <= bounds.unread
-        && (peakOf([curve], bounds.z) <= bounds.room || streams === 1);
-    return fits
-        ? { account: addGrant(current, endpoint, host, curveOf(stream)), granted: true }
-        : { account: current, granted: false };
-}
-
-function addGrant(account: Account, endpoint: string, host: string, stream: Curve): Account {
-    const hosts = new Map(account.held.get(endpoint));
-    const entry = hosts.get(host)!;
-    hosts.set(host, { ...entry, granted: [...entry.granted, stream] });
-    return { held: new Map(account.held).set(endpoint, hosts) };
+export function othersFor(account: Account, endpoint: string, host: string): Others {
+    const { hosts, sum } = account.held.get(endpoint) ?? NO_TALLY;
+    const own = hosts.get(host);
+    return own ? plus(sum, own.others, -1) : sum;
+}
+
+/** What an owner granted to a host: a stream, or a copy, which holds memory without any work. */
+export interface Grant {
+    readonly endpoint: string;
+    readonly kind: "stream" | "copy";
+    readonly curve: Curve;
+}
+
+/** The account after a grant, which counts until the host next tells what it holds there. */
+export function addGrant(account: Account, host: string, { endpoint, kind, curve }: Grant, now: number): Account {
+    const tally = account.held.get(endpoint) ?? NO_TALLY;
+    const before = tally.hosts.get(host)?.others ?? NO_TALLY.sum;
+    // A granted stream holds its prompt, which is still to be read.
+    const isStream = kind === "stream";
+    const granted: Others = { streams: isStream ? 1 : 0, unread: isStream ? curve.mean[0]! : 0, curve };
+    const entry: Entry = { others: plus(before, granted, 1), at: now };
+    return { held: new Map(account.held).set(endpoint, withEntry(tally, host, entry)) };
 }
 
 /** A curve from what was sent. */
--- a/packages/hall/src/ownership.ts
+++ b/packages/hall/src/ownership.ts
@@ -23,6 +23,18 @@
     return weighed.sort((a, b) => a.weight < b.weight ? 1 : -1).map(({ host }) => host);
 }
 
+/**
+ * Which of a number of shards a key belongs to.
+ *
+ * @example
+ * ```ts
+ * shardOf("e1", 1); // 0
+ * ```
+ */
+export function shardOf(key: string, shards: number): number {
+    return shards <= 1 ? 0 : createHash("sha256").update(key).digest().readUInt32BE(0) % shards;
+}
+
 /** The host that owns a key, or undefined where no host is alive. */
 export function ownerOf(key: string, hosts: readonly string[]): string | undefined {
     return rank(key, hosts)[0];
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -7,30 +7,32 @@
  * @module
  */
 import {
-    addCurve,
+    advise,
     type EndpointTable,
-    type Others,
+    type Question,
     type SchedulerAction,
     type SchedulerEvent,
+    type SchedulerState,
     unreadTokens,
 } from "@drumpaddle/policy";
 import {
     type Account,
-    curveOf,
+    addGrant,
+    dropStale,
     EMPTY_ACCOUNT,
+    type Grant,
     type Held,
     heldOf,
     isNews,
-    judge,
     NOTHING_TOLD,
     othersFor,
+    othersOf,
     planTelling,
-    type Question,
     REPEAT_MS,
     takeHeld,
     type Told,
 } from "./load-share.js";
-import { ownerOf } from "./ownership.js";
+import { ownerOf, shardOf } from "./ownership.js";
 
 /** What a host keeps of the hall's streams. */
 export interface ShareState {
@@ -43,8 +45,20 @@
     readonly toldOthers: ReadonlyMap<string, ToldOthers>;
     /** Owners by endpoint, kept while hosts and endpoints stay the same: ranking all of them costs thousands of hashes. */
     readonly owners: Owners;
+    /** Questions that owners have not answered. */
+    readonly open: ReadonlyMap<string, { readonly owner: string; readonly at: number }>;
+    /** Owners that did not answer, until when others are asked in their place. */
+    readonly silent: ReadonlyMap<string, number>;
+    /** When owners were last told and hosts last told by this host as an owner. */
+    readonly toldOthersAt: number;
 }
 
+/** Endpoints of one owner at most, on average: it chooses among all of them at once. */
+const ENDPOINTS_PER_OWNER = 64;
+/** A question is answered in a few milliseconds; an owner that took longer is passed over for a while. */
+const ANSWER_MS = 100;
+const SILENT_MS = 2_000;
+
 /** What an owner told one host last, so that it says only what is new. */
 interface ToldOthers {
     readonly held: ReadonlyMap<string, { readonly held: Held; readonly at: number }>;
@@ -70,10 +84,10 @@
         readonly owned: readonly string[];
         readonly leaving: readonly string[];
     }
-    /** Asked of an owner before a request is sent to a crowded endpoint. */
-    | { readonly kind: "question"; readonly job: string } & Question
-    /** An owner's word, with what others than the asker hold on the endpoint. */
-    | { readonly kind: "answer"; readonly job: string; readonly granted: boolean; readonly others: Held };
+    /** Asked of an owner: where is a request to go? `stream` is what it will hold. */
+    | { readonly kind: "question"; readonly job: string; readonly stream: Held } & Omit<Question, "curve">
+    /** An owner's word; no endpoint where none has room. */
+    | { readonly kind: "answer"; readonly job: string; readonly endpoint?: string; readonly keeper?: string };
 
 /** A message with the host that it goes to. */
 export interface Addressed {
@@ -96,62 +110,111 @@
         told: NOTHING_TOLD,
         toldOthers: new Map(),
         owners: { basis: "", of: new Map() },
+        open: new Map(),
+        silent: new Map(),
+        toldOthersAt: -Infinity,
     };
 }
 
-/** The owner of an endpoint among live hosts. */
-export function endpointOwner(endpoint: string, live: readonly string[]): string | undefined {
-    return ownerOf(`endpoint/${endpoint}`, live);
+/**
+ * The owner of an endpoint among live hosts. One host owns so many endpoints together that its advice is a choice.
+ *
+ * @param count Endpoints in all.
+ *
+ * @example
+ * ```ts
+ * endpointOwner("e1", 31, ["k1-a", "k1-b"]);
+ * ```
+ */
+export function endpointOwner(endpoint: string, count: number, live: readonly string[]): string | undefined {
+    return ownerOf(`endpoints/${shardOf(endpoint, Math.ceil(count / ENDPOINTS_PER_OWNER))}`, live);
 }
 
 function ownersOf(known: Owners, endpoints: readonly string[], live: readonly string[]): Owners {
     const basis = `${live.join(",")};${endpoints.join(",")}`;
     if (basis === known.basis) return known;
-    return { basis, of: new Map(endpoints.map(endpoint => [endpoint, endpointOwner(endpoint, live)])) };
+    const count = endpoints.length;
+    return { basis, of: new Map(endpoints.map(endpoint => [endpoint, endpointOwner(endpoint, count, live)])) };
+}
+
+/** The state in which owners that left a question unanswered are passed over for a while. */
+function passOverSilent(state: ShareState, now: number): ShareState {
+    const late = [...state.open].filter(([, { at }]) => now - at >= ANSWER_MS);
+    const lapsed = [...state.silent].some(([, until]) => now >= until);
+    if (late.length === 0 && !lapsed) return state;
+    const open = new Map([...state.open].filter(([, { at }]) => now - at < ANSWER_MS));
+    const silent = new Map([...state.silent].filter(([, until]) => now < until));
+    for (const [, { owner }] of late) silent.set(owner, now + SILENT_MS);
+    return { ...state, open, silent };
+}
+
+/** Live hosts that answer. */
+function answering({ silent }: ShareState, live: readonly string[]): readonly string[] {
+    return silent.size === 0 ? live : live.filter(host => !silent.has(host));
 }
 
 /**
- * One round: the host tells owners what it holds, and as an owner tells every live host what the others hold. A host that
- * holds nothing yet hears it too, since it must not take an endpoint for empty.
+ * One round: the host tells owners what it holds and, when that is due, as an owner tells every live host what the others
+ * hold. A host that holds nothing yet hears it too, since it must not take an endpoint for empty.
+ *
+ * @param othersEveryMs How often an owner tells hosts; owners are told in every round.
  *
  * @example
  * ```ts
- * const { state: next, send, events } = shareRound(state, scheduler.endpoints, live, now);
+ * const { state: next, send, events } = shareRound(state, scheduler.endpoints, live, now, tellEvery(live.length));
  * ```
  */
 export function shareRound(
-    state: ShareState,
+    before: ShareState,
     endpoints: EndpointTable,
     live: readonly string[],
     now: number,
+    othersEveryMs = 0,
 ): ShareStep {
+    const state = passOverSilent(before, now);
     const views = endpoints.values();
     const holdings = views.map(view => heldOf(view.cfg.id, view.streams.size, unreadTokens(view), view.curve));
-    const owners = ownersOf(state.owners, views.map(view => view.cfg.id), live);
+    const owners = ownersOf(state.owners, views.map(view => view.cfg.id), answering(state, live));
     const { state: told, toSay } = planTelling(state.told, holdings, endpoint => owners.of.get(endpoint), now);
-    const account = takeHeld(state.account, state.self, toSay.get(state.self) ?? [], now);
+    const account = dropStale(takeHeld(state.account, state.self, toSay.get(state.self) ?? [], now), now);
     const held = [...toSay].filter(([owner]) => owner !== state.self)
         .map(([to, list]): Addressed => ({ to, message: { kind: "held", held: list } }));
     const owned = views.map(view => view.cfg.id).filter(endpoint => owners.of.get(endpoint) === state.self);
-    const leaving = owned.filter(endpoint => endpoints.get(endpoint)?.leavingBy.includes("endpoint"));
-    const toldOthers = new Map<string, ToldOthers>();
-    const others = live.flatMap((to): readonly Addressed[] => {
-        if (to === state.self || owned.length === 0) return [];
-        const known = owned.map(endpoint => sentOthers(account, endpoint, to, now));
-        const { told: next, message } = planOthers(state.toldOthers.get(to), known, { owned, leaving }, now);
-        toldOthers.set(to, next);
-        return message ? [{ to, message }] : [];
-    });
+    const next: ShareState = { ...state, account, told, owners };
+    const isDue = now - state.toldOthersAt >= othersEveryMs;
+    const { state: after, send: others } = isDue
+        ? tellOthers(next, endpoints, owned, live, now)
+        : { state: next, send: [] };
     const events: SchedulerEvent[] = [
         { kind: "hosts", count: Math.max(1, live.length) },
         { kind: "owns", endpoints: owned },
         ...owned.map((endpoint): SchedulerEvent => ({
             kind: "others",
             endpoint,
-            others: othersFor(account, endpoint, state.self, now),
+            others: othersFor(account, endpoint, state.self),
         })),
     ];
-    return { state: { ...state, account, told, toldOthers, owners }, send: [...held, ...others], events };
+    return { state: after, send: [...held, ...others], events };
+}
+
+/** As an owner, tells every live host what is new of what the others hold. */
+function tellOthers(
+    state: ShareState,
+    endpoints: EndpointTable,
+    owned: readonly string[],
+    live: readonly string[],
+    now: number,
+): { readonly state: ShareState; readonly send: readonly Addressed[] } {
+    const leaving = owned.filter(endpoint => endpoints.get(endpoint)?.leavingBy.includes("endpoint"));
+    const toldOthers = new Map<string, ToldOthers>();
+    const send = live.flatMap((to): readonly Addressed[] => {
+        if (to === state.self || owned.length === 0) return [];
+        const known = owned.map(endpoint => sentOthers(state.account, endpoint, to));
+        const { told, message } = planOthers(state.toldOthers.get(to), known, { owned, leaving }, now);
+        toldOthers.set(to, told);
+        return message ? [{ to, message }] : [];
+    });
+    return { state: { ...state, toldOthers, toldOthersAt: now }, send };
 }
 
 /** What of an owner's knowledge is worth saying to one host now; nothing where nothing is new. */
@@ -173,47 +236,42 @@
     return { told: { held, basis, at: now }, message: { kind: "others", others, owned, leaving } };
 }
 
-function sentOthers(account: Account, endpoint: string, host: string, now: number): Held {
-    const { streams, unread, curve } = othersFor(account, endpoint, host, now);
+function sentOthers(account: Account, endpoint: string, host: string): Held {
+    const { streams, unread, curve } = othersFor(account, endpoint, host);
     return heldOf(endpoint, streams, unread, curve);
 }
 
-function toOthers(held: Held): Others {
-    return { streams: held.streams, unread: held.unread, curve: curveOf(held) };
-}
-
 /** The question to an endpoint's owner that the host's decisions ask for; none where no owner is alive. */
 export function shareAsk(
-    state: ShareState,
+    before: ShareState,
     action: Extract<SchedulerAction, { kind: "ask" }>,
     endpoints: EndpointTable,
     live: readonly string[],
+    now: number,
 ): ShareStep {
-    const { job, endpoint, curve, bounds } = action;
-    const to = endpointOwner(endpoint, live);
-    const view = endpoints.get(endpoint);
-    if (to === undefined || !view) return { state, send: [], events: [] };
-    // The stream is already counted in the view: what is held without it is told. It holds its unread prompt.
-    const unread = Math.max(0, unreadTokens(view) - curve.mean[0]!);
-    const held = heldOf(endpoint, view.streams.size - 1, unread, addCurve(view.curve, curve, -1));
-    const message: ShareMessage = { kind: "question", job, held, stream: heldOf(endpoint, 1, 0, curve), bounds };
-    return { state, send: [{ to, message }], events: [] };
+    const state = passOverSilent(before, now);
+    const { job, endpoint, question: { curve, ...rest } } = action;
+    const to = endpointOwner(endpoint, endpoints.values().length, answering(state, live));
+    if (to === undefined || to === state.self) return { state, send: [], events: [] };
+    const message: ShareMessage = { kind: "question", job, stream: heldOf(endpoint, 1, 0, curve), ...rest };
+    const open = new Map(state.open).set(job, { owner: to, at: now });
+    return { state: { ...state, open }, send: [{ to, message }], events: [] };
 }
 
 type Handler<K extends ShareMessage["kind"]> = (
     state: ShareState,
     from: string,
     message: Extract<ShareMessage, { kind: K }>,
-    endpoints: EndpointTable,
+    scheduler: SchedulerState,
     now: number,
 ) => ShareStep;
 
 const HANDLERS: { readonly [K in ShareMessage["kind"]]: Handler<K> } = {
-    held: (state, from, { held }, _endpoints, now) => ({
-        state: { ...state, account: takeHeld(state.account, from, held, now) },
-        send: [],
-        events: [],
-    }),
+    held: (state, from, { held }, _scheduler, now) => {
+        const account = takeHeld(state.account, from, held, now);
+        const events = held.map(({ endpoint }) => othersEvent(account, endpoint, state.self));
+        return { state: { ...state, account }, send: [], events };
+    },
     others: (state, _from, { others, owned, leaving }) => ({
         state,
         send: [],
@@ -221,7 +279,7 @@
             ...others.map((held): SchedulerEvent => ({
                 kind: "others",
                 endpoint: held.endpoint,
-                others: toOthers(held),
+                others: othersOf(held),
             })),
             ...owned.map((endpoint): SchedulerEvent => ({
                 kind: "leaving",
@@ -231,41 +289,49 @@
             })),
         ],
     }),
-    question: (state, from, { job, held, stream, bounds }, endpoints, now) => {
-        const { endpoint } = held;
-        const own = endpoints.get(endpoint);
-        const mine = own ? [heldOf(endpoint, own.streams.size, unreadTokens(own), own.curve)] : [];
-        const fresh = takeHeld(state.account, state.self, mine, now);
-        const { account, granted } = judge(fresh, from, { held, stream, bounds }, now);
-        const answer: ShareMessage = { kind: "answer", job, granted, others: sentOthers(account, endpoint, from, now) };
+    question: (state, from, { job, stream, ...rest }, scheduler, now) => {
+        const { curve } = othersOf(stream);
+        const advice = advise(scheduler, { ...rest, curve }, now);
+        if (!advice) return { state, send: [{ to: from, message: { kind: "answer", job } }], events: [] };
+        const { endpoint, keeper } = advice;
+        const grants: readonly Grant[] = [
+            { endpoint, kind: "stream", curve },
+            ...(keeper === undefined ? [] : [{ endpoint: keeper, kind: "copy", curve } as const]),
+        ];
+        const account = grants.reduce((sum, grant) => addGrant(sum, from, grant, now), state.account);
+        const answer: ShareMessage = { kind: "answer", job, endpoint, ...(keeper === undefined ? {} : { keeper }) };
         return {
             state: { ...state, account },
             send: [{ to: from, message: answer }],
-            events: [{ kind: "others", endpoint, others: othersFor(account, endpoint, state.self, now) }],
+            events: grants.map(grant => othersEvent(account, grant.endpoint, state.self)),
         };
     },
-    answer: (state, _from, { job, granted, others }) => ({
-        state,
-        send: [],
-        events: [{ kind: "answer", job, granted, others: toOthers(others) }],
-    }),
+    answer: (state, _from, { job, endpoint, keeper }) => {
+        const open = new Map(state.open);
+        open.delete(job);
+        return { state: { ...state, open }, send: [], events: [{ kind: "answer", job, endpoint, keeper }] };
+    },
 };
 
+function othersEvent(account: Account, endpoint: string, self: string): SchedulerEvent {
+    return { kind: "others", endpoint, others: othersFor(account, endpoint, self) };
+}
+
 /**
  * Takes in a message of another host.
  *
  * @example
  * ```ts
- * const { state: next, send, events } = shareHear(state, "k1-b", message, scheduler.endpoints, now);
+ * const { state: next, send, events } = shareHear(state, "k1-b", message, scheduler, now);
  * ```
  */
 export function shareHear(
     state: ShareState,
     from: string,
     message: ShareMessage,
-    endpoints: EndpointTable,
+    scheduler: SchedulerState,
     now: number,
 ): ShareStep {
     const handler = HANDLERS[message.kind] as Handler<ShareMessage["kind"]>;
-    return handler(state, from, message, endpoints, now);
+    return handler(state, from, message, scheduler, now);
 }
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -2,6 +2,9 @@
     addCurve,
     createEndpoint,
     createEstimates,
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
     EndpointTable,
     peakOf,
     streamCurve,
@@ -16,14 +19,15 @@
     createShare,
     cut,
     DEAD_AFTER_MS,
+    dropStale,
     EMPTY_ACCOUNT,
+    endpointOwner,
     give,
     hear,
     heartbeat,
     type Held,
     HELD_VALID_MS,
     heldOf,
-    judge,
     leave,
     liveHosts,
     type MemberNews,
@@ -35,8 +39,12 @@
     planTelling,
     rank,
     REPEAT_MS,
+    shareAsk,
+    shareHear,
+    type ShareMessage,
     shareOf,
     shareRound,
+    type ShareState,
     takeGiven,
     takeHeld,
     watches,
@@ -138,30 +146,106 @@
 test("an owner's account adds up what others hold, and forgets who is silent", t => {
     let account = takeHeld(EMPTY_ACCOUNT, "a", [heldBy(3)], 0);
     account = takeHeld(account, "b", [heldBy(2)], 1_000);
-    t.is(othersFor(account, "e1", "c", 1_000).streams, 5);
-    t.is(othersFor(account, "e1", "a", 1_000).streams, 2);
-    t.is(othersFor(account, "e1", "c", HELD_VALID_MS + 500).streams, 2);
-    t.true(Math.abs(othersFor(account, "e1", "a", 1_000).curve.mean[0]! - 1_000) <= 16, "in units of 16 tokens");
+    t.is(othersFor(account, "e1", "c").streams, 5);
+    t.is(othersFor(account, "e1", "a").streams, 2);
+    t.is(othersFor(dropStale(account, HELD_VALID_MS + 500), "e1", "c").streams, 2);
+    t.true(Math.abs(othersFor(account, "e1", "a").curve.mean[0]! - 1_000) <= 16, "in units of 16 tokens");
 });
 
+/** An owner of some endpoints, with its decisions, that is asked for one stream after another. */
+class Owner {
+    private readonly endpoints;
+    private scheduler;
+    share: ShareState = createShare("owner");
+
+    constructor(endpoints: readonly string[], memoryTokens: number) {
+        this.endpoints = endpoints;
+        const cfgs = endpoints.map(id => ({ id, hall: "h", models: ["m"], memoryTokens }));
+        const variant = { ...DEFAULT_VARIANT, backups: true };
+        this.scheduler = decide(createScheduler(variant), { kind: "endpoints", endpoints: cfgs }, -60_000).state;
+        this.hear("owner", undefined);
+    }
+
+    private hear(from: string, message: ShareMessage | undefined): readonly ShareMessage[] {
+        const step = message
+            ? shareHear(this.share, from, message, this.scheduler, 0)
+            : shareRound(this.share, this.scheduler.endpoints, ["owner"], 0);
+        this.share = step.state;
+        for (const event of step.events) this.scheduler = decide(this.scheduler, event, 0).state;
+        return step.send.map(({ message: sent }) => sent);
+    }
+
+    ask(
+        from: string,
+        { backUp = false, exclude = [] as readonly string[] } = {},
+    ): Extract<ShareMessage, { kind: "answer" }> {
+        const demand = {
+            model: "m",
+            promptTokens: 500,
+            prefix: "",
+            prefixTokens: 0,
+            gapTargetMs: 60_000,
+            weightTail: 1,
+            weightStall: 1,
+            weightPrefix: 0,
+        };
+        const stream = { ...heldBy(1), endpoint: this.endpoints[0]! };
+        const question: ShareMessage = {
+            kind: "question",
+            job: `of-${from}`,
+            stream,
+            demand,
+            z: 1.3,
+            hall: "h",
+            exclude,
+            backUp,
+        };
+        const [answer] = this.hear(from, question);
+        return answer as Extract<ShareMessage, { kind: "answer" }>;
+    }
+
+    tell(from: string, held: readonly Held[]): void {
+        this.hear(from, { kind: "held", held });
+    }
+
+    peak(endpoint: string): number {
+        return peakOf([othersFor(this.share.account, endpoint, "owner").curve], 1.3);
+    }
+}
+
 test("grants count until the asker tells again, so that two askers cannot both have the last room", t => {
-    const bounds = { room: 8_000, limit: 10, z: 1.3, unread: Infinity };
-    const question = (streams: number) => ({ held: heldBy(streams), stream: heldBy(1), bounds });
-    const first = judge(EMPTY_ACCOUNT, "a", question(0), 0);
-    t.true(first.granted);
-    let account = first.account;
+    const owner = new Owner(["e1"], 8_000);
     let granted = 0;
-    for (let at = 0; at < 20; at++) {
-        const next = judge(account, `asker-${at}`, question(0), 1);
-        account = next.account;
-        granted += next.granted ? 1 : 0;
-    }
-    t.true(granted >= 1 && granted < 16, `${granted} streams`);
-    t.true(peakOf([othersFor(account, "e1", "none", 2).curve], bounds.z) <= bounds.room);
-    t.false(judge(account, "c", question(0), 2).granted);
-    let told = account;
-    for (let at = 0; at < 20; at++) told = takeHeld(told, `asker-${at}`, [heldBy(0)], 3);
-    t.true(judge(told, "c", question(0), 4).granted);
+    for (let at = 0; at < 21; at++) granted += owner.ask(`asker-${at}`).endpoint === undefined ? 0 : 1;
+    t.true(granted >= 2 && granted < 16, `${granted} streams`);
+    t.true(owner.peak("e1") <= 8_000);
+    t.is(owner.ask("c").endpoint, undefined);
+    for (let at = 0; at < 21; at++) owner.tell(`asker-${at}`, [heldBy(0)]);
+    t.is(owner.ask("c").endpoint, "e1");
+});
+
+test("an owner spreads what hosts ask for at one moment, and places copies elsewhere", t => {
+    const owner = new Owner(["e1", "e2", "e3"], 20_000);
+    const first = ["a", "b", "c"].map(host => owner.ask(host).endpoint);
+    t.deepEqual(first.toSorted(), ["e1", "e2", "e3"]);
+    t.is(owner.ask("d", { exclude: ["e1", "e2"] }).endpoint, "e3");
+    const { endpoint, keeper } = owner.ask("e", { backUp: true });
+    t.true(keeper !== undefined && keeper !== endpoint);
+});
+
+test("an owner that does not answer is passed over for a while", t => {
+    const endpoints = EndpointTable.of([createEndpoint({ id: "e1", hall: "h", models: ["m"], memoryTokens: 9 }, 0)]);
+    const hosts = ["a", "b", "c"];
+    const owner = endpointOwner("e1", 1, hosts)!;
+    const self = hosts.find(host => host !== owner)!;
+    const question = { demand: {} as never, curve: zeroCurve(), z: 1, hall: "h", exclude: [], backUp: false };
+    const ask = (state: ShareState, job: string, now: number) =>
+        shareAsk(state, { kind: "ask", job, endpoint: "e1", question }, endpoints, hosts, now);
+    const first = ask(createShare(self), "j1", 0);
+    t.is(first.send[0]?.to, owner);
+    const later = ask(first.state, "j2", 150);
+    t.not(later.send[0]?.to, owner);
+    t.is(ask(later.state, "j3", 5_000).send[0]?.to, owner, "and asked again");
 });
 
 test("only news is told: changes, a new owner, and from time to time the same again", t => {
@@ -229,7 +313,7 @@
 test("an owner tells a host what is new, and all of it again after a while", t => {
     const endpoints = EndpointTable.of([createEndpoint({ id: "e1", hall: "h", models: ["m"], memoryTokens: 9 }, 0)]);
     const hosts = ["a", "b"];
-    const self = ownerOf("endpoint/e1", hosts)!;
+    const self = endpointOwner("e1", 1, hosts)!;
     const first = shareRound(createShare(self), endpoints, hosts, 0);
     t.is(first.send.length, 1);
     const second = shareRound(first.state, endpoints, hosts, 100);
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -34,6 +34,7 @@
     type ShareStep,
     stretch,
     takeGiven,
+    TELL_OWNERS_MS,
     tellEvery,
     type VersionNews,
     watches,
@@ -89,11 +90,27 @@
     }),
     question: Type.Object({
         job: Type.String(),
-        held: HeldShape,
         stream: HeldShape,
-        bounds: Type.Object({ room: Type.Number(), limit: Type.Number(), z: Type.Number(), unread: Type.Number() }),
+        demand: Type.Object({
+            model: Type.String(),
+            promptTokens: Type.Number({ minimum: 0 }),
+            prefix: Type.String(),
+            prefixTokens: Type.Number({ minimum: 0 }),
+            gapTargetMs: Type.Number(),
+            weightTail: Type.Number(),
+            weightStall: Type.Number(),
+            weightPrefix: Type.Number(),
+        }),
+        z: Type.Number(),
+        hall: Type.String(),
+        exclude: Type.Array(Type.String()),
+        backUp: Type.Boolean(),
+    }),
+    answer: Type.Object({
+        job: Type.String(),
+        endpoint: Type.Optional(Type.String()),
+        keeper: Type.Optional(Type.String()),
     }),
-    answer: Type.Object({ job: Type.String(), granted: Type.Boolean(), others: HeldShape }),
     storeWord: Type.Object({
         revision: Revision,
         hears: Type.Boolean(),
@@ -241,10 +258,12 @@
 
     private run(): void {
         const { cfg, signal } = this.host;
-        this.host.engines.setAsker(action => this.follow(shareAsk(this.share, action, this.endpoints, this.live)));
+        this.host.engines.setAsker(action =>
+            this.follow(shareAsk(this.share, action, this.endpoints, this.live, performance.now()))
+        );
         const every = cfg["control.heartbeat"];
         repeat(() => this.beat(), () => every * stretch(this.live.length), signal);
-        repeat(() => this.tellNow(), () => tellEvery(this.live.length), signal);
+        repeat(() => this.dueRound(), () => Math.min(tellEvery(this.live.length), TELL_OWNERS_MS), signal);
         const { follower } = this.host;
         if (!follower) return;
         repeat(() => this.planFollowing(follower), () => WORD_EVERY_MS, signal);
@@ -298,7 +317,7 @@
 
     /** Whether this host asks an endpoint for its load, as its owner. */
     owns(endpoint: string): boolean {
-        return endpointOwner(endpoint, this.live) === this.host.cfg["host.name"];
+        return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
     }
 
     /** Tells all peers at once that this host is leaving. */
@@ -380,7 +399,7 @@
     }
 
     private hearShare(from: PeerName, message: ShareMessage): void {
-        this.follow(shareHear(this.share, from.name, message, this.endpoints, performance.now()));
+        this.follow(shareHear(this.share, from.name, message, this.host.engines.view, performance.now()));
     }
 
     /** Carries out what follows from a step of what hosts know of each other's streams. */
@@ -392,9 +411,19 @@
 
     /** A round of telling, at once and not only when it is due: for news that must not wait, such as leaving. */
     tellNow(): void {
+        this.round(0);
+    }
+
+    /** The round that is due: owners hear each time, other hosts more rarely. */
+    private dueRound(): void {
+        const every = tellEvery(this.live.length);
+        this.round(every <= TELL_OWNERS_MS ? 0 : every);
+    }
+
+    private round(othersEveryMs: number): void {
         const { live } = this;
         this.host.plain.tell([{ kind: "hosts", count: Math.max(1, live.length) }]);
-        this.follow(shareRound(this.share, this.endpoints, live, performance.now()));
+        this.follow(shareRound(this.share, this.endpoints, live, performance.now(), othersEveryMs));
     }
 
     private sendTo(name: string, message: PeerMessage): void {
--- /dev/null
+++ b/packages/policy/src/advise.ts
@@ -0,0 +1,67 @@
+/**
+ * An owner's advice: where another host's request goes, among the endpoints whose account this host keeps.
+ *
+ * @module
+ */
+import { mayUse } from "./breaker.js";
+import { assess, chooseBackup, type Demand, type Wanted } from "./choose.js";
+import type { Curve } from "./curve.js";
+import type { EndpointView } from "./endpoint.js";
+import type { SchedulerState } from "./scheduler-state.js";
+
+/** What another host asks. */
+export interface Question {
+    readonly demand: Demand;
+    /** What the stream will hold. */
+    readonly curve: Curve;
+    /** Standard deviations at which memory peaks are asked for. */
+    readonly z: number;
+    /** The asker's hall. */
+    readonly hall: string;
+    /** Endpoints that the asker cannot use. */
+    readonly exclude: readonly string[];
+    /** Whether an endpoint is wanted as well that keeps a copy. */
+    readonly backUp: boolean;
+}
+
+/** Where the request goes. */
+export interface Advice {
+    readonly endpoint: string;
+    /** Endpoint that keeps the copy; undefined where none has room or none is wanted. */
+    readonly keeper: string | undefined;
+}
+
+/**
+ * Chooses for another host; undefined where no owned endpoint has room.
+ *
+ * @example
+ * ```ts
+ * advise(state, question, now)?.endpoint;
+ * ```
+ */
+export function advise(state: SchedulerState, question: Question, now: number): Advice | undefined {
+    const { hall, exclude, backUp } = question;
+    const wanted: Wanted = question;
+    const views = openTo(state, question, now);
+    let best: { readonly id: string; readonly score: number } | undefined;
+    for (const view of views) {
+        const candidate = assess(view, wanted, state.variant, state.hosts, now, hall);
+        if (candidate && candidate.score < (best?.score ?? Infinity)) best = candidate;
+    }
+    if (!best) return undefined;
+    const keepers = views.filter(view => !exclude.includes(view.cfg.id));
+    const keeper = backUp ? chooseBackup(keepers, wanted, best.id, now, hall) : undefined;
+    return { endpoint: best.id, keeper };
+}
+
+/** Owned endpoints that the asker can use. This host's own failures with one count only where others are left. */
+function openTo(state: SchedulerState, { demand, exclude }: Question, now: number): readonly EndpointView[] {
+    const known = state.endpoints.values();
+    // Hosts may disagree for a moment on who owns what: then what is known here must do.
+    const asked = state.owned.size > 0 ? known.filter(view => state.owned.has(view.cfg.id)) : known;
+    const open = asked.filter(view =>
+        view.leavingBy.length === 0 && view.cfg.models.includes(demand.model) && !exclude.includes(view.cfg.id)
+    );
+    const sound = open.filter(view => mayUse(view.breaker, now));
+    return sound.length > 0 ? sound : open;
+}
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -23,8 +23,15 @@
     const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
     const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
     if (keeper === undefined) return { state, keeper };
+    return { state: backUpAt(state, job.id, endpoint, keeper), keeper };
+}
+
+/** Counts a running request's copy at the endpoint that keeps it. */
+export function backUpAt(state: SchedulerState, job: string, endpoint: string, keeper: string): SchedulerState {
+    const running = state.endpoints.get(endpoint)?.streams.get(job);
+    if (!running || !state.endpoints.get(keeper)) return state;
     const kept = withView(state, keeper, view => addBackup(view, running));
-    return { state: { ...kept, backedUp: setIn(kept.backedUp, job.id, keeper) }, keeper };
+    return { ...kept, backedUp: setIn(kept.backedUp, job, keeper) };
 }
 
 /** Whether an endpoint is leaving or no longer declared. */
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -16,8 +16,6 @@
  * 14 a millisecond, so they take as long as a third of the time to the first token that counts in full.
  */
 const UNREAD_SCALE = 8_000;
-/** An owner refuses where more is unread than its asker believed, by this share of the asker's own prompt. */
-const UNREAD_SLACK = 0.5;
 /** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
 const AWAY_COST = 0.25;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
@@ -37,28 +35,43 @@
     readonly score: number;
     /** Whether so much of it is planned that other hosts' choices of this moment matter. */
     readonly crowded: boolean;
-    readonly bounds: Bounds;
 }
 
-/** By what an endpoint's plan is judged. */
-export interface Bounds {
-    /** Tokens that the plan may reach. */
-    readonly room: number;
-    /** Streams that it may have. */
-    readonly limit: number;
-    /** Standard deviations at which the peak is asked for. */
-    readonly z: number;
-    /** Prompt tokens that may be unread there besides the request's own. */
-    readonly unread: number;
+/** What a request asks of an endpoint; hosts tell it to owners. */
+export interface Demand {
+    readonly model: string;
+    readonly promptTokens: number;
+    readonly prefix: string;
+    readonly prefixTokens: number;
+    readonly gapTargetMs: number;
+    readonly weightTail: number;
+    readonly weightStall: number;
+    readonly weightPrefix: number;
 }
 
 /** A request with what is the same for every endpoint, worked out once. */
 export interface Wanted {
-    readonly job: Job;
+    readonly demand: Demand;
     readonly curve: Curve;
+    /** Standard deviations at which the peak is asked for. */
     readonly z: number;
 }
 
+/** What a request asks of an endpoint. */
+export function demandOf({ group, promptTokens, prefix, prefixTokens, policy }: Job): Demand {
+    const { gapTargetMs, weightTail, weightStall, weightPrefix } = policy;
+    return {
+        model: group.model,
+        promptTokens,
+        prefix,
+        prefixTokens,
+        gapTargetMs,
+        weightTail,
+        weightStall,
+        weightPrefix,
+    };
+}
+
 /**
  * A request as it is held against endpoints.
  *
@@ -68,7 +81,8 @@
  * ```
  */
 export function wantedOf(job: Job, survival: Survival): Wanted {
-    return { job, curve: streamCurve(survival, job.promptTokens, 0), z: probit(job.policy.quantile) };
+    const curve = streamCurve(survival, job.promptTokens, 0);
+    return { demand: demandOf(job), curve, z: probit(job.policy.quantile) };
 }
 
 /** From this share of its bounds on, an endpoint counts as crowded. */
@@ -80,16 +94,16 @@
  *
  * @example
  * ```ts
- * usable(views, job, [], now).length;
+ * usable(views, "m", [], now).length;
  * ```
  */
 export function usable(
     views: Iterable<EndpointView>,
-    job: Job,
+    model: string,
     avoid: readonly string[],
     now: number,
 ): readonly EndpointView[] {
-    const serving = [...views].filter(view => view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model));
+    const serving = [...views].filter(view => view.leavingBy.length === 0 && view.cfg.models.includes(model));
     const closed = serving.filter(view => mayUse(view.breaker, now));
     // What cannot be reached stays out, however many they are: a hall may be cut off from the others.
     const reachable = serving.filter(view => view.breaker.unreachable !== true || mayUse(view.breaker, now));
@@ -118,14 +132,14 @@
  */
 export function chooseBackup(
     views: Iterable<EndpointView>,
-    { job, curve, z }: Wanted,
+    { demand, curve, z }: Wanted,
     primary: string,
     now: number,
     hall?: string,
     roomShare = BACKUP_ROOM_SHARE,
 ): string | undefined {
     let chosen: { readonly id: string; readonly cost: number } | undefined;
-    for (const view of usable(views, job, [primary], now)) {
+    for (const view of usable(views, demand.model, [primary], now)) {
         if (view.cfg.id === primary) continue;
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
         const cost = used + (hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0);
@@ -135,9 +149,9 @@
 }
 
 /** How many streams an endpoint may have now, by pace and by how long it has been there. */
-function streamLimit(view: EndpointView, job: Job, variant: Variant, now: number): number {
+function streamLimit(view: EndpointView, gapTargetMs: number, variant: Variant, now: number): number {
     const ramp = RAMP_START + (RAMP_FULL - RAMP_START) * Math.max(0, now - view.since) / RAMP_MS;
-    const pace = variant.pace ? batchWithin(view.pace, job.policy.gapTargetMs) : Number.MAX_SAFE_INTEGER;
+    const pace = variant.pace ? batchWithin(view.pace, gapTargetMs) : Number.MAX_SAFE_INTEGER;
     return Math.min(ramp, pace);
 }
 
@@ -160,25 +174,24 @@
     now: number,
     hall?: string,
 ): Candidate | undefined {
-    const { job, curve, z } = wanted;
+    const { demand, curve, z } = wanted;
+    const { gapTargetMs, promptTokens, weightTail, weightStall, weightPrefix } = demand;
     if (variant.admission === "none") {
-        const bounds = { room: Infinity, limit: Infinity, z, unread: Infinity };
         const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_CALLS : 0;
-        return { id: view.cfg.id, score: streamCount(view) + away, crowded: false, bounds };
+        return { id: view.cfg.id, score: streamCount(view) + away, crowded: false };
     }
     const share = variant.share === "owner" ? plannedShare(view, hosts, now) : 1;
-    const limit = share * streamLimit(view, job, variant, now);
+    const limit = share * streamLimit(view, gapTargetMs, variant, now);
     const streams = streamCount(view) + 1;
     if (streams > Math.max(1, limit)) return undefined;
     const room = share * view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
     const peak = variant.admission === "free"
-        ? view.curve.mean[0]! + view.others.curve.mean[0]! + job.promptTokens
+        ? view.curve.mean[0]! + view.others.curve.mean[0]! + promptTokens
         : peakOf([view.curve, view.others.curve, curve], z);
     // A request that is larger than any plan allows still runs, alone.
     if (peak > room && streams > 1) return undefined;
-    const { weightTail, weightStall, weightPrefix } = job.policy;
-    const cached = variant.prefix && view.prefixes.has(job.prefix)
-        ? job.prefixTokens / Math.max(1, job.promptTokens)
+    const cached = variant.prefix && view.prefixes.has(demand.prefix)
+        ? demand.prefixTokens / Math.max(1, promptTokens)
         : 0;
     const unread = unreadTokens(view) + view.others.unread;
     const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
@@ -186,10 +199,5 @@
         + weightStall * peak / room
         - weightPrefix * cached;
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
-    return {
-        id: view.cfg.id,
-        score,
-        crowded,
-        bounds: { room, limit: Math.max(1, limit), z, unread: unread + UNREAD_SLACK * job.promptTokens },
-    };
+    return { id: view.cfg.id, score, crowded };
 }
--- a/packages/policy/src/queue.ts
+++ b/packages/policy/src/queue.ts
@@ -11,6 +11,8 @@
     readonly since: number;
     readonly avoid: readonly string[];
     readonly retry: boolean;
+    /** When an owner last said that no endpoint has room; it is not asked again at once. */
+    readonly noRoomAt?: number;
 }
 
 /** How fast waiting requests are started, as a decayed mean; `undefined` before two starts were seen. */
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import type { Bounds } from "./choose.js";
-import type { Curve } from "./curve.js";
+import type { Question } from "./advise.js";
 import { EndpointTable } from "./endpoint-table.js";
 import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others } from "./endpoint.js";
 import { createEstimates, type Estimates } from "./estimate.js";
@@ -58,8 +57,13 @@
     | { readonly kind: "hosts"; readonly count: number }
     /** Which endpoints this host owns. */
     | { readonly kind: "owns"; readonly endpoints: readonly string[] }
-    /** An owner's word on a request, with what others hold there. */
-    | { readonly kind: "answer"; readonly job: string; readonly granted: boolean; readonly others: Others }
+    /** An owner's word on a request: where it goes and who keeps its copy; no endpoint where none has room. */
+    | {
+        readonly kind: "answer";
+        readonly job: string;
+        readonly endpoint: string | undefined;
+        readonly keeper: string | undefined;
+    }
     /** What other hosts hold on an endpoint, as told by its owner. */
     | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
     | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
@@ -95,13 +99,12 @@
         /** Where a copy of the stream is to be kept as it grows. */
         readonly backUp: string | undefined;
     }
-    /** Ask the endpoint's owner whether a stream with this curve may be added; answer with an `answer` event. */
+    /** Ask the endpoint's owner where the request is to go; answer with an `answer` event. */
     | {
         readonly kind: "ask";
         readonly job: string;
         readonly endpoint: string;
-        readonly curve: Curve;
-        readonly bounds: Bounds;
+        readonly question: Question;
     }
     /** Copy a running request's memory from one endpoint to the other. */
     | { readonly kind: "copy"; readonly job: string; readonly from: string; readonly to: string }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,14 +8,14 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { backUp, dropBackup, rescue } from "./carry.js";
+import { backUp, backUpAt, dropBackup, rescue } from "./carry.js";
 import { assess, type Candidate, usable, wantedOf } from "./choose.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
     addStream,
     createEndpoint,
+    type EndpointView,
     moveStream,
-    type Others,
     promoteBackup,
     removeStream,
     setLeaving,
@@ -49,6 +49,8 @@
 const EARLY_REFUSAL = 1.5;
 /** An owner that has not answered by then is not waited for: the host decides by what it knows. */
 const ASK_TIMEOUT_MS = 100;
+/** Room comes as streams end and prompts are read: an owner that had none is asked again after this. */
+const ASK_AGAIN_MS = 50;
 const LEAST_RETRY_AFTER_MS = 250;
 /** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
 const NO_ENDPOINT_RETRY_MS = 5_000;
@@ -120,7 +122,7 @@
     },
     hosts: (state, { count }) => ({ state: { ...state, hosts: count }, actions: [] }),
     owns: (state, { endpoints }) => ({ state: { ...state, owned: new Set(endpoints) }, actions: [] }),
-    answer: (state, { job, granted, others }, now) => answered(state, job, granted, others, now),
+    answer: answered,
     others: (state, { endpoint, others }, now) =>
         drain(withView(state, endpoint, view => takeOthers(view, others, now)), now),
     arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
@@ -139,7 +141,7 @@
         let next = state;
         for (const [id, { at }] of state.asked) {
             if (now - at < ASK_TIMEOUT_MS) continue;
-            const settled = settleAsked(next, id, true, now);
+            const settled = settleAsked(next, id, now);
             next = settled.state;
             actions.push(...settled.actions);
         }
@@ -213,29 +215,49 @@
 
 /** Gives a request to the best endpoint that has room; undefined where none has. */
 function place(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
-    const { job } = waiting;
+    const { job, noRoomAt } = waiting;
+    if (noRoomAt !== undefined && now - noRoomAt < ASK_AGAIN_MS) return undefined;
     const survival = lengthsOf(state, job);
     const wanted = wantedOf(job, survival);
-    const candidates = usable(state.endpoints.values(), job, waiting.avoid, now)
-        .map(view => assess(view, wanted, state.variant, state.hosts, now, state.hall))
+    const views = usable(state.endpoints.values(), job.group.model, waiting.avoid, now);
+    const candidates = views.map(view => assess(view, wanted, state.variant, state.hosts, now, state.hall))
         .filter(candidate => candidate !== undefined);
-    if (candidates.length === 0) return undefined;
-    const { id, crowded, bounds } = PICK[state.variant.choice](candidates, state.turn);
+    const chosen = candidates.length > 0 ? PICK[state.variant.choice](candidates, state.turn) : undefined;
+    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
+    const alwaysAsks = asksOwners(state) && state.variant.askAlways && state.hosts > FEW_HOSTS;
+    const id = chosen?.id ?? (alwaysAsks ? views[state.turn % Math.max(1, views.length)]?.cfg.id : undefined);
+    if (id === undefined) return undefined;
+    const mustAsk = (alwaysAsks || asksOwners(state) && chosen?.crowded === true) && !state.owned.has(id);
+    if (!mustAsk && !chosen) return undefined;
     const added = withView(state, id, view => ({
         ...addStream(view, job, survival, now),
         breaker: onUse(view.breaker),
     }));
     const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
-    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
-    const inDoubt = crowded || state.variant.askAlways && state.hosts > FEW_HOSTS;
-    const mustAsk = state.variant.ask && state.variant.share === "owner" && state.hosts > 1 && inDoubt
-        && !state.owned.has(id);
     if (!mustAsk) return dispatch(next, job, id, now);
     const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
-    return {
-        state: { ...next, asked },
-        actions: [{ kind: "ask", job: job.id, endpoint: id, curve: wanted.curve, bounds }],
+    const question = {
+        ...wanted,
+        hall: state.hall ?? "",
+        exclude: unusable(state, views),
+        backUp: wantsBackup(state, job),
     };
+    return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
+}
+
+/** Whether owners are asked at all. */
+function asksOwners({ variant, hosts }: SchedulerState): boolean {
+    return variant.ask && variant.share === "owner" && hosts > 1;
+}
+
+/** Endpoints that are not among those that may be used. */
+function unusable(state: SchedulerState, views: readonly EndpointView[]): readonly string[] {
+    const ids = new Set(views.map(view => view.cfg.id));
+    return state.endpoints.values().map(view => view.cfg.id).filter(id => !ids.has(id));
+}
+
+function wantsBackup(state: SchedulerState, job: Job): boolean {
+    return job.backUp === true && state.variant.backups;
 }
 
 /**
@@ -251,11 +273,15 @@
 
 /** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
 function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
-    const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    const { state: next, keeper } = job.backUp === true && state.variant.backups
+    const { state: next, keeper } = wantsBackup(state, job)
         ? backUp(state, job, endpoint, now)
         : { state, keeper: undefined };
-    return { state: next, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
+    return send(next, job, endpoint, keeper);
+}
+
+function send(state: SchedulerState, job: Job, endpoint: string, keeper: string | undefined): Decision {
+    const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
+    return { state, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
 }
 
 /** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
@@ -279,19 +305,41 @@
     return dispatch(next, running.job, keeper, now);
 }
 
-/** An owner's word: the request goes, or goes back to those that wait, with what the owner said taken in. */
-function answered(state: SchedulerState, job: string, granted: boolean, others: Others, now: number): Decision {
+/** An owner's word: the request goes where it says, or goes back to those that wait. */
+function answered(
+    state: SchedulerState,
+    { job, endpoint, keeper }: Extract<SchedulerEvent, { kind: "answer" }>,
+    now: number,
+): Decision {
     const asked = state.asked.get(job);
     if (!asked) return { state, actions: [] };
-    const told = withView(state, asked.endpoint, view => takeOthers(view, others, now));
-    return settleAsked(told, job, granted, now);
+    const back = takeBack(state, job, now);
+    const { waiting } = asked;
+    const view = endpoint === undefined ? undefined : back.endpoints.get(endpoint);
+    if (endpoint === undefined || !view || isClosed(view)) {
+        const later = endpoint === undefined ? { ...waiting, noRoomAt: now } : waiting;
+        return drain({ ...back, waiting: [...back.waiting, later] }, now);
+    }
+    const survival = lengthsOf(back, waiting.job);
+    const moved = withView(back, endpoint, known => ({
+        ...addStream(known, waiting.job, survival, now),
+        breaker: onUse(known.breaker),
+    }));
+    const placed = { ...moved, placed: setIn(moved.placed, job, endpoint) };
+    return keeper === undefined
+        ? send(placed, waiting.job, endpoint, undefined)
+        : send(backUpAt(placed, job, endpoint, keeper), waiting.job, endpoint, keeper);
+}
+
+function isClosed(view: EndpointView): boolean {
+    return view.leavingBy.length > 0 || view.cfg.models.length === 0;
 }
 
-/** Sends a request that an owner was asked about, or puts it back to wait; never to an endpoint that is leaving by now. */
-function settleAsked(state: SchedulerState, job: string, granted: boolean, now: number): Decision {
+/** Decides alone on a request whose owner does not answer; never for an endpoint that is leaving by now. */
+function settleAsked(state: SchedulerState, job: string, now: number): Decision {
     const { waiting, endpoint } = state.asked.get(job)!;
-    const leaving = state.endpoints.get(endpoint)?.leavingBy.length !== 0;
-    if (granted && !leaving) {
+    const view = state.endpoints.get(endpoint);
+    if (view && !isClosed(view)) {
         return dispatch({ ...state, asked: without(state.asked, job) }, waiting.job, endpoint, now);
     }
     const back = takeBack(state, job, now);
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -256,43 +256,50 @@
         }, 0);
         return driver;
     };
-    const others = {
-        streams: 1,
-        unread: 0,
-        curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
-    };
     const job = jobOf("a", { promptTokens: 900, maxTokens: 100 });
+    const answer = (endpoint: string | undefined) =>
+        ({ kind: "answer", job: "a", endpoint, keeper: undefined }) as const;
     const granted = crowded();
     t.is(granted.arrive(job, 1)?.kind, "ask");
-    t.like(granted.tell({ kind: "answer", job: "a", granted: true, others }, 2)[0], {
-        kind: "dispatch",
-        endpoint: "e0",
-    });
+    t.like(granted.tell(answer("e0"), 2)[0], { kind: "dispatch", endpoint: "e0" });
+    t.is(granted.state.endpoints.get("e0")?.streams.size, 1);
     const denied = crowded();
     denied.arrive(job, 1);
-    const full = {
-        streams: 3,
-        unread: 0,
-        curve: { mean: new Float64Array(9).fill(2_900), variance: new Float64Array(9) },
-    };
-    t.deepEqual(denied.tell({ kind: "answer", job: "a", granted: false, others: full }, 2), []);
+    t.deepEqual(denied.tell(answer(undefined), 2), []);
     t.is(denied.state.waiting.length, 1);
     t.is(denied.state.endpoints.get("e0")?.streams.size, 0);
+    t.deepEqual(denied.tell({ kind: "tick" }, 10), [], "not asked again at once");
+    t.is(denied.tell({ kind: "tick" }, 60)[0]?.kind, "ask");
     const silent = crowded();
     silent.arrive(job, 1);
     t.like(silent.tell({ kind: "tick" }, 150)[0], { kind: "dispatch", endpoint: "e0" });
     const left = crowded();
     left.arrive(job, 1);
     left.tell({ kind: "leaving", endpoint: "e0", source: "hostList", leaving: true }, 2);
-    t.like(left.tell({ kind: "answer", job: "a", granted: true, others }, 3)[0], {
-        kind: "refuse",
-        reason: "noEndpoint",
-    });
+    t.like(left.tell(answer("e0"), 3)[0], { kind: "refuse", reason: "noEndpoint" });
     const gone = crowded();
     gone.arrive(job, 1);
     gone.tell({ kind: "withdraw", job: "a" }, 2);
     t.is(gone.state.endpoints.get("e0")?.streams.size, 0);
-    t.deepEqual(gone.tell({ kind: "answer", job: "a", granted: true, others }, 3), []);
+    t.deepEqual(gone.tell(answer("e0"), 3), []);
+});
+
+test("an owner may send a request to another endpoint than the one that was asked for", t => {
+    const driver = new Driver(endpointsOf(2, 3_000));
+    driver.tell({ kind: "hosts", count: 2 }, 0);
+    const others = {
+        streams: 1,
+        unread: 0,
+        curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
+    };
+    for (const endpoint of ["e0", "e1"]) driver.tell({ kind: "others", endpoint, others }, 0);
+    const asked = driver.arrive(jobOf("a", { promptTokens: 900, maxTokens: 100 }), 1);
+    t.is(asked?.kind, "ask");
+    const other = asked?.kind === "ask" && asked.endpoint === "e0" ? "e1" : "e0";
+    const [sent] = driver.tell({ kind: "answer", job: "a", endpoint: other, keeper: undefined }, 2);
+    t.like(sent, { kind: "dispatch", endpoint: other });
+    t.is(driver.state.endpoints.get(other)?.streams.size, 1);
+    t.is(driver.state.endpoints.get(other === "e0" ? "e1" : "e0")?.streams.size, 0);
 });
 
 test("a host that hears nothing from an owner plans with its equal share", t => {
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -185,7 +185,7 @@
     const job = "1b8f9c1e-9d0a-4ad0-a7bc-f3a9d6a0a6c2";
     let share = createShare(hosts[0]!);
     const owned = host.state.endpoints.values().map(view => view.cfg.id).filter(id =>
-        endpointOwner(id, hosts) === hosts[0]
+        endpointOwner(id, host.state.endpoints.values().length, hosts) === hosts[0]
     );
     const others = owned.map(endpoint => ({ ...one, endpoint }));
     // A round as a host has it: its own telling, encoded, and what every other host tells it, decoded and taken in.
@@ -205,7 +205,7 @@
                 }] as const
             ) {
                 exchange(message);
-                const heard = shareHear(share, from, message, host.state.endpoints, now);
+                const heard = shareHear(share, from, message, host.state, now);
                 share = heard.state;
                 for (const event of heard.events) host.tell(event, 500_000 + now);
             }
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -12,6 +12,7 @@
     shareRound,
     type ShareState,
     type ShareStep,
+    TELL_OWNERS_MS,
     tellEvery,
 } from "@drumpaddle/hall";
 import { Timing } from "@drumpaddle/host";
@@ -190,14 +191,15 @@
         if (uniformFloat64(this.random) < (this.cfg.messageLoss ?? 0)) return;
         this.at(now + TO_PEER_MS, later => {
             const sim = this.hosts[to]!;
-            this.follow(to, shareHear(sim.share, this.hostNames[from]!, message, sim.state.endpoints, later), later);
+            this.follow(to, shareHear(sim.share, this.hostNames[from]!, message, sim.state, later), later);
         });
     }
 
     private round(host: number, now: number): void {
-        this.at(now + this.tellMs, later => this.round(host, later));
+        this.at(now + Math.min(this.tellMs, TELL_OWNERS_MS), later => this.round(host, later));
         const sim = this.hosts[host]!;
-        this.follow(host, shareRound(sim.share, sim.state.endpoints, this.hostNames, now), now);
+        const othersEveryMs = this.tellMs <= TELL_OWNERS_MS ? 0 : this.tellMs;
+        this.follow(host, shareRound(sim.share, sim.state.endpoints, this.hostNames, now, othersEveryMs), now);
     }
 
     private get tellMs(): number {
@@ -301,7 +303,7 @@
         const stream = this.streams.get(action.job)!;
         if (action.kind === "ask") {
             const sim = this.hosts[stream.host]!;
-            this.follow(stream.host, shareAsk(sim.share, action, sim.state.endpoints, this.hostNames), now);
+            this.follow(stream.host, shareAsk(sim.share, action, sim.state.endpoints, this.hostNames, now), now);
             return;
         }
         if (action.kind === "refuse") {
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -99,8 +99,8 @@
     {
         promise: "nor does it after its owner granted a request",
         file: "packages/policy/src/scheduler.ts",
-        find: "if (granted && !leaving) {",
-        replace: "if (granted) {",
+        find: "if (endpoint === undefined || !view || isClosed(view)) {",
+        replace: "if (endpoint === undefined || !view) {",
         tests: [POLICY],
     },
     {
@@ -141,8 +141,8 @@
     {
         promise: "two askers cannot both have the last room",
         file: "packages/hall/src/load-share.ts",
-        find: "granted: [...entry.granted, stream]",
-        replace: "granted: entry.granted",
+        find: "others: plus(before, granted, 1), at: now };",
+        replace: "others: before, at: now };",
         tests: [HALL],
     },
     {
