--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,5 +4,6 @@
 export { HostListServer, type ListedHost } from "./host-list-server.js";
 export { KvServer } from "./kv-server.js";
 export { type PlainFault, PlainServer } from "./plain-server.js";
+export { type RandomGenerator, uniformFloat64, xoroshiro128plus } from "./random.js";
 export { type Stage, type StageCfg, type StageHost, startStage, waitUntil } from "./stage.js";
 export { type Arrival, CLAYHOLLOW, type Deployment, DEPLOYMENTS, generateTraffic, KIGALI } from "./traffic.js";
