--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -295,11 +295,16 @@
         if (!advice) return { state, send: [{ to: from, message: { kind: "answer", job } }], events: [] };
         const { endpoint, keeper } = advice;
         const grants: readonly Grant[] = [
-            { endpoint, kind: "stream", curve },
+            ...(endpoint === undefined ? [] : [{ endpoint, kind: "stream", curve } as const]),
             ...(keeper === undefined ? [] : [{ endpoint: keeper, kind: "copy", curve } as const]),
         ];
         const account = grants.reduce((sum, grant) => addGrant(sum, from, grant, now), state.account);
-        const answer: ShareMessage = { kind: "answer", job, endpoint, ...(keeper === undefined ? {} : { keeper }) };
+        const answer: ShareMessage = {
+            kind: "answer",
+            job,
+            ...(endpoint === undefined ? {} : { endpoint }),
+            ...(keeper === undefined ? {} : { keeper }),
+        };
         return {
             state: { ...state, account },
             send: [{ to: from, message: answer }],
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -41,6 +41,8 @@
 const COPY_TIMEOUT_MS = 5_000;
 /** A copy is brought up to date this often, so that little is left to read and it does not lapse. */
 const REFRESH_MS = 800;
+/** A copy that could not be made is tried again after this, elsewhere if room is there: notices leave two seconds or so. */
+const TRY_AGAIN_MS = 250;
 /** Time for an endpoint to take back a copy. */
 const DROP_TIMEOUT_MS = 1_000;
 
@@ -74,12 +76,14 @@
 
     private async copyAway(job: string): Promise<void> {
         this.busy.add(job);
-        const plan = this.deps.engines.planRescue(job);
+        const plan = await this.deps.engines.planRescue(job);
         const source = plan && this.deps.endpoint(plan.from);
         const keeper = plan && this.deps.endpoint(plan.to);
         if (plan && source && keeper) await this.keepCopied(plan, source, keeper);
         else this.deps.log.info({ req: job, planned: plan !== undefined }, "generation_not_copied");
+        await pause(TRY_AGAIN_MS);
         this.busy.delete(job);
+        if (this.calls.has(job) && !this.deps.signal.aborted) this.rescue();
     }
 
     /** Makes the copy, and again and again while the generation still runs at its source. */
@@ -104,7 +108,7 @@
             if (!target) return void this.drop(copy);
             this.made.set(job, copy);
             target.onCopied(copy);
-            await new Promise(resolve => setTimeout(resolve, REFRESH_MS));
+            await pause(REFRESH_MS);
         }
     }
 
@@ -139,3 +143,7 @@
         return { status: res.statusCode, body: await res.body.text() };
     }
 }
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { type SettingsGive, WORD_VALID_MS } from "@drumpaddle/hall";
-import type { KeyValue, KvChange, KvEntry, PlatformWire } from "@drumpaddle/protocol";
+import type { KeyValue, KvChange, KvEntry, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
 import {
     adoptEndpoints,
     applyChanges,
@@ -44,8 +44,12 @@
 const FIRST_RETRY_MS = 100;
 /** With the time for a read (1 s) well within the least time after the store's return by which its news must be in force (3 s). */
 const LONGEST_RETRY_MS = 500;
-/** What other hosts rely on is known to be cut off this soon: their own bound on news is 2 s at the least. */
-const RELIED_WATCH_MS = 1_000;
+/**
+ * What other hosts rely on is known to be cut off this soon: their own bound on news is 2 s at the least. Calls are paid
+ * for, so that changes of a few moments ride on one; a watcher that only stands by lets more of them gather.
+ */
+const RELIED_TIMING: WatchTiming = { waitMs: 1_000, gatherMs: 100 };
+const STANDBY_TIMING: WatchTiming = { waitMs: 1_000, gatherMs: 600 };
 /** Lapsed registrations are looked at this often. */
 const EXPIRE_EVERY_MS = 250;
 /** The store's whole content is watched by one call: deployment and endpoints have no prefix in common. */
@@ -63,7 +67,8 @@
     /** When a peer that the store answers was last heard. */
     private followedAt = -Infinity;
     private watching: AbortController | undefined;
-    private relied = false;
+    /** Place among the watchers that other hosts rely on; undefined where none does. */
+    private place: number | undefined;
     private readonly changeListeners = new Set<(word: StoreWord) => void>();
     private readonly deploymentListeners = new Set<(table: RouteTable) => void>();
     private readonly endpointListeners = new Set<(registry: Registry) => void>();
@@ -101,7 +106,7 @@
         return {
             hears: () => this.watching ? this.answered : undefined,
             word: () => this.word([]),
-            setWatching: (watches, relied) => this.setWatching(watches, relied),
+            setWatching: (watches, place) => this.setWatching(watches, place),
             onChanges: listener => void this.changeListeners.add(listener),
             hear: word => this.hear(word),
             state: () => this.state(),
@@ -179,14 +184,14 @@
             EXPIRE_EVERY_MS,
         );
         this.deps.signal.addEventListener("abort", () => clearInterval(timer), { once: true });
-        this.setWatching(true, false);
+        this.setWatching(true, undefined);
     }
 
-    /** Begins or ends to watch; `relied` says whether other hosts rely on this one. */
-    private setWatching(watches: boolean, relied: boolean): void {
-        this.relied = relied;
+    /** Begins or ends to watch; `place` is this host's among those that others rely on. */
+    private setWatching(watches: boolean, place: number | undefined): void {
+        this.place = place;
         if (watches === (this.watching !== undefined)) return;
-        this.deps.log.info({ watches, relied, revision: this.revision }, "store_watching");
+        this.deps.log.info({ watches, place, revision: this.revision }, "store_watching");
         if (!watches) {
             this.watching?.abort();
             this.watching = undefined;
@@ -227,11 +232,7 @@
             const revision = await this.readAll(signal);
             if (revision !== undefined) {
                 pauseMs = FIRST_RETRY_MS;
-                const watch = {
-                    prefix: EVERYTHING,
-                    after: revision,
-                    ...(this.relied ? { waitMs: RELIED_WATCH_MS } : {}),
-                };
+                const watch = { prefix: EVERYTHING, after: revision, timing: () => this.timing };
                 const ended = await kv.watch(watch, changes => this.take(changes, "store"), signal);
                 if (signal.aborted) return;
                 if (ended.kind !== "compacted") this.onStoreAway();
@@ -243,6 +244,11 @@
         }
     }
 
+    private get timing(): WatchTiming {
+        if (this.place === undefined) return {};
+        return this.place === 0 ? RELIED_TIMING : STANDBY_TIMING;
+    }
+
     /** Reads everything; returns the revision to watch from, or undefined where the store did not answer. */
     private async readAll(signal: AbortSignal): Promise<number | undefined> {
         const { kv, wire, log } = this.deps;
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -105,6 +105,7 @@
         hall: Type.String(),
         exclude: Type.Array(Type.String()),
         backUp: Type.Boolean(),
+        keeperOf: Type.Optional(Type.Object({ endpoint: Type.String(), roomShare: Type.Number() })),
     }),
     answer: Type.Object({
         job: Type.String(),
@@ -168,7 +169,8 @@
     hears(): boolean | undefined;
     /** Undefined before anything was learnt. */
     word(): StoreWord | undefined;
-    setWatching(watches: boolean, relied: boolean): void;
+    /** `place`: among the watchers that other hosts rely on; undefined where none does. */
+    setWatching(watches: boolean, place: number | undefined): void;
     /** Calls back with what this host learns from the store itself. */
     onChanges(listener: (word: StoreWord) => void): void;
     /** Takes in a watcher's word; true if changes before it are missing here. */
@@ -276,7 +278,7 @@
         const hears = follower.hears();
         const { state, watches, place } = planFollowing(this.following, liveInHall(this.membership, now), hears, now);
         this.following = state;
-        follower.setWatching(watches, place !== undefined);
+        follower.setWatching(watches, place);
         const word = follower.word();
         if (place !== undefined && hears !== undefined && word) this.tellHall({ kind: "storeWord", ...word });
         if (hears === false) this.askNextPeer(word?.revision);
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -40,12 +40,14 @@
     private state: SchedulerState;
     private readonly asking = new Map<string, Placed>();
     private readonly timer: NodeJS.Timeout;
+    private readonly rescues = new Map<string, (plan: CopyAction | undefined) => void>();
     private onAsk: (action: AskAction) => void = () => undefined;
 
     constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number, options?: SchedulerOptions) {
         this.state = createScheduler(variant, seed, options);
         this.timer = setInterval(() => {
-            if (this.state.waiting.length + this.state.asked.size > 0) this.handle({ kind: "tick" });
+            const { waiting, asked, askedKeeper } = this.state;
+            if (waiting.length + asked.size + askedKeeper.size > 0) this.handle({ kind: "tick" });
         }, TICK_MS);
         signal.addEventListener("abort", () => clearInterval(this.timer), { once: true });
     }
@@ -84,13 +86,18 @@
 
     /** Asks for the endpoint that keeps a request's copy; the answer comes at once. */
     continueOn(job: string, failed: boolean, placed: Placed): void {
+        // Its endpoint has ended: there is nothing left to copy from.
+        this.settleRescue(job, undefined);
         this.asking.set(job, placed);
         this.handle({ kind: "continue", job, failed });
     }
 
     /** Where a request whose endpoint is leaving is to be copied to; undefined where no endpoint has room. */
-    planRescue(job: string): CopyAction | undefined {
-        return this.handle({ kind: "rescue", job }).find(action => action.kind === "copy");
+    planRescue(job: string): Promise<CopyAction | undefined> {
+        return new Promise(resolve => {
+            this.rescues.set(job, resolve);
+            this.handle({ kind: "rescue", job });
+        });
     }
 
     /** The copy of a request could not be made. */
@@ -109,19 +116,25 @@
     }
 
     ended(job: string, outcome: JobOutcome, produced: number): void {
+        this.settleRescue(job, undefined);
         this.handle({ kind: "ended", job, outcome, produced });
     }
 
+    private settleRescue(job: string, plan: CopyAction | undefined): void {
+        const settle = this.rescues.get(job);
+        this.rescues.delete(job);
+        settle?.(plan);
+    }
+
     /** Takes in what the hall's hosts know of each other. */
     tell(events: readonly SchedulerEvent[]): void {
         for (const event of events) this.handle(event);
     }
 
-    private handle(event: SchedulerEvent): readonly SchedulerAction[] {
+    private handle(event: SchedulerEvent): void {
         const { state, actions } = decide(this.state, event, performance.now());
         this.state = state;
         for (const action of actions) this.carryOut(action);
-        return actions;
     }
 
     private carryOut(action: SchedulerAction): void {
@@ -129,8 +142,10 @@
             this.onAsk(action);
             return;
         }
-        // Copies are made by whoever asked for the plan.
-        if (action.kind === "copy") return;
+        if (action.kind === "copy" || action.kind === "noCopy") {
+            this.settleRescue(action.job, action.kind === "copy" ? action : undefined);
+            return;
+        }
         const placed = this.asking.get(action.job);
         this.asking.delete(action.job);
         if (action.kind === "dispatch") placed?.onDispatch(action.endpoint, action.priority, action.backUp);
--- a/packages/policy/src/advise.ts
+++ b/packages/policy/src/advise.ts
@@ -22,11 +22,14 @@
     readonly exclude: readonly string[];
     /** Whether an endpoint is wanted as well that keeps a copy. */
     readonly backUp: boolean;
+    /** Set where only an endpoint is sought that keeps a copy: the one where the request runs, and how full a keeper may be. */
+    readonly keeperOf?: { readonly endpoint: string; readonly roomShare: number };
 }
 
 /** Where the request goes. */
 export interface Advice {
-    readonly endpoint: string;
+    /** Undefined where only a keeper was sought. */
+    readonly endpoint: string | undefined;
     /** Endpoint that keeps the copy; undefined where none has room or none is wanted. */
     readonly keeper: string | undefined;
 }
@@ -40,17 +43,21 @@
  * ```
  */
 export function advise(state: SchedulerState, question: Question, now: number): Advice | undefined {
-    const { hall, exclude, backUp } = question;
+    const { hall, backUp } = question;
     const wanted: Wanted = question;
     const views = openTo(state, question, now);
+    if (question.keeperOf) {
+        const { endpoint: primary, roomShare } = question.keeperOf;
+        const keeper = chooseBackup(views, wanted, primary, now, hall, roomShare);
+        return keeper === undefined ? undefined : { endpoint: undefined, keeper };
+    }
     let best: { readonly id: string; readonly score: number } | undefined;
     for (const view of views) {
         const candidate = assess(view, wanted, state.variant, state.hosts, now, hall);
         if (candidate && candidate.score < (best?.score ?? Infinity)) best = candidate;
     }
     if (!best) return undefined;
-    const keepers = views.filter(view => !exclude.includes(view.cfg.id));
-    const keeper = backUp ? chooseBackup(keepers, wanted, best.id, now, hall) : undefined;
+    const keeper = backUp ? chooseBackup(views, wanted, best.id, now, hall) : undefined;
     return { endpoint: best.id, keeper };
 }
 
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { chooseBackup, RESCUE_ROOM_SHARE, wantedOf } from "./choose.js";
-import { addBackup, type EndpointView, removeBackup } from "./endpoint.js";
+import { addBackup, type EndpointView, removeBackup, type Running } from "./endpoint.js";
 import type { Job } from "./job.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
 import { deleteIn, getIn, setIn } from "./shard-map.js";
@@ -63,16 +63,36 @@
     return keeper !== undefined && !isLeaving(state.endpoints.get(keeper));
 }
 
-/** The state after a request's copy was planned, and the copy to be made; none where no endpoint has room. */
-export function rescue(state: SchedulerState, job: string, now: number): Decision {
+/** A running request with where it runs. */
+export function runningOf(
+    state: SchedulerState,
+    job: string,
+): { readonly from: string; readonly running: Running } | undefined {
     const from = getIn(state.placed, job);
     const running = from === undefined ? undefined : state.endpoints.get(from)?.streams.get(job);
-    if (from === undefined || !running) return { state, actions: [] };
+    return from === undefined || !running ? undefined : { from, running };
+}
+
+/** The state after a request's copy was planned by what this host knows, and the copy to be made. */
+export function rescue(state: SchedulerState, job: string, now: number): Decision {
+    const found = runningOf(state, job);
+    if (!found) return { state, actions: [{ kind: "noCopy", job }] };
+    const { from, running } = found;
     const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
-    if (keeper === undefined) return { state, actions: [] };
+    if (keeper === undefined) return { state, actions: [{ kind: "noCopy", job }] };
     return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
 }
 
+/** The same with the keeper that an owner named; none where it named none. */
+export function rescueAt(state: SchedulerState, job: string, keeper: string | undefined): Decision {
+    const found = runningOf(state, job);
+    if (!found || keeper === undefined || !state.endpoints.get(keeper)) {
+        return { state, actions: [{ kind: "noCopy", job }] };
+    }
+    const next = backUpAt(dropBackup(state, job), job, found.from, keeper);
+    return { state: next, actions: [{ kind: "copy", job, from: found.from, to: keeper }] };
+}
+
 /** The state without the copy of a request. */
 export function dropBackup(state: SchedulerState, job: string): SchedulerState {
     const keeper = getIn(state.backedUp, job);
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -114,7 +114,7 @@
 }
 
 /** Backups are placed while memory is planned up to this share; what is above is for streams that run. */
-const BACKUP_ROOM_SHARE = 0.75;
+export const BACKUP_ROOM_SHARE = 0.75;
 
 /** A stream whose endpoint is about to leave is copied while memory is planned up to this share: it will run there soon. */
 export const RESCUE_ROOM_SHARE = 0.9;
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -34,6 +34,8 @@
     readonly owned: ReadonlySet<string>;
     /** Requests whose endpoint's owner was asked and has not answered. */
     readonly asked: ReadonlyMap<string, Asked>;
+    /** Running requests for which an owner was asked who keeps their copy. */
+    readonly askedKeeper: ReadonlyMap<string, AskedKeeper>;
     /** Turn of round robin, and the seed of two choices; advances with each choice. */
     readonly turn: number;
 }
@@ -45,6 +47,13 @@
     readonly at: number;
 }
 
+/** A running request whose next keeper an owner was asked for. */
+export interface AskedKeeper {
+    /** `rescue`: its endpoint is leaving. `continue`: it goes on at another endpoint as soon as the keeper is known. */
+    readonly purpose: "rescue" | "continue";
+    readonly at: number;
+}
+
 /** How a dispatched request ended at its endpoint. */
 export type JobOutcome = "whole" | "cancelled" | "refused" | "failed" | "unreachable";
 
@@ -106,6 +115,8 @@
         readonly endpoint: string;
         readonly question: Question;
     }
+    /** No endpoint has room for the copy that was asked for. */
+    | { readonly kind: "noCopy"; readonly job: string }
     /** Copy a running request's memory from one endpoint to the other. */
     | { readonly kind: "copy"; readonly job: string; readonly from: string; readonly to: string }
     | {
@@ -155,6 +166,7 @@
         backedUp: emptyMap(),
         owned: new Set(),
         asked: new Map(),
+        askedKeeper: new Map(),
         turn: seed,
     };
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,8 +8,8 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { backUp, backUpAt, dropBackup, rescue } from "./carry.js";
-import { assess, type Candidate, usable, wantedOf } from "./choose.js";
+import { backUp, backUpAt, dropBackup, rescue, rescueAt, runningOf } from "./carry.js";
+import { assess, BACKUP_ROOM_SHARE, type Candidate, RESCUE_ROOM_SHARE, usable, wantedOf } from "./choose.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
     addStream,
@@ -29,6 +29,7 @@
 import { expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
 import { countRequest, earnRetry, spendRetry, takeRepeat } from "./retry-budget.js";
 import {
+    type AskedKeeper,
     type Decision,
     type JobOutcome,
     type RefuseReason,
@@ -130,7 +131,7 @@
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
-    rescue: (state, { job }, now) => rescue(state, job, now),
+    rescue: (state, { job }, now) => askKeeper(state, job, "rescue", RESCUE_ROOM_SHARE, now) ?? rescue(state, job, now),
     copyLost: (state, { job }) => ({ state: dropBackup(state, job), actions: [] }),
     withdraw: (state, { job }, now) => {
         const waiting = state.waiting.filter(other => other.job.id !== job);
@@ -145,6 +146,12 @@
             next = settled.state;
             actions.push(...settled.actions);
         }
+        for (const [id, { at }] of state.askedKeeper) {
+            if (now - at < ASK_TIMEOUT_MS) continue;
+            const settled = settleKeeper(next, id, now);
+            next = settled.state;
+            actions.push(...settled.actions);
+        }
         const drained = drain(next, now);
         return { state: drained.state, actions: [...actions, ...drained.actions] };
     },
@@ -224,7 +231,7 @@
         .filter(candidate => candidate !== undefined);
     const chosen = candidates.length > 0 ? PICK[state.variant.choice](candidates, state.turn) : undefined;
     // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
-    const alwaysAsks = asksOwners(state) && state.variant.askAlways && state.hosts > FEW_HOSTS;
+    const alwaysAsks = alwaysAsksOwners(state);
     const id = chosen?.id ?? (alwaysAsks ? views[state.turn % Math.max(1, views.length)]?.cfg.id : undefined);
     if (id === undefined) return undefined;
     const mustAsk = (alwaysAsks || asksOwners(state) && chosen?.crowded === true) && !state.owned.has(id);
@@ -250,6 +257,57 @@
     return variant.ask && variant.share === "owner" && hosts > 1;
 }
 
+/** Whether owners are asked for every request, whatever this host believes. */
+function alwaysAsksOwners(state: SchedulerState): boolean {
+    return asksOwners(state) && state.variant.askAlways && state.hosts > FEW_HOSTS;
+}
+
+/** Asks an owner who keeps a running request's next copy; undefined where this host decides alone. */
+function askKeeper(
+    state: SchedulerState,
+    job: string,
+    purpose: AskedKeeper["purpose"],
+    roomShare: number,
+    now: number,
+): Decision | undefined {
+    const found = runningOf(state, job);
+    if (!found || !alwaysAsksOwners(state) || state.owned.size > 0) return undefined;
+    const { from, running } = found;
+    const views = usable(state.endpoints.values(), running.job.group.model, [from], now);
+    const question = {
+        ...wantedOf(running.job, running.survival),
+        curve: running.curve,
+        hall: state.hall ?? "",
+        exclude: unusable(state, views),
+        backUp: true,
+        keeperOf: { endpoint: from, roomShare },
+    };
+    const askedKeeper = new Map(state.askedKeeper).set(job, { purpose, at: now });
+    // Any endpoint's owner may be asked; the one that the request leaves may be declared no more.
+    const endpoint = views[0]?.cfg.id ?? from;
+    return { state: { ...state, askedKeeper }, actions: [{ kind: "ask", job, endpoint, question }] };
+}
+
+/** An owner's word on a keeper. */
+function keeperAnswered(state: SchedulerState, job: string, keeper: string | undefined): Decision {
+    const { purpose } = state.askedKeeper.get(job)!;
+    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
+    if (purpose === "rescue") return rescueAt(next, job, keeper);
+    const found = runningOf(next, job);
+    if (!found) return { state: next, actions: [] };
+    const kept = keeper === undefined ? next : backUpAt(next, job, found.from, keeper);
+    return send(kept, found.running.job, found.from, keeper);
+}
+
+/** Decides alone on a keeper whose owner does not answer. */
+function settleKeeper(state: SchedulerState, job: string, now: number): Decision {
+    const { purpose } = state.askedKeeper.get(job)!;
+    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
+    if (purpose === "rescue") return rescue(next, job, now);
+    const found = runningOf(next, job);
+    return found ? dispatch(next, found.running.job, found.from, now) : { state: next, actions: [] };
+}
+
 /** Endpoints that are not among those that may be used. */
 function unusable(state: SchedulerState, views: readonly EndpointView[]): readonly string[] {
     const ids = new Set(views.map(view => view.cfg.id));
@@ -302,7 +360,8 @@
         placed: setIn(promoted.placed, job, keeper),
         backedUp: deleteIn(promoted.backedUp, job),
     };
-    return dispatch(next, running.job, keeper, now);
+    const asks = wantsBackup(next, running.job) ? askKeeper(next, job, "continue", BACKUP_ROOM_SHARE, now) : undefined;
+    return asks ?? dispatch(next, running.job, keeper, now);
 }
 
 /** An owner's word: the request goes where it says, or goes back to those that wait. */
@@ -311,6 +370,7 @@
     { job, endpoint, keeper }: Extract<SchedulerEvent, { kind: "answer" }>,
     now: number,
 ): Decision {
+    if (state.askedKeeper.has(job)) return keeperAnswered(state, job, keeper);
     const asked = state.asked.get(job);
     if (!asked) return { state, actions: [] };
     const back = takeBack(state, job, now);
@@ -408,7 +468,16 @@
     }));
 }
 
-function ended(state: SchedulerState, job: string, outcome: JobOutcome, produced: number, now: number): SchedulerState {
+function ended(
+    before: SchedulerState,
+    job: string,
+    outcome: JobOutcome,
+    produced: number,
+    now: number,
+): SchedulerState {
+    const state = before.askedKeeper.has(job)
+        ? { ...before, askedKeeper: without(before.askedKeeper, job) }
+        : before;
     const id = getIn(state.placed, job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(job);
     if (id === undefined || !running) return state;
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -246,3 +246,43 @@
     t.true(expectedWait(rate, 1, 60_000, 59_990) < 50);
     t.true(expectedWait(rate, 1, 60_000) > 5_000, "a queue that stands still does");
 });
+
+/** A stream that runs on a host of a large fleet, which asks an owner for everything. */
+function largeFleet(): { readonly state: SchedulerState; readonly endpoint: string; readonly backUp: string } {
+    const variant = { ...VARIANT, askAlways: true };
+    const created = createScheduler(variant, 1, { hall: "h1" });
+    const asked = drive(created, [
+        { kind: "endpoints", endpoints: THREE },
+        { kind: "hosts", count: 20 },
+        arrive(jobOf("j")),
+    ]);
+    if (asked.actions[0]?.kind !== "ask") throw new Error("no owner was asked");
+    const [endpoint, backUp] = ["e1", "e2"];
+    const { state } = drive(asked.state, [{ kind: "answer", job: "j", endpoint, keeper: backUp }]);
+    return { state, endpoint, backUp };
+}
+
+test("in a large fleet an owner names who takes the copy of a stream whose endpoint leaves", t => {
+    const { state, endpoint, backUp } = largeFleet();
+    const left = drive(state, [leaving(endpoint), leaving(backUp)]).state;
+    const asked = drive(left, [{ kind: "rescue", job: "j" }]);
+    t.like(asked.actions[0], { kind: "ask", job: "j", question: { keeperOf: { endpoint } } });
+    const answered = drive(asked.state, [{ kind: "answer", job: "j", endpoint: undefined, keeper: "e3" }]);
+    t.deepEqual(answered.actions, [{ kind: "copy", job: "j", from: endpoint, to: "e3" }]);
+    const none = drive(asked.state, [{ kind: "answer", job: "j", endpoint: undefined, keeper: undefined }]);
+    t.deepEqual(none.actions, [{ kind: "noCopy", job: "j" }]);
+    t.deepEqual(jobsToRescue(none.state), ["j"], "it is tried again");
+    const silent = drive(asked.state, [{ kind: "tick" }], 150);
+    t.deepEqual(silent.actions, [{ kind: "copy", job: "j", from: endpoint, to: "e3" }], "it decides alone");
+});
+
+test("in a large fleet a stream goes on at its copy once an owner has named the next keeper, or is silent", t => {
+    const { state, backUp } = largeFleet();
+    const broken = drive(state, [{ kind: "continue", job: "j", failed: true }]);
+    t.is(broken.actions[0]?.kind, "ask");
+    const going = drive(broken.state, [{ kind: "answer", job: "j", endpoint: undefined, keeper: "e3" }]);
+    t.like(dispatched(going), { endpoint: backUp, backUp: "e3" });
+    t.is(dispatched(drive(broken.state, [{ kind: "tick" }], 150)).endpoint, backUp);
+    const left = drive(broken.state, [{ kind: "ended", job: "j", outcome: "cancelled", produced: 1 }]).state;
+    t.deepEqual(drive(left, [{ kind: "answer", job: "j", endpoint: undefined, keeper: "e3" }]).actions, []);
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -48,6 +48,7 @@
     kvOk,
     type KvResult,
     type KvWatch,
+    type WatchTiming,
 } from "./kv.js";
 export { errText, neverSent } from "./net-error.js";
 export {
--- a/packages/protocol/src/kv.ts
+++ b/packages/protocol/src/kv.ts
@@ -54,8 +54,16 @@
     readonly prefix: string;
     /** Changes after this revision are told; only coming ones where it is absent. */
     readonly after?: number;
-    /** How long one call may wait for a change, in milliseconds, where a watch is made of calls. */
+    /** Where a watch is made of calls: asked before each of them. */
+    readonly timing?: () => WatchTiming;
+}
+
+/** How often a watch that is made of calls calls. Times are milliseconds. */
+export interface WatchTiming {
+    /** How long a call may wait for a change; the client's own where it is absent. */
     readonly waitMs?: number;
+    /** How long changes gather after a call that told some, so that one call tells several. */
+    readonly gatherMs?: number;
 }
 
 /** The key-value service. Every call takes a signal that ends it. */
--- a/packages/standins/src/experiment.ts
+++ b/packages/standins/src/experiment.ts
@@ -306,6 +306,7 @@
             this.follow(stream.host, shareAsk(sim.share, action, sim.state.endpoints, this.hostNames, now), now);
             return;
         }
+        if (action.kind === "noCopy") return;
         if (action.kind === "refuse") {
             this.counts.refused += 1;
             this.end(stream);
