--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -27,6 +27,8 @@
 const CONNECTIONS = "packages/host/test/endpoint-connections.test.ts";
 const CONTINUE = "packages/request/test/continue.test.ts";
 const CARRY = "packages/policy/test/carry.test.ts";
+const FOLLOWING = "packages/hall/test/following.test.ts";
+const SOAK = "platform/test/soak.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
@@ -229,6 +231,48 @@
         replace: "const leaving = entry.state === undefined;",
         tests: [GATEWAY],
     },
+    {
+        promise: "soak: a registered endpoint that leaves gets nothing new",
+        file: "packages/host/src/gateway.ts",
+        find: "const leaving = entry.state === EndpointState.Leaving;",
+        replace: "const leaving = entry.state === undefined;",
+        tests: [SOAK],
+    },
+    {
+        promise: "soak: a refusal as not run is true",
+        file: "packages/host/src/forward-reply.ts",
+        find: 'return ran !== "no" && NOT_RUN_STATUSES.has(status) ? BAD_GATEWAY : status;',
+        replace: 'return ran === "yes" ? BAD_GATEWAY : 503;',
+        tests: [SOAK],
+    },
+    {
+        promise: "soak: a planned stop cuts nothing that runs",
+        file: "packages/host/src/gateway.ts",
+        find: "await pause(STILL_SERVED_MS);",
+        replace: "return await kill();",
+        tests: [SOAK],
+    },
+    {
+        promise: "a watcher that the store does not answer is passed over",
+        file: "packages/hall/src/following.ts",
+        find: "? hears !== false",
+        replace: "? true",
+        tests: [FOLLOWING],
+    },
+    {
+        promise: "a host that hears of no watcher watches by itself",
+        file: "packages/hall/src/following.ts",
+        find: "watches: place !== undefined || now < watchUntil,",
+        replace: "watches: place !== undefined,",
+        tests: [FOLLOWING],
+    },
+    {
+        promise: "an owner that does not answer is passed over",
+        file: "packages/hall/src/share.ts",
+        find: "for (const [, { owner }] of late) silent.set(owner, now + SILENT_MS);",
+        replace: "",
+        tests: [HALL],
+    },
     {
         promise: "half a request reaches no endpoint",
         file: "packages/host/src/request-body.ts",
