A signal while the daemon starts no longer ends it; a daemon that cannot listen ends

Found beside it: with a port taken the process printed EADDRINUSE and stayed, its peers' port open, serving nobody. Ruled out: the platform's own order to end (the log ends at the start's first line, signal SIGHUP). Now: signals are caught by the first module that is loaded and kept until the daemon has started; a failed start ends it.

--- a/packages/hall/test/following.test.ts
+++ b/packages/hall/test/following.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createFollowing, type Following, hearWatcher, planFollowing, WORD_VALID_MS } from "../src/index.js";
+import { createFollowing, type Following, hearWatcher, planFollowing, rank, WORD_VALID_MS } from "../src/index.js";
 
 const HOSTS = ["a", "b", "c", "d", "e", "f"];
 
@@ -54,12 +54,15 @@
 });
 
 test("a host that hears of no watcher watches by itself", t => {
-    let state: Following = createFollowing("z");
-    const hosts = [...HOSTS, "z"];
-    for (const host of HOSTS) state = hearWatcher(state, host, true, 0);
-    state = planFollowing(state, hosts, undefined, 0).state;
-    const silence = WORD_VALID_MS + 1;
-    t.true(planFollowing(state, hosts, undefined, silence).watches);
+    // The last by rank: it is no watcher even when the first four are silent.
+    const self = rank("store-watch", HOSTS).at(-1)!;
+    let state: Following = createFollowing(self);
+    for (const host of HOSTS) state = host === self ? state : hearWatcher(state, host, true, 0);
+    state = planFollowing(state, HOSTS, undefined, 0).state;
+    t.false(planFollowing(state, HOSTS, undefined, WORD_VALID_MS - 1).watches);
+    const alone = planFollowing(state, HOSTS, undefined, WORD_VALID_MS + 1);
+    t.is(alone.place, undefined);
+    t.true(alone.watches);
 });
 
 test("a host alone watches", t => {
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -4,6 +4,9 @@
  *
  * @module
  */
+// First of all: signals may come while the rest is loaded.
+import { handleSignals } from "./signals.js";
+
 import { readFileSync } from "node:fs";
 import sade from "sade";
 import { type ConfigResult, describeConfigError, type HostCfg, printConfig, readConfig } from "./config.js";
@@ -82,9 +85,7 @@
         stopping = true;
         void daemon.stop().then(() => process.exit(EXIT.done));
     };
-    process.on("SIGHUP", () => reload(options, read.cfg, log));
-    process.on("SIGTERM", () => onSignal("SIGTERM"));
-    process.on("SIGINT", () => onSignal("SIGINT"));
+    handleSignals({ onReload: () => reload(options, read.cfg, log), onStop: onSignal });
 }
 
 sade("drumpaddled", true)
@@ -99,7 +100,8 @@
     .action((options: Options) => {
         run(options).catch((err: unknown) => {
             process.stderr.write(`${(err as Error).message}\n`);
-            process.exitCode = EXIT.failed;
+            // What has been started by then would keep a daemon alive that serves nobody.
+            process.exit(EXIT.failed);
         });
     })
     .parse(process.argv);
