Large fleets: no storm at a new configuration, quick joining, deaf hosts stay passed over, stalled engines are avoided

Hosts of a hall watched the store until second 0, as they found each other only by heartbeats each 2.6 s. Watchers that the store turned away took their place again each second. 120 requests ended with their deadline; the one traced waited at a worker that hung.

--- a/packages/hall/src/following.ts
+++ b/packages/hall/src/following.ts
@@ -19,6 +19,8 @@
 export const WORD_EVERY_MS = 250;
 /** A watcher that says nothing for three times as long is not relied on: well within the shortest bound on news (2 s). */
 export const WORD_VALID_MS = 750;
+/** A host that the store did not answer counts as no watcher for this long, though it does not watch meanwhile. */
+const DEAF_MS = 3_000;
 /** A host that began to watch by itself goes on for this long, so that it does not begin again and again. */
 const KEEP_WATCHING_MS = 3_000;
 
@@ -37,6 +39,8 @@
     readonly expected: ReadonlyMap<string, number>;
     /** Until when this host watches whatever others say. */
     readonly watchUntil: number;
+    /** When the store last failed to answer this host. */
+    readonly deafAt: number;
 }
 
 /** What a host has to do. */
@@ -50,7 +54,7 @@
 
 /** A host that knows of no watcher. */
 export function createFollowing(self: string): Following {
-    return { self, words: new Map(), expected: new Map(), watchUntil: -Infinity };
+    return { self, words: new Map(), expected: new Map(), watchUntil: -Infinity, deafAt: -Infinity };
 }
 
 /** The state after a host said whether the store answers it. */
@@ -76,13 +80,15 @@
     now: number,
 ): FollowPlan {
     if (hosts.length <= MOST_ALL_WATCH) return { state, watches: true, place: undefined };
-    const { expected, watchers } = pickWatchers(state, hosts, hears, now);
+    const deafAt = hears === false ? now : state.deafAt;
+    const isDeaf = hears !== true && now - deafAt < DEAF_MS;
+    const { expected, watchers } = pickWatchers(state, hosts, isDeaf, now);
     const isFollowed = [...state.words].some(([host, word]) => hosts.includes(host) && isRelied(word, now));
     const watchUntil = isFollowed ? state.watchUntil : now + KEEP_WATCHING_MS;
     const at = watchers.indexOf(state.self);
     const place = at < 0 ? undefined : at;
     return {
-        state: { ...state, expected, watchUntil },
+        state: { ...state, expected, watchUntil, deafAt },
         watches: place !== undefined || now < watchUntil,
         place,
     };
@@ -96,7 +102,7 @@
 function pickWatchers(
     state: Following,
     hosts: readonly string[],
-    hears: boolean | undefined,
+    isDeaf: boolean,
     now: number,
 ): { readonly expected: ReadonlyMap<string, number>; readonly watchers: readonly string[] } {
     const expected = new Map<string, number>();
@@ -107,7 +113,7 @@
         expected.set(host, since);
         const word = state.words.get(host);
         const counts = host === state.self
-            ? hears !== false
+            ? !isDeaf
             : word && now - word.at < WORD_VALID_MS
             ? word.hears
             : now - since < WORD_VALID_MS;
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -44,6 +44,8 @@
     type Member,
     type MemberNews,
     type Membership,
+    NEWS_PER_HEARTBEAT,
+    NEWS_WHILE_JOINING,
     SMALL_HALL,
     stretch,
 } from "./membership.js";
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -18,6 +18,8 @@
     readonly streams: number;
     /** Prompt tokens of those that have not begun. */
     readonly unread: number;
+    /** Streams that wait too long for their first token. */
+    readonly stalled: number;
     /** Mean of the memory at each point of the horizon, in units of {@link TOKENS_PER_UNIT} tokens. */
     readonly mean: readonly number[];
     /** Its standard deviation, in the same units. */
@@ -92,13 +94,13 @@
  *
  * @example
  * ```ts
- * heldOf("e1", view.streams.size, unreadTokens(view), view.curve);
+ * heldOf("e1", { streams: view.streams.size, unread: unreadTokens(view), stalled: 0, curve: view.curve });
  * ```
  */
-export function heldOf(endpoint: string, streams: number, unread: number, curve: Curve): Held {
+export function heldOf(endpoint: string, { streams, unread, stalled, curve }: Others): Held {
     const mean = Array.from(curve.mean, value => Math.round(value / TOKENS_PER_UNIT));
     const deviation = Array.from(curve.variance, value => Math.round(Math.sqrt(value) / TOKENS_PER_UNIT));
-    return { endpoint, streams, unread, mean, deviation };
+    return { endpoint, streams, unread, stalled, mean, deviation };
 }
 
 /**
@@ -141,7 +143,7 @@
 
 /** Whether a host's holdings differ from those that were said last by enough to say them again. */
 export function isNews(last: Held, held: Held): boolean {
-    if (held.streams !== last.streams || held.unread !== last.unread) return true;
+    if (held.streams !== last.streams || held.unread !== last.unread || held.stalled !== last.stalled) return true;
     return held.mean.some((mean, at) => Math.abs(mean - last.mean[at]!) > CHANGE_SHARE * Math.max(1, last.mean[at]!));
 }
 
@@ -150,12 +152,13 @@
     return streams > 0 || mean[0]! > 0;
 }
 
-const NO_TALLY: Tally = { hosts: new Map(), sum: { streams: 0, unread: 0, curve: zeroCurve() } };
+const NO_TALLY: Tally = { hosts: new Map(), sum: { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() } };
 
 function plus(a: Others, b: Others, sign: 1 | -1): Others {
     return {
         streams: a.streams + sign * b.streams,
         unread: a.unread + sign * b.unread,
+        stalled: a.stalled + sign * b.stalled,
         curve: addCurve(a.curve, b.curve, sign),
     };
 }
@@ -168,7 +171,7 @@
 
 /** What was sent of one endpoint. */
 export function othersOf(held: Held): Others {
-    return { streams: held.streams, unread: held.unread, curve: curveOf(held) };
+    return { streams: held.streams, unread: held.unread, stalled: held.stalled, curve: curveOf(held) };
 }
 
 /** The account after a host told what it holds. Anything of another shape than a {@link Held} is left out. */
@@ -223,7 +226,7 @@
     const before = tally.hosts.get(host)?.others ?? NO_TALLY.sum;
     // A granted stream holds its prompt, which is still to be read.
     const isStream = kind === "stream";
-    const granted: Others = { streams: isStream ? 1 : 0, unread: isStream ? curve.mean[0]! : 0, curve };
+    const granted: Others = { streams: isStream ? 1 : 0, unread: isStream ? curve.mean[0]! : 0, stalled: 0, curve };
     const entry: Entry = { others: plus(before, granted, 1), at: now };
     return { held: new Map(account.held).set(endpoint, withEntry(tally, host, entry)) };
 }
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -58,6 +58,8 @@
 export const FANOUT = 4;
 /** A heartbeat passes on news of this many hosts at most, those that moved last. */
 export const NEWS_PER_HEARTBEAT = 8;
+/** While a host joins, its heartbeats carry news of more hosts: many may have started at one moment. */
+export const NEWS_WHILE_JOINING = 64;
 
 /**
  * A host that knows only itself.
@@ -140,7 +142,7 @@
  * const { state: next, to, news } = heartbeat(state, now);
  * ```
  */
-export function heartbeat(state: Membership, now: number): HeartbeatPlan {
+export function heartbeat(state: Membership, now: number, most = NEWS_PER_HEARTBEAT): HeartbeatPlan {
     const members = forget(state.members, now);
     const next: Membership = { ...state, members, counter: state.counter + 1, turn: state.turn + 1 };
     const alive = [...members.values()].filter(member => isAlive(next, member, now)).sort((a, b) =>
@@ -153,15 +155,15 @@
     const unheard = state.candidates.filter(address => !alive.some(member => member.address === address));
     const probe = unheard[next.turn % Math.max(1, unheard.length)];
     const targets = new Set(probe === undefined ? to : [...to, probe]);
-    return { state: next, to: [...targets], news: [newsOfSelf(next), ...newsOfOthers(alive)] };
+    return { state: next, to: [...targets], news: [newsOfSelf(next), ...newsOfOthers(alive, most)] };
 }
 
 function newsOfSelf({ self, counter, leaving }: Membership): MemberNews {
     return { ...self, counter, leaving };
 }
 
-function newsOfOthers(alive: readonly Member[]): readonly MemberNews[] {
-    const latest = alive.toSorted((a, b) => b.movedAt - a.movedAt).slice(0, NEWS_PER_HEARTBEAT);
+function newsOfOthers(alive: readonly Member[], most: number): readonly MemberNews[] {
+    const latest = alive.toSorted((a, b) => b.movedAt - a.movedAt).slice(0, most);
     return latest.map(({ name, hall, scope, address, incarnation, counter, leaving }) => ({
         name,
         hall,
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -9,10 +9,12 @@
 import {
     advise,
     type EndpointTable,
+    type EndpointView,
     type Question,
     type SchedulerAction,
     type SchedulerEvent,
     type SchedulerState,
+    stalledStreams,
     unreadTokens,
 } from "@drumpaddle/policy";
 import {
@@ -173,7 +175,7 @@
 ): ShareStep {
     const state = passOverSilent(before, now);
     const views = endpoints.values();
-    const holdings = views.map(view => heldOf(view.cfg.id, view.streams.size, unreadTokens(view), view.curve));
+    const holdings = views.map(view => ownHeld(view, now));
     const owners = ownersOf(state.owners, views.map(view => view.cfg.id), answering(state, live));
     const { state: told, toSay } = planTelling(state.told, holdings, endpoint => owners.of.get(endpoint), now);
     const account = dropStale(takeHeld(state.account, state.self, toSay.get(state.self) ?? [], now), now);
@@ -197,6 +199,16 @@
     return { state: after, send: [...held, ...others], events };
 }
 
+/** What this host holds on an endpoint. */
+function ownHeld(view: EndpointView, now: number): Held {
+    return heldOf(view.cfg.id, {
+        streams: view.streams.size,
+        unread: unreadTokens(view),
+        stalled: stalledStreams(view, now),
+        curve: view.curve,
+    });
+}
+
 /** As an owner, tells every live host what is new of what the others hold. */
 function tellOthers(
     state: ShareState,
@@ -237,8 +249,7 @@
 }
 
 function sentOthers(account: Account, endpoint: string, host: string): Held {
-    const { streams, unread, curve } = othersFor(account, endpoint, host);
-    return heldOf(endpoint, streams, unread, curve);
+    return heldOf(endpoint, othersFor(account, endpoint, host));
 }
 
 /** The question to an endpoint's owner that the host's decisions ask for; none where no owner is alive. */
@@ -253,7 +264,12 @@
     const { job, endpoint, question: { curve, ...rest } } = action;
     const to = endpointOwner(endpoint, endpoints.values().length, answering(state, live));
     if (to === undefined || to === state.self) return { state, send: [], events: [] };
-    const message: ShareMessage = { kind: "question", job, stream: heldOf(endpoint, 1, 0, curve), ...rest };
+    const message: ShareMessage = {
+        kind: "question",
+        job,
+        stream: heldOf(endpoint, { streams: 1, unread: 0, stalled: 0, curve }),
+        ...rest,
+    };
     const open = new Map(state.open).set(job, { owner: to, at: now });
     return { state: { ...state, open }, send: [{ to, message }], events: [] };
 }
--- a/packages/hall/test/following.test.ts
+++ b/packages/hall/test/following.test.ts
@@ -68,3 +68,17 @@
 test("a host alone watches", t => {
     t.true(planFollowing(createFollowing("a"), ["a"], undefined, 0).watches);
 });
+
+test("a host that the store did not answer does not take itself for a watcher again at once", t => {
+    const self = rank("store-watch", HOSTS)[0]!;
+    let state = HOSTS.filter(host => host !== self).reduce(
+        (known, host) => hearWatcher(known, host, true, 0),
+        createFollowing(self),
+    );
+    t.is(planFollowing(state, HOSTS, true, 0).place, 0);
+    state = planFollowing(state, HOSTS, false, 10).state;
+    t.false(planFollowing(state, HOSTS, undefined, 100).watches);
+    const later = 4_000;
+    state = HOSTS.filter(host => host !== self).reduce((known, host) => hearWatcher(known, host, true, later), state);
+    t.is(planFollowing(state, HOSTS, undefined, later).place, 0);
+});
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -140,7 +140,7 @@
 function heldBy(streams: number): Held {
     let curve = zeroCurve();
     for (let at = 0; at < streams; at++) curve = addCurve(curve, streamCurve(lengths, 500, 0), 1);
-    return heldOf("e1", streams, 0, curve);
+    return heldOf("e1", { streams, unread: 0, stalled: 0, curve });
 }
 
 test("an owner's account adds up what others hold, and forgets who is silent", t => {
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -205,6 +205,10 @@
     /** Judges a deployment and puts it in force if it is newer; a malformed one is ignored with a log line. */
     offer(text: string, source: DeploymentSource): void {
         const { wire, log, metrics } = this.deps;
+        if (text === this.current?.text) {
+            metrics.countOffer("same");
+            return;
+        }
         const decoded = wire.decodeDeployment(text);
         if (!decoded.ok) {
             metrics.countOffer("invalid");
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -22,6 +22,8 @@
     liveInHall,
     type MemberNews,
     type Membership,
+    NEWS_PER_HEARTBEAT,
+    NEWS_WHILE_JOINING,
     newsOf,
     planFollowing,
     type SettingsAsk,
@@ -64,6 +66,7 @@
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
     unread: Type.Number({ minimum: 0 }),
+    stalled: Type.Integer({ minimum: 0 }),
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
 });
@@ -221,11 +224,21 @@
     };
 }
 
+/** A start is over after this: with four heartbeats of all news each 0.5 s, 85 hosts know each other by then. */
+const JOINING_MS = 5_000;
+/** Many peers tell of a new version at once: another of them is asked only after this. */
+const ASK_AGAIN_MS = 500;
+/** In larger fleets a new version travels by watchers' words; told by each host to each other it would fill their links. */
+const MOST_ANNOUNCE = 12;
+
 /** This host's part in its hall. */
 export class Peers {
     private membership: Membership;
     private share: ShareState;
     private following: Following;
+    private readonly startedAt = performance.now();
+    /** The version that a peer was asked for last, and when. */
+    private askedVersion = { version: -Infinity, at: -Infinity };
     /** Turns the choice of whom a host asks that the store does not answer. */
     private askTurn = 0;
 
@@ -264,7 +277,7 @@
             this.follow(shareAsk(this.share, action, this.endpoints, this.live, performance.now()))
         );
         const every = cfg["control.heartbeat"];
-        repeat(() => this.beat(), () => every * stretch(this.live.length), signal);
+        repeat(() => this.beat(), () => every * (this.isJoining ? 1 : stretch(this.live.length)), signal);
         repeat(() => this.dueRound(), () => Math.min(tellEvery(this.live.length), TELL_OWNERS_MS), signal);
         const { follower } = this.host;
         if (!follower) return;
@@ -302,6 +315,11 @@
         if (name !== undefined) this.sendTo(name, { kind: "storeAsk", revision });
     }
 
+    /** Whether this host has only just started: it beats as in a small hall then, so that large ones find each other soon. */
+    private get isJoining(): boolean {
+        return performance.now() - this.startedAt < JOINING_MS;
+    }
+
     /** Where peers reach this host. */
     get address(): string {
         return this.mesh.at;
@@ -331,6 +349,7 @@
 
     /** Tells all live peers of the version in force, at once; called when this host has a new one. */
     announce(): void {
+        if (this.host.follower && this.live.length > MOST_ANNOUNCE) return;
         const { message } = this.nextHeartbeat();
         const now = performance.now();
         for (const member of this.membership.members.values()) {
@@ -340,7 +359,8 @@
 
     /** The next heartbeat, and to whom it is due. */
     private nextHeartbeat(): { readonly message: PeerMessage; readonly to: readonly string[] } {
-        const { state, news, to } = heartbeat(this.membership, performance.now());
+        const most = this.isJoining ? NEWS_WHILE_JOINING : NEWS_PER_HEARTBEAT;
+        const { state, news, to } = heartbeat(this.membership, performance.now(), most);
         this.membership = state;
         return { message: { kind: "heartbeat", news, settings: this.host.spread.news() }, to };
     }
@@ -371,7 +391,7 @@
         heartbeat: (from, { news, settings }) => {
             this.membership = hear(this.membership, news, performance.now());
             const ask = this.host.spread.ask(settings);
-            if (ask) this.send(from.address, { kind: "ask", ...ask });
+            if (ask && this.mayAsk(settings.version)) this.send(from.address, { kind: "ask", ...ask });
         },
         ask: (from, ask) => {
             const given = this.host.spread.give(ask);
@@ -396,6 +416,15 @@
         storeState: (_from, state) => this.host.follower?.take(state),
     };
 
+    /** Whether a version is asked for now: not again from every peer that tells of it. */
+    private mayAsk(version: number): boolean {
+        const now = performance.now();
+        const asked = this.askedVersion;
+        if (version <= asked.version && now - asked.at < ASK_AGAIN_MS) return false;
+        this.askedVersion = { version, at: now };
+        return true;
+    }
+
     private get endpoints(): EndpointTable {
         return this.host.engines.view.endpoints;
     }
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -6,7 +6,7 @@
 import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
 import { type Curve, peakOf, streamCurve } from "./curve.js";
-import { type EndpointView, plannedShare, streamCount, unreadTokens } from "./endpoint.js";
+import { type EndpointView, plannedShare, stalledStreams, streamCount, unreadTokens } from "./endpoint.js";
 import type { Survival } from "./estimate.js";
 import type { Job, Variant } from "./job.js";
 import { batchWithin } from "./pace.js";
@@ -20,6 +20,8 @@
 const AWAY_COST = 0.25;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
 const AWAY_CALLS = 0.5;
+/** What an engine costs in the score where streams wait too long for their first token: above all else but no room at all. */
+const STALLED_COST = 3;
 /** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
 const MEMORY_RESERVE = 0.03;
 /** A new or returning endpoint takes this many streams at once, and more as it proves itself. */
@@ -195,7 +197,8 @@
         : 0;
     const unread = unreadTokens(view) + view.others.unread;
     const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
-    const score = unread / UNREAD_SCALE + away + weightTail * streams / Math.min(limit, RAMP_FULL)
+    const stalled = stalledStreams(view, now) + view.others.stalled > 0 ? STALLED_COST : 0;
+    const score = stalled + unread / UNREAD_SCALE + away + weightTail * streams / Math.min(limit, RAMP_FULL)
         + weightStall * peak / room
         - weightPrefix * cached;
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -51,9 +51,14 @@
     readonly streams: number;
     /** Prompt tokens of streams that have not begun: work that a new stream's prompt waits for. */
     readonly unread: number;
+    /** Streams that have waited for their first token for longer than {@link STALL_MS}. */
+    readonly stalled: number;
     readonly curve: Curve;
 }
 
+/** A stream without its first token for so long is a sign that its endpoint hangs: nine of ten of the users' begin sooner. */
+export const STALL_MS = 1_500;
+
 /** One endpoint as this host sees it. */
 export interface EndpointView {
     readonly cfg: EndpointCfg;
@@ -74,7 +79,7 @@
     readonly prefixes: ReadonlyMap<string, number>;
 }
 
-const NO_OTHERS: Others = { streams: 0, unread: 0, curve: zeroCurve() };
+const NO_OTHERS: Others = { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() };
 /** Reports are at most this old: letter 1's engines lag by 0.5 to 5 s. */
 const LONGEST_LAG_MS = 6_000;
 const MAX_PREFIXES = 64;
@@ -108,6 +113,15 @@
     return unread;
 }
 
+/** Own streams that wait too long for their first token. */
+export function stalledStreams(view: EndpointView, now: number): number {
+    let stalled = 0;
+    for (const { started, dispatchedAt } of view.streams.values()) {
+        if (!started && now - dispatchedAt > STALL_MS) stalled += 1;
+    }
+    return stalled;
+}
+
 /** Own and other hosts' streams. */
 export function streamCount(view: EndpointView): number {
     return view.streams.size + view.others.streams;
@@ -220,7 +234,7 @@
     }
     const streams = Math.max(0, report.running + report.waiting - ownStreams);
     const held = streams === 0 ? 0 : Math.max(0, report.memoryUsed - ownHeld);
-    return { ...view, others: { streams, unread: 0, curve: grownLike(view, held) } };
+    return { ...view, others: { streams, unread: 0, stalled: 0, curve: grownLike(view, held) } };
 }
 
 /** A curve for memory whose streams are not known, shaped like that of own streams. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,8 @@
     type Others,
     plannedShare,
     type Running,
+    STALL_MS,
+    stalledStreams,
     streamCount,
     takeOthers,
     takeReport,
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -12,6 +12,7 @@
     jobsToRescue,
     type SchedulerEvent,
     type SchedulerState,
+    STALL_MS,
     takeRepeat,
     type Variant,
 } from "../src/index.js";
@@ -140,7 +141,12 @@
     const busy = drive(fleetOf([first, second]), [{
         kind: "others",
         endpoint: "e1",
-        others: { streams: 1, unread: 4_000, curve: { mean: new Float64Array(9), variance: new Float64Array(9) } },
+        others: {
+            streams: 1,
+            unread: 4_000,
+            stalled: 0,
+            curve: { mean: new Float64Array(9), variance: new Float64Array(9) },
+        },
     }]);
     t.is(dispatched(drive(busy.state, [arrive(jobOf("j"))])).endpoint, "e2");
 });
@@ -211,7 +217,12 @@
     kind: "others",
     endpoint: "e1",
     // Fits now, and by the plan never: what runs there is expected to grow beyond the memory.
-    others: { streams: 4, unread: 0, curve: { mean: new Float64Array(9).fill(40_000), variance: new Float64Array(9) } },
+    others: {
+        streams: 4,
+        unread: 0,
+        stalled: 0,
+        curve: { mean: new Float64Array(9).fill(40_000), variance: new Float64Array(9) },
+    },
 };
 
 function almostFull(now: number): SchedulerEvent {
@@ -219,7 +230,7 @@
     mean[0] = 10_000;
     return {
         ...FULL,
-        others: { streams: 4, unread: 0, curve: { mean, variance: new Float64Array(9) } },
+        others: { streams: 4, unread: 0, stalled: 0, curve: { mean, variance: new Float64Array(9) } },
     } as SchedulerEvent;
 }
 
@@ -286,3 +297,21 @@
     const left = drive(broken.state, [{ kind: "ended", job: "j", outcome: "cancelled", produced: 1 }]).state;
     t.deepEqual(drive(left, [{ kind: "answer", job: "j", endpoint: undefined, keeper: "e3" }]).actions, []);
 });
+
+test("an endpoint whose streams do not begin gets no more while another has room, also by the word of others", t => {
+    const [first, second] = [endpointOf("e1"), endpointOf("e2", "h2")];
+    const late = STALL_MS + 1;
+    const fleet = fleetOf([first, second], "h1");
+    const stuck = drive(fleet, [arrive(jobOf("stuck", { backUp: false }))]);
+    t.is(dispatched(stuck).endpoint, "e1", "the own hall's");
+    t.is(dispatched(drive(stuck.state, [arrive(jobOf("j", { backUp: false }))], late)).endpoint, "e2");
+    const begun = drive(stuck.state, [
+        { kind: "progress", job: "stuck", produced: 1, meanGapMs: 0, maxGapMs: 0 },
+        arrive(jobOf("j", { backUp: false })),
+    ], late);
+    t.is(dispatched(begun).endpoint, "e1");
+    const curve = { mean: new Float64Array(9), variance: new Float64Array(9) };
+    const others = { streams: 1, unread: 0, stalled: 1, curve };
+    const told = drive(fleet, [{ kind: "others", endpoint: "e1", others }]);
+    t.is(dispatched(drive(told.state, [arrive(jobOf("j", { backUp: false }))])).endpoint, "e2");
+});
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -251,6 +251,7 @@
             others: {
                 streams: 1,
                 unread: 0,
+                stalled: 0,
                 curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
             },
         }, 0);
@@ -290,6 +291,7 @@
     const others = {
         streams: 1,
         unread: 0,
+        stalled: 0,
         curve: { mean: new Float64Array(9).fill(1_000), variance: new Float64Array(9) },
     };
     for (const endpoint of ["e0", "e1"]) driver.tell({ kind: "others", endpoint, others }, 0);
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -176,7 +176,9 @@
     const host = planHost();
     const hosts = Array.from({ length: HOST.hallHosts }, (_, at) => `hall-1-${String(at).padStart(2, "0")}`);
     const holdings = (): Held[] =>
-        [...host.state.endpoints.values()].map(view => heldOf(view.cfg.id, view.streams.size, 0, view.curve));
+        [...host.state.endpoints.values()].map(view =>
+            heldOf(view.cfg.id, { streams: view.streams.size, unread: 0, stalled: 0, curve: view.curve })
+        );
     const some = holdings().filter(held => held.streams > 0).slice(0, 10);
     const empty = encodeFrame({ kind: "held", held: [] } as FrameMessage).length;
     const heldEntryBytes = (encodeFrame({ kind: "held", held: some } as FrameMessage).length - empty) / some.length;
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -255,7 +255,7 @@
     {
         promise: "a watcher that the store does not answer is passed over",
         file: "packages/hall/src/following.ts",
-        find: "? hears !== false",
+        find: "? !isDeaf",
         replace: "? true",
         tests: [FOLLOWING],
     },
