--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -24,7 +24,8 @@
 } from "@drumpaddle/routes";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
-import type { Spread, StoreFollower, StoreState, StoreWord } from "./peers.js";
+import type { StoreState, StoreWord } from "./peer-messages.js";
+import type { Spread, StoreFollower } from "./peers.js";
 
 /** What the feed is made of. */
 export interface DeploymentFeedDeps {
--- /dev/null
+++ b/packages/host/src/peer-messages.ts
@@ -0,0 +1,134 @@
+/**
+ * Messages between hosts: their types, and the shapes that are checked before any of them is taken.
+ *
+ * @module
+ */
+import type { MemberNews, SettingsAsk, SettingsGive, ShareMessage, VersionNews } from "@drumpaddle/hall";
+import type { FrameMessage, KvChange } from "@drumpaddle/protocol";
+import { Type } from "@sinclair/typebox";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
+
+const News = Type.Object({
+    name: Type.String(),
+    hall: Type.String(),
+    scope: Type.String(),
+    address: Type.String(),
+    incarnation: Type.Number(),
+    counter: Type.Number(),
+    leaving: Type.Boolean(),
+});
+const HeldShape = Type.Object({
+    endpoint: Type.String(),
+    streams: Type.Integer({ minimum: 0 }),
+    unread: Type.Number({ minimum: 0 }),
+    stalled: Type.Integer({ minimum: 0 }),
+    mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
+    deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
+});
+const Revision = Type.Integer({ minimum: 0 });
+const Change = Type.Object({ key: Type.String(), value: Type.Optional(Type.String()), modRevision: Revision });
+const Texts = Type.Record(Type.String(), Type.String());
+
+/** Shape of each message; one that is not so is dropped and counted. */
+const SHAPES = {
+    heartbeat: Type.Object({
+        news: Type.Array(News),
+        settings: Type.Object({ version: Type.Integer(), hash: Type.String() }),
+    }),
+    ask: Type.Object({ have: Texts }),
+    give: Type.Object({
+        head: Type.Object({ version: Type.Integer(), parts: Texts, hash: Type.String() }),
+        parts: Texts,
+    }),
+    held: Type.Object({ held: Type.Array(HeldShape) }),
+    others: Type.Object({
+        others: Type.Array(HeldShape),
+        owned: Type.Array(Type.String()),
+        leaving: Type.Array(Type.String()),
+    }),
+    question: Type.Object({
+        job: Type.String(),
+        stream: HeldShape,
+        demand: Type.Object({
+            model: Type.String(),
+            promptTokens: Type.Number({ minimum: 0 }),
+            prefix: Type.String(),
+            prefixTokens: Type.Number({ minimum: 0 }),
+            gapTargetMs: Type.Number(),
+            weightTail: Type.Number(),
+            weightStall: Type.Number(),
+            weightPrefix: Type.Number(),
+        }),
+        z: Type.Number(),
+        hall: Type.String(),
+        exclude: Type.Array(Type.String()),
+        backUp: Type.Boolean(),
+        keeperOf: Type.Optional(Type.Object({ endpoint: Type.String(), roomShare: Type.Number() })),
+    }),
+    answer: Type.Object({
+        job: Type.String(),
+        endpoint: Type.Optional(Type.String()),
+        keeper: Type.Optional(Type.String()),
+    }),
+    storeWord: Type.Object({
+        revision: Revision,
+        hears: Type.Boolean(),
+        after: Revision,
+        changes: Type.Array(Change),
+    }),
+    storeAsk: Type.Object({ revision: Type.Integer() }),
+    storeState: Type.Object({
+        revision: Revision,
+        hears: Type.Boolean(),
+        deployment: Type.String(),
+        endpoints: Type.String(),
+    }),
+} as const;
+
+/** Compiled once: messages come by the hundred each second. */
+const CHECKS = Object.fromEntries(Object.entries(SHAPES).map(([kind, shape]) => [kind, TypeCompiler.Compile(shape)]));
+
+/**
+ * Whether a frame is a message of a known kind and shape.
+ *
+ * @example
+ * ```ts
+ * if (!isPeerMessage(frame)) log.warn({ message: frame.kind }, "peer_message_refused");
+ * ```
+ */
+export function isPeerMessage(frame: FrameMessage): frame is PeerMessage {
+    return Object.hasOwn(CHECKS, frame.kind) && CHECKS[frame.kind]!.Check(frame);
+}
+
+/** Messages between hosts. */
+export type PeerMessage =
+    | { readonly kind: "heartbeat"; readonly news: readonly MemberNews[]; readonly settings: VersionNews }
+    | { readonly kind: "ask" } & SettingsAsk
+    | { readonly kind: "give" } & SettingsGive
+    /** Told by a watcher of the store: how far it is, and what has just changed. */
+    | { readonly kind: "storeWord" } & StoreWord
+    /** Asks for all that a peer knows, if it is further than this revision. */
+    | { readonly kind: "storeAsk"; readonly revision: number }
+    | { readonly kind: "storeState" } & StoreState
+    | ShareMessage;
+
+/** What a host that watches the store says of it. */
+export interface StoreWord {
+    /** The store's revision that it is up to date with. */
+    readonly revision: number;
+    /** Whether the store answers it. */
+    readonly hears: boolean;
+    /** Where it stood before `changes`. */
+    readonly after: number;
+    readonly changes: readonly KvChange[];
+}
+
+/** All that a host knows by the store's word. */
+export interface StoreState {
+    readonly revision: number;
+    readonly hears: boolean;
+    /** The deployment in force, as the store holds it. */
+    readonly deployment: string;
+    /** The endpoints, as the package `routes` writes them. */
+    readonly endpoints: string;
+}
--- /dev/null
+++ b/packages/policy/src/dispatch.ts
@@ -0,0 +1,108 @@
+/**
+ * Sends placed requests, with the keepers of their copies, and asks owners who these are.
+ *
+ * @module
+ */
+import { backUp, backUpAt, rescue, rescueAt, runningOf } from "./carry.js";
+import { usable, wantedOf } from "./choose.js";
+import type { EndpointView } from "./endpoint.js";
+import { knownLength, type Survival, survivalOf } from "./estimate.js";
+import { type Job, PRIORITY_RANK } from "./job.js";
+import type { AskedKeeper, Decision, SchedulerState } from "./scheduler-state.js";
+
+/** Up to this many hosts tell each other often enough that only crowded endpoints are asked for. */
+const FEW_HOSTS = 12;
+
+/** How long a job's output may be, by the evidence so far. */
+export function lengthsOf(state: SchedulerState, job: Job): Survival {
+    if (state.variant.oracle && job.knownTokens !== undefined) return knownLength(job.knownTokens);
+    return survivalOf(state.estimates, job.group, job.maxTokens);
+}
+
+/** Whether owners are asked at all. */
+export function asksOwners({ variant, hosts }: SchedulerState): boolean {
+    return variant.ask && variant.share === "owner" && hosts > 1;
+}
+
+/** Whether owners are asked for every request, whatever this host believes. */
+export function alwaysAsksOwners(state: SchedulerState): boolean {
+    return asksOwners(state) && state.variant.askAlways && state.hosts > FEW_HOSTS;
+}
+
+/** Endpoints that are not among those that may be used. */
+export function unusable(state: SchedulerState, views: readonly EndpointView[]): readonly string[] {
+    const ids = new Set(views.map(view => view.cfg.id));
+    return state.endpoints.values().map(view => view.cfg.id).filter(id => !ids.has(id));
+}
+
+/** Whether a copy of the request is to be kept. */
+export function wantsBackup(state: SchedulerState, job: Job): boolean {
+    return job.backUp === true && state.variant.backups;
+}
+
+/** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
+export function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
+    const { state: next, keeper } = wantsBackup(state, job)
+        ? backUp(state, job, endpoint, now)
+        : { state, keeper: undefined };
+    return send(next, job, endpoint, keeper);
+}
+
+/** Sends a placed request whose keeper is known. */
+export function send(state: SchedulerState, job: Job, endpoint: string, keeper: string | undefined): Decision {
+    const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
+    return { state, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
+}
+
+/** Asks an owner who keeps a running request's next copy; undefined where this host decides alone. */
+export function askKeeper(
+    state: SchedulerState,
+    job: string,
+    purpose: AskedKeeper["purpose"],
+    roomShare: number,
+    now: number,
+): Decision | undefined {
+    const found = runningOf(state, job);
+    if (!found || !alwaysAsksOwners(state) || state.owned.size > 0) return undefined;
+    const { from, running } = found;
+    const views = usable(state.endpoints.values(), running.job.group.model, [from], now);
+    const question = {
+        ...wantedOf(running.job, running.survival),
+        curve: running.curve,
+        hall: state.hall ?? "",
+        exclude: unusable(state, views),
+        backUp: true,
+        keeperOf: { endpoint: from, roomShare },
+    };
+    const askedKeeper = new Map(state.askedKeeper).set(job, { purpose, at: now });
+    // Any endpoint's owner may be asked; the one that the request leaves may be declared no more.
+    const endpoint = views[0]?.cfg.id ?? from;
+    return { state: { ...state, askedKeeper }, actions: [{ kind: "ask", job, endpoint, question }] };
+}
+
+/** An owner's word on a keeper. */
+export function keeperAnswered(state: SchedulerState, job: string, keeper: string | undefined): Decision {
+    const { purpose } = state.askedKeeper.get(job)!;
+    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
+    if (purpose === "rescue") return rescueAt(next, job, keeper);
+    const found = runningOf(next, job);
+    if (!found) return { state: next, actions: [] };
+    const kept = keeper === undefined ? next : backUpAt(next, job, found.from, keeper);
+    return send(kept, found.running.job, found.from, keeper);
+}
+
+/** Decides alone on a keeper whose owner does not answer. */
+export function settleKeeper(state: SchedulerState, job: string, now: number): Decision {
+    const { purpose } = state.askedKeeper.get(job)!;
+    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
+    if (purpose === "rescue") return rescue(next, job, now);
+    const found = runningOf(next, job);
+    return found ? dispatch(next, found.running.job, found.from, now) : { state: next, actions: [] };
+}
+
+/** The map without a key. */
+export function without<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
+    const next = new Map(map);
+    next.delete(key);
+    return next;
+}
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,8 +8,21 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { backUp, backUpAt, dropBackup, rescue, rescueAt, runningOf } from "./carry.js";
+import { backUpAt, dropBackup, rescue } from "./carry.js";
 import { assess, BACKUP_ROOM_SHARE, type Candidate, RESCUE_ROOM_SHARE, usable, wantedOf } from "./choose.js";
+import {
+    alwaysAsksOwners,
+    askKeeper,
+    asksOwners,
+    dispatch,
+    keeperAnswered,
+    lengthsOf,
+    send,
+    settleKeeper,
+    unusable,
+    wantsBackup,
+    without,
+} from "./dispatch.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
     addStream,
@@ -23,13 +36,12 @@
     takeOthers,
     takeReport,
 } from "./endpoint.js";
-import { knownLength, observe, type Survival, survivalOf } from "./estimate.js";
-import { type Job, PRIORITY_RANK, type Variant } from "./job.js";
+import { observe } from "./estimate.js";
+import type { Job, Variant } from "./job.js";
 import { observePace } from "./pace.js";
 import { expectedWait, onStart, urgency, waitDeadline, type Waiting } from "./queue.js";
 import { countRequest, earnRetry, spendRetry, takeRepeat } from "./retry-budget.js";
 import {
-    type AskedKeeper,
     type Decision,
     type JobOutcome,
     type RefuseReason,
@@ -40,8 +52,6 @@
 } from "./scheduler-state.js";
 import { deleteIn, getIn, setIn } from "./shard-map.js";
 
-/** Up to this many hosts tell each other often enough that only crowded endpoints are asked for. */
-const FEW_HOSTS = 12;
 /** How many waiting requests are tried when room may have come. */
 const TRIES_PER_DRAIN = 8;
 /** A waiting request that has used this share of its wait lets no later one pass it. */
@@ -157,11 +167,6 @@
     },
 };
 
-function lengthsOf(state: SchedulerState, job: Job): Survival {
-    if (state.variant.oracle && job.knownTokens !== undefined) return knownLength(job.knownTokens);
-    return survivalOf(state.estimates, job.group, job.maxTokens);
-}
-
 function refuse(job: string, reason: RefuseReason, detail: string, retryAfterMs: number): SchedulerAction {
     return {
         kind: "refuse",
@@ -252,72 +257,6 @@
     return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
 }
 
-/** Whether owners are asked at all. */
-function asksOwners({ variant, hosts }: SchedulerState): boolean {
-    return variant.ask && variant.share === "owner" && hosts > 1;
-}
-
-/** Whether owners are asked for every request, whatever this host believes. */
-function alwaysAsksOwners(state: SchedulerState): boolean {
-    return asksOwners(state) && state.variant.askAlways && state.hosts > FEW_HOSTS;
-}
-
-/** Asks an owner who keeps a running request's next copy; undefined where this host decides alone. */
-function askKeeper(
-    state: SchedulerState,
-    job: string,
-    purpose: AskedKeeper["purpose"],
-    roomShare: number,
-    now: number,
-): Decision | undefined {
-    const found = runningOf(state, job);
-    if (!found || !alwaysAsksOwners(state) || state.owned.size > 0) return undefined;
-    const { from, running } = found;
-    const views = usable(state.endpoints.values(), running.job.group.model, [from], now);
-    const question = {
-        ...wantedOf(running.job, running.survival),
-        curve: running.curve,
-        hall: state.hall ?? "",
-        exclude: unusable(state, views),
-        backUp: true,
-        keeperOf: { endpoint: from, roomShare },
-    };
-    const askedKeeper = new Map(state.askedKeeper).set(job, { purpose, at: now });
-    // Any endpoint's owner may be asked; the one that the request leaves may be declared no more.
-    const endpoint = views[0]?.cfg.id ?? from;
-    return { state: { ...state, askedKeeper }, actions: [{ kind: "ask", job, endpoint, question }] };
-}
-
-/** An owner's word on a keeper. */
-function keeperAnswered(state: SchedulerState, job: string, keeper: string | undefined): Decision {
-    const { purpose } = state.askedKeeper.get(job)!;
-    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
-    if (purpose === "rescue") return rescueAt(next, job, keeper);
-    const found = runningOf(next, job);
-    if (!found) return { state: next, actions: [] };
-    const kept = keeper === undefined ? next : backUpAt(next, job, found.from, keeper);
-    return send(kept, found.running.job, found.from, keeper);
-}
-
-/** Decides alone on a keeper whose owner does not answer. */
-function settleKeeper(state: SchedulerState, job: string, now: number): Decision {
-    const { purpose } = state.askedKeeper.get(job)!;
-    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
-    if (purpose === "rescue") return rescue(next, job, now);
-    const found = runningOf(next, job);
-    return found ? dispatch(next, found.running.job, found.from, now) : { state: next, actions: [] };
-}
-
-/** Endpoints that are not among those that may be used. */
-function unusable(state: SchedulerState, views: readonly EndpointView[]): readonly string[] {
-    const ids = new Set(views.map(view => view.cfg.id));
-    return state.endpoints.values().map(view => view.cfg.id).filter(id => !ids.has(id));
-}
-
-function wantsBackup(state: SchedulerState, job: Job): boolean {
-    return job.backUp === true && state.variant.backups;
-}
-
 /**
  * Gives a request that would else be refused to an endpoint that has room for it now, whatever is planned for later: what
  * is refused comes back, often to be refused again.
@@ -329,19 +268,6 @@
     return placed && { ...placed, state: { ...placed.state, variant } };
 }
 
-/** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
-function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
-    const { state: next, keeper } = wantsBackup(state, job)
-        ? backUp(state, job, endpoint, now)
-        : { state, keeper: undefined };
-    return send(next, job, endpoint, keeper);
-}
-
-function send(state: SchedulerState, job: Job, endpoint: string, keeper: string | undefined): Decision {
-    const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    return { state, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
-}
-
 /** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
 function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
     const source = getIn(state.placed, job);
@@ -417,12 +343,6 @@
     return { ...freed, asked: without(state.asked, job), placed: deleteIn(state.placed, job) };
 }
 
-function without<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
-    const next = new Map(map);
-    next.delete(key);
-    return next;
-}
-
 /** The candidate of the best score. Equal ones take turns, so that hosts do not all choose the same. */
 function best(candidates: readonly Candidate[], turn: number): Candidate {
     const first = turn - 1;
