--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -183,7 +183,16 @@
     const empty = encodeFrame({ kind: "held", held: [] } as FrameMessage).length;
     const heldEntryBytes = (encodeFrame({ kind: "held", held: some } as FrameMessage).length - empty) / some.length;
     const one = some[0]!;
-    const bounds = { room: 776_000, limit: 100, z: 1.2816 };
+    const demand = {
+        model: "m",
+        promptTokens: 1_200,
+        prefix: "",
+        prefixTokens: 0,
+        gapTargetMs: 44,
+        weightTail: 1,
+        weightStall: 1,
+        weightPrefix: 1,
+    };
     const job = "1b8f9c1e-9d0a-4ad0-a7bc-f3a9d6a0a6c2";
     let share = createShare(hosts[0]!);
     const owned = host.state.endpoints.values().map(view => view.cfg.id).filter(id =>
@@ -217,8 +226,19 @@
         tellRoundUs,
         heldEntryBytes,
         messageBytes: empty,
-        questionBytes: encodeFrame({ kind: "question", job, held: one, stream: one, bounds } as FrameMessage).length,
-        answerBytes: encodeFrame({ kind: "answer", job, granted: true, others: one } as FrameMessage).length,
+        questionBytes: encodeFrame(
+            {
+                kind: "question",
+                job,
+                stream: one,
+                demand,
+                z: 1.2816,
+                hall: "hall-1",
+                exclude: [],
+                backUp: false,
+            } as FrameMessage,
+        ).length,
+        answerBytes: encodeFrame({ kind: "answer", job, endpoint: one.endpoint } as FrameMessage).length,
     };
 }
 
