--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -51,7 +51,7 @@
     readonly open: ReadonlyMap<string, { readonly owner: string; readonly at: number }>;
     /** Owners that did not answer, until when others are asked in their place. */
     readonly silent: ReadonlyMap<string, number>;
-    /** When owners were last told and hosts last told by this host as an owner. */
+    /** When this host, as an owner, last told the others what is held. */
     readonly toldOthersAt: number;
 }
 
