--- /dev/null
+++ b/packages/host/src/call-endpoint.ts
@@ -0,0 +1,39 @@
+/**
+ * Sends one of the system's own calls to an endpoint.
+ *
+ * @module
+ */
+import type { EndpointCall } from "@drumpaddle/protocol";
+import { request } from "undici";
+
+/** What an endpoint answered. */
+export interface EndpointAnswer {
+    readonly status: number;
+    readonly body: string;
+}
+
+/**
+ * Sends the call; rejects with the error of the network where no whole answer comes in time.
+ *
+ * @param address `ip:port`
+ *
+ * @example
+ * ```ts
+ * const { status, body } = await callEndpoint("10.0.0.9:8080", wire.stayCall(), 500, signal);
+ * ```
+ */
+export async function callEndpoint(
+    address: string,
+    { method, path, body }: EndpointCall,
+    timeoutMs: number,
+    signal: AbortSignal,
+): Promise<EndpointAnswer> {
+    const headers = body === undefined ? {} : { "content-type": "application/json" };
+    const res = await request(`http://${address}${path}`, {
+        method,
+        headers,
+        signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
+        body: body ?? null,
+    });
+    return { status: res.statusCode, body: await res.body.text() };
+}
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -4,13 +4,14 @@
  *
  * @module
  */
-import { jobsToRescue } from "@drumpaddle/policy";
-import { type CopyAnswer, type EndpointCall, errText, type PlatformWire } from "@drumpaddle/protocol";
+import { jobsToRescue, keepsCopy } from "@drumpaddle/policy";
+import { type CopyAnswer, type EndpointCall, errText, neverSent, type PlatformWire } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
-import { request } from "undici";
+import { callEndpoint } from "./call-endpoint.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import type { CopyAction, Placement } from "./placement.js";
+import { repeat } from "./repeat.js";
 
 /** A copy of a running generation. */
 export interface Copy {
@@ -52,7 +53,10 @@
     private readonly made = new Map<string, Copy>();
     private readonly busy = new Set<string>();
 
-    constructor(private readonly deps: CopiesDeps) {}
+    constructor(private readonly deps: CopiesDeps) {
+        // That an endpoint cannot be reached, and that it can be again, is told by no event.
+        repeat(() => this.rescue(), () => TRY_AGAIN_MS, deps.signal);
+    }
 
     /** A call began to run. */
     add(call: string, copied: Copied): void {
@@ -67,9 +71,9 @@
         if (copy && !used) void this.drop(copy);
     }
 
-    /** Copies what runs on leaving endpoints and has no copy at one that stays. */
+    /** Copies what runs on leaving endpoints and has no copy at one that stays, and what has lost its copy. */
     rescue(): void {
-        for (const job of jobsToRescue(this.deps.engines.view)) {
+        for (const job of jobsToRescue(this.deps.engines.view, performance.now())) {
             if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
         }
     }
@@ -91,8 +95,9 @@
         const { engines, wire, log, metrics } = this.deps;
         const call = wire.copyCall(job, keeper.address);
         while (this.calls.has(job) && engines.view.endpoints.get(source.incarnation)?.streams.has(job)) {
+            if (!keepsCopy(engines.view, job, keeper.incarnation, performance.now())) return this.giveUp(job);
             const began = performance.now();
-            const answer = await this.order(source.address, call);
+            const answer = await this.order(source, call);
             const ms = Math.round(performance.now() - began);
             metrics.countCopy(answer.kind);
             const from = source.incarnation;
@@ -112,36 +117,35 @@
         }
     }
 
-    private async order(address: string, call: EndpointCall): Promise<CopyAnswer> {
+    /** Takes back a copy whose keeper is no longer the one to go on with it. */
+    private giveUp(job: string): void {
+        const copy = this.made.get(job);
+        this.made.delete(job);
+        if (copy) void this.drop(copy);
+    }
+
+    private async order({ address, incarnation }: EndpointEntry, call: EndpointCall): Promise<CopyAnswer> {
         try {
-            const { status, body } = await this.send(address, call, COPY_TIMEOUT_MS);
+            const { status, body } = await callEndpoint(address, call, COPY_TIMEOUT_MS, this.deps.signal);
             return this.deps.wire.readCopy(status, body);
         }
         catch (err) {
+            // Its streams end by themselves: nothing more is planned from it or to it.
+            if (neverSent(err)) this.deps.engines.unreachable(incarnation);
             return { kind: "notMade", detail: errText(err) };
         }
     }
 
     private async drop({ source, name }: Copy): Promise<void> {
         try {
-            await this.send(source.address, this.deps.wire.dropCopyCall(name), DROP_TIMEOUT_MS);
+            const { signal, wire } = this.deps;
+            await callEndpoint(source.address, wire.dropCopyCall(name), DROP_TIMEOUT_MS, signal);
         }
         catch (err) {
             // The copy lapses by itself a few seconds later.
             this.deps.log.debug({ copy: name, endpoint: source.incarnation, detail: errText(err) }, "copy_not_dropped");
         }
     }
-
-    private async send(
-        address: string,
-        { method, path, body }: EndpointCall,
-        timeoutMs: number,
-    ): Promise<{ readonly status: number; readonly body: string }> {
-        const signal = AbortSignal.any([this.deps.signal, AbortSignal.timeout(timeoutMs)]);
-        const headers = body === undefined ? {} : { "content-type": "application/json" };
-        const res = await request(`http://${address}${path}`, { method, headers, signal, body: body ?? null });
-        return { status: res.statusCode, body: await res.body.text() };
-    }
 }
 
 function pause(ms: number): Promise<void> {
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -81,6 +81,11 @@
         return this.current?.table;
     }
 
+    /** Whether neither the store nor a peer that it answers tells this host what changes. */
+    get isDeaf(): boolean {
+        return this.registry.storeAway;
+    }
+
     /** How this host and its peers tell each other of deployments, so that one that the store is deaf to hears too. */
     get spread(): Spread {
         return {
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -239,7 +239,7 @@
             queueMicrotask(() => deps.runs.delete(run));
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
-            onEnd(deps, call, end);
+            onEnd(deps, call, way, end);
         },
     });
     deps.metrics.open.inc();
@@ -256,7 +256,7 @@
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
-function onEnd(deps: Forwarding, call: ForwardCall, end: RunEnd): void {
+function onEnd(deps: Forwarding, call: ForwardCall, way: Way, end: RunEnd): void {
     const ran = end.err?.ran ?? "yes";
     const outcome = end.err?.code ?? "whole";
     deps.metrics.countOutcome(outcome, ran);
@@ -268,6 +268,8 @@
         workspace: call.workspace?.name,
         version: call.version,
         endpoint: end.endpoint,
+        keeper: way.keeper?.incarnation,
+        copied_to: way.copy?.keeper.incarnation,
         outcome,
         ran,
         detail: end.err?.detail,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -6,7 +6,7 @@
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
 import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg } from "@drumpaddle/policy";
-import { EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
+import { type EndpointEntry, EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { AddressInfo } from "node:net";
 import type { HostCfg } from "./config.js";
@@ -21,6 +21,7 @@
 import { Peers } from "./peers.js";
 import { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
+import { watchStays } from "./stay-watch.js";
 
 /** A running gateway. */
 export interface Gateway {
@@ -143,6 +144,20 @@
         declare();
         copies.rescue();
     });
+    engines.setLeavingListener(() => copies.rescue());
+    watchStays({
+        wire: platformWire,
+        log,
+        metrics,
+        signal,
+        isDeaf: () => feed.isDeaf,
+        owned: () => ownedEngines(engines, feed, peers),
+        onStay: (incarnation, leaving) => {
+            if (!engines.setLeaving(incarnation, "endpoint", leaving)) return;
+            log.info({ endpoint: incarnation, leaving, source: "endpoint" }, "endpoint_stay_changed");
+            peers.tellNow();
+        },
+    });
     const collectors = createMetricsServer(metrics);
     const [operatorsPort, callersPort, metricsPort] = await Promise.all([
         listen(operators, cfg["operators.listen"]),
@@ -175,6 +190,12 @@
     return { ports, stop, kill };
 }
 
+function ownedEngines(engines: Placement, feed: DeploymentFeed, peers: Peers): readonly EndpointEntry[] {
+    return engines.view.endpoints.values()
+        .filter(view => peers.owns(view.cfg.id))
+        .flatMap(view => feed.endpoint(view.cfg.id) ?? []);
+}
+
 function pause(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -78,6 +78,9 @@
     private readonly copies = this.counter("drumpaddle_copies_total", "Copies of running generations ordered.", [
         "result",
     ]);
+    private readonly stays = this.counter("drumpaddle_stay_answers_total", "What engines said of leaving when asked.", [
+        "answer",
+    ]);
     private readonly connections = this.counter("drumpaddle_connections_total", "Connections opened to endpoints.", []);
     private readonly peers = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", ["direction"]);
     readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
@@ -122,6 +125,10 @@
         this.copies.inc({ result });
     }
 
+    countStay(answer: string): void {
+        this.stays.inc({ answer });
+    }
+
     countConnection(): void {
         this.connections.inc();
     }
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -42,6 +42,7 @@
     private readonly timer: NodeJS.Timeout;
     private readonly rescues = new Map<string, (plan: CopyAction | undefined) => void>();
     private onAsk: (action: AskAction) => void = () => undefined;
+    private onLeaving: () => void = () => undefined;
 
     constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number, options?: SchedulerOptions) {
         this.state = createScheduler(variant, seed, options);
@@ -78,6 +79,11 @@
         this.onAsk = onAsk;
     }
 
+    /** Who is told when an endpoint is leaving, by whatever source. */
+    setLeavingListener(onLeaving: () => void): void {
+        this.onLeaving = onLeaving;
+    }
+
     /** Asks for an endpoint; the answer comes at once or later, once. */
     submit(job: Job, avoid: readonly string[], retry: boolean, placed: Placed): void {
         this.asking.set(job.id, placed);
@@ -105,6 +111,11 @@
         this.handle({ kind: "copyLost", job });
     }
 
+    /** No connection to an endpoint came up. */
+    unreachable(endpoint: string): void {
+        this.handle({ kind: "unreachable", endpoint });
+    }
+
     /** Takes back a request that waits. */
     withdraw(job: string): void {
         this.asking.delete(job);
@@ -133,8 +144,10 @@
 
     private handle(event: SchedulerEvent): void {
         const { state, actions } = decide(this.state, event, performance.now());
+        const news = event.kind === "leaving" && event.leaving && state !== this.state;
         this.state = state;
         for (const action of actions) this.carryOut(action);
+        if (news) this.onLeaving();
     }
 
     private carryOut(action: SchedulerAction): void {
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -104,6 +104,8 @@
     private piece: T | undefined;
     /** Whether the event at hand is an endpoint's refusal. */
     private refused = false;
+    /** Whether it is that no connection to the endpoint came up. */
+    private unreachable = false;
     private connection: AbortController | undefined;
     private placedAt: string | undefined;
     private priority = 0;
@@ -137,6 +139,7 @@
     event(event: RequestEvent, piece?: T): void {
         this.piece = piece;
         this.refused = event.kind === "endpointRefused";
+        this.unreachable = event.kind === "lost" && event.cause === "connect";
         const { state, actions } = step(this.state, event);
         this.state = state;
         for (const action of actions) this.carryOut(action);
@@ -191,7 +194,8 @@
             this.deps.placement.withdraw(this.deps.job.id);
             // An endpoint that said nothing until the deadline has failed; one that was answering has not.
             const silent = err.code === FailCode.DeadlinePassed && !this.state.tokenSeen;
-            this.leave(silent ? "failed" : OUTCOME_OF[err.code] ?? "failed");
+            const outcome = this.unreachable ? "unreachable" : OUTCOME_OF[err.code] ?? "failed";
+            this.leave(silent ? "failed" : outcome);
             this.deps.reply.fail(err);
             this.end(err);
         },
--- /dev/null
+++ b/packages/host/src/stay-watch.ts
@@ -0,0 +1,60 @@
+/**
+ * Asks engines whether they are leaving while the platform's store, which says so otherwise, does not answer.
+ *
+ * @module
+ */
+import { errText, type PlatformWire } from "@drumpaddle/protocol";
+import type { EndpointEntry } from "@drumpaddle/routes";
+import { callEndpoint } from "./call-endpoint.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import { repeat } from "./repeat.js";
+
+/** What the watch needs of the gateway. */
+export interface StayWatchDeps {
+    readonly wire: PlatformWire;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly signal: AbortSignal;
+    /** Whether neither the store nor a peer that hears it tells this host of leaving endpoints. */
+    isDeaf(): boolean;
+    /** Engines that this host asks for all hosts. */
+    owned(): readonly EndpointEntry[];
+    onStay(incarnation: string, leaving: boolean): void;
+}
+
+/**
+ * Engines that are reclaimed give notice of 1.5 to 2 s, and a report is about 0.5 s old: asked four times a second, one
+ * leaves more than half of the notice for copies.
+ */
+const ASK_EVERY_MS = 250;
+/** An answer that takes longer than the next question is of no more use. */
+const ANSWER_MS = 250;
+
+/** Starts to watch; ends with the signal. */
+export function watchStays(deps: StayWatchDeps): void {
+    const ask = (): void => {
+        if (!deps.isDeaf()) return;
+        for (const endpoint of deps.owned()) void askOne(deps, endpoint);
+    };
+    repeat(ask, () => ASK_EVERY_MS, deps.signal);
+}
+
+async function askOne(deps: StayWatchDeps, { incarnation, address }: EndpointEntry): Promise<void> {
+    const { wire, log, metrics, signal } = deps;
+    try {
+        const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
+        const answer = wire.readStay(status, body);
+        metrics.countStay(answer.kind === "told" ? leavingWord(answer.leaving) : answer.kind);
+        if (answer.kind === "told") return deps.onStay(incarnation, answer.leaving);
+        log.debug({ endpoint: incarnation, detail: answer.detail }, "stay_not_told");
+    }
+    catch (err) {
+        metrics.countStay("notTold");
+        log.debug({ endpoint: incarnation, detail: errText(err) }, "stay_not_told");
+    }
+}
+
+function leavingWord(leaving: boolean): string {
+    return leaving ? "leaving" : "stays";
+}
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -4,7 +4,8 @@
  *
  * @module
  */
-import { chooseBackup, RESCUE_ROOM_SHARE, wantedOf } from "./choose.js";
+import { mayUse } from "./breaker.js";
+import { BACKUP_ROOM_SHARE, chooseBackup, RESCUE_ROOM_SHARE, wantedOf } from "./choose.js";
 import { addBackup, type EndpointView, removeBackup, type Running } from "./endpoint.js";
 import type { Job } from "./job.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
@@ -39,28 +40,47 @@
     return !view || view.leavingBy.length > 0 || view.cfg.models.length === 0;
 }
 
+/** Whether no connection to an endpoint came up lately. */
+function isUnreachable({ breaker }: EndpointView, now: number): boolean {
+    return breaker.unreachable === true && !mayUse(breaker, now);
+}
+
 /**
- * Requests that asked for a copy, whose endpoint is leaving and that have none at an endpoint that stays.
+ * Requests that are to be copied: those whose endpoint is leaving and that have no copy at one that stays, and those
+ * whose copy is lost, because the endpoint that keeps it leaves or cannot be reached.
  *
  * @example
  * ```ts
- * for (const job of jobsToRescue(state)) decide(state, { kind: "rescue", job }, now);
+ * for (const job of jobsToRescue(state, now)) decide(state, { kind: "rescue", job }, now);
  * ```
  */
-export function jobsToRescue(state: SchedulerState): readonly string[] {
+export function jobsToRescue(state: SchedulerState, now: number): readonly string[] {
     const jobs: string[] = [];
     for (const view of state.endpoints.values()) {
-        if (!isLeaving(view)) continue;
+        // What cannot be reached cannot be ordered to copy anything either.
+        if (isUnreachable(view, now)) continue;
+        const leaving = isLeaving(view);
         for (const { job } of view.streams.values()) {
-            if (job.backUp === true && !hasSafeCopy(state, job.id)) jobs.push(job.id);
+            if (job.backUp !== true) continue;
+            const keeper = getIn(state.backedUp, job.id);
+            const lost = keeper === undefined ? leaving : !keepsCopy(state, job.id, keeper, now);
+            if (lost) jobs.push(job.id);
         }
     }
     return jobs;
 }
 
-function hasSafeCopy(state: SchedulerState, job: string): boolean {
-    const keeper = getIn(state.backedUp, job);
-    return keeper !== undefined && !isLeaving(state.endpoints.get(keeper));
+/**
+ * Whether an endpoint is the one that keeps a request's copy, and is there to go on with it.
+ *
+ * @example
+ * ```ts
+ * keepsCopy(state, "r1", "engine-4", now); // false once engine-4 is leaving
+ * ```
+ */
+export function keepsCopy(state: SchedulerState, job: string, endpoint: string, now: number): boolean {
+    const view = state.endpoints.get(endpoint);
+    return getIn(state.backedUp, job) === endpoint && !isLeaving(view) && !isUnreachable(view!, now);
 }
 
 /** A running request with where it runs. */
@@ -78,11 +98,17 @@
     const found = runningOf(state, job);
     if (!found) return { state, actions: [{ kind: "noCopy", job }] };
     const { from, running } = found;
-    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
+    const roomShare = copyRoomShare(state, from);
+    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, roomShare);
     if (keeper === undefined) return { state, actions: [{ kind: "noCopy", job }] };
     return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
 }
 
+/** How full an endpoint may be that takes a copy: fuller for one that will soon run there. */
+export function copyRoomShare(state: SchedulerState, from: string): number {
+    return isLeaving(state.endpoints.get(from)) ? RESCUE_ROOM_SHARE : BACKUP_ROOM_SHARE;
+}
+
 /** The same with the keeper that an owner named; none where it named none. */
 export function rescueAt(state: SchedulerState, job: string, keeper: string | undefined): Decision {
     const found = runningOf(state, job);
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -89,6 +89,8 @@
     | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
     /** A request's endpoint is leaving: another is to take a copy, if there is room. */
     | { readonly kind: "rescue"; readonly job: string }
+    /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
+    | { readonly kind: "unreachable"; readonly endpoint: string }
     /** The copy of a request could not be made. */
     | { readonly kind: "copyLost"; readonly job: string }
     /** A caller left before its request was placed. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -8,7 +8,7 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { type Breaker, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
-import { backUpAt, dropBackup, rescue } from "./carry.js";
+import { backUpAt, copyRoomShare, dropBackup, rescue } from "./carry.js";
 import { assess, BACKUP_ROOM_SHARE, type Candidate, RESCUE_ROOM_SHARE, usable, wantedOf } from "./choose.js";
 import {
     alwaysAsksOwners,
@@ -141,7 +141,15 @@
     progress: (state, event) => ({ state: progress(state, event), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
-    rescue: (state, { job }, now) => askKeeper(state, job, "rescue", RESCUE_ROOM_SHARE, now) ?? rescue(state, job, now),
+    rescue: (state, { job }, now) => {
+        const from = getIn(state.placed, job);
+        const roomShare = from === undefined ? RESCUE_ROOM_SHARE : copyRoomShare(state, from);
+        return askKeeper(state, job, "rescue", roomShare, now) ?? rescue(state, job, now);
+    },
+    unreachable: (state, { endpoint }, now) => ({
+        state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
+        actions: [],
+    }),
     copyLost: (state, { job }) => ({ state: dropBackup(state, job), actions: [] }),
     withdraw: (state, { job }, now) => {
         const waiting = state.waiting.filter(other => other.job.id !== job);
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -10,6 +10,7 @@
     type FleetBudget,
     type Job,
     jobsToRescue,
+    keepsCopy,
     type SchedulerEvent,
     type SchedulerState,
     STALL_MS,
@@ -119,21 +120,51 @@
     const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
     const { endpoint, backUp } = dispatched(placed);
     const left = drive(placed.state, [leaving(endpoint)]).state;
-    t.deepEqual(jobsToRescue(left), []);
+    t.deepEqual(jobsToRescue(left, 0), []);
     const both = drive(left, [leaving(backUp!)]).state;
-    t.deepEqual(jobsToRescue(both), ["j"]);
+    t.deepEqual(jobsToRescue(both, 0), ["j"]);
     const third = THREE.map(({ id }) => id).find(id => id !== endpoint && id !== backUp)!;
     const rescued = drive(both, [{ kind: "rescue", job: "j" }]);
     t.deepEqual(rescued.actions, [{ kind: "copy", job: "j", from: endpoint, to: third }]);
-    t.deepEqual(jobsToRescue(rescued.state), []);
-    t.deepEqual(jobsToRescue(drive(rescued.state, [{ kind: "copyLost", job: "j" }]).state), ["j"]);
+    t.deepEqual(jobsToRescue(rescued.state, 0), []);
+    t.deepEqual(jobsToRescue(drive(rescued.state, [{ kind: "copyLost", job: "j" }]).state, 0), ["j"]);
+});
+
+const LOSSES: Readonly<Record<string, (keeper: string) => SchedulerEvent>> = {
+    "is leaving": keeper => leaving(keeper),
+    "cannot be reached": keeper => ({ kind: "unreachable", endpoint: keeper }),
+};
+
+for (const [loss, eventOf] of Object.entries(LOSSES)) {
+    test(`a stream whose copy's keeper ${loss} gets another copy, though its own endpoint stays`, t => {
+        const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+        const { endpoint, backUp } = dispatched(placed);
+        const lost = drive(placed.state, [eventOf(backUp!)]).state;
+        t.deepEqual(jobsToRescue(lost, 0), ["j"]);
+        const third = THREE.map(({ id }) => id).find(id => id !== endpoint && id !== backUp)!;
+        const copied = drive(lost, [{ kind: "rescue", job: "j" }]);
+        t.deepEqual(copied.actions, [{ kind: "copy", job: "j", from: endpoint, to: third }]);
+        t.true(keepsCopy(copied.state, "j", third, 0));
+        t.false(keepsCopy(copied.state, "j", backUp!, 0));
+    });
+}
+
+test("nothing is copied away from an endpoint that cannot be reached", t => {
+    const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+    const { endpoint, backUp } = dispatched(placed);
+    const { state } = drive(placed.state, [
+        leaving(endpoint),
+        leaving(backUp!),
+        { kind: "unreachable", endpoint },
+    ]);
+    t.deepEqual(jobsToRescue(state, 0), []);
 });
 
 test("streams of an endpoint that is declared no more are rescued too", t => {
     const placed = drive(fleetOf([endpointOf("e1"), endpointOf("e2", "h1", 2_500)]), [arrive(jobOf("j"))]);
     t.is(dispatched(placed).backUp, undefined);
     const { state } = drive(placed.state, [{ kind: "endpoints", endpoints: [endpointOf("e3")] }]);
-    t.deepEqual(jobsToRescue(state), ["j"]);
+    t.deepEqual(jobsToRescue(state, 0), ["j"]);
 });
 
 test("prompts that are still to be read make an endpoint wait, those of other hosts as well", t => {
@@ -282,7 +313,7 @@
     t.deepEqual(answered.actions, [{ kind: "copy", job: "j", from: endpoint, to: "e3" }]);
     const none = drive(asked.state, [{ kind: "answer", job: "j", endpoint: undefined, keeper: undefined }]);
     t.deepEqual(none.actions, [{ kind: "noCopy", job: "j" }]);
-    t.deepEqual(jobsToRescue(none.state), ["j"], "it is tried again");
+    t.deepEqual(jobsToRescue(none.state, 0), ["j"], "it is tried again");
     const silent = drive(asked.state, [{ kind: "tick" }], 150);
     t.deepEqual(silent.actions, [{ kind: "copy", job: "j", from: endpoint, to: "e3" }], "it decides alone");
 });
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -117,6 +117,17 @@
     | { readonly kind: "copied"; readonly copy: string }
     | { readonly kind: "notMade"; readonly detail: string };
 
+/** What an endpoint says of its own stay. */
+export type StayAnswer =
+    | {
+        readonly kind: "told";
+        /** Whether it is about to end and takes no more work. */
+        readonly leaving: boolean;
+        /** Milliseconds until it ends, where it knows. */
+        readonly endsInMs: number | undefined;
+    }
+    | { readonly kind: "notTold"; readonly detail: string };
+
 /** Names and formats of one platform. Decides nothing. */
 export interface PlatformWire {
     readonly storeKeys: {
@@ -135,6 +146,9 @@
     readCopy(status: number, body: string): CopyAnswer;
     /** Gives up a copy; sent to the endpoint that made it. */
     dropCopyCall(copy: string): EndpointCall;
+    /** The question to an engine whether it is leaving. */
+    stayCall(): EndpointCall;
+    readStay(status: number, body: string): StayAnswer;
     /** Path at which the platform asks whether this host takes new connections. */
     readonly readyPath: string;
     /** Headers of an answer of this system's own; `retryAfterMs` tells when to come back. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -35,6 +35,7 @@
     type PromptPart,
     type RawHeaders,
     type SendHead,
+    type StayAnswer,
 } from "./forwarding.js";
 export { fetchHosts, type HostListAnswer, type ListedMachine } from "./host-list.js";
 export {
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -60,7 +60,7 @@
     },
     notAdmitted: (state, { code, detail, retryAfterMs }) => {
         // Where no copy is left, what broke the generation off is what its caller is told.
-        if (state.broken) return fail(state, FAIL_CODE[state.broken.cause], state.broken.detail, []);
+        if (state.broken) return fail(state, FAIL_CODE[state.broken.cause], `${state.broken.detail}; ${detail}`, []);
         return state.phase === Phase.Waiting ? fail(state, code, detail, [], retryAfterMs) : stay(state);
     },
     sending: (state, { attempt }) =>
--- a/packages/request/test/continue.test.ts
+++ b/packages/request/test/continue.test.ts
@@ -81,7 +81,7 @@
         code: "no_endpoint",
         detail: "none",
     }]);
-    t.like(actions, [{ kind: "fail", err: { code: "endpoint_lost", ran: "yes", detail: "it broke" } }]);
+    t.like(actions, [{ kind: "fail", err: { code: "endpoint_lost", ran: "yes", detail: "it broke; none" } }]);
 });
 
 test("a refusal of the copy's keeper proves nothing about what ran before", t => {
