--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,9 +1,10 @@
 // Builds the daemon for deployment as one file: a start reads one file instead of some hundred.
 import { build } from "esbuild";
+import { copyFileSync } from "node:fs";
 
 await build({
     entryPoints: ["packages/host/src/main.ts"],
-    outfile: "target/drumpaddled.cjs",
+    outfile: "target/daemon.cjs",
     bundle: true,
     platform: "node",
     target: "node20",
@@ -13,3 +14,5 @@
     // Optional parts of libraries that are not used here.
     external: ["dtrace-provider", "mv", "source-map-support"],
 });
+
+copyFileSync("deploy/start.cjs", "target/drumpaddled.cjs");
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "**/*.js", "out/**", "target/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "**/*.js", "**/*.cjs", "out/**", "target/**"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { project: "./tsconfig.json", tsconfigRootDir: import.meta.dirname } },
