--- a/packages/host/src/call-endpoint.ts
+++ b/packages/host/src/call-endpoint.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointCall } from "@drumpaddle/protocol";
+import { type EndpointCall, withinTime } from "@drumpaddle/protocol";
 import { request } from "undici";
 
 /** What an endpoint answered. */
@@ -29,11 +29,8 @@
     signal: AbortSignal,
 ): Promise<EndpointAnswer> {
     const headers = body === undefined ? {} : { "content-type": "application/json" };
-    const res = await request(`http://${address}${path}`, {
-        method,
-        headers,
-        signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
-        body: body ?? null,
+    return withinTime(timeoutMs, signal, async limited => {
+        const res = await request(`http://${address}${path}`, { method, headers, signal: limited, body: body ?? null });
+        return { status: res.statusCode, body: await res.body.text() };
     });
-    return { status: res.statusCode, body: await res.body.text() };
 }
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -251,11 +251,10 @@
         const silentMs = performance.now() - lastEventAt;
         if (silentMs >= silence.lostMs) return this.lose("idle", `no event for ${Math.round(silentMs)} ms`);
         if (silentMs > silence.askMs + HELD_UP_MS) return void this.silence?.refresh();
+        setTimeout(() => this.onLongSilence(silence, lastEventAt), silence.lostMs - silentMs);
         const answers = await silence.answers();
-        if (this.over || this.heldBack || this.lastEventAt !== lastEventAt) return;
-        if (!answers) return this.lose("idle", `no event for ${Math.round(silentMs)} ms and no sign of life`);
-        const leftMs = silence.lostMs - (performance.now() - lastEventAt);
-        setTimeout(() => this.onLongSilence(silence, lastEventAt), leftMs);
+        if (answers || this.over || this.heldBack || this.lastEventAt !== lastEventAt) return;
+        this.lose("idle", `no event for ${Math.round(silentMs)} ms and no sign of life`);
     }
 
     /** The endpoint lives, but its stream has not gone on since. */
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -8,6 +8,7 @@
 import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg } from "@drumpaddle/policy";
 import { type EndpointEntry, EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import type { AddressInfo } from "node:net";
 import type { HostCfg } from "./config.js";
 import { Copies } from "./copies.js";
@@ -74,6 +75,8 @@
 export async function startGateway(cfg: HostCfg, log: Log): Promise<Gateway> {
     const own = new AbortController();
     const { signal } = own;
+    // Every call on its way listens to it.
+    setMaxListeners(0, signal);
     const metrics = new Metrics();
     const kv = createPlatformStore({
         url: cfg["platform.key-value"],
--- a/packages/protocol/src/engine-client.ts
+++ b/packages/protocol/src/engine-client.ts
@@ -10,6 +10,7 @@
 import { StringDecoder } from "node:string_decoder";
 import { type Dispatcher, request } from "undici";
 import { errText, neverSent } from "./net-error.js";
+import { withinTime } from "./time-limit.js";
 
 /** What an engine's stream tells, in the order that it came. `data` is the event's text as it came. */
 export type EngineEvent =
@@ -301,14 +302,13 @@
     signal: AbortSignal,
 ): Promise<EngineLoadReport | undefined> {
     try {
-        const res = await request(`${url}/v1/load`, {
-            dispatcher,
-            signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
+        const { status, raw } = await withinTime(timeoutMs, signal, async limited => {
+            const res = await request(`${url}/v1/load`, { dispatcher, signal: limited });
+            return { status: res.statusCode, raw: await res.body.json() as Record<string, unknown> };
         });
-        const raw = await res.body.json() as Record<string, unknown>;
         const { running, waiting, memoryUsed, preemptions, age_ms: ageMs } = raw;
         const numbers = [running, waiting, memoryUsed, preemptions, ageMs];
-        if (res.statusCode !== 200 || !numbers.every(value => typeof value === "number" && value >= 0)) {
+        if (status !== 200 || !numbers.every(value => typeof value === "number" && value >= 0)) {
             return undefined;
         }
         return {
--- a/packages/protocol/src/etcd.ts
+++ b/packages/protocol/src/etcd.ts
@@ -16,6 +16,7 @@
     type KvWatch,
 } from "./kv.js";
 import { neverSent } from "./net-error.js";
+import { withinTime } from "./time-limit.js";
 
 /** Where the service is and how long a call may take. */
 export interface EtcdCfg {
@@ -64,16 +65,18 @@
 export function createEtcd(cfg: EtcdCfg): KeyValue {
     const call = async <T>(path: string, body: object, signal: AbortSignal): Promise<KvResult<T>> => {
         try {
-            const res = await request(cfg.url + path, {
-                method: "POST",
-                body: JSON.stringify(body),
-                headers: { "content-type": "application/json" },
-                signal: AbortSignal.any([signal, AbortSignal.timeout(cfg.timeoutMs)]),
-                ...(cfg.dispatcher ? { dispatcher: cfg.dispatcher } : {}),
+            return await withinTime(cfg.timeoutMs, signal, async limited => {
+                const res = await request(cfg.url + path, {
+                    method: "POST",
+                    body: JSON.stringify(body),
+                    headers: { "content-type": "application/json" },
+                    signal: limited,
+                    ...(cfg.dispatcher ? { dispatcher: cfg.dispatcher } : {}),
+                });
+                const answer = await res.body.json();
+                if (res.statusCode !== 200) return { ok: false, err: refusal(res.statusCode, answer) };
+                return kvOk(answer as T);
             });
-            const answer = await res.body.json();
-            if (res.statusCode !== 200) return { ok: false, err: refusal(res.statusCode, answer) };
-            return kvOk(answer as T);
         }
         catch (err) {
             return { ok: false, err: toKvError(err) };
--- a/packages/protocol/src/host-list.ts
+++ b/packages/protocol/src/host-list.ts
@@ -6,6 +6,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import { request } from "undici";
+import { withinTime } from "./time-limit.js";
 
 const Listed = Type.Object({
     name: Type.String(),
@@ -43,12 +44,12 @@
     signal: AbortSignal,
 ): Promise<HostListAnswer | undefined> {
     try {
-        const res = await request(`${url}/hosts?hall=${encodeURIComponent(hall)}`, {
-            signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
+        const { status, text } = await withinTime(timeoutMs, signal, async limited => {
+            const res = await request(`${url}/hosts?hall=${encodeURIComponent(hall)}`, { signal: limited });
+            return { status: res.statusCode, text: await res.body.text() };
         });
-        const text = await res.body.text();
         const answer = JSON.parse(text) as unknown;
-        if (res.statusCode !== 200 || !Value.Check(HostList, answer)) return undefined;
+        if (status !== 200 || !Value.Check(HostList, answer)) return undefined;
         return { hosts: answer.hosts, bytes: text.length };
     }
     catch {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -61,3 +61,4 @@
     PEER_VERSION,
 } from "./peer-codec.js";
 export { type MeshCfg, type PeerError, PeerMesh, type PeerName } from "./peer-mesh.js";
+export { TimeLimitError, withinTime } from "./time-limit.js";
--- /dev/null
+++ b/packages/protocol/src/time-limit.ts
@@ -0,0 +1,46 @@
+/**
+ * Bounds the time that a call may take.
+ *
+ * @module
+ */
+
+/**
+ * Runs a call with a signal that aborts when the time is over or the caller's signal does.
+ *
+ * The timer and the signal are held until the call has settled. A signal that is only derived, as by `AbortSignal.any` from
+ * `AbortSignal.timeout`, may be collected before it aborts (Node 20): the call then never ends.
+ *
+ * @param timeoutMs Time for the whole call, in milliseconds.
+ *
+ * @example
+ * ```ts
+ * await withinTime(500, signal, limited => request(url, { signal: limited }));
+ * ```
+ */
+export async function withinTime<T>(
+    timeoutMs: number,
+    signal: AbortSignal,
+    run: (limited: AbortSignal) => Promise<T>,
+): Promise<T> {
+    const limit = new AbortController();
+    const timer = setTimeout(() => limit.abort(new TimeLimitError(timeoutMs)), timeoutMs);
+    const onAbort = (): void => limit.abort(signal.reason);
+    if (signal.aborted) onAbort();
+    else signal.addEventListener("abort", onAbort, { once: true });
+    try {
+        return await run(limit.signal);
+    }
+    finally {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", onAbort);
+    }
+}
+
+/** No whole answer came in time. */
+export class TimeLimitError extends Error {
+    override readonly name = "TimeLimitError";
+
+    constructor(timeoutMs: number) {
+        super(`no answer within ${timeoutMs} ms`);
+    }
+}
--- /dev/null
+++ b/packages/protocol/test/time-limit.test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { request } from "undici";
+import { TimeLimitError, withinTime } from "../src/index.js";
+
+/** Time in which a limit of some milliseconds must have ended a call, whatever the machine does. */
+const LONG_MS = 10_000;
+
+async function silentServer(): Promise<{ readonly url: string; readonly stop: () => void }> {
+    const server = createServer(() => undefined);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}/`, stop: () => void server.close() };
+}
+
+test("a call that is not answered ends in time, however often memory is collected meanwhile", async t => {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    const { url, stop } = await silentServer();
+    const { signal } = new AbortController();
+    const collecting = setInterval(collect, 10);
+    const calls = Array.from(
+        { length: 10 },
+        () =>
+            t.throwsAsync(withinTime(100, signal, limited => request(url, { signal: limited })), {
+                instanceOf: TimeLimitError,
+            }),
+    );
+    const tooLong = new Promise<string>(resolve => setTimeout(() => resolve("too long"), LONG_MS).unref());
+    t.not(await Promise.race([Promise.all(calls), tooLong]), "too long");
+    clearInterval(collecting);
+    stop();
+});
+
+test("a call ends with its caller's signal, also one that has aborted before", async t => {
+    const { url, stop } = await silentServer();
+    const own = new AbortController();
+    const ended = t.throwsAsync(withinTime(LONG_MS, own.signal, limited => request(url, { signal: limited })), {
+        message: "stopped",
+    });
+    own.abort(new Error("stopped"));
+    await ended;
+    await t.throwsAsync(withinTime(LONG_MS, own.signal, limited => request(url, { signal: limited })), {
+        message: "stopped",
+    });
+    stop();
+});
