--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -6,6 +6,7 @@
 import { DEFAULT_VARIANT } from "@drumpaddle/policy";
 import { createEtcd } from "@drumpaddle/protocol";
 import type { FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import { readFileSync } from "node:fs";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
@@ -53,6 +54,8 @@
  */
 export async function startDaemon(cfg: HostCfg, log: Log): Promise<Daemon> {
     const own = new AbortController();
+    // Every call on its way listens to it.
+    setMaxListeners(0, own.signal);
     const { signal } = own;
     const kv = createEtcd({ url: cfg["platform.key-value"], timeoutMs: cfg["platform.timeout"] });
     const store = new SettingsStore(kv, cfg["platform.prefix"]);
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -16,7 +16,7 @@
 /** A wait for prompts to be read of this share of a request's objective counts as much as full memory. */
 const WAIT_SCALE = 0.5;
 /** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
-const AWAY_COST = 0.75;
+const AWAY_COST = 0.5;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
 const AWAY_CALLS = 0.5;
 /** What an engine costs in the score where streams wait too long for their first token: above all else but no room at all. */
