--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -46,7 +46,7 @@
 const ENGINE_VARIANT = {
     ...DEFAULT_VARIANT,
     prefix: false,
-
+    forecast: true,
     backups: true,
     askAlways: true,
     lastResort: true,
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -17,7 +17,7 @@
     type Variant,
 } from "../src/index.js";
 
-const VARIANT: Variant = { ...DEFAULT_VARIANT, backups: true, prefix: false };
+const VARIANT: Variant = { ...DEFAULT_VARIANT, forecast: true, backups: true, prefix: false };
 
 function endpointOf(id: string, hall = "h1", memoryTokens = 30_000): EndpointCfg {
     return { id, hall, models: ["m"], memoryTokens };
--- a/packages/policy/test/forecast.test.ts
+++ b/packages/policy/test/forecast.test.ts
@@ -43,7 +43,7 @@
 }
 
 class Driver {
-    state: SchedulerState = createScheduler(DEFAULT_VARIANT, 1);
+    state: SchedulerState = createScheduler({ ...DEFAULT_VARIANT, forecast: true }, 1);
 
     constructor(endpoints = ENDPOINTS) {
         this.tell({ kind: "endpoints", endpoints }, 0);
