--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 // Starts the daemon with the code that V8 compiled when the daemon was bundled: most of a start is compiling. Where that
-// code is missing or of another V8, it is compiled anew. From start to listening on an idle core, median of 12: 249 ms with
-// it, 445 ms without.
+// code is missing or of another V8, it is compiled anew. From start to listening, least of 12 starts beside other work: 249 ms
+// with it, 445 ms without.
 "use strict";
 const { readFileSync } = require("node:fs");
 const Module = require("node:module");
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -71,7 +71,7 @@
         if (copy && !used) void this.drop(copy);
     }
 
-    /** Copies what runs on leaving endpoints and has no copy at one that stays, and what has lost its copy. */
+    /** Copies what runs on leaving endpoints and has no copy at one that stays and can be reached. */
     rescue(): void {
         for (const job of jobsToRescue(this.deps.engines.view, performance.now())) {
             if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
