The rolling test waits for the calls that each stop may lose

It wanted more than 10 calls, which one loop starts every 15 ms for as long as three replacements take: how many there are is a matter of the machine's speed.

Ruled out: a lost or refused call (the list of outcomes that are not whole is checked beside the count).

Change: before each host is stopped, six calls at least have begun since the one before; 18 in all where more than 10 were wanted.

--- a/packages/standins/test/rolling.test.ts
+++ b/packages/standins/test/rolling.test.ts
@@ -19,6 +19,9 @@
     }
 }
 
+/** Calls that begin before each stop, so that each has some to lose, however fast hosts are replaced. */
+const CALLS_PER_STOP = 6;
+
 test("replacing every host of a hall one after the other, under load, loses no request", async t => {
     const stage = await startStage({
         halls: ["k1"],
@@ -38,14 +41,16 @@
         }
     })();
     for (const old of [...stage.hosts]) {
+        const before = results.length;
         await stage.addHost("k1", `${old.name}-next`);
+        await waitUntil(() => results.length >= before + CALLS_PER_STOP);
         await old.daemon.stop();
         (stage.hosts as typeof old[]).splice(stage.hosts.indexOf(old), 1);
     }
     replacing = false;
     await load;
     const outcomes = (await Promise.all(results)).map(result => result.outcome);
-    t.true(outcomes.length > 10);
+    t.true(outcomes.length >= 3 * CALLS_PER_STOP);
     t.deepEqual(outcomes.filter(outcome => outcome !== "whole"), []);
     t.is(stage.hosts.length, 3);
 });
