What an endpoint answered stands in the log: status, framing, and a line for each continuation

Cause: the three hypotheses of the stream that looked whole could not be told apart from the hosts' own output. call_ended said outcome=whole for an endpoint's 500 as for a good answer, and nothing was logged of the answer to a continuation.

With status=500 after a continuation the first hypothesis holds, with status=200 framed=false the second, with no such line before the end the third.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -48,6 +48,8 @@
     readonly sink: AttemptSink<AnswerPiece>;
     /** Calls back when the caller takes more bytes, if it takes none now; returns whether it takes some now. */
     readonly whenWritable: (resume: () => void) => boolean;
+    /** Told of each answer's status and head, before anything of it is reported. */
+    readonly onAnswered: (status: number, head: AnswerHead) => void;
     /** Told when the endpoint refuses because it is another one than the call names. */
     readonly onOtherIncarnation: () => void;
     readonly signal: AbortSignal;
@@ -144,9 +146,10 @@
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
-        const { id, send, sink } = this.attempt;
+        const { id, send, sink, onAnswered } = this.attempt;
         this.status = status;
         this.head = this.wire.readAnswer(headers);
+        onAnswered(status, this.head);
         this.verdict = judge(send.call.id, status, this.head);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
-import { type CallHead, type Continuation, errText, type PlatformWire } from "@drumpaddle/protocol";
+import { type AnswerHead, type CallHead, type Continuation, errText, type PlatformWire } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
 import {
     type EndpointEntry,
@@ -221,6 +221,7 @@
         keeper: undefined,
         copy: undefined,
         lastEvent: undefined,
+        answered: undefined,
         failedAnswer: undefined,
     };
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
@@ -282,6 +283,8 @@
         keeper_hall: way.keeper?.hall,
         copied_to: way.copy?.keeper.incarnation,
         outcome,
+        status: way.answered?.status,
+        framed: way.answered?.framed,
         ran,
         detail: end.err?.detail,
         attempts: end.state.attempts,
@@ -367,6 +370,10 @@
                 silence: silenceOf(deps, route, endpoint, backUp),
                 sink: noting(sink, way),
                 whenWritable: resume => whenWritable(out, resume),
+                onAnswered: (status, answer) => {
+                    way.answered = { status, framed: answer.framed };
+                    if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
+                },
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
                 signal,
             });
@@ -383,6 +390,17 @@
     };
 }
 
+/** What the endpoint that was asked to go on with a stream answered. */
+function logContinuation(
+    deps: Forwarding,
+    req: string,
+    endpoint: string,
+    status: number,
+    { isEventStream, framed, notRun }: AnswerHead,
+): void {
+    deps.log.info({ req, endpoint, status, stream: isEventStream, framed, not_run: notRun }, "continuation_answered");
+}
+
 function knownKeeper(way: Way, incarnation: string): EndpointEntry | undefined {
     return [way.copy?.keeper, way.keeper].find(entry => entry?.incarnation === incarnation);
 }
@@ -409,6 +427,8 @@
     copy: Copy | undefined;
     /** Id of the last event that went to the caller. */
     lastEvent: string | undefined;
+    /** The latest answer of an endpoint. */
+    answered: { readonly status: number; readonly framed: boolean } | undefined;
     /** An endpoint's own failure that was to be tried again elsewhere. */
     failedAnswer: AnswerPiece | undefined;
 }
