Only an event stream may follow what has gone to a stream's caller

Cause: an answer's orderly end was taken for the end of the whole answer, whatever the answer was. A continuation's 500 is a whole HTTP answer: its body went out as one more piece, and its end ended the caller's stream, framed as complete.

Change: pieces of an earlier attempt having gone out, an answer that is no event stream with status 200 is invalid by its head, and the caller's connection is broken. A refusal (not run) is told from it as before.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -70,6 +70,7 @@
 
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
+const OK = 200;
 /** Another life of an endpoint answers this to a call that names the one before. */
 const MISDIRECTED = 421;
 /** Statuses that tell a caller that its request has not run; an endpoint's are passed on only if it says so itself. */
@@ -94,11 +95,16 @@
     | { readonly kind: "refused" }
     | { readonly kind: "invalid"; readonly detail: string };
 
-function judge(call: string, status: number, head: AnswerHead): Verdict {
+/** Judges an answer by its head; `continues`: pieces of an earlier attempt have gone to the caller. */
+function judge(call: string, status: number, head: AnswerHead, continues: boolean): Verdict {
     if (head.id !== undefined && head.id !== call) return { kind: "invalid", detail: `an answer to ${head.id}` };
     if (head.notRun || status === MISDIRECTED) return { kind: "refused" };
     if (PROMISES.has(status)) return { kind: "invalid", detail: `${status} without a word on whether it ran` };
     if (head.encoded) return { kind: "invalid", detail: "an encoded body" };
+    // Only events can follow events: the end of any other answer, such as a whole 500, would pass for the stream's own.
+    if (continues && !(status === OK && head.isEventStream)) {
+        return { kind: "invalid", detail: `${status} where a stream was to go on` };
+    }
     if (status >= 200 && status < 300) {
         if (head.id === undefined) return { kind: "invalid", detail: "a success that names no call" };
         if (!head.sealed) return { kind: "invalid", detail: "a success without a seal" };
@@ -146,15 +152,15 @@
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
-        const { id, send, sink, onAnswered } = this.attempt;
+        const { id, send, sink, firstPiece, onAnswered } = this.attempt;
         this.status = status;
         this.head = this.wire.readAnswer(headers);
         onAnswered(status, this.head);
-        this.verdict = judge(send.call.id, status, this.head);
+        this.verdict = judge(send.call.id, status, this.head, firstPiece > 0);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
         sink.event({ kind: "opened", attempt: id, generation: id });
-        if (this.head.isEventStream && status === 200) this.splitter = new EventSplitter();
+        if (this.head.isEventStream && status === OK) this.splitter = new EventSplitter();
     }
 
     onData(chunk: Buffer): void {
