An endpoint's failure that is passed on goes out once, and never behind what has gone out

For a failure that may not be tried again the state machine asked for two actions, and each wrote the answer's bytes: `Content-Length: 13` and "its own wordsits own words". On a kept connection the surplus stood in front of the next answer. And with a part of an answer out (a repeatable call), the failure's index 0 was dropped as a duplicate, but the request still ended as whole.

Ruled out: a failure of a call that runs once goes another way (a piece and an end without bytes): its test passes before and after.

Change: such a failure ends the request with one action; behind what has gone out it breaks the answer off.

The expectation of "an endpoint's own failure is tried elsewhere ... and else passed on" was wrong, as it asked for both actions; it now asks for exactly the one.

--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -94,12 +94,13 @@
             actions: [{ kind: "complete", tokens: total }],
         };
     },
-    failedAnswer: (state, { attempt, generation }) => {
+    failedAnswer: (state, { attempt }) => {
         if (!isAnswering(state, attempt)) return stay(discard(state, "otherAttempt"));
         if (canRetry(state)) return tryElsewhere(state, []);
-        const answered = onToken(state, { kind: "token", attempt, generation, index: 0 });
-        const ended: RequestState = { ...answered.state, phase: Phase.Ended, committed: true };
-        return { state: ended, actions: [...answered.actions, { kind: "complete", tokens: 1 }] };
+        // What has gone out may not end with another answer's bytes.
+        if (state.committed) return breakOff(state, "invalid", "the endpoint failed where its answer was to go on");
+        const ended: RequestState = { ...state, phase: Phase.Ended, committed: true };
+        return { state: ended, actions: [{ kind: "complete", tokens: 1 }] };
     },
     lost: (state, { attempt, cause, detail }) => {
         if (!isCurrent(state, attempt)) return stay(discard(state, "otherAttempt"));
--- a/packages/request/test/continue.test.ts
+++ b/packages/request/test/continue.test.ts
@@ -117,9 +117,21 @@
     t.like(drive(events).actions.at(-1), { kind: "fail", err: { ran: "no" } });
 });
 
+test("an endpoint's own failure never follows what has gone out, whether it may be repeated or not", t => {
+    for (const repeatable of [false, true]) {
+        const failed: RequestEvent = { kind: "failedAnswer", attempt: "r.2", generation: "r.2" };
+        const { actions } = drive([...RUNNING, lost("r.1", "reset"), admitted("e2"), sending("r.2"), failed], {
+            repeatable,
+        });
+        t.like(actions.at(-1), { kind: "fail", err: { code: "endpoint_invalid_answer", ran: "yes" } });
+        t.false(actions.some(({ kind }) => kind === "complete"));
+    }
+});
+
 test("an endpoint's own failure is tried elsewhere where that is allowed, and else passed on", t => {
     const failed: RequestEvent = { kind: "failedAnswer", attempt: "r.1", generation: "r.1" };
     const begun = [admitted("e1"), sending("r.1"), failed];
-    t.deepEqual(drive(begun).actions, [{ kind: "forward", index: 0 }, { kind: "complete", tokens: 1 }]);
+    // One action: each carries the answer's bytes out.
+    t.deepEqual(drive(begun).actions, [{ kind: "complete", tokens: 1 }]);
     t.like(drive(begun, { repeatable: true, maxAttempts: 2 }).actions.at(-1), { kind: "admit", retry: true });
 });
