What goes on with a stream has to fit what has gone out: framing, order of ids, whole events

Besides its status, nothing of a continuation was looked at: one that began at an event that had gone out doubled it (1 2 1 2 3 4 5, whole); one that only its connection ends was vouched for by the chunks of the first answer, though it may be cut; one that ended within an event was called whole; where events carry no ids the copy was asked without a place and started over; and an answer that is no stream, cut with a part of it out, was continued with the copy's whole answer.

Change: judge-answer.ts judges an answer by its head and by what has gone out; a continuation's events must lie behind the last id; one that ends within an event is lost and goes on at its next copy; without an id, or with a part of an answer out that is no stream, nothing is asked for.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -16,6 +16,7 @@
 import type { LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { EndpointConnections, Exchange, ExchangeSink } from "./endpoint-connections.js";
+import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type Passed, type Verdict } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 
 /** A part of an answer on its way to the caller. */
@@ -41,8 +42,8 @@
     readonly body: Buffer | undefined;
     /** Whether the endpoint's own failures may be tried elsewhere. */
     readonly repeatable: boolean;
-    /** Index of the first piece: above 0 where the generation goes on from a copy. */
-    readonly firstPiece: number;
+    /** What has gone to the caller of an earlier attempt's answer; undefined where nothing has. */
+    readonly passed: Passed | undefined;
     /** How a stream that falls silent is taken for lost; undefined where nothing is won by that. */
     readonly silence: SilenceCfg | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
@@ -70,11 +71,6 @@
 
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
-const OK = 200;
-/** Another life of an endpoint answers this to a call that names the one before. */
-const MISDIRECTED = 421;
-/** Statuses that tell a caller that its request has not run; an endpoint's are passed on only if it says so itself. */
-const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -89,29 +85,6 @@
     new Answering(connections, wire, attempt).start();
 }
 
-/** What an answer's head says must become of it. */
-type Verdict =
-    | { readonly kind: "take" }
-    | { readonly kind: "refused" }
-    | { readonly kind: "invalid"; readonly detail: string };
-
-/** Judges an answer by its head; `continues`: pieces of an earlier attempt have gone to the caller. */
-function judge(call: string, status: number, head: AnswerHead, continues: boolean): Verdict {
-    if (head.id !== undefined && head.id !== call) return { kind: "invalid", detail: `an answer to ${head.id}` };
-    if (head.notRun || status === MISDIRECTED) return { kind: "refused" };
-    if (PROMISES.has(status)) return { kind: "invalid", detail: `${status} without a word on whether it ran` };
-    if (head.encoded) return { kind: "invalid", detail: "an encoded body" };
-    // Only events can follow events: the end of any other answer, such as a whole 500, would pass for the stream's own.
-    if (continues && !(status === OK && head.isEventStream)) {
-        return { kind: "invalid", detail: `${status} where a stream was to go on` };
-    }
-    if (status >= 200 && status < 300) {
-        if (head.id === undefined) return { kind: "invalid", detail: "a success that names no call" };
-        if (!head.sealed) return { kind: "invalid", detail: "a success without a seal" };
-    }
-    return { kind: "take" };
-}
-
 class Answering implements ExchangeSink {
     private exchange: Exchange | undefined;
     private status = 0;
@@ -133,7 +106,7 @@
         private readonly wire: PlatformWire,
         private readonly attempt: ForwardAttempt,
     ) {
-        this.pieces = attempt.firstPiece;
+        this.pieces = attempt.passed?.pieces ?? 0;
     }
 
     start(): void {
@@ -152,15 +125,15 @@
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
-        const { id, send, sink, firstPiece, onAnswered } = this.attempt;
+        const { id, send, sink, passed, onAnswered } = this.attempt;
         this.status = status;
         this.head = this.wire.readAnswer(headers);
         onAnswered(status, this.head);
-        this.verdict = judge(send.call.id, status, this.head, firstPiece > 0);
+        this.verdict = judgeAnswer(send.call.id, status, this.head, passed);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
         sink.event({ kind: "opened", attempt: id, generation: id });
-        if (this.head.isEventStream && status === OK) this.splitter = new EventSplitter();
+        if (isStream(status, this.head)) this.splitter = new EventSplitter();
     }
 
     onData(chunk: Buffer): void {
@@ -177,6 +150,7 @@
         if (this.verdict?.kind === "refused") return this.refuse();
         const cut = !this.head.framed && !orderly && !NO_BODY_STATUSES.has(this.status);
         if (cut) return this.lose("reset", "the connection was reset before the answer's end was told");
+        if (this.endsWithinEvent) return this.lose("reset", "the answer ended within an event");
         this.over = true;
         this.releaseConnection();
         this.finish();
@@ -202,7 +176,7 @@
 
     /** Whether a part of the answer has gone on already. */
     private get passed(): boolean {
-        return this.pieces > this.attempt.firstPiece;
+        return this.pieces > (this.attempt.passed?.pieces ?? 0);
     }
 
     private refuse(): void {
@@ -215,10 +189,28 @@
 
     private passEvents(events: readonly WholeEvent[]): void {
         this.watchSilence();
-        for (const { bytes, id } of events) this.pass(bytes, id);
+        for (const { bytes, id } of events) {
+            if (!this.fits(id)) return this.lose("invalid", `event ${id} where one behind the last was to come`);
+            this.pass(bytes, id);
+        }
         if (events.length > 0) this.holdBack();
     }
 
+    /** Whether an event may follow what has gone out: a continuation that starts over would double a part of the stream. */
+    private fits(id: string | undefined): boolean {
+        const { passed } = this.attempt;
+        return passed === undefined || id === undefined || mayFollow(passed.lastEvent, id);
+    }
+
+    /**
+     * Whether a stream ended in the middle of an event that another endpoint can still give whole. A stream that its own
+     * bytes end so from the start is passed on as its endpoint made it.
+     */
+    private get endsWithinEvent(): boolean {
+        const partial = this.splitter !== undefined && this.splitter.unfinished.length > 0;
+        return partial && (this.attempt.passed !== undefined || this.head?.framed === false);
+    }
+
     private passHeld(): void {
         this.pass(this.takeHeld());
         this.holdBack();
@@ -290,7 +282,9 @@
         this.exchange?.release(this.head.keepAliveMs);
     }
 
-    private lose(cause: LossCause, detail: string): void {
+    private lose(loss: LossCause, detail: string): void {
+        // A part of an answer that is no stream is out: none of its copy's answer could follow it.
+        const cause = this.passed && !this.splitter ? "invalid" : loss;
         this.over = true;
         clearTimeout(this.silence);
         this.exchange?.destroy();
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -23,6 +23,7 @@
 import { type AnswerPiece, type SilenceCfg, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
+import type { Passed } from "./judge-answer.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import type { Placement } from "./placement.js";
@@ -221,6 +222,7 @@
         keeper: undefined,
         copy: undefined,
         lastEvent: undefined,
+        framed: true,
         answered: undefined,
         failedAnswer: undefined,
     };
@@ -344,6 +346,11 @@
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
             }
+            const passed = passedBefore(way, continueAt);
+            if (passed === "unknown") {
+                sink.event({ kind: "lost", attempt, cause: "invalid", detail: "no event's id tells where to go on" });
+                return;
+            }
             if (continueAt !== undefined) {
                 deps.log.info(
                     { req: head.id, endpoint: incarnation, event: continueAt, last: way.lastEvent },
@@ -366,7 +373,7 @@
                 },
                 body: way.body,
                 repeatable: route.kind === RouteKind.Repeatable,
-                firstPiece: continueAt ?? 0,
+                passed,
                 silence: silenceOf(deps, route, endpoint, backUp),
                 sink: noting(sink, way),
                 whenWritable: resume => whenWritable(out, resume),
@@ -405,6 +412,12 @@
     return [way.copy?.keeper, way.keeper].find(entry => entry?.incarnation === incarnation);
 }
 
+/** What of earlier attempts has gone to the caller; `unknown` where pieces have, but no event's id says up to where. */
+function passedBefore({ lastEvent, framed }: Way, pieces: number | undefined): Passed | "unknown" | undefined {
+    if (pieces === undefined || pieces === 0) return undefined;
+    return lastEvent === undefined ? "unknown" : { pieces, lastEvent, framed };
+}
+
 /** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
 function continuation(callId: string, endpoint: EndpointEntry, copy: Copy | undefined, way: Way): Continuation {
     const { lastEvent } = way;
@@ -427,6 +440,8 @@
     copy: Copy | undefined;
     /** Id of the last event that went to the caller. */
     lastEvent: string | undefined;
+    /** Whether the end of the caller's answer can be seen in its bytes; known with its first piece. */
+    framed: boolean;
     /** The latest answer of an endpoint. */
     answered: { readonly status: number; readonly framed: boolean } | undefined;
     /** An endpoint's own failure that was to be tried again elsewhere. */
@@ -439,12 +454,17 @@
         event: (event, piece) => {
             if (event.kind === "failedAnswer") way.failedAnswer = piece;
             const moved = sink.event(event, piece);
-            if (moved && event.kind === "token" && piece?.event !== undefined) way.lastEvent = piece.event;
+            if (moved && event.kind === "token" && piece) notePassed(way, event.index, piece);
             return moved;
         },
     };
 }
 
+function notePassed(way: Way, index: number, { event, framed }: AnswerPiece): void {
+    if (index === 0) way.framed = framed;
+    if (event !== undefined) way.lastEvent = event;
+}
+
 function whenWritable(out: ServerResponse, resume: () => void): boolean {
     if (!out.writableNeedDrain) return true;
     out.once("drain", resume);
