A cut answer without length or chunks is reset for its caller; callers that know no chunks get none

An answer that only the end of its connection ends was broken off by destroying the response, which closes the connection in order: to the caller that is the whole answer. So it was when its endpoint reset it, when its continuation was refused, at its deadline, and when the host ended with it open. And a caller of HTTP/1.0 was sent chunks, which it takes for the answer's bytes.

Ruled out: chunked answers and those with a length, whose missing end is seen; an answer that was ended already.

Change: breakAnswer resets the connection where the answer's bytes do not tell its end, at each place that breaks one off; the choice between chunks and none stays the server's where the caller's version of HTTP decides it.

--- a/packages/host/src/forward-reply.ts
+++ b/packages/host/src/forward-reply.ts
@@ -46,6 +46,21 @@
     out.end(body);
 }
 
+/**
+ * Breaks an answer off so that its caller sees it. Without chunks it is reset: the orderly end of the connection would pass
+ * for the end of an answer whose length was not told.
+ *
+ * @example
+ * ```ts
+ * if (res.headersSent) breakAnswer(res);
+ * ```
+ */
+export function breakAnswer(out: ServerResponse): void {
+    const looksWhole = out.headersSent && !out.chunkedEncoding && !out.writableEnded;
+    if (looksWhole) out.socket?.resetAndDestroy();
+    out.destroy();
+}
+
 /** What a forwarded answer needs to reach its caller. */
 export interface ForwardReplyDeps {
     readonly out: ServerResponse;
@@ -72,7 +87,7 @@
         const framing = length === undefined ? [] : ["Content-Length", String(length)];
         // An answer whose end was never told may be cut: a length or chunks of ours would vouch for it. Without either the
         // connection ends with the answer.
-        out.useChunkedEncodingByDefault = framed;
+        out.useChunkedEncodingByDefault &&= framed;
         const close = closing() ? ["Connection", "close"] : [];
         out.writeHead(status, [...headers, ...framing, ...close]);
     };
@@ -89,7 +104,7 @@
         },
         fail: (err: RequestError) => {
             // Once the head is out, breaking the connection is the only sign that the answer is not whole.
-            if (out.headersSent) return void out.destroy();
+            if (out.headersSent) return breakAnswer(out);
             const failed = failedAnswer();
             if (failed) {
                 pass(failed);
--- a/packages/host/src/forward-server.ts
+++ b/packages/host/src/forward-server.ts
@@ -7,11 +7,14 @@
 import Fastify, { type FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { breakAnswer } from "./forward-reply.js";
 
 /** What the server is made of. */
 export interface ForwardServerDeps {
     /** Time to send a request whole, in milliseconds. */
     readonly requestMs: number;
+    /** Ends the answers that still run when the host ends. */
+    readonly signal: AbortSignal;
     onCall(req: IncomingMessage, target: string, out: ServerResponse): void;
 }
 
@@ -26,7 +29,8 @@
 
 /** Builds the server; it does not listen yet. */
 export function createForwardServer(deps: ForwardServerDeps): FastifyInstance {
-    const answering = new WeakSet<Socket>();
+    const answering = new Map<Socket, ServerResponse>();
+    deps.signal.addEventListener("abort", () => answering.forEach(breakAnswer), { once: true });
     const app = Fastify({
         // Everything goes to one handler; the target as sent is kept aside.
         rewriteUrl: () => "/",
@@ -41,14 +45,16 @@
         clientErrorHandler: (err, socket) => {
             if (err.code === "ECONNRESET" || socket.destroyed) return;
             // Bytes that are no request, behind one that is being answered, must not end up within its answer.
-            if (answering.has(socket) || !socket.writable) return void socket.destroy();
+            const out = answering.get(socket);
+            if (out) return breakAnswer(out);
+            if (!socket.writable) return void socket.destroy();
             socket.end(BAD_REQUEST);
         },
     });
     app.addHook("onRequest", (req, reply, done) => {
         reply.hijack();
         const { socket } = req;
-        answering.add(socket);
+        answering.set(socket, reply.raw);
         reply.raw.once("close", () => answering.delete(socket));
         deps.onCall(req.raw, req.originalUrl, reply.raw);
         done();
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -128,6 +128,7 @@
     };
     const callers = createForwardServer({
         requestMs: cfg["callers.body-timeout"],
+        signal,
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
     const peers = await Peers.start({
