An endpoint's own failure counts against it, and in the figures

A 500 of a call that is not tried again was told as a whole answer: it closed the endpoint's breaker, taught the length estimates an output of one piece, was counted outcome=whole, and its time counted as a first token. Two engines that failed everything for 9 s were sent 21 requests; failing within 1 ms they looked idle.

Ruled out: the way of a call that is tried elsewhere, which counted as failed before.

Change: such an answer ends its request with complete(failed), for calls of any kind; the decisions hear "failed", the log and the metric say endpoint_failed.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -40,8 +40,6 @@
     readonly path: string;
     readonly send: SendHead;
     readonly body: Buffer | undefined;
-    /** Whether the endpoint's own failures may be tried elsewhere. */
-    readonly repeatable: boolean;
     /** What has gone to the caller of an earlier attempt's answer; undefined where nothing has. */
     readonly passed: Passed | undefined;
     /** How a stream that falls silent is taken for lost; undefined where nothing is won by that. */
@@ -71,6 +69,8 @@
 
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
+/** An endpoint's answer with this status or above is its own failure. */
+const FAILED_STATUS = 500;
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -163,9 +163,9 @@
     }
 
     private finish(): void {
-        const { id, sink, repeatable } = this.attempt;
+        const { id, sink } = this.attempt;
         const whole = !this.passed && !this.splitter;
-        if (whole && repeatable && this.status >= 500) {
+        if (whole && this.status >= FAILED_STATUS) {
             sink.event({ kind: "failedAnswer", attempt: id, generation: id }, this.piece(this.takeHeld()));
             return;
         }
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -270,7 +270,7 @@
 
 function onEnd(deps: Forwarding, call: ForwardCall, way: Way, end: RunEnd): void {
     const ran = end.err?.ran ?? "yes";
-    const outcome = end.err?.code ?? "whole";
+    const outcome = end.err?.code ?? (end.failed ? "endpoint_failed" : "whole");
     deps.metrics.countOutcome(outcome, ran);
     if (end.firstTokenMs !== undefined) deps.metrics.firstToken.record(end.firstTokenMs);
     if (!deps.logCalls) return;
@@ -372,7 +372,6 @@
                     continueFrom: continueAt === undefined ? undefined : continuation(head.id, endpoint, copy, way),
                 },
                 body: way.body,
-                repeatable: route.kind === RouteKind.Repeatable,
                 passed,
                 silence: silenceOf(deps, route, endpoint, backUp),
                 sink: noting(sink, way),
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -46,7 +46,7 @@
 }
 
 /** How a request ended, as counted. */
-export type Outcome = "whole" | FailCode | "bad_request" | "unauthorized" | "refused";
+export type Outcome = "whole" | "endpoint_failed" | FailCode | "bad_request" | "unauthorized" | "refused";
 
 /** All measures of one daemon. */
 export class Metrics {
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -65,6 +65,8 @@
     readonly state: RequestState;
     readonly tokens: number;
     readonly err?: RequestError | undefined;
+    /** Whether the answer that went out is its endpoint's own failure. */
+    readonly failed: boolean;
     readonly endpoint?: string | undefined;
     /** Stall time: the sum of what its gaps lie above the target, in milliseconds. */
     readonly stallMs: number;
@@ -185,10 +187,11 @@
             this.deps.reply.forward(this.piece!);
         },
         dropHeld: () => this.deps.reply.drop(),
-        complete: ({ tokens }) => {
-            this.leave("whole");
+        complete: ({ tokens, failed = false }) => {
+            // Taken for good answers, an engine's failures kept it in use: 21 were sent there in 9 s, and failed.
+            this.leave(failed ? "failed" : "whole");
             this.deps.reply.finish(this.piece, tokens);
-            this.end(undefined);
+            this.end(undefined, failed);
         },
         fail: ({ err }) => {
             this.deps.placement.withdraw(this.deps.job.id);
@@ -271,7 +274,7 @@
         return this.deps.job.tokensPerPiece ?? 1;
     }
 
-    private end(err: RequestError | undefined): void {
+    private end(err: RequestError | undefined, failed = false): void {
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.retryTimer);
         // A whole answer's stream ends by itself in a moment, and its connection can be used again; only others are cut.
@@ -281,6 +284,7 @@
             state,
             tokens: state.attempt?.next ?? 0,
             err,
+            failed,
             endpoint: state.attempt?.endpoint,
             stallMs,
             firstTokenMs,
--- /dev/null
+++ b/packages/host/test/run.test.ts
@@ -0,0 +1,86 @@
+import type { Job, JobOutcome } from "@drumpaddle/policy";
+import test from "ava";
+import type { Placement } from "../src/placement.js";
+import { type AttemptSink, Run, type RunEnd } from "../src/run.js";
+
+const JOB: Job = {
+    id: "r",
+    group: { workspace: "w", service: "s", model: "m" },
+    promptTokens: 10,
+    maxTokens: 100,
+    prefix: "",
+    prefixTokens: 0,
+    policy: {
+        priority: "normal",
+        quantile: 0.9,
+        gapTargetMs: 100,
+        objectiveMs: 1_000,
+        weightTail: 1,
+        weightStall: 1,
+        weightPrefix: 0,
+        maxWaitMs: 1_000,
+        queueLimit: 10,
+        retryShare: 0,
+    },
+};
+
+interface Driven {
+    readonly sink: AttemptSink<string>;
+    /** What the decisions were told of its endpoints. */
+    readonly outcomes: readonly JobOutcome[];
+    readonly finished: readonly (string | undefined)[];
+    readonly ends: readonly RunEnd[];
+}
+
+/** A run that is dispatched at once, with its first attempt's sink. */
+function runningOne(): Driven {
+    const outcomes: JobOutcome[] = [];
+    const finished: (string | undefined)[] = [];
+    const ends: RunEnd[] = [];
+    const sinks: AttemptSink<string>[] = [];
+    const placement: Pick<Placement, "submit" | "ended" | "withdraw" | "progress"> = {
+        submit: (_job, _avoid, _retry, placed) => placed.onDispatch("e1", 1, undefined),
+        ended: (_job, outcome) => void outcomes.push(outcome),
+        withdraw: () => undefined,
+        progress: () => undefined,
+    };
+    new Run<string>({
+        cfg: { id: "r", repeatable: false, streamed: true, maxAttempts: 1, maxResumes: 0, deadline: 1e9 },
+        job: JOB,
+        placement: placement as Placement,
+        runner: {
+            start: (_plan, sink) => void sinks.push(sink),
+            resume: () => undefined,
+            cancel: () => undefined,
+        },
+        reply: {
+            forward: () => undefined,
+            drop: () => undefined,
+            finish: last => void finished.push(last),
+            fail: () => undefined,
+        },
+        onGap: () => undefined,
+        onDispatch: () => undefined,
+        onEnd: end => void ends.push(end),
+    });
+    const [sink] = sinks;
+    if (!sink) throw new Error("no attempt was started");
+    sink.event({ kind: "sending", attempt: "r.1" });
+    return { sink, outcomes, finished, ends };
+}
+
+test("an endpoint's own failure goes to the caller, and counts against the endpoint", t => {
+    const { sink, outcomes, finished, ends } = runningOne();
+    sink.event({ kind: "failedAnswer", attempt: "r.1", generation: "r.1" }, "its own words");
+    t.deepEqual(finished, ["its own words"]);
+    t.deepEqual(outcomes, ["failed"]);
+    t.like(ends, [{ failed: true, err: undefined }]);
+});
+
+test("a whole answer counts for its endpoint", t => {
+    const { sink, outcomes, ends } = runningOne();
+    sink.event({ kind: "token", attempt: "r.1", generation: "r.1", index: 0 }, "a");
+    sink.event({ kind: "finished", attempt: "r.1", generation: "r.1", total: 1 });
+    t.deepEqual(outcomes, ["whole"]);
+    t.like(ends, [{ failed: false, err: undefined }]);
+});
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -152,7 +152,8 @@
         readonly endpoint: string;
         readonly generation?: string | undefined;
     }
-    | { readonly kind: "complete"; readonly tokens: number }
+    /** `failed`: what goes out is the endpoint's own failure. */
+    | { readonly kind: "complete"; readonly tokens: number; readonly failed?: true }
     | { readonly kind: "fail"; readonly err: RequestError };
 
 /** The next state and what to do. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -100,7 +100,7 @@
         // What has gone out may not end with another answer's bytes.
         if (state.committed) return breakOff(state, "invalid", "the endpoint failed where its answer was to go on");
         const ended: RequestState = { ...state, phase: Phase.Ended, committed: true };
-        return { state: ended, actions: [{ kind: "complete", tokens: 1 }] };
+        return { state: ended, actions: [{ kind: "complete", tokens: 1, failed: true }] };
     },
     lost: (state, { attempt, cause, detail }) => {
         if (!isCurrent(state, attempt)) return stay(discard(state, "otherAttempt"));
--- a/packages/request/test/continue.test.ts
+++ b/packages/request/test/continue.test.ts
@@ -132,6 +132,6 @@
     const failed: RequestEvent = { kind: "failedAnswer", attempt: "r.1", generation: "r.1" };
     const begun = [admitted("e1"), sending("r.1"), failed];
     // One action: each carries the answer's bytes out.
-    t.deepEqual(drive(begun).actions, [{ kind: "complete", tokens: 1 }]);
+    t.deepEqual(drive(begun).actions, [{ kind: "complete", tokens: 1, failed: true }]);
     t.like(drive(begun, { repeatable: true, maxAttempts: 2 }).actions.at(-1), { kind: "admit", retry: true });
 });
