--- /dev/null
+++ b/packages/host/src/silence-watch.ts
@@ -0,0 +1,91 @@
+/**
+ * Watches a stream that has begun: one that falls silent may be lost, as its endpoint may be gone without a word.
+ *
+ * @module
+ */
+
+/** When a stream that has begun and falls silent is taken for lost. Times are milliseconds since its last event. */
+export interface SilenceCfg {
+    /** Its endpoint is asked for a sign of life after this: one that gives none is lost. */
+    readonly askMs: number;
+    /** Lost after this, whatever the endpoint says. */
+    readonly lostMs: number;
+    /** Whether the endpoint gives a sign of life. */
+    answers(): Promise<boolean>;
+}
+
+/** A timer that fires later than this shows that the host itself was held up: events may wait to be read. */
+const HELD_UP_MS = 20;
+/** Time for a host that was held up to read what waits, before it looks again. */
+const LOOK_AGAIN_MS = 10;
+
+/**
+ * The watch over one stream; it begins with the first event.
+ *
+ * @example
+ * ```ts
+ * const watch = new SilenceWatch(cfg, detail => lose(detail));
+ * watch.heard();
+ * ```
+ */
+export class SilenceWatch {
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private lastEventAt = 0;
+    private held = false;
+
+    constructor(private readonly cfg: SilenceCfg, private readonly onLost: (detail: string) => void) {}
+
+    /** An event came. */
+    heard(): void {
+        this.lastEventAt = performance.now();
+        this.stop();
+        this.wait(this.cfg.askMs, () => this.ask());
+    }
+
+    /** Nothing is read while the caller takes nothing: the stream is held back here, not silent there. */
+    hold(): void {
+        this.held = true;
+        this.stop();
+    }
+
+    /** The caller takes bytes again. */
+    goOn(): void {
+        if (!this.held) return;
+        this.held = false;
+        this.heard();
+    }
+
+    stop(): void {
+        for (const timer of this.timers) clearTimeout(timer);
+        this.timers.clear();
+    }
+
+    /** Calls back after a time, or a little later where the host was held up when it was due. */
+    private wait(ms: number, then: () => void): void {
+        const dueAt = performance.now() + ms;
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            const heldUp = performance.now() - dueAt > HELD_UP_MS;
+            if (heldUp) this.wait(LOOK_AGAIN_MS, then);
+            else then();
+        }, ms);
+        this.timers.add(timer);
+    }
+
+    private get silentMs(): number {
+        return performance.now() - this.lastEventAt;
+    }
+
+    private ask(): void {
+        const { lastEventAt, cfg } = this;
+        this.wait(Math.max(0, cfg.lostMs - this.silentMs), () => this.lose("its endpoint lives"));
+        void cfg.answers().then(answers => {
+            if (!answers && this.lastEventAt === lastEventAt && this.timers.size > 0) this.lose("no sign of life");
+        });
+    }
+
+    private lose(why: string): void {
+        this.stop();
+        this.onLost(`no event for ${Math.round(this.silentMs)} ms, ${why}`);
+    }
+}
