A silent stream's endpoint is asked for a sign of life also by a host that was held up

Cause: a timer that fired more than 20 ms late put the question off by its whole wait, counted from the last event: from then on it was always too late, and the endpoint was never asked. The stream stood until its silence was six of its longest pauses.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -18,6 +18,7 @@
 import type { EndpointConnections, Exchange, ExchangeSink } from "./endpoint-connections.js";
 import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type Passed, type Verdict } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
+import { type SilenceCfg, SilenceWatch } from "./silence-watch.js";
 
 /** A part of an answer on its way to the caller. */
 export interface AnswerPiece {
@@ -54,19 +55,6 @@
     readonly signal: AbortSignal;
 }
 
-/** When a stream that has begun and falls silent is taken for lost. Times are milliseconds since its last event. */
-export interface SilenceCfg {
-    /** Its endpoint is asked for a sign of life after this: one that gives none is lost. */
-    readonly askMs: number;
-    /** Lost after this, whatever the endpoint says. */
-    readonly lostMs: number;
-    /** Whether the endpoint gives a sign of life. */
-    answers(): Promise<boolean>;
-}
-
-/** A timer that fires later than this shows that the host itself was held up: events may wait to be read. */
-const HELD_UP_MS = 20;
-
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
 /** An endpoint's answer with this status or above is its own failure. */
@@ -96,10 +84,7 @@
     private pieces: number;
     private over = false;
     private sent = false;
-    /** Whether reading was paused because the caller takes nothing. */
-    private heldBack = false;
-    private silence: NodeJS.Timeout | undefined;
-    private lastEventAt = 0;
+    private readonly silence: SilenceWatch | undefined;
 
     constructor(
         private readonly connections: EndpointConnections,
@@ -107,6 +92,8 @@
         private readonly attempt: ForwardAttempt,
     ) {
         this.pieces = attempt.passed?.pieces ?? 0;
+        const { silence } = attempt;
+        this.silence = silence && new SilenceWatch(silence, detail => this.lose("idle", detail));
     }
 
     start(): void {
@@ -188,7 +175,7 @@
     }
 
     private passEvents(events: readonly WholeEvent[]): void {
-        this.watchSilence();
+        this.silence?.heard();
         for (const { bytes, id } of events) {
             if (!this.fits(id)) return this.lose("invalid", `event ${id} where one behind the last was to come`);
             this.pass(bytes, id);
@@ -236,48 +223,19 @@
         return { status: this.status, headers: this.head?.passed ?? [], body, length, framed, event };
     }
 
-    /** A stream that has begun and then falls silent may be lost: its endpoint may be gone without a word. */
-    private watchSilence(): void {
-        const { silence } = this.attempt;
-        if (silence === undefined) return;
-        this.lastEventAt = performance.now();
-        if (this.silence) this.silence.refresh();
-        else this.silence = setTimeout(() => void this.onSilence(silence), silence.askMs);
-    }
-
-    private async onSilence(silence: SilenceCfg): Promise<void> {
-        // While the caller takes nothing the stream is held back here, not silent there.
-        if (this.over || this.heldBack) return;
-        const { lastEventAt } = this;
-        const silentMs = performance.now() - lastEventAt;
-        if (silentMs >= silence.lostMs) return this.lose("idle", `no event for ${Math.round(silentMs)} ms`);
-        if (silentMs > silence.askMs + HELD_UP_MS) return void this.silence?.refresh();
-        setTimeout(() => this.onLongSilence(silence, lastEventAt), silence.lostMs - silentMs);
-        const answers = await silence.answers();
-        if (answers || this.over || this.heldBack || this.lastEventAt !== lastEventAt) return;
-        this.lose("idle", `no event for ${Math.round(silentMs)} ms and no sign of life`);
-    }
-
-    /** The endpoint lives, but its stream has not gone on since. */
-    private onLongSilence({ lostMs }: SilenceCfg, lastEventAt: number): void {
-        if (this.over || this.heldBack || this.lastEventAt !== lastEventAt) return;
-        this.lose("idle", `no event for ${lostMs} ms`);
-    }
-
     /** Reads no further while the caller takes nothing. */
     private holdBack(): void {
         const goOn = (): void => {
-            this.heldBack = false;
-            this.silence?.refresh();
+            this.silence?.goOn();
             this.exchange?.resume();
         };
         if (this.attempt.whenWritable(goOn)) return;
-        this.heldBack = true;
+        this.silence?.hold();
         this.exchange?.pause();
     }
 
     private releaseConnection(): void {
-        clearTimeout(this.silence);
+        this.silence?.stop();
         if (!this.head || this.head.closes || !this.head.framed) return this.exchange?.destroy();
         this.exchange?.release(this.head.keepAliveMs);
     }
@@ -286,7 +244,7 @@
         // A part of an answer that is no stream is out: none of its copy's answer could follow it.
         const cause = this.passed && !this.splitter ? "invalid" : loss;
         this.over = true;
-        clearTimeout(this.silence);
+        this.silence?.stop();
         this.exchange?.destroy();
         this.attempt.sink.event({ kind: "lost", attempt: this.attempt.id, cause, detail });
     }
@@ -294,7 +252,7 @@
     private cut(): void {
         if (this.over) return;
         this.over = true;
-        clearTimeout(this.silence);
+        this.silence?.stop();
         this.exchange?.destroy();
     }
 }
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -20,7 +20,7 @@
 import { callEndpoint } from "./call-endpoint.js";
 import type { Copies, Copy } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
-import { type AnswerPiece, type SilenceCfg, startAttempt } from "./forward-attempt.js";
+import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
 import type { Passed } from "./judge-answer.js";
@@ -30,6 +30,7 @@
 import { plainModel } from "./plain.js";
 import { readBody } from "./request-body.js";
 import { type AttemptRunner, type AttemptSink, Run, type RunEnd } from "./run.js";
+import type { SilenceCfg } from "./silence-watch.js";
 
 /** What the calls of one gateway share. */
 export interface Forwarding {
