An answer in one body has the last reason that its engine gave

Cause: the orderly end of a stream was taken for the answer's own end. wholeReply looked for finish_reason in the last event only and said "stop" where that had none, so an answer that its engine cut short at a length, and said so in a token's event, looked finished to its caller.

Ruled out: streamed answers, whose events go on as they came; an engine that gives its reason in the last event.

Change: the last reason that is not null is kept over all events of the attempt that is answered; a given-up attempt's reason goes with its text. Where no event gives one it stays "stop".

Tests: packages/host/test/answer.test.ts, 7 new: 3 failed and 4 passed before, 7 pass; with standins' openai.test.ts 14 of 14 pass.

--- a/packages/host/src/answer.ts
+++ b/packages/host/src/answer.ts
@@ -133,21 +133,25 @@
     promptTokens: number,
 ): Reply<string> {
     let texts: string[] = [];
+    // An engine may give its reason before its last event.
+    let reason: string | undefined;
     const take = (data: string): Chunk => {
         const chunk = JSON.parse(data) as Chunk;
         const choice = chunk.choices?.[0];
         texts.push(choice?.delta?.content ?? choice?.text ?? "");
+        reason = choice?.finish_reason ?? reason;
         return chunk;
     };
     return {
         forward: data => void take(data),
         drop: () => {
             texts = [];
+            reason = undefined;
         },
         finish: (last, tokens) => {
             const chunk: Chunk = last === undefined ? {} : take(last);
             const text = texts.join("");
-            const finish_reason = chunk.choices?.[0]?.finish_reason ?? "stop";
+            const finish_reason = reason ?? "stop";
             const choice = chat
                 ? { index: 0, message: { role: "assistant", content: text }, finish_reason }
                 : { index: 0, text, finish_reason };
