A cut answer of a plain service is neither called whole nor recorded

Cause: the orderly end of an HTTP message was taken for the whole answer. Undici ends an answer without length or chunks in order when its connection is reset. So a cut answer went to its caller in chunks of ours, complete; the call counted as whole; and settleClaim recorded the cut body under the caller's key and gave it to each resend. A recorded answer also lost its content-encoding: its caller took gzip for text.

Ruled out: answers with a length or chunks, whose missing end undici tells; answers without a body by their status, which keep their caller's connection as before.

Change: connector.ts notes a socket's failure before undici does; EndpointConnections takes it from there, and the daemon's dispatcher turns a reset into a failure, for every call on it. An answer that only its connection ends goes on and is replayed without chunks; one that is lost is broken off by breakAnswer, and so neither counted whole nor recorded. Over TLS, where breakAnswer throws (ERR_INVALID_HANDLE_TYPE, a trial) and closing passes for an orderly end, chunks remain and the connection is closed. Records keep content-encoding and whether the answer was framed.

--- a/packages/host/src/claims.ts
+++ b/packages/host/src/claims.ts
@@ -14,6 +14,9 @@
 export interface Recorded {
     readonly status: number;
     readonly contentType: string | undefined;
+    readonly contentEncoding: string | undefined;
+    /** False where only the end of its connection ended the answer. */
+    readonly framed: boolean;
     readonly body: string;
 }
 
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -9,10 +9,11 @@
 import { setMaxListeners } from "node:events";
 import { readFileSync } from "node:fs";
 import type { AddressInfo } from "node:net";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import { createCallers } from "./callers.js";
 import { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
+import { failOnReset } from "./connector.js";
 import { type Host, LimitBook, OpenRuns } from "./host.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
@@ -64,7 +65,7 @@
     const dispatcher = new Agent({
         connections: CONNECTIONS_PER_ENDPOINT,
         keepAliveTimeout: KEEP_ALIVE_MS,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: failOnReset(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
         pipelining: 1,
     });
     const host: Host = {
--- a/packages/host/src/endpoint-connections.ts
+++ b/packages/host/src/endpoint-connections.ts
@@ -6,6 +6,7 @@
  */
 import type { RawHeaders } from "@drumpaddle/protocol";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { noteFailures } from "./connector.js";
 
 /** One call as it is written to an endpoint. */
 export interface OutgoingCall {
@@ -138,15 +139,14 @@
     }
 
     private open(address: string): Connection {
+        const noting = noteFailures(connector, () => connection.failed = true);
         const connection: Connection = {
             failed: false,
             usableUntil: 0,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 connect: (options, callback) =>
-                    connector(options, (...result) => {
-                        // Before undici's own listener, which takes a reset for the end of an answer without a length.
-                        result[1]?.prependListener("error", () => connection.failed = true);
+                    noting(options, (...result) => {
                         if (result[1]) this.onOpened();
                         callback(...result);
                     }),
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -59,7 +59,8 @@
 const HELD_BYTES = 262_144;
 /** An endpoint's answer with this status or above is its own failure. */
 const FAILED_STATUS = 500;
-const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** Statuses whose answers never have a body. */
+export const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * Starts an attempt; it reports to its sink until it has ended or its signal ends it.
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -11,12 +11,15 @@
 import { FailCode, type Ran } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { FastifyRequest } from "fastify";
-import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { Readable } from "node:stream";
+import { TLSSocket } from "node:tls";
 import { type Dispatcher, request } from "undici";
 import { type ApiError, toApiError, writeError } from "./answer.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
 import type { Directory } from "./directory.js";
+import { NO_BODY_STATUSES } from "./forward-attempt.js";
+import { breakAnswer } from "./forward-reply.js";
 import { limitError, limitsOf, policyOf } from "./generate.js";
 import type { Host } from "./host.js";
 import { type AttemptRunner, type AttemptSink, type Reply, Run } from "./run.js";
@@ -35,6 +38,8 @@
 interface PlainPiece {
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
+    /** False where only the end of its connection ends the answer: the caller must see it end likewise. */
+    readonly framed: boolean;
     readonly body: Readable;
 }
 
@@ -169,20 +174,24 @@
     if (claimed.kind === "mine") return writeError(out, STOPPED, { "x-request-id": id });
     if (claimed.kind === "recorded") {
         host.metrics.countOutcome("whole", "yes");
-        const { status, contentType, body } = claimed.answer;
-        out.writeHead(status, {
-            "x-request-id": id,
-            "x-recorded": "true",
-            ...(contentType ? { "content-type": contentType } : {}),
-        });
-        out.end(Buffer.from(body, "base64"));
-        return;
+        return writeRecorded(out, claimed.answer, id);
     }
     const err = CLAIM_ERROR[claimed.kind];
     host.metrics.countOutcome(claimed.kind === "otherCall" ? "bad_request" : err.code as FailCode, err.ran);
     writeError(out, err, { "x-request-id": id });
 }
 
+function writeRecorded(out: ServerResponse, recorded: Recorded, id: string): void {
+    const { status, contentType, contentEncoding, framed, body } = recorded;
+    writeHead(out, status, framed, {
+        "x-request-id": id,
+        "x-recorded": "true",
+        ...(contentType ? { "content-type": contentType } : {}),
+        ...(contentEncoding ? { "content-encoding": contentEncoding } : {}),
+    });
+    out.end(Buffer.from(body, "base64"));
+}
+
 const STOPPED: ApiError = {
     status: 503,
     code: FailCode.Stopping,
@@ -271,18 +280,41 @@
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
+function isEncrypted({ socket }: ServerResponse): boolean {
+    return socket instanceof TLSSocket;
+}
+
+/**
+ * Begins an answer. One whose end was never told may be cut, and chunks of ours would vouch for it: its connection ends
+ * with it. An encrypted connection cannot be reset, so there chunks remain, whose missing end shows a break.
+ */
+function writeHead(out: ServerResponse, status: number, framed: boolean, headers: OutgoingHttpHeaders): void {
+    out.useChunkedEncodingByDefault &&= framed || isEncrypted(out);
+    out.writeHead(status, headers);
+}
+
+function breakOff(out: ServerResponse): void {
+    if (isEncrypted(out)) out.destroy();
+    else breakAnswer(out);
+}
+
 /** Passes an answer on as it comes, and keeps a small one for the record. */
 function passThrough(out: ServerResponse, id: string): Reply<PlainPiece> & { recorded(): Recorded | undefined } {
-    let head: { status: number; contentType: string | undefined } | undefined;
+    let head: Omit<Recorded, "body"> | undefined;
     const chunks: Buffer[] = [];
     let bytes = 0;
     return {
-        forward: ({ status, headers, body }) => {
+        forward: ({ status, headers, framed, body }) => {
             const passed = Object.entries(headers).filter(([name]) =>
                 !OWN_HEADERS.has(name) || name === "content-length"
             );
-            out.writeHead(status, { ...Object.fromEntries(passed), "x-request-id": id });
-            head = { status, contentType: headers["content-type"] };
+            writeHead(out, status, framed, { ...Object.fromEntries(passed), "x-request-id": id });
+            head = {
+                status,
+                contentType: headers["content-type"],
+                contentEncoding: headers["content-encoding"],
+                framed,
+            };
             body.on("data", (chunk: Buffer) => {
                 bytes += chunk.length;
                 if (bytes <= MAX_RECORDED_BYTES) chunks.push(chunk);
@@ -292,7 +324,7 @@
         drop: () => undefined,
         finish: () => out.end(),
         // Once the head has gone out, breaking the connection is the only honest sign that the body is not whole.
-        fail: err => out.headersSent ? out.destroy() : writeError(out, toApiError(err), { "x-request-id": id }),
+        fail: err => out.headersSent ? breakOff(out) : writeError(out, toApiError(err), { "x-request-id": id }),
         recorded: () =>
             head && bytes <= MAX_RECORDED_BYTES
                 ? { ...head, body: Buffer.concat(chunks).toString("base64") }
@@ -349,7 +381,7 @@
             sink.event({ kind: "endpointRefused", attempt, detail: `${res.statusCode}: refused` });
             return;
         }
-        pass(res, attempt, sink);
+        pass(res, call.req.method, attempt, sink);
     }
     catch (err) {
         if (signal.aborted) return;
@@ -364,14 +396,32 @@
 }
 
 /** Reports an answer's head as its one token, and its end when the body has gone through. */
-function pass(res: Dispatcher.ResponseData, attempt: string, sink: AttemptSink<PlainPiece>): void {
+function pass(
+    res: Dispatcher.ResponseData,
+    method: string,
+    attempt: string,
+    sink: AttemptSink<PlainPiece>,
+): void {
     res.body.on("end", () => sink.event({ kind: "finished", attempt, generation: attempt, total: 1 }));
     res.body.on("error", (err: Error) => sink.event({ kind: "lost", attempt, cause: "reset", detail: errText(err) }));
     sink.event({ kind: "opened", attempt, generation: attempt });
-    const piece = { status: res.statusCode, headers: res.headers as IncomingHttpHeaders, body: res.body };
+    const piece = {
+        status: res.statusCode,
+        headers: res.headers as IncomingHttpHeaders,
+        framed: isFramed(method, res),
+        body: res.body,
+    };
     sink.event({ kind: "token", attempt, generation: attempt, index: 0 }, piece);
 }
 
+/** Whether an answer's end can be seen in its bytes. */
+function isFramed(method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean {
+    if (method === "HEAD" || NO_BODY_STATUSES.has(statusCode)) return true;
+    const encoding = headers["transfer-encoding"];
+    const chunked = typeof encoding === "string" && encoding.toLowerCase().trimEnd().endsWith("chunked");
+    return chunked || headers["content-length"] !== undefined;
+}
+
 function passedHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
     const kept = Object.entries(headers).filter(([name, value]) => !OWN_HEADERS.has(name) && value !== undefined);
     return Object.fromEntries(kept) as Record<string, string | string[]>;
--- a/packages/standins/src/plain-server.ts
+++ b/packages/standins/src/plain-server.ts
@@ -4,10 +4,26 @@
  * @module
  */
 import Fastify, { type FastifyInstance } from "fastify";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { gzipSync } from "node:zlib";
 
 /** A fault for one coming call. */
-export type PlainFault = "refuse" | "breakBefore" | "runThenBreak" | "never" | "error";
+export type PlainFault =
+    | "refuse"
+    | "breakBefore"
+    | "runThenBreak"
+    | "never"
+    | "error"
+    /** A whole answer whose end only its connection tells. */
+    | "unframed"
+    /** The first half of such an answer; {@link PlainServer.resetHalves} cuts it there. */
+    | "unframedHalf"
+    /** An answer in gzip. */
+    | "encoded"
+    /** An answer that has no body by its status. */
+    | "noBody";
+
+const UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n";
 
 /** A running stand-in service. */
 export class PlainServer {
@@ -15,6 +31,7 @@
     /** How often each call ran, by `METHOD /path#body`. */
     readonly ran = new Map<string, number>();
     private readonly app: FastifyInstance = Fastify({ forceCloseConnections: true });
+    private readonly halfway: Socket[] = [];
     url = "";
 
     private constructor(private readonly name: string) {
@@ -38,12 +55,22 @@
                 reply.raw.destroy();
                 return reply;
             }
-            return reply.header("content-type", "application/json").send({
-                service: this.name,
-                method: req.method,
-                url: req.url,
-                body,
-            });
+            const answer = JSON.stringify({ service: this.name, method: req.method, url: req.url, body });
+            if (fault === "unframed") {
+                reply.hijack();
+                req.socket.end(UNFRAMED_HEAD + answer);
+                return reply;
+            }
+            if (fault === "unframedHalf") {
+                reply.hijack();
+                req.socket.write(UNFRAMED_HEAD + answer.slice(0, answer.length / 2));
+                this.halfway.push(req.socket);
+                return reply;
+            }
+            reply.header("content-type", "application/json");
+            if (fault === "noBody") return reply.code(204).send();
+            if (fault === "encoded") return reply.header("content-encoding", "gzip").send(gzipSync(answer));
+            return reply.send(answer);
         });
     }
 
@@ -55,6 +82,11 @@
         return server;
     }
 
+    /** Resets the connections of answers that are halfway. */
+    resetHalves(): void {
+        for (const socket of this.halfway.splice(0)) socket.resetAndDestroy();
+    }
+
     /** Ends the service. */
     async stop(): Promise<void> {
         await this.app.close();
