How an endpoint's connection ended is known where data and a reset come together, and while its caller holds it back

Where a reset comes right behind data, Node tells of an orderly end, so that a cut answer without length or chunks was whole. And undici's parser throws (assert(!this.paused)) where a connection that closes with its answer ends while it is held back: a slow caller and a leaving endpoint that ends could end the process.

Ruled out: an answer with chunks whose data and reset come together (it breaks before and after); one that is held back and ends in order with chunks missing (likewise).

Change: a socket's end is looked at before undici hears of it: a reset is a failure to undici, an end whose other side the system no longer knows is one too, and the answer is read on so that the parser is not held back; later pauses do nothing.

--- a/packages/host/src/connector.ts
+++ b/packages/host/src/connector.ts
@@ -1,8 +1,9 @@
 /**
- * Connectors for undici whose sockets tell that they failed, which undici itself does not always pass on.
+ * Connectors for undici whose sockets tell how they ended, which undici itself does not always pass on.
  *
  * @module
  */
+import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
 
 /** The code by which undici knows a reset; the end of an answer without a length is one to it. */
@@ -10,35 +11,40 @@
 /** A code that is a failure to undici, whatever the answer. */
 const RESET_AS_FAILURE = "CONNECTION_RESET";
 
+/** Told before undici's own listeners how a socket ended: `failed` where its other side reset it, or an error came. */
+export type OnSocketEnd = (failed: boolean) => void;
+
 /**
- * A connector that tells of its sockets' errors before undici's own listeners hear of them.
+ * A connector that tells how its sockets end. Their resets break every answer that is not whole, also one whose end only
+ * its connection tells.
  *
  * @example
  * ```ts
- * new Client(origin, { connect: noteFailures(buildConnector({}), () => failed = true) });
+ * new Client(origin, { connect: noteEnds(buildConnector({}), failed => log(failed)) });
  * ```
  */
-export function noteFailures(
-    connector: buildConnector.connector,
-    onFailure: (err: NodeJS.ErrnoException) => void,
-): buildConnector.connector {
+export function noteEnds(connector: buildConnector.connector, onEnd: OnSocketEnd): buildConnector.connector {
     return (options, callback) =>
         connector(options, (...result) => {
-            result[1]?.prependListener("error", onFailure);
+            const [, socket] = result;
+            socket?.prependListener("error", (err: NodeJS.ErrnoException) => {
+                if (err.code === RESET) err.code = RESET_AS_FAILURE;
+                onEnd(true);
+            });
+            socket?.prependListener("end", () => onEnd(wasReset(socket)));
             callback(...result);
         });
 }
 
+/** A connector whose sockets' resets break every answer that is not whole. */
+export function failOnReset(connector: buildConnector.connector): buildConnector.connector {
+    return noteEnds(connector, () => undefined);
+}
+
 /**
- * A connector whose sockets' resets break every answer that is not whole, also one whose end only its connection tells.
- *
- * @example
- * ```ts
- * new Agent({ connect: failOnReset(buildConnector({})) });
- * ```
+ * Whether a socket that ended was reset. Where a reset comes right behind data, Node tells of the end and of no error; but
+ * the system knows no other side of a connection that was reset.
  */
-export function failOnReset(connector: buildConnector.connector): buildConnector.connector {
-    return noteFailures(connector, err => {
-        if (err.code === RESET) err.code = RESET_AS_FAILURE;
-    });
+function wasReset(socket: Socket): boolean {
+    return socket.remoteAddress === undefined;
 }
--- a/packages/host/src/endpoint-connections.ts
+++ b/packages/host/src/endpoint-connections.ts
@@ -6,7 +6,7 @@
  */
 import type { RawHeaders } from "@drumpaddle/protocol";
 import { buildConnector, Client, type Dispatcher } from "undici";
-import { noteFailures } from "./connector.js";
+import { noteEnds } from "./connector.js";
 
 /** One call as it is written to an endpoint. */
 export interface OutgoingCall {
@@ -50,9 +50,13 @@
 
 interface Connection {
     readonly client: Client;
-    /** Whether its socket failed with an error, as opposed to an orderly end. */
+    /** Whether its socket was reset or failed, as opposed to an orderly end. */
     failed: boolean;
+    /** Whether its socket has ended: what is left of an answer is taken at once. */
+    ended: boolean;
     usableUntil: number;
+    /** Reads on, where a call is on its way. */
+    readOn: () => void;
 }
 
 const connector = buildConnector({
@@ -99,6 +103,7 @@
         }, {
             onRequestStart: controller => {
                 state.controller = controller;
+                connection.readOn = () => controller.resume();
                 sink.onSending();
             },
             onResponseStart: (controller, status) => sink.onHead(status, textOf(controller.rawHeaders)),
@@ -114,7 +119,9 @@
             },
         });
         return {
-            pause: () => state.controller?.pause(),
+            pause: () => {
+                if (!connection.ended) state.controller?.pause();
+            },
             resume: () => state.controller?.resume(),
             release: keepMs => this.rest(address, connection, keepMs),
             destroy: drop,
@@ -139,10 +146,17 @@
     }
 
     private open(address: string): Connection {
-        const noting = noteFailures(connector, () => connection.failed = true);
+        const noting = noteEnds(connector, failed => {
+            connection.failed ||= failed;
+            connection.ended = true;
+            // Undici's parser must not end while it is held back: it throws, and the process ended with it.
+            connection.readOn();
+        });
         const connection: Connection = {
             failed: false,
+            ended: false,
             usableUntil: 0,
+            readOn: () => undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 connect: (options, callback) =>
