--- /dev/null
+++ b/packages/host/src/call-progress.ts
@@ -0,0 +1,101 @@
+/**
+ * How far a forwarded call has come: what its attempts share, and from where a later attempt may go on.
+ *
+ * @module
+ */
+import type { Continuation } from "@drumpaddle/protocol";
+import type { EndpointEntry } from "@drumpaddle/routes";
+import type { Copy } from "./copies.js";
+import type { AnswerPiece } from "./forward-attempt.js";
+import type { Passed } from "./judge-answer.js";
+import type { AttemptSink } from "./run.js";
+
+/** What a call's attempts share. */
+export interface CallProgress {
+    readonly body: Buffer | undefined;
+    /** When the call is given up, on the monotonic clock. */
+    readonly deadline: number;
+    /** Id of the latest attempt. */
+    attempt: string;
+    /** Endpoint of the latest attempt; undefined where it is no longer registered. */
+    endpoint: EndpointEntry | undefined;
+    /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
+    keeper: EndpointEntry | undefined;
+    /** A copy that was made because the endpoint is leaving; goes before the one that grows with the generation. */
+    copy: Copy | undefined;
+    /** Id of the last event that went to the caller. */
+    lastEvent: string | undefined;
+    /** Whether the end of the caller's answer can be seen in its bytes; known with its first piece. */
+    framed: boolean;
+    /** The latest answer of an endpoint. */
+    answered: { readonly status: number; readonly framed: boolean } | undefined;
+    /** An endpoint's own failure that was to be tried again elsewhere. */
+    failedAnswer: AnswerPiece | undefined;
+}
+
+/**
+ * A call of which nothing has been sent.
+ *
+ * @param deadline When it is given up, in milliseconds on the monotonic clock.
+ *
+ * @example
+ * ```ts
+ * const progress = beginCall(body, performance.now() + 2_000);
+ * ```
+ */
+export function beginCall(body: Buffer | undefined, deadline: number): CallProgress {
+    return {
+        body,
+        deadline,
+        attempt: "",
+        endpoint: undefined,
+        keeper: undefined,
+        copy: undefined,
+        lastEvent: undefined,
+        framed: true,
+        answered: undefined,
+        failedAnswer: undefined,
+    };
+}
+
+/** The endpoint that keeps the call's copy, if it is this one; it is known here also when its registration is gone. */
+export function knownKeeper({ copy, keeper }: CallProgress, incarnation: string): EndpointEntry | undefined {
+    return [copy?.keeper, keeper].find(entry => entry?.incarnation === incarnation);
+}
+
+/** What of earlier attempts has gone to the caller; `unknown` where pieces have, but no event's id says up to where. */
+export function passedBefore(
+    { lastEvent, framed }: CallProgress,
+    pieces: number | undefined,
+): Passed | "unknown" | undefined {
+    if (pieces === undefined || pieces === 0) return undefined;
+    return lastEvent === undefined ? "unknown" : { pieces, lastEvent, framed };
+}
+
+/** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
+export function continuationOf(
+    { lastEvent }: CallProgress,
+    callId: string,
+    endpoint: EndpointEntry,
+    copy: Copy | undefined,
+): Continuation {
+    if (copy) return { source: copy.source.address, copy: copy.name, lastEvent };
+    return { source: endpoint.address, copy: callId, lastEvent };
+}
+
+/** Notes what later attempts of a call need to know of this one. */
+export function noting(sink: AttemptSink<AnswerPiece>, progress: CallProgress): AttemptSink<AnswerPiece> {
+    return {
+        event: (event, piece) => {
+            if (event.kind === "failedAnswer") progress.failedAnswer = piece;
+            const moved = sink.event(event, piece);
+            if (moved && event.kind === "token" && piece) notePassed(progress, event.index, piece);
+            return moved;
+        },
+    };
+}
+
+function notePassed(progress: CallProgress, index: number, { event, framed }: AnswerPiece): void {
+    if (index === 0) progress.framed = framed;
+    if (event !== undefined) progress.lastEvent = event;
+}
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
-import { type AnswerHead, type CallHead, type Continuation, errText, type PlatformWire } from "@drumpaddle/protocol";
+import { type AnswerHead, type CallHead, errText, type PlatformWire } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
 import {
     type EndpointEntry,
@@ -18,18 +18,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ApiError } from "./answer.js";
 import { callEndpoint } from "./call-endpoint.js";
-import type { Copies, Copy } from "./copies.js";
+import { beginCall, type CallProgress, continuationOf, knownKeeper, noting, passedBefore } from "./call-progress.js";
+import type { Copies } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
-import type { Passed } from "./judge-answer.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import type { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
 import { readBody } from "./request-body.js";
-import { type AttemptRunner, type AttemptSink, Run, type RunEnd } from "./run.js";
+import { type AttemptRunner, Run, type RunEnd } from "./run.js";
 import type { SilenceCfg } from "./silence-watch.js";
 
 /** What the calls of one gateway share. */
@@ -215,18 +215,7 @@
     // The body took its time: the host may have been told to stop meanwhile.
     if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
-    const way: Way = {
-        body,
-        attempt: "",
-        deadline: at + holdMs,
-        endpoint: undefined,
-        keeper: undefined,
-        copy: undefined,
-        lastEvent: undefined,
-        framed: true,
-        answered: undefined,
-        failedAnswer: undefined,
-    };
+    const progress = beginCall(body, at + holdMs);
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -234,17 +223,17 @@
             streamed: true,
             maxAttempts: route.attempts,
             maxResumes: 0,
-            deadline: way.deadline,
+            deadline: progress.deadline,
         },
         job: jobOf(call),
         placement: engine ? deps.engines : deps.plain,
-        runner: runnerOf(deps, call, way),
+        runner: runnerOf(deps, call, progress),
         reply: forwardReply({
             out,
             wire: deps.wire,
             callId: head.id,
             closing: () => deps.runs.stopping,
-            failedAnswer: () => way.failedAnswer,
+            failedAnswer: () => progress.failedAnswer,
         }),
         onGap: ms => deps.metrics.betweenTokens.record(ms),
         onDispatch: kind => deps.metrics.countDispatch(kind),
@@ -252,7 +241,7 @@
             queueMicrotask(() => deps.runs.delete(run));
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
-            onEnd(deps, call, way, end);
+            onEnd(deps, call, progress, end);
         },
     });
     deps.metrics.open.inc();
@@ -261,15 +250,15 @@
     if (engine?.canMove) {
         deps.copies.add(head.id, {
             onCopied: copy => {
-                way.copy = copy;
-                run.event({ kind: "copied", attempt: way.attempt, endpoint: copy.keeper.incarnation });
+                progress.copy = copy;
+                run.event({ kind: "copied", attempt: progress.attempt, endpoint: copy.keeper.incarnation });
             },
         });
     }
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
-function onEnd(deps: Forwarding, call: ForwardCall, way: Way, end: RunEnd): void {
+function onEnd(deps: Forwarding, call: ForwardCall, progress: CallProgress, end: RunEnd): void {
     const ran = end.err?.ran ?? "yes";
     const outcome = end.err?.code ?? (end.failed ? "endpoint_failed" : "whole");
     deps.metrics.countOutcome(outcome, ran);
@@ -281,13 +270,13 @@
         workspace: call.workspace?.name,
         version: call.version,
         endpoint: end.endpoint,
-        hall: way.endpoint?.hall,
-        keeper: way.keeper?.incarnation,
-        keeper_hall: way.keeper?.hall,
-        copied_to: way.copy?.keeper.incarnation,
+        hall: progress.endpoint?.hall,
+        keeper: progress.keeper?.incarnation,
+        keeper_hall: progress.keeper?.hall,
+        copied_to: progress.copy?.keeper.incarnation,
         outcome,
-        status: way.answered?.status,
-        framed: way.answered?.framed,
+        status: progress.answered?.status,
+        framed: progress.answered?.framed,
         ran,
         detail: end.err?.detail,
         attempts: end.state.attempts,
@@ -332,29 +321,29 @@
     return route.gapMs !== undefined && longestGapMs > route.gapMs ? "pause" : undefined;
 }
 
-function runnerOf(deps: Forwarding, call: ForwardCall, way: Way): AttemptRunner<AnswerPiece> {
+function runnerOf(deps: Forwarding, call: ForwardCall, progress: CallProgress): AttemptRunner<AnswerPiece> {
     const { head, out, route, workspace, target, req } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
-            const endpoint = knownKeeper(way, incarnation) ?? deps.endpoint(incarnation);
-            const copy = way.copy?.keeper.incarnation === incarnation ? way.copy : undefined;
-            way.copy = undefined;
-            way.attempt = attempt;
-            way.endpoint = endpoint;
+            const endpoint = knownKeeper(progress, incarnation) ?? deps.endpoint(incarnation);
+            const copy = progress.copy?.keeper.incarnation === incarnation ? progress.copy : undefined;
+            progress.copy = undefined;
+            progress.attempt = attempt;
+            progress.endpoint = endpoint;
             if (copy) deps.copies.end(head.id, true);
-            way.keeper = backUp === undefined ? undefined : deps.endpoint(backUp);
+            progress.keeper = backUp === undefined ? undefined : deps.endpoint(backUp);
             if (!endpoint) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
             }
-            const passed = passedBefore(way, continueAt);
+            const passed = passedBefore(progress, continueAt);
             if (passed === "unknown") {
                 sink.event({ kind: "lost", attempt, cause: "invalid", detail: "no event's id tells where to go on" });
                 return;
             }
             if (continueAt !== undefined) {
                 deps.log.info(
-                    { req: head.id, endpoint: incarnation, event: continueAt, last: way.lastEvent },
+                    { req: head.id, endpoint: incarnation, event: continueAt, last: progress.lastEvent },
                     "call_continued",
                 );
             }
@@ -365,20 +354,22 @@
                 path: target,
                 send: {
                     call: route.resumable ? head : { ...head, resumeAfter: undefined },
-                    deadlineMs: way.deadline - performance.now(),
+                    deadlineMs: progress.deadline - performance.now(),
                     incarnation,
                     workspace: workspace?.name,
                     rank: rankOf(call),
-                    backUpTo: way.keeper?.address,
-                    continueFrom: continueAt === undefined ? undefined : continuation(head.id, endpoint, copy, way),
+                    backUpTo: progress.keeper?.address,
+                    continueFrom: continueAt === undefined
+                        ? undefined
+                        : continuationOf(progress, head.id, endpoint, copy),
                 },
-                body: way.body,
+                body: progress.body,
                 passed,
                 silence: silenceOf(deps, route, endpoint, backUp),
-                sink: noting(sink, way),
+                sink: noting(sink, progress),
                 whenWritable: resume => whenWritable(out, resume),
                 onAnswered: (status, answer) => {
-                    way.answered = { status, framed: answer.framed };
+                    progress.answered = { status, framed: answer.framed };
                     if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
                 },
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
@@ -408,63 +399,6 @@
     deps.log.info({ req, endpoint, status, stream: isEventStream, framed, not_run: notRun }, "continuation_answered");
 }
 
-function knownKeeper(way: Way, incarnation: string): EndpointEntry | undefined {
-    return [way.copy?.keeper, way.keeper].find(entry => entry?.incarnation === incarnation);
-}
-
-/** What of earlier attempts has gone to the caller; `unknown` where pieces have, but no event's id says up to where. */
-function passedBefore({ lastEvent, framed }: Way, pieces: number | undefined): Passed | "unknown" | undefined {
-    if (pieces === undefined || pieces === 0) return undefined;
-    return lastEvent === undefined ? "unknown" : { pieces, lastEvent, framed };
-}
-
-/** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
-function continuation(callId: string, endpoint: EndpointEntry, copy: Copy | undefined, way: Way): Continuation {
-    const { lastEvent } = way;
-    if (copy) return { source: copy.source.address, copy: copy.name, lastEvent };
-    return { source: endpoint.address, copy: callId, lastEvent };
-}
-
-/** What a call's attempts share. */
-interface Way {
-    readonly body: Buffer | undefined;
-    /** When the call is given up, on the monotonic clock. */
-    readonly deadline: number;
-    /** Id of the latest attempt. */
-    attempt: string;
-    /** Endpoint of the latest attempt; undefined where it is no longer registered. */
-    endpoint: EndpointEntry | undefined;
-    /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
-    keeper: EndpointEntry | undefined;
-    /** A copy that was made because the endpoint is leaving; goes before the one that grows with the generation. */
-    copy: Copy | undefined;
-    /** Id of the last event that went to the caller. */
-    lastEvent: string | undefined;
-    /** Whether the end of the caller's answer can be seen in its bytes; known with its first piece. */
-    framed: boolean;
-    /** The latest answer of an endpoint. */
-    answered: { readonly status: number; readonly framed: boolean } | undefined;
-    /** An endpoint's own failure that was to be tried again elsewhere. */
-    failedAnswer: AnswerPiece | undefined;
-}
-
-/** Notes what later attempts of a call need to know of this one. */
-function noting(sink: AttemptSink<AnswerPiece>, way: Way): AttemptSink<AnswerPiece> {
-    return {
-        event: (event, piece) => {
-            if (event.kind === "failedAnswer") way.failedAnswer = piece;
-            const moved = sink.event(event, piece);
-            if (moved && event.kind === "token" && piece) notePassed(way, event.index, piece);
-            return moved;
-        },
-    };
-}
-
-function notePassed(way: Way, index: number, { event, framed }: AnswerPiece): void {
-    if (index === 0) way.framed = framed;
-    if (event !== undefined) way.lastEvent = event;
-}
-
 function whenWritable(out: ServerResponse, resume: () => void): boolean {
     if (!out.writableNeedDrain) return true;
     out.once("drain", resume);
