Missing and doubled events are seen in a continuation, and what a cut or large answer was is told

A continuation that begins behind the next event left some out and looked whole; one behind an event without an id sent that event twice; the engine that keeps the copy was charged where it had not been asked; ids beyond 2^53 broke each continuation; a first answer without length that ends within an event was broken off even where no copy could do better; the answers of two calls that wait on one connection were not both reset at the host's end, nor one that was ended and not yet taken; and a failure too large to be held (256 KB) counted as whole.

Change: the first event of a continuation must have the next id where ids rose by one, and a higher one else; ids are compared as whole numbers; a stream whose last event has data and no id is not gone on with, and no copy is asked; answers under way are kept one by one; `finished` says whether the answer was a failure.

--- a/packages/host/src/call-progress.ts
+++ b/packages/host/src/call-progress.ts
@@ -7,7 +7,7 @@
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { Copy } from "./copies.js";
 import type { AnswerPiece } from "./forward-attempt.js";
-import type { Passed } from "./judge-answer.js";
+import { isNext, type Passed } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 
 /** What a call's attempts share. */
@@ -25,6 +25,8 @@
     copy: Copy | undefined;
     /** Id of the last event that went to the caller. */
     lastEvent: string | undefined;
+    /** Whether each event's id was one above the id before; undefined while only one was seen. */
+    idsRiseByOne: boolean | undefined;
     /** Whether the end of the caller's answer can be seen in its bytes; known with its first piece. */
     framed: boolean;
     /** The latest answer of an endpoint. */
@@ -52,6 +54,7 @@
         keeper: undefined,
         copy: undefined,
         lastEvent: undefined,
+        idsRiseByOne: undefined,
         framed: true,
         answered: undefined,
         failedAnswer: undefined,
@@ -63,13 +66,11 @@
     return [copy?.keeper, keeper].find(entry => entry?.incarnation === incarnation);
 }
 
-/** What of earlier attempts has gone to the caller; `unknown` where pieces have, but no event's id says up to where. */
-export function passedBefore(
-    { lastEvent, framed }: CallProgress,
-    pieces: number | undefined,
-): Passed | "unknown" | undefined {
+/** What of earlier attempts has gone to the caller; undefined where nothing has. */
+export function passedBefore(progress: CallProgress, pieces: number | undefined): Passed | undefined {
     if (pieces === undefined || pieces === 0) return undefined;
-    return lastEvent === undefined ? "unknown" : { pieces, lastEvent, framed };
+    const { lastEvent, framed, idsRiseByOne = false } = progress;
+    return { pieces, lastEvent, framed, idsRiseByOne };
 }
 
 /** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
@@ -97,5 +98,8 @@
 
 function notePassed(progress: CallProgress, index: number, { event, framed }: AnswerPiece): void {
     if (index === 0) progress.framed = framed;
-    if (event !== undefined) progress.lastEvent = event;
+    if (event === undefined) return;
+    const { lastEvent, idsRiseByOne = true } = progress;
+    if (lastEvent !== undefined) progress.idsRiseByOne = idsRiseByOne && isNext(lastEvent, event);
+    progress.lastEvent = event;
 }
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -42,7 +42,7 @@
     readonly send: SendHead;
     readonly body: Buffer | undefined;
     /** What has gone to the caller of an earlier attempt's answer; undefined where nothing has. */
-    readonly passed: Passed | undefined;
+    readonly before: Passed | undefined;
     /** How a stream that falls silent is taken for lost; undefined where nothing is won by that. */
     readonly silence: SilenceCfg | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
@@ -83,6 +83,10 @@
     private held: Buffer[] = [];
     private heldBytes = 0;
     private pieces: number;
+    /** Whether an event with an id has come. */
+    private began = false;
+    /** Whether the last event that was passed on carries data and no id. */
+    private unnamed = false;
     private over = false;
     private sent = false;
     private readonly silence: SilenceWatch | undefined;
@@ -92,7 +96,7 @@
         private readonly wire: PlatformWire,
         private readonly attempt: ForwardAttempt,
     ) {
-        this.pieces = attempt.passed?.pieces ?? 0;
+        this.pieces = attempt.before?.pieces ?? 0;
         const { silence } = attempt;
         this.silence = silence && new SilenceWatch(silence, detail => this.lose("idle", detail));
     }
@@ -113,11 +117,11 @@
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
-        const { id, send, sink, passed, onAnswered } = this.attempt;
+        const { id, send, sink, before, onAnswered } = this.attempt;
         this.status = status;
         this.head = this.wire.readAnswer(headers);
         onAnswered(status, this.head);
-        this.verdict = judgeAnswer(send.call.id, status, this.head, passed);
+        this.verdict = judgeAnswer(send.call.id, status, this.head, before);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
         sink.event({ kind: "opened", attempt: id, generation: id });
@@ -129,7 +133,7 @@
         if (this.splitter) return this.passEvents(this.splitter.push(chunk));
         this.held.push(chunk);
         this.heldBytes += chunk.length;
-        if (this.heldBytes > HELD_BYTES || this.passed) this.passHeld();
+        if (this.heldBytes > HELD_BYTES || this.hasPassed) this.passHeld();
     }
 
     onEnd(orderly: boolean): void {
@@ -152,19 +156,20 @@
 
     private finish(): void {
         const { id, sink } = this.attempt;
-        const whole = !this.passed && !this.splitter;
+        const whole = !this.hasPassed && !this.splitter;
         if (whole && this.status >= FAILED_STATUS) {
             sink.event({ kind: "failedAnswer", attempt: id, generation: id }, this.piece(this.takeHeld()));
             return;
         }
         if (whole) this.pass(this.takeHeld());
         const last = this.splitter ? this.splitter.unfinished : this.takeHeld();
-        sink.event({ kind: "finished", attempt: id, generation: id, total: this.pieces }, this.piece(last));
+        const failed = this.status >= FAILED_STATUS;
+        sink.event({ kind: "finished", attempt: id, generation: id, total: this.pieces, failed }, this.piece(last));
     }
 
     /** Whether a part of the answer has gone on already. */
-    private get passed(): boolean {
-        return this.pieces > (this.attempt.passed?.pieces ?? 0);
+    private get hasPassed(): boolean {
+        return this.pieces > (this.attempt.before?.pieces ?? 0);
     }
 
     private refuse(): void {
@@ -177,26 +182,30 @@
 
     private passEvents(events: readonly WholeEvent[]): void {
         this.silence?.heard();
-        for (const { bytes, id } of events) {
-            if (!this.fits(id)) return this.lose("invalid", `event ${id} where one behind the last was to come`);
+        for (const { bytes, id, hasData } of events) {
+            if (!this.fits(id)) return this.lose("invalid", `event ${id} where the next one was to come`);
+            this.unnamed = id === undefined && (hasData || this.unnamed);
             this.pass(bytes, id);
         }
         if (events.length > 0) this.holdBack();
     }
 
-    /** Whether an event may follow what has gone out: a continuation that starts over would double a part of the stream. */
+    /** Whether an event may come here: a continuation that starts over or leaves some out does not fit what has gone out. */
     private fits(id: string | undefined): boolean {
-        const { passed } = this.attempt;
-        return passed === undefined || id === undefined || mayFollow(passed.lastEvent, id);
+        const { before } = this.attempt;
+        if (before === undefined || id === undefined || this.began) return true;
+        this.began = true;
+        return mayFollow(before, id);
     }
 
     /**
-     * Whether a stream ended in the middle of an event that another endpoint can still give whole. A stream that its own
-     * bytes end so from the start is passed on as its endpoint made it.
+     * Whether a stream ended in the middle of an event that another endpoint can still give whole. A first answer whose
+     * bytes tell its end, or that has no copy, is passed on as its endpoint made it.
      */
     private get endsWithinEvent(): boolean {
         const partial = this.splitter !== undefined && this.splitter.unfinished.length > 0;
-        return partial && (this.attempt.passed !== undefined || this.head?.framed === false);
+        const { before, send } = this.attempt;
+        return partial && (before !== undefined || this.head?.framed === false && send.backUpTo !== undefined);
     }
 
     private passHeld(): void {
@@ -242,8 +251,9 @@
     }
 
     private lose(loss: LossCause, detail: string): void {
-        // A part of an answer that is no stream is out: none of its copy's answer could follow it.
-        const cause = this.passed && !this.splitter ? "invalid" : loss;
+        // Of what is out, nothing says where a copy would go on.
+        const hasNoPlace = this.hasPassed && (!this.splitter || this.unnamed);
+        const cause = hasNoPlace ? "invalid" : loss;
         this.over = true;
         this.silence?.stop();
         this.exchange?.destroy();
--- a/packages/host/src/forward-reply.ts
+++ b/packages/host/src/forward-reply.ts
@@ -56,7 +56,7 @@
  * ```
  */
 export function breakAnswer(out: ServerResponse): void {
-    const looksWhole = out.headersSent && !out.chunkedEncoding && !out.writableEnded;
+    const looksWhole = out.headersSent && !out.chunkedEncoding && !out.writableFinished;
     if (looksWhole) out.socket?.resetAndDestroy();
     out.destroy();
 }
--- a/packages/host/src/forward-server.ts
+++ b/packages/host/src/forward-server.ts
@@ -6,7 +6,6 @@
 import type { CallerLimits } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { breakAnswer } from "./forward-reply.js";
 
 /** What the server is made of. */
@@ -29,7 +28,7 @@
 
 /** Builds the server; it does not listen yet. */
 export function createForwardServer(deps: ForwardServerDeps): FastifyInstance {
-    const answering = new Map<Socket, ServerResponse>();
+    const answering = new Set<ServerResponse>();
     deps.signal.addEventListener("abort", () => answering.forEach(breakAnswer), { once: true });
     const app = Fastify({
         // Everything goes to one handler; the target as sent is kept aside.
@@ -45,17 +44,16 @@
         clientErrorHandler: (err, socket) => {
             if (err.code === "ECONNRESET" || socket.destroyed) return;
             // Bytes that are no request, behind one that is being answered, must not end up within its answer.
-            const out = answering.get(socket);
-            if (out) return breakAnswer(out);
+            const answers = [...answering].filter(({ req }) => req.socket === socket);
+            if (answers.length > 0) return answers.forEach(breakAnswer);
             if (!socket.writable) return void socket.destroy();
             socket.end(BAD_REQUEST);
         },
     });
     app.addHook("onRequest", (req, reply, done) => {
         reply.hijack();
-        const { socket } = req;
-        answering.set(socket, reply.raw);
-        reply.raw.once("close", () => answering.delete(socket));
+        answering.add(reply.raw);
+        reply.raw.once("close", () => answering.delete(reply.raw));
         deps.onCall(req.raw, req.originalUrl, reply.raw);
         done();
     });
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -336,11 +336,6 @@
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
             }
-            const passed = passedBefore(progress, continueAt);
-            if (passed === "unknown") {
-                sink.event({ kind: "lost", attempt, cause: "invalid", detail: "no event's id tells where to go on" });
-                return;
-            }
             if (continueAt !== undefined) {
                 deps.log.info(
                     { req: head.id, endpoint: incarnation, event: continueAt, last: progress.lastEvent },
@@ -364,7 +359,7 @@
                         : continuationOf(progress, head.id, endpoint, copy),
                 },
                 body: progress.body,
-                passed,
+                before: passedBefore(progress, continueAt),
                 silence: silenceOf(deps, route, endpoint, backUp),
                 sink: noting(sink, progress),
                 whenWritable: resume => whenWritable(out, resume),
--- a/packages/host/src/judge-answer.ts
+++ b/packages/host/src/judge-answer.ts
@@ -9,8 +9,10 @@
 /** What has gone to the caller before an attempt. */
 export interface Passed {
     readonly pieces: number;
-    /** Id of the last event among them. */
-    readonly lastEvent: string;
+    /** Id of the last event among them; undefined where there was none with an id. */
+    readonly lastEvent: string | undefined;
+    /** Whether each event's id was one above the id before: then a gap shows that events are missing. */
+    readonly idsRiseByOne: boolean;
     /** Whether the end of the caller's answer can be seen in its bytes, by a length or by chunks. */
     readonly framed: boolean;
 }
@@ -39,7 +41,7 @@
  *
  * @example
  * ```ts
- * judgeAnswer("call-1", 500, head, { pieces: 7, lastEvent: "7", framed: true }).kind; // "invalid"
+ * judgeAnswer("call-1", 500, head, passed).kind; // "invalid"
  * ```
  */
 export function judgeAnswer(call: string, status: number, head: AnswerHead, passed: Passed | undefined): Verdict {
@@ -62,18 +64,36 @@
     return { kind: "take" };
 }
 
+const WHOLE_NUMBER = /^\d+$/;
+
+/** How far an event's id lies above another; undefined where they are no numbers. */
+function idsApart(last: string, id: string): bigint | undefined {
+    return WHOLE_NUMBER.test(last) && WHOLE_NUMBER.test(id) ? BigInt(id) - BigInt(last) : undefined;
+}
+
+/**
+ * Whether an event's id is one above the id before.
+ *
+ * @example
+ * ```ts
+ * isNext("9", "10"); // true
+ * ```
+ */
+export function isNext(last: string, id: string): boolean {
+    return idsApart(last, id) === 1n;
+}
+
 /**
- * Whether an event may follow the last one that the caller has: ids rise.
+ * Whether an event may follow what the caller has. Ids rise; where they have no order, nothing shows that it may.
  *
  * @example
  * ```ts
- * mayFollow("9", "10"); // true
- * mayFollow("9", "9"); // false
+ * mayFollow({ pieces: 9, lastEvent: "9", framed: true, idsRiseByOne: true }, "11"); // false
  * ```
  */
-export function mayFollow(last: string, id: string): boolean {
-    const order = Number(id) - Number(last);
-    return Number.isNaN(order) ? id !== last : order > 0;
+export function mayFollow({ lastEvent, idsRiseByOne }: Passed, id: string): boolean {
+    if (lastEvent === undefined) return true;
+    return idsRiseByOne ? isNext(lastEvent, id) : (idsApart(lastEvent, id) ?? 0n) > 0n;
 }
 
 function invalid(detail: string): Verdict {
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -188,7 +188,7 @@
         },
         dropHeld: () => this.deps.reply.drop(),
         complete: ({ tokens, failed = false }) => {
-            // Taken for good answers, an engine's failures kept it in use: 21 were sent there in 9 s, and failed.
+            // An endpoint that fails at once looks idle: taken for good answers, its failures would keep it in use.
             this.leave(failed ? "failed" : "whole");
             this.deps.reply.finish(this.piece, tokens);
             this.end(undefined, failed);
--- /dev/null
+++ b/packages/host/test/judge-answer.test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import { mayFollow, type Passed } from "../src/judge-answer.js";
+
+function passed(lastEvent: string, idsRiseByOne: boolean): Passed {
+    return { pieces: 2, lastEvent, framed: true, idsRiseByOne };
+}
+
+const CASES: readonly (readonly [string, boolean, string, boolean])[] = [
+    ["2", true, "3", true],
+    ["2", true, "4", false],
+    ["2", true, "2", false],
+    ["2", false, "4", true],
+    ["2", false, "1", false],
+    // Beyond what a floating-point number tells apart.
+    ["9007199254740992", true, "9007199254740993", true],
+    ["9007199254740993", false, "9007199254740992", false],
+    // What has no order cannot be told to follow.
+    ["17-1", false, "17-2", false],
+    ["2", false, "", false],
+];
+
+for (const [last, idsRiseByOne, id, follows] of CASES) {
+    const how = idsRiseByOne ? "rose by one" : "rose";
+    test(`event "${id}" ${follows ? "may" : "may not"} follow "${last}" where ids ${how}`, t => {
+        t.is(mayFollow(passed(last, idsRiseByOne), id), follows);
+    });
+}
--- a/packages/protocol/src/event-splitter.ts
+++ b/packages/protocol/src/event-splitter.ts
@@ -11,6 +11,8 @@
     readonly bytes: Buffer;
     /** Its `id` field; undefined if it has none. */
     readonly id: string | undefined;
+    /** Whether it carries data: one that does not, such as a comment, says nothing to the caller. */
+    readonly hasData: boolean;
 }
 
 const LF = 10;
@@ -37,7 +39,7 @@
             const end = endOfEvent(bytes, start);
             if (end === undefined) break;
             const event = bytes.subarray(start, end);
-            events.push({ bytes: event, id: idOf(event) });
+            events.push({ bytes: event, ...fieldsOf(event) });
             start = end;
         }
         this.rest = bytes.subarray(start);
@@ -62,7 +64,8 @@
     }
 }
 
-function idOf(event: Buffer): string | undefined {
-    const line = event.toString("latin1").split(/\r?\n/).find(text => text.startsWith("id:"));
-    return line?.slice("id:".length).trim();
+function fieldsOf(event: Buffer): Pick<WholeEvent, "id" | "hasData"> {
+    const lines = event.toString("latin1").split(/\r?\n/);
+    const id = lines.find(line => line.startsWith("id:"))?.slice("id:".length).trim();
+    return { id, hasData: lines.some(line => line.startsWith("data")) };
 }
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -104,7 +104,14 @@
     | { readonly kind: "opened"; readonly attempt: string; readonly generation: string }
     | { readonly kind: "token"; readonly attempt: string; readonly generation: string; readonly index: number }
     /** The endpoint says that the generation is whole with this many tokens. */
-    | { readonly kind: "finished"; readonly attempt: string; readonly generation: string; readonly total: number }
+    | {
+        readonly kind: "finished";
+        readonly attempt: string;
+        readonly generation: string;
+        readonly total: number;
+        /** Whether it is the endpoint's own failure, of which parts have gone on already. */
+        readonly failed?: boolean;
+    }
     /** The endpoint answered, whole, that it failed: passed on unless the request may be tried elsewhere. */
     | { readonly kind: "failedAnswer"; readonly attempt: string; readonly generation: string }
     | { readonly kind: "lost"; readonly attempt: string; readonly cause: LossCause; readonly detail: string }
@@ -153,7 +160,7 @@
         readonly generation?: string | undefined;
     }
     /** `failed`: what goes out is the endpoint's own failure. */
-    | { readonly kind: "complete"; readonly tokens: number; readonly failed?: true }
+    | { readonly kind: "complete"; readonly tokens: number; readonly failed?: boolean }
     | { readonly kind: "fail"; readonly err: RequestError };
 
 /** The next state and what to do. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -82,7 +82,7 @@
         return stay({ ...state, attempt: { ...current, generation, resuming: false } });
     },
     token: onToken,
-    finished: (state, { attempt, generation, total }) => {
+    finished: (state, { attempt, generation, total, failed }) => {
         const current = state.attempt;
         if (!current || !isAnswering(state, attempt)) return stay(discard(state, "otherAttempt"));
         if (current.generation !== generation) return stay(discard(state, "otherGeneration"));
@@ -91,7 +91,7 @@
         }
         return {
             state: { ...state, phase: Phase.Ended, committed: true },
-            actions: [{ kind: "complete", tokens: total }],
+            actions: [{ kind: "complete", tokens: total, ...(failed ? { failed } : {}) }],
         };
     },
     failedAnswer: (state, { attempt }) => {
