A stream that may be resumed is tried at another endpoint where its first one fails before any event

Cause: such a stream is idempotent and may have two attempts, but was treated as one that runs once: an engine's failure was passed on, and a lost connection ended it.

Ruled out: streams that may not be resumed, and all with an event out: as before.

Change: the run of a resumable route is repeatable; the state machine's rules on attempts, budget and what has gone out hold.

The test of it failed before.

--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -219,7 +219,8 @@
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
-            repeatable: route.kind === RouteKind.Repeatable,
+            // A stream that may be resumed may be begun again: until its first event is out, that is another attempt.
+            repeatable: route.kind === RouteKind.Repeatable || route.resumable,
             streamed: true,
             maxAttempts: route.attempts,
             maxResumes: 0,
