--- a/packages/cli/src/losses.ts
+++ b/packages/cli/src/losses.ts
@@ -12,7 +12,7 @@
     readonly route: string;
     /** Start of the moment, in seconds after the first line of the logs. */
     readonly fromS: number;
-    /** Code of a failure, `answered 500` or the like for an endpoint's own, or `late: first` or `late: pause`. */
+    /** Code of a failure, or `late: first` or `late: pause`. */
     readonly reason: string;
     readonly calls: number;
 }
@@ -20,15 +20,10 @@
 /** Moments are told in steps of this many seconds, unless another step is asked for. */
 export const MOMENT_S = 5;
 
-/** An endpoint's answer with this status or above is its own failure. */
-const FAILED_STATUS = 500;
-
 /** Why a call counts as lost; undefined where it was served in time. */
 function reasonOf({ pairs }: LogLine): string | undefined {
     const outcome = pairs.get("outcome");
     if (outcome !== "whole") return outcome ?? "unknown";
-    const status = Number(pairs.get("status"));
-    if (status >= FAILED_STATUS) return `answered ${status}`;
     const late = pairs.get("late");
     return late === undefined ? undefined : `late: ${late}`;
 }
--- a/packages/host/src/call-progress.ts
+++ b/packages/host/src/call-progress.ts
@@ -7,7 +7,7 @@
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { Copy } from "./copies.js";
 import type { AnswerPiece } from "./forward-attempt.js";
-import { isNext, type Passed } from "./judge-answer.js";
+import { isNext, type SentBefore } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 
 /** What a call's attempts share. */
@@ -31,7 +31,7 @@
     framed: boolean;
     /** The latest answer of an endpoint. */
     answered: { readonly status: number; readonly framed: boolean } | undefined;
-    /** An endpoint's own failure that was to be tried again elsewhere. */
+    /** The latest whole failure of an endpoint; goes to the caller where no attempt after it is answered. */
     failedAnswer: AnswerPiece | undefined;
 }
 
@@ -61,19 +61,42 @@
     };
 }
 
-/** The endpoint that keeps the call's copy, if it is this one; it is known here also when its registration is gone. */
+/**
+ * The endpoint that keeps the call's copy, if it is this one; it is known here also when its registration is gone.
+ *
+ * @example
+ * ```ts
+ * const endpoint = knownKeeper(progress, incarnation) ?? registered(incarnation);
+ * ```
+ */
 export function knownKeeper({ copy, keeper }: CallProgress, incarnation: string): EndpointEntry | undefined {
     return [copy?.keeper, keeper].find(entry => entry?.incarnation === incarnation);
 }
 
-/** What of earlier attempts has gone to the caller; undefined where nothing has. */
-export function passedBefore(progress: CallProgress, pieces: number | undefined): Passed | undefined {
+/**
+ * What of earlier attempts has gone to the caller; undefined where nothing has.
+ *
+ * @param pieces Index of the next piece, where the call goes on from a copy.
+ *
+ * @example
+ * ```ts
+ * sentBefore(progress, 7)?.lastEvent; // "7"
+ * ```
+ */
+export function sentBefore(progress: CallProgress, pieces: number | undefined): SentBefore | undefined {
     if (pieces === undefined || pieces === 0) return undefined;
     const { lastEvent, framed, idsRiseByOne = false } = progress;
     return { pieces, lastEvent, framed, idsRiseByOne };
 }
 
-/** Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself. */
+/**
+ * Where a generation goes on from: a copy that its source made, or the one that grew at the endpoint itself.
+ *
+ * @example
+ * ```ts
+ * continuationOf(progress, "call-1", keeper, undefined).copy; // "call-1"
+ * ```
+ */
 export function continuationOf(
     { lastEvent }: CallProgress,
     callId: string,
@@ -84,19 +107,26 @@
     return { source: endpoint.address, copy: callId, lastEvent };
 }
 
-/** Notes what later attempts of a call need to know of this one. */
-export function noting(sink: AttemptSink<AnswerPiece>, progress: CallProgress): AttemptSink<AnswerPiece> {
+/**
+ * A sink that records what later attempts of a call need to know of this one.
+ *
+ * @example
+ * ```ts
+ * startAttempt(connections, wire, { ...attempt, sink: recordProgress(sink, progress) });
+ * ```
+ */
+export function recordProgress(sink: AttemptSink<AnswerPiece>, progress: CallProgress): AttemptSink<AnswerPiece> {
     return {
         event: (event, piece) => {
             if (event.kind === "failedAnswer") progress.failedAnswer = piece;
             const moved = sink.event(event, piece);
-            if (moved && event.kind === "token" && piece) notePassed(progress, event.index, piece);
+            if (moved && event.kind === "token" && piece) recordPiece(progress, event.index, piece);
             return moved;
         },
     };
 }
 
-function notePassed(progress: CallProgress, index: number, { event, framed }: AnswerPiece): void {
+function recordPiece(progress: CallProgress, index: number, { event, framed }: AnswerPiece): void {
     if (index === 0) progress.framed = framed;
     if (event === undefined) return;
     const { lastEvent, idsRiseByOne = true } = progress;
--- a/packages/host/src/claims.ts
+++ b/packages/host/src/claims.ts
@@ -15,7 +15,7 @@
     readonly status: number;
     readonly contentType: string | undefined;
     readonly contentEncoding: string | undefined;
-    /** False where only the end of its connection ended the answer. */
+    /** Not true where only the end of its connection ended the answer, and in records of older hosts, which do not say. */
     readonly framed: boolean;
     readonly body: string;
 }
--- a/packages/host/src/connector.ts
+++ b/packages/host/src/connector.ts
@@ -11,7 +11,10 @@
 /** A code that is a failure to undici, whatever the answer. */
 const RESET_AS_FAILURE = "CONNECTION_RESET";
 
-/** Told before undici's own listeners how a socket ended: `failed` where its other side reset it, or an error came. */
+/**
+ * Told before undici's own listeners how a socket ended: `failed` where its other side reset it, an error came, or this side
+ * destroyed it with one.
+ */
 export type OnSocketEnd = (failed: boolean) => void;
 
 /**
@@ -36,7 +39,14 @@
         });
 }
 
-/** A connector whose sockets' resets break every answer that is not whole. */
+/**
+ * A connector whose sockets' resets break every answer that is not whole.
+ *
+ * @example
+ * ```ts
+ * new Agent({ connect: failOnReset(buildConnector({})) });
+ * ```
+ */
 export function failOnReset(connector: buildConnector.connector): buildConnector.connector {
     return noteEnds(connector, () => undefined);
 }
--- a/packages/host/src/endpoint-connections.ts
+++ b/packages/host/src/endpoint-connections.ts
@@ -146,10 +146,10 @@
     }
 
     private open(address: string): Connection {
-        const noting = noteEnds(connector, failed => {
+        const connectNotingEnds = noteEnds(connector, failed => {
             connection.failed ||= failed;
             connection.ended = true;
-            // Undici's parser must not end while it is held back: it throws, and the process ended with it.
+            // Undici's parser throws where it ends while it is paused, which nothing catches.
             connection.readOn();
         });
         const connection: Connection = {
@@ -160,7 +160,7 @@
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 connect: (options, callback) =>
-                    noting(options, (...result) => {
+                    connectNotingEnds(options, (...result) => {
                         if (result[1]) this.onOpened();
                         callback(...result);
                     }),
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -16,7 +16,7 @@
 import type { LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { EndpointConnections, Exchange, ExchangeSink } from "./endpoint-connections.js";
-import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type Passed, type Verdict } from "./judge-answer.js";
+import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type SentBefore, type Verdict } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 import { type SilenceCfg, SilenceWatch } from "./silence-watch.js";
 
@@ -42,7 +42,7 @@
     readonly send: SendHead;
     readonly body: Buffer | undefined;
     /** What has gone to the caller of an earlier attempt's answer; undefined where nothing has. */
-    readonly before: Passed | undefined;
+    readonly before: SentBefore | undefined;
     /** How a stream that falls silent is taken for lost; undefined where nothing is won by that. */
     readonly silence: SilenceCfg | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
@@ -83,8 +83,8 @@
     private held: Buffer[] = [];
     private heldBytes = 0;
     private pieces: number;
-    /** Whether an event with an id has come. */
-    private began = false;
+    /** Whether the first event with an id was held against what went out before. */
+    private firstIdChecked = false;
     /** Whether the last event that was passed on carries data and no id. */
     private unnamed = false;
     private over = false;
@@ -133,7 +133,7 @@
         if (this.splitter) return this.passEvents(this.splitter.push(chunk));
         this.held.push(chunk);
         this.heldBytes += chunk.length;
-        if (this.heldBytes > HELD_BYTES || this.hasPassed) this.passHeld();
+        if (this.heldBytes > HELD_BYTES || this.hasSent) this.passHeld();
     }
 
     onEnd(orderly: boolean): void {
@@ -156,7 +156,7 @@
 
     private finish(): void {
         const { id, sink } = this.attempt;
-        const whole = !this.hasPassed && !this.splitter;
+        const whole = !this.hasSent && !this.splitter;
         if (whole && this.status >= FAILED_STATUS) {
             sink.event({ kind: "failedAnswer", attempt: id, generation: id }, this.piece(this.takeHeld()));
             return;
@@ -168,7 +168,7 @@
     }
 
     /** Whether a part of the answer has gone on already. */
-    private get hasPassed(): boolean {
+    private get hasSent(): boolean {
         return this.pieces > (this.attempt.before?.pieces ?? 0);
     }
 
@@ -193,8 +193,8 @@
     /** Whether an event may come here: a continuation that starts over or leaves some out does not fit what has gone out. */
     private fits(id: string | undefined): boolean {
         const { before } = this.attempt;
-        if (before === undefined || id === undefined || this.began) return true;
-        this.began = true;
+        if (before === undefined || id === undefined || this.firstIdChecked) return true;
+        this.firstIdChecked = true;
         return mayFollow(before, id);
     }
 
@@ -236,11 +236,11 @@
     /** Reads no further while the caller takes nothing. */
     private holdBack(): void {
         const goOn = (): void => {
-            this.silence?.goOn();
+            this.silence?.resume();
             this.exchange?.resume();
         };
         if (this.attempt.whenWritable(goOn)) return;
-        this.silence?.hold();
+        this.silence?.pause();
         this.exchange?.pause();
     }
 
@@ -251,9 +251,9 @@
     }
 
     private lose(loss: LossCause, detail: string): void {
-        // Of what is out, nothing says where a copy would go on.
-        const hasNoPlace = this.hasPassed && (!this.splitter || this.unnamed);
-        const cause = hasNoPlace ? "invalid" : loss;
+        // What went out last has no id, so no copy can be told where to go on.
+        const cannotContinue = this.hasSent && (!this.splitter || this.unnamed);
+        const cause = cannotContinue ? "invalid" : loss;
         this.over = true;
         this.silence?.stop();
         this.exchange?.destroy();
--- a/packages/host/src/forward-reply.ts
+++ b/packages/host/src/forward-reply.ts
@@ -56,8 +56,8 @@
  * ```
  */
 export function breakAnswer(out: ServerResponse): void {
-    const looksWhole = out.headersSent && !out.chunkedEncoding && !out.writableFinished;
-    if (looksWhole) out.socket?.resetAndDestroy();
+    const hasNoChunks = out.headersSent && !out.chunkedEncoding && !out.writableFinished;
+    if (hasNoChunks) out.socket?.resetAndDestroy();
     out.destroy();
 }
 
@@ -68,7 +68,7 @@
     readonly callId: string;
     /** Whether callers are asked to close their connection now. */
     readonly closing: () => boolean;
-    /** An endpoint's own failure that was to be tried again elsewhere, if there was one. */
+    /** The latest whole failure of an endpoint, if there was one. */
     readonly failedAnswer: () => AnswerPiece | undefined;
 }
 
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -18,14 +18,21 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ApiError } from "./answer.js";
 import { callEndpoint } from "./call-endpoint.js";
-import { beginCall, type CallProgress, continuationOf, knownKeeper, noting, passedBefore } from "./call-progress.js";
+import {
+    beginCall,
+    type CallProgress,
+    continuationOf,
+    knownKeeper,
+    recordProgress,
+    sentBefore,
+} from "./call-progress.js";
 import type { Copies } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
 import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
+import type { Metrics, Outcome } from "./metrics.js";
 import type { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
 import { readBody } from "./request-body.js";
@@ -219,7 +226,7 @@
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
-            // A stream that may be resumed may be begun again: until its first event is out, that is another attempt.
+            // A stream that may be resumed may run more than once: until its first event is out, it may be begun again.
             repeatable: route.kind === RouteKind.Repeatable || route.resumable,
             streamed: true,
             maxAttempts: route.attempts,
@@ -251,6 +258,8 @@
     if (engine?.canMove) {
         deps.copies.add(head.id, {
             onCopied: copy => {
+                // The copy of an attempt that has ended since is not one of what runs now.
+                if (copy.source.incarnation !== progress.endpoint?.incarnation) return;
                 progress.copy = copy;
                 run.event({ kind: "copied", attempt: progress.attempt, endpoint: copy.keeper.incarnation });
             },
@@ -261,7 +270,7 @@
 
 function onEnd(deps: Forwarding, call: ForwardCall, progress: CallProgress, end: RunEnd): void {
     const ran = end.err?.ran ?? "yes";
-    const outcome = end.err?.code ?? (end.failed ? "endpoint_failed" : "whole");
+    const outcome = outcomeOf(progress, end);
     deps.metrics.countOutcome(outcome, ran);
     if (end.firstTokenMs !== undefined) deps.metrics.firstToken.record(end.firstTokenMs);
     if (!deps.logCalls) return;
@@ -316,6 +325,13 @@
     }
 }
 
+/** How a call ended, as it is told. A failure that no later attempt made good went to the caller, whatever came behind it. */
+function outcomeOf({ failedAnswer }: CallProgress, { err, failed, state }: RunEnd): Outcome {
+    const passedOn = err !== undefined && failedAnswer !== undefined && !state.committed;
+    if (failed || passedOn) return "endpoint_failed";
+    return err?.code ?? "whole";
+}
+
 /** What made an answer late: its first piece, or a pause between two. */
 function lateness({ route }: ForwardCall, { firstTokenMs, longestGapMs }: RunEnd): "first" | "pause" | undefined {
     if (firstTokenMs !== undefined && firstTokenMs > route.objectiveMs) return "first";
@@ -360,9 +376,9 @@
                         : continuationOf(progress, head.id, endpoint, copy),
                 },
                 body: progress.body,
-                before: passedBefore(progress, continueAt),
+                before: sentBefore(progress, continueAt),
                 silence: silenceOf(deps, route, endpoint, backUp),
-                sink: noting(sink, progress),
+                sink: recordProgress(sink, progress),
                 whenWritable: resume => whenWritable(out, resume),
                 onAnswered: (status, answer) => {
                     progress.answered = { status, framed: answer.framed };
--- a/packages/host/src/judge-answer.ts
+++ b/packages/host/src/judge-answer.ts
@@ -7,7 +7,7 @@
 import type { AnswerHead } from "@drumpaddle/protocol";
 
 /** What has gone to the caller before an attempt. */
-export interface Passed {
+export interface SentBefore {
     readonly pieces: number;
     /** Id of the last event among them; undefined where there was none with an id. */
     readonly lastEvent: string | undefined;
@@ -29,7 +29,14 @@
 /** Statuses that tell a caller that its request has not run; an endpoint's are passed on only if it says so itself. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Whether an answer is a stream that is passed on event by event. */
+/**
+ * Whether an answer is a stream that is passed on event by event.
+ *
+ * @example
+ * ```ts
+ * if (isStream(status, head)) splitter = new EventSplitter();
+ * ```
+ */
 export function isStream(status: number, head: AnswerHead): boolean {
     return status === OK && head.isEventStream;
 }
@@ -37,14 +44,14 @@
 /**
  * What must become of an answer to a call.
  *
- * @param passed What of an earlier attempt's answer has gone out; undefined where nothing has.
+ * @param before What of an earlier attempt's answer has gone out; undefined where nothing has.
  *
  * @example
  * ```ts
- * judgeAnswer("call-1", 500, head, passed).kind; // "invalid"
+ * judgeAnswer("call-1", 500, head, before).kind; // "invalid"
  * ```
  */
-export function judgeAnswer(call: string, status: number, head: AnswerHead, passed: Passed | undefined): Verdict {
+export function judgeAnswer(call: string, status: number, head: AnswerHead, before: SentBefore | undefined): Verdict {
     if (head.id !== undefined && head.id !== call) return invalid(`an answer to ${head.id}`);
     if (head.notRun || status === MISDIRECTED) return { kind: "refused" };
     if (PROMISES.has(status)) return invalid(`${status} without a word on whether it ran`);
@@ -53,10 +60,10 @@
         if (head.id === undefined) return invalid("a success that names no call");
         if (!head.sealed) return invalid("a success without a seal");
     }
-    return passed ? judgeContinuation(status, head, passed) : { kind: "take" };
+    return before ? judgeContinuation(status, head, before) : { kind: "take" };
 }
 
-function judgeContinuation(status: number, head: AnswerHead, { framed }: Passed): Verdict {
+function judgeContinuation(status: number, head: AnswerHead, { framed }: SentBefore): Verdict {
     // Only events can follow events: the end of any other answer, such as a whole 500, would pass for the stream's own.
     if (!isStream(status, head)) return invalid(`${status} where a stream was to go on`);
     // Its end may be a cut, and the end of the caller's chunks would vouch for it.
@@ -91,7 +98,7 @@
  * mayFollow({ pieces: 9, lastEvent: "9", framed: true, idsRiseByOne: true }, "11"); // false
  * ```
  */
-export function mayFollow({ lastEvent, idsRiseByOne }: Passed, id: string): boolean {
+export function mayFollow({ lastEvent, idsRiseByOne }: SentBefore, id: string): boolean {
     if (lastEvent === undefined) return true;
     return idsRiseByOne ? isNext(lastEvent, id) : (idsApart(lastEvent, id) ?? 0n) > 0n;
 }
--- a/packages/host/src/silence-watch.ts
+++ b/packages/host/src/silence-watch.ts
@@ -31,7 +31,7 @@
 export class SilenceWatch {
     private readonly timers = new Set<NodeJS.Timeout>();
     private lastEventAt = 0;
-    private held = false;
+    private paused = false;
 
     constructor(private readonly cfg: SilenceCfg, private readonly onLost: (detail: string) => void) {}
 
@@ -43,19 +43,19 @@
     }
 
     /** Nothing is read while the caller takes nothing: the stream is held back here, not silent there. */
-    hold(): void {
-        this.held = true;
+    pause(): void {
         this.stop();
+        this.paused = true;
     }
 
     /** The caller takes bytes again. */
-    goOn(): void {
-        if (!this.held) return;
-        this.held = false;
-        this.heard();
+    resume(): void {
+        if (this.paused) this.heard();
     }
 
+    /** Ends the watch, until another event comes. */
     stop(): void {
+        this.paused = false;
         for (const timer of this.timers) clearTimeout(timer);
         this.timers.clear();
     }
--- /dev/null
+++ b/packages/host/test/silence-watch.test.ts
@@ -0,0 +1,66 @@
+import test from "ava";
+import { SilenceWatch } from "../src/silence-watch.js";
+
+interface Watched {
+    readonly watch: SilenceWatch;
+    readonly asked: () => number;
+    readonly lost: readonly string[];
+}
+
+/** A watch with short times, and what came of it. */
+function watched(answers: boolean): Watched {
+    const lost: string[] = [];
+    let asked = 0;
+    const cfg = {
+        askMs: 10,
+        lostMs: 60_000,
+        answers: async () => {
+            asked += 1;
+            return Promise.resolve(answers);
+        },
+    };
+    return { watch: new SilenceWatch(cfg, detail => void lost.push(detail)), asked: () => asked, lost };
+}
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+test("a silent stream whose endpoint gives no sign of life is lost, once", async t => {
+    const { watch, lost } = watched(false);
+    watch.heard();
+    while (lost.length === 0) await pause(5);
+    await pause(50);
+    t.is(lost.length, 1);
+});
+
+test("a silent stream whose endpoint lives is asked for once, and stays", async t => {
+    const { watch, asked, lost } = watched(true);
+    watch.heard();
+    while (asked() === 0) await pause(5);
+    await pause(50);
+    t.is(asked(), 1);
+    t.is(lost.length, 0);
+    watch.stop();
+});
+
+for (const end of ["paused", "stopped"] as const) {
+    test(`nothing is asked while the watch is ${end}`, async t => {
+        const { watch, asked } = watched(false);
+        watch.heard();
+        watch.pause();
+        if (end === "stopped") watch.stop();
+        if (end === "stopped") watch.resume();
+        await pause(80);
+        t.is(asked(), 0);
+    });
+}
+
+test("a watch that was paused goes on with its caller", async t => {
+    const { watch, lost } = watched(false);
+    watch.heard();
+    watch.pause();
+    watch.resume();
+    while (lost.length === 0) await pause(5);
+    t.is(lost.length, 1);
+});
--- a/packages/routes/src/deployment.ts
+++ b/packages/routes/src/deployment.ts
@@ -43,7 +43,7 @@
     readonly attempts: number;
     /** Whether calls need no workspace's key. */
     readonly isPublic: boolean;
-    /** Whether a new run may continue a stream at an event that the caller names. */
+    /** Whether a stream may run more than once, and a new run may continue it at an event that the caller names. */
     readonly resumable: boolean;
     readonly services: readonly WeightedService[];
 }
