--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -16,6 +16,7 @@
     takeRepeat,
     type Variant,
 } from "../src/index.js";
+import { makeJob } from "./job.js";
 
 const VARIANT: Variant = { ...DEFAULT_VARIANT, forecast: true, backups: true, prefix: false };
 
@@ -24,28 +25,7 @@
 }
 
 function jobOf(id: string, more: Partial<Job> = {}): Job {
-    return {
-        id,
-        group: { workspace: "w", service: "s", model: "m" },
-        promptTokens: 2_000,
-        maxTokens: 500,
-        prefix: "",
-        prefixTokens: 0,
-        backUp: true,
-        policy: {
-            priority: "normal",
-            quantile: 0.95,
-            gapTargetMs: 60_000,
-            objectiveMs: 1_800,
-            weightTail: 1,
-            weightStall: 1,
-            weightPrefix: 0,
-            maxWaitMs: 400,
-            queueLimit: 10,
-            retryShare: 0,
-        },
-        ...more,
-    };
+    return makeJob(id, { backUp: true, ...more }, { objectiveMs: 1_800, maxWaitMs: 400, queueLimit: 10 });
 }
 
 interface Driven {
--- a/packages/policy/test/forecast.test.ts
+++ b/packages/policy/test/forecast.test.ts
@@ -15,33 +15,10 @@
     type SchedulerEvent,
     type SchedulerState,
 } from "../src/index.js";
+import { makeJob } from "./job.js";
 
 const ENDPOINTS: readonly EndpointCfg[] = [{ id: "e1", hall: "h", models: ["m"], memoryTokens: 30_000 }];
 
-function jobOf(id: string, more: Partial<Job> = {}): Job {
-    return {
-        id,
-        group: { workspace: "w", service: "s", model: "m" },
-        promptTokens: 2_000,
-        maxTokens: 500,
-        prefix: "",
-        prefixTokens: 0,
-        policy: {
-            priority: "normal",
-            quantile: 0.95,
-            gapTargetMs: 60_000,
-            objectiveMs: 1_500,
-            weightTail: 1,
-            weightStall: 1,
-            weightPrefix: 0,
-            maxWaitMs: 1_500,
-            queueLimit: 50,
-            retryShare: 0,
-        },
-        ...more,
-    };
-}
-
 class Driver {
     state: SchedulerState = createScheduler({ ...DEFAULT_VARIANT, forecast: true }, 1);
 
@@ -61,7 +38,7 @@
 
     /** Serves a request whose first token takes so long, and ends it. */
     serve(id: string, now: number, firstMs: number): void {
-        this.arrive(jobOf(id), now);
+        this.arrive(makeJob(id), now);
         this.tell({ kind: "progress", job: id, produced: 1, meanGapMs: 0, maxGapMs: 0 }, now + firstMs);
         this.tell({ kind: "ended", job: id, outcome: "whole", produced: 1 }, now + firstMs);
     }
@@ -91,9 +68,9 @@
     const driver = new Driver();
     for (let at = 0; at < 100; at++) driver.serve(`j${at}`, at * 1_000, 200);
     driver.tell(free("e1", 14_000), 100_000);
-    t.is(driver.arrive(jobOf("behind"), 100_001), undefined);
+    t.is(driver.arrive(makeJob("behind"), 100_001), undefined);
     const idle = new Driver();
-    t.like(idle.arrive(jobOf("large", { promptTokens: 25_000 }), 0), { kind: "dispatch" });
+    t.like(idle.arrive(makeJob("large", { promptTokens: 25_000 }), 0), { kind: "dispatch" });
 });
 
 test("while room comes too slowly a request is refused at once, with times to come back in order", t => {
@@ -101,8 +78,8 @@
     driver.tell(full(), 0);
     // One place came free each 400 ms.
     driver.state = { ...driver.state, drain: { lastStart: 1_000, meanMs: 400 } };
-    for (let at = 0; at < 3; at++) t.is(driver.arrive(jobOf(`waits${at}`), 1_000), undefined);
-    const refused = [0, 1, 2].map(at => driver.arrive(jobOf(`late${at}`), 1_000));
+    for (let at = 0; at < 3; at++) t.is(driver.arrive(makeJob(`waits${at}`), 1_000), undefined);
+    const refused = [0, 1, 2].map(at => driver.arrive(makeJob(`late${at}`), 1_000));
     const times = refused.map(action => action?.kind === "refuse" ? action.retryAfterMs : NaN);
     t.deepEqual(times, [1_600, 2_000, 2_400]);
 });
@@ -110,7 +87,7 @@
 test("a wait whose forecast turns bad is refused then, not at its end", t => {
     const driver = new Driver();
     driver.tell(full(), 0);
-    t.is(driver.arrive(jobOf("j"), 0), undefined);
+    t.is(driver.arrive(makeJob("j"), 0), undefined);
     t.deepEqual(driver.tell({ kind: "tick" }, 300), []);
     t.like(driver.tell({ kind: "tick" }, 900)[0], { kind: "refuse", reason: "waitTooLong" });
 });
