A host that is held up again and again still asks for a silent stream's sign of life

Cause: a timer that fired over 20 ms late looked again 10 ms later, and that look was put off by the same rule: on a host whose event loop takes 30 ms each round the question was never asked. Change: the question is put off once, then asked. Ruled out: a longer pause before the second look, which is as late as the loop is. Before: the new test (40 rounds of 30 ms) asks 0 times. After: once; the other five tests of the watch pass.

--- a/packages/host/src/silence-watch.ts
+++ b/packages/host/src/silence-watch.ts
@@ -60,14 +60,20 @@
         this.timers.clear();
     }
 
-    /** Calls back after a time, or a little later where the host was held up when it was due. */
+    /** Calls back after a time, or a little later where the host was held up when it was due: once, as it may always be. */
     private wait(ms: number, then: () => void): void {
         const dueAt = performance.now() + ms;
-        const timer = setTimeout(() => {
-            this.timers.delete(timer);
+        this.after(ms, () => {
             const heldUp = performance.now() - dueAt > HELD_UP_MS;
-            if (heldUp) this.wait(LOOK_AGAIN_MS, then);
+            if (heldUp) this.after(LOOK_AGAIN_MS, then);
             else then();
+        });
+    }
+
+    private after(ms: number, then: () => void): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            then();
         }, ms);
         this.timers.add(timer);
     }
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -64,3 +64,16 @@
     while (lost.length === 0) await pause(5);
     t.is(lost.length, 1);
 });
+
+test("a host that is held up again and again still asks", async t => {
+    const { watch, asked } = watched(true);
+    watch.heard();
+    // Each round of the event loop takes three times the pause after which a host that was held up looks again.
+    for (let round = 0; round < 40 && asked() === 0; round++) {
+        const until = performance.now() + 30;
+        while (performance.now() < until);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    t.is(asked(), 1);
+    watch.stop();
+});
