A stopping daemon answers callers that are still sent to it

Cause: a daemon with nothing left to run closed its port within milliseconds of the signal, while the balancer had already sent it callers. The gateway waits 3 s there; the product's own daemon did not. Ruled out: the test's own doing: a balancer cannot know sooner, and the refusal as not run, which it expects, was never sent; the ends of the daemon's connections to engines (no engine took part). Change: setting `callers.still-served` (3 s; the gateway's constant until now) for both; a refusal while stopping says `connection: close`, so that a caller that keeps its connection leaves it. Before: the new test (stop, then send) fails.

--- a/packages/host/src/callers.ts
+++ b/packages/host/src/callers.ts
@@ -88,7 +88,9 @@
     reply.hijack();
     const refuse = (err: ApiError): undefined => {
         host.metrics.countOutcome(err === UNAUTHORIZED ? "unauthorized" : "host_stopping", "no");
-        writeError(reply.raw, err, { "x-request-id": req.id });
+        // A caller that keeps its connection would meet its end, were it not told.
+        const close = err === STOPPING ? { connection: "close" } : {};
+        writeError(reply.raw, err, { "x-request-id": req.id, ...close });
         return undefined;
     };
     if (host.runs.stopping) return refuse(STOPPING);
--- a/packages/host/src/config.ts
+++ b/packages/host/src/config.ts
@@ -34,6 +34,12 @@
         fallback: "10s",
         doc: "Time for a caller to send its request.",
     },
+    "callers.still-served": {
+        type: duration(0, 60_000),
+        fallback: "3s",
+        doc: "How long a stopping host still answers at least: a balancer that asks for readiness each second and needs "
+            + "two misses sends callers until then.",
+    },
     "operators.listen": { type: address, fallback: "127.0.0.1:9080", doc: "Where operators and metrics are served." },
     "operators.bootstrap-hash": {
         type: text(/^[a-f0-9]{64}$/, "a SHA-256 in 64 hexadecimal digits"),
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -106,7 +106,7 @@
     const stop = async (): Promise<void> => {
         log.info({ open: host.runs.size }, "stopping");
         host.peers?.leave();
-        await host.runs.drain();
+        await Promise.all([host.runs.drain(), pause(cfg["callers.still-served"])]);
         await end();
         log.info({}, "stopped");
     };
@@ -117,6 +117,10 @@
     return { host, callersUrl, operatorsUrl, peerAddress: host.peers.address, stop, kill };
 }
 
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 function readTls(cfg: HostCfg): { cert: string; key: string } | undefined {
     const { "tls.certificate": cert, "tls.key": key } = cfg;
     if (cert === undefined || key === undefined) return undefined;
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -54,8 +54,6 @@
 /** How long one call of a watch waits, and the time for its answer beyond that: a lost one is noticed within their sum. */
 const WATCH_MS = 2_000;
 const WATCH_MARGIN_MS = 400;
-/** Balancers ask for readiness each second and need two misses: until then a stopping host still gets callers. */
-const STILL_SERVED_MS = 3_000;
 /** A stop ends this long before the platform ends the process. */
 const STOP_MARGIN_MS = 400;
 /** A stopping host looks this often whether anything still runs, and gives its last refusals this long to leave. */
@@ -189,7 +187,7 @@
         void runs.drain();
         const end = performance.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
         endsAt = end;
-        await pause(STILL_SERVED_MS);
+        await pause(cfg["callers.still-served"]);
         while (runs.size > 0 && performance.now() < end) await pause(STOP_LOOK_MS);
         // From here on every call is refused as not run; the answers get a moment to leave.
         endsAt = performance.now();
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -248,7 +248,7 @@
     {
         promise: "soak: a planned stop cuts nothing that runs",
         file: "packages/host/src/gateway.ts",
-        find: "await pause(STILL_SERVED_MS);",
+        find: 'await pause(cfg["callers.still-served"]);',
         replace: "return await kill();",
         tests: [SOAK],
     },
--- a/packages/standins/test/engine-faults.test.ts
+++ b/packages/standins/test/engine-faults.test.ts
@@ -150,6 +150,18 @@
     await stopped;
 });
 
+test("a stopping host with nothing left to serve still answers callers that the balancer sends", async t => {
+    const stage = await stageFor(t, {}, 1);
+    const daemon = stage.hosts[0]!.daemon;
+    const stopped = daemon.stop();
+    const refused = await send(stage);
+    t.deepEqual([refused.outcome, refused.code, refused.ran], ["refused", "host_stopping", "no"]);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const later = await send(stage);
+    t.deepEqual([later.outcome, later.code, later.ran], ["refused", "host_stopping", "no"]);
+    await stopped;
+});
+
 test("waiting requests are answered as not run when the host is told to stop", async t => {
     const stage = await stageFor(t, { "gap-target": "1ms" }, 1);
     const daemon = stage.hosts[0]!.daemon;
