What waits to be read is read before a stream is taken for silent

Cause: Node runs timers before it reads. Change: the look follows one round of reading. Before: the new test asks (bytes written, then 25 ms busy, 20 times).

--- a/packages/host/src/silence-watch.ts
+++ b/packages/host/src/silence-watch.ts
@@ -30,6 +30,8 @@
  */
 export class SilenceWatch {
     private readonly timers = new Set<NodeJS.Timeout>();
+    /** Looks that are due as soon as what waits to be read has been. */
+    private readonly looks = new Set<NodeJS.Immediate>();
     private lastEventAt = 0;
     private paused = false;
 
@@ -57,7 +59,9 @@
     stop(): void {
         this.paused = false;
         for (const timer of this.timers) clearTimeout(timer);
+        for (const look of this.looks) clearImmediate(look);
         this.timers.clear();
+        this.looks.clear();
     }
 
     /** Calls back after a time, or a little later where the host was held up when it was due: once, as it may always be. */
@@ -70,10 +74,18 @@
         });
     }
 
+    /**
+     * Calls back after a time, unless an event comes. Node runs timers before it reads: what has come by then is read first, as a
+     * busy host would else take its own delay for a silence.
+     */
     private after(ms: number, then: () => void): void {
         const timer = setTimeout(() => {
+            const look = setImmediate(() => {
+                this.looks.delete(look);
+                then();
+            });
             this.timers.delete(timer);
-            then();
+            this.looks.add(look);
         }, ms);
         this.timers.add(timer);
     }
@@ -86,7 +98,9 @@
         const { lastEventAt, cfg } = this;
         this.wait(Math.max(0, cfg.lostMs - this.silentMs), () => this.lose("its endpoint lives"));
         void cfg.answers().then(answers => {
-            if (!answers && this.lastEventAt === lastEventAt && this.timers.size > 0) this.lose("no sign of life");
+            if (!answers && this.lastEventAt === lastEventAt && this.timers.size + this.looks.size > 0) {
+                this.lose("no sign of life");
+            }
         });
     }
 
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { SilenceWatch } from "../src/silence-watch.js";
 
 interface Watched {
@@ -77,3 +79,25 @@
     t.is(asked(), 1);
     watch.stop();
 });
+
+test("nothing is asked while bytes of the stream wait to be read by a host that is busy", async t => {
+    const { watch, asked } = watched(false);
+    const server = createServer(socket => socket.on("data", () => watch.heard()));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const client = connect({ host: "127.0.0.1", port: (server.address() as AddressInfo).port });
+    t.teardown(() => {
+        client.destroy();
+        server.close();
+    });
+    await once(client, "connect");
+    client.setNoDelay(true);
+    for (let round = 0; round < 20; round++) {
+        client.write("x");
+        // Longer than the silence after which the watch asks, and not so long that it sees that the host was held up.
+        const until = performance.now() + 25;
+        while (performance.now() < until);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    watch.stop();
+    t.is(asked(), 0);
+});
