A host that stays behind asks, whatever peers say that are behind as well

Cause: a peer that was not further, as its neighbours were as wordless, took back what a further one had told. Change: what is lacked is kept until this host has it. Tests besides: a host that one other cannot reach is not even suspected (the asking of others was noticed by no test before).

--- a/packages/hall/src/following.ts
+++ b/packages/hall/src/following.ts
@@ -60,8 +60,8 @@
     readonly watchUntil: number;
     /** When the store last failed to answer this host. */
     readonly deafAt: number;
-    /** Since when a peer is known to be further than this host. */
-    readonly behindSince: number | undefined;
+    /** A revision that a peer is known to have and this host lacks, and since when that is known. */
+    readonly lacked: { readonly revision: number; readonly since: number } | undefined;
 }
 
 /** What a host knows of the store when it looks whether to watch. */
@@ -96,7 +96,7 @@
         placed: false,
         watchUntil: -Infinity,
         deafAt: -Infinity,
-        behindSince: undefined,
+        lacked: undefined,
     };
 }
 
@@ -106,21 +106,22 @@
 }
 
 /**
- * The state after a peer said how far it is, and whether it is to be asked for what is missing here.
+ * The state after a peer said how far it is, and whether it is to be asked for what is missing here. What other peers lack as
+ * well says nothing.
  *
- * @param isBehind Whether the peer is further than this host.
+ * @param theirs The store's revision that the peer is up to date with.
+ * @param own That of this host.
  */
 export function hearRevision(
     state: Following,
-    isBehind: boolean,
+    theirs: number,
+    own: number,
     now: number,
 ): { readonly state: Following; readonly asks: boolean } {
-    if (!isBehind) {
-        return { state: state.behindSince === undefined ? state : { ...state, behindSince: undefined }, asks: false };
-    }
-    const since = state.behindSince ?? now;
-    const asks = now - since >= BEHIND_MS;
-    return { state: { ...state, behindSince: asks ? now : since }, asks };
+    const known = state.lacked && state.lacked.revision > own ? state.lacked : undefined;
+    const lacked = known ?? (theirs > own ? { revision: theirs, since: now } : undefined);
+    const asks = lacked !== undefined && theirs > own && now - lacked.since >= BEHIND_MS;
+    return { state: { ...state, lacked: asks ? { ...lacked, since: now } : lacked }, asks };
 }
 
 /**
--- a/packages/hall/test/detector.test.ts
+++ b/packages/hall/test/detector.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { liveHosts } from "../src/index.js";
+import { liveHosts, Status } from "../src/index.js";
 import { settled, testSize } from "./fleet-tests.js";
 import type { SimHost } from "./fleet.js";
 
@@ -24,6 +24,19 @@
     }
 });
 
+test("a host that one other cannot reach is not even suspected, as others vouch for it", t => {
+    const fleet = settled({ hosts: 9, halls: 3 });
+    const [a, b] = [fleet.hosts[0]!, fleet.hosts[3]!];
+    fleet.passes = (from, to) => !(from === a && to === b);
+    for (let at = 0; at < 200; at++) {
+        fleet.run(50);
+        const suspecting = fleet.hosts.filter(host =>
+            host.state.membership.members.get(b.name)?.status === Status.Suspect
+        );
+        t.deepEqual(suspecting.map(({ name }) => name), [], `after ${at * 50} ms`);
+    }
+});
+
 test("two parts that cannot hear each other each go on, and meet again", t => {
     const fleet = settled({ hosts: 200, halls: 5 });
     const isCut = ({ hall }: SimHost): boolean => hall === "h0";
--- a/packages/hall/test/following.test.ts
+++ b/packages/hall/test/following.test.ts
@@ -80,6 +80,18 @@
     }
 });
 
+test("hosts that no watcher's word reaches follow what their neighbours' probes tell, and leave the store alone", t => {
+    for (let seed = 1; seed <= 8; seed++) {
+        const hall = settled(30, seed);
+        const followers = hall.hosts.filter(({ reason }) => reason === undefined).slice(0, 5);
+        for (const host of followers) host.wordless = true;
+        hall.run(3_000);
+        const took = hall.change(everyone);
+        t.true(took < BOUND_MS, `seed ${seed}: ${took} ms`);
+        t.is(hall.watching.length, 2, `seed ${seed}`);
+    }
+});
+
 test("while the store is away few of a hall ask it, and all have its news soon after its return", t => {
     for (const count of [3, 30, 60]) {
         const hall = settled(count);
--- a/packages/hall/test/store-hall.ts
+++ b/packages/hall/test/store-hall.ts
@@ -32,6 +32,8 @@
     cut: boolean;
     alive: boolean;
     pausedUntil: number;
+    /** No watcher's word reaches it. */
+    wordless: boolean;
     /** When its call to the store ends. */
     callEndsAt: number;
     /** Calls made to the store. */
@@ -57,6 +59,7 @@
             hears: undefined,
             cut: false,
             alive: true,
+            wordless: false,
             pausedUntil: 0,
             callEndsAt: Infinity,
             calls: 1,
@@ -162,7 +165,9 @@
         const { name, revision } = host;
         const hears = host.hears === true;
         for (const other of this.running) {
-            if (other !== host) this.deliver(other, () => this.hear(other, host, name, hears, revision));
+            if (other !== host && !other.wordless) {
+                this.deliver(other, () => this.hear(other, host, name, hears, revision));
+            }
         }
     }
 
@@ -193,7 +198,7 @@
 
     private stamp(host: HallHost, from: HallHost): void {
         host.freshAt = Math.max(host.freshAt, from.freshAt);
-        const { state, asks } = hearRevision(host.following, from.revision > host.revision, this.now);
+        const { state, asks } = hearRevision(host.following, from.revision, host.revision, this.now);
         host.following = state;
         if (asks) this.ask(host, from);
     }
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store-follower.ts
@@ -129,7 +129,7 @@
         const { follower } = this.deps;
         const now = performance.now();
         follower.hearOf(now - ageMs);
-        const { state, asks } = hearRevision(this.following, revision > follower.revision(), now);
+        const { state, asks } = hearRevision(this.following, revision, follower.revision(), now);
         this.following = state;
         if (asks) this.ask(from);
     }
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -28,6 +28,7 @@
 const CONTINUE = "packages/request/test/continue.test.ts";
 const CARRY = "packages/policy/test/carry.test.ts";
 const FOLLOWING = "packages/hall/test/following.test.ts";
+const DETECTOR = "packages/hall/test/detector.test.ts";
 const SOAK = "platform/test/soak.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
@@ -108,10 +109,24 @@
     {
         promise: "a planned stop cuts nothing",
         file: "packages/host/src/daemon.ts",
-        find: "await host.runs.drain();",
+        find: 'await Promise.all([host.runs.drain(), pause(cfg["callers.still-served"])]);',
         replace: "void host.runs.drain();",
         tests: [ENGINES],
     },
+    {
+        promise: "a stopping host still answers callers that the balancer sends",
+        file: "packages/host/src/daemon.ts",
+        find: 'await Promise.all([host.runs.drain(), pause(cfg["callers.still-served"])]);',
+        replace: "await host.runs.drain();",
+        tests: [ENGINES],
+    },
+    {
+        promise: "a call ends at its limit while its connection is coming up",
+        file: "packages/protocol/src/time-limit.ts",
+        find: "Promise.race([run(limit.signal), ended])",
+        replace: "run(limit.signal)",
+        tests: ["packages/protocol/test/time-limit.test.ts"],
+    },
     {
         promise: "settings never go back",
         file: "packages/settings/src/adopt.ts",
@@ -262,10 +277,45 @@
     {
         promise: "a host that hears of no watcher watches by itself",
         file: "packages/hall/src/following.ts",
-        find: "watches: place !== undefined || now < watchUntil,",
-        replace: "watches: place !== undefined,",
+        find: 'now < watchUntil ? "alone" : undefined',
+        replace: "undefined",
+        tests: [FOLLOWING],
+    },
+    {
+        promise: "a watcher that is passed over says so",
+        file: "packages/hall/src/following.ts",
+        find: "state.placed && hears === false",
+        replace: "false",
         tests: [FOLLOWING],
     },
+    {
+        promise: "a host that stays behind asks a peer",
+        file: "packages/hall/src/following.ts",
+        find: "const asks = lacked !== undefined && theirs > own",
+        replace: "const asks = false && lacked !== undefined",
+        tests: [FOLLOWING],
+    },
+    {
+        promise: "a suspected host denies it",
+        file: "packages/hall/src/membership.ts",
+        find: "incarnation: news.incarnation + 1, rumours",
+        replace: "rumours",
+        tests: [DETECTOR],
+    },
+    {
+        promise: "a host that does not answer is tried by others before it is suspected",
+        file: "packages/hall/src/detector.ts",
+        find: "const CHECKERS = 2;",
+        replace: "const CHECKERS = 0;",
+        tests: [DETECTOR],
+    },
+    {
+        promise: "a refused caller comes back when the overload has probably ended",
+        file: "packages/policy/src/forecast.ts",
+        find: "returns.last + everyMs, overAt)",
+        replace: "returns.last + everyMs)",
+        tests: ["packages/policy/test/overload.test.ts"],
+    },
     {
         promise: "an owner that does not answer is passed over",
         file: "packages/hall/src/share.ts",
