--- a/packages/hall/src/spread.ts
+++ b/packages/hall/src/spread.ts
@@ -1,5 +1,5 @@
 /**
- * How versions of the settings travel between hosts: heartbeats name the version in force; a host that hears of a newer
+ * How versions of the settings travel between hosts: probes name the version in force; a host that hears of a newer
  * one asks for the parts that it lacks.
  *
  * @module
@@ -13,7 +13,7 @@
     type Snapshot,
 } from "@drumpaddle/settings";
 
-/** What a heartbeat says of the sender's settings. */
+/** What a probe says of the sender's settings. */
 export interface VersionNews {
     readonly version: number;
     readonly hash: string;
@@ -30,7 +30,7 @@
     readonly parts: Readonly<Record<PartName, string>>;
 }
 
-/** What a heartbeat says of the version in force. */
+/** What a probe says of the version in force. */
 export function newsOf(inForce: InForce | undefined): VersionNews {
     const head = inForce?.snapshot.head;
     return { version: head?.version ?? 0, hash: head?.hash ?? "" };
--- a/packages/hall/test/fleet.ts
+++ b/packages/hall/test/fleet.ts
@@ -15,6 +15,7 @@
     receive,
     tick,
 } from "../src/index.js";
+import { VirtualClock } from "./virtual-clock.js";
 
 const EVERY_MS = 250;
 /** One way, in milliseconds: within a hall and between halls. */
@@ -57,17 +58,16 @@
 }
 
 /** Hosts and the time that they live in. */
-export class Fleet {
+export class Fleet extends VirtualClock {
     readonly hosts: SimHost[];
-    now = 0;
     /** Whether bytes are counted, as JSON: about twice what is sent. */
     counts = false;
     passes: (from: SimHost, to: SimHost) => boolean;
     private readonly random: () => number;
-    private readonly due = new Map<number, (() => void)[]>();
     private readonly byAddress: Map<string, SimHost>;
 
     constructor(private readonly cfg: FleetCfg) {
+        super();
         this.random = seeded(cfg.seed ?? 1);
         this.passes = cfg.passes ?? (() => true);
         const names = Array.from({ length: cfg.hosts }, (_, at) => ({
@@ -93,23 +93,6 @@
         return createDetector({ ...info, scope: "all", start }, seeds);
     }
 
-    private at(time: number, run: () => void): void {
-        const list = this.due.get(time);
-        if (list) list.push(run);
-        else this.due.set(time, [run]);
-    }
-
-    /** Lets time pass. */
-    run(ms: number): void {
-        for (const end = this.now + ms; this.now < end; this.now++) {
-            const list = this.due.get(this.now);
-            if (!list) continue;
-            // What is added for this moment meanwhile is run as well.
-            for (const run of list) run();
-            this.due.delete(this.now);
-        }
-    }
-
     /** Runs now, or when the host goes on. */
     private whenAwake(host: SimHost, run: () => void): void {
         if (this.now >= host.pausedUntil) return run();
--- a/packages/hall/test/store-hall.ts
+++ b/packages/hall/test/store-hall.ts
@@ -14,6 +14,7 @@
     WORD_EVERY_MS,
 } from "../src/index.js";
 import { seeded } from "./fleet.js";
+import { VirtualClock } from "./virtual-clock.js";
 
 const ROUND_MS = 250;
 /** A call to a store that does not answer ends after this. */
@@ -41,14 +42,13 @@
 }
 
 /** A hall, its store and its time. */
-export class StoreHall {
+export class StoreHall extends VirtualClock {
     readonly hosts: HallHost[];
-    now = 0;
     revision = 1;
     private readonly random: () => number;
-    private readonly due = new Map<number, (() => void)[]>();
 
     constructor(count: number, seed = 1) {
+        super();
         this.random = seeded(seed);
         this.hosts = Array.from({ length: count }, (_, at) => ({
             name: `h${String(at).padStart(3, "0")}`,
@@ -74,35 +74,22 @@
         const next = (turn: number): void => {
             this.whenAwake(host, () => {
                 run(turn);
-                this.at(ms, () => next(turn + 1));
+                this.after(ms, () => next(turn + 1));
             });
         };
-        this.at(Math.floor(this.random() * ms), () => next(0));
+        this.after(Math.floor(this.random() * ms), () => next(0));
     }
 
-    private at(after: number, run: () => void): void {
-        const time = this.now + Math.max(1, after);
-        const list = this.due.get(time);
-        if (list) list.push(run);
-        else this.due.set(time, [run]);
+    private after(ms: number, run: () => void): void {
+        this.at(this.now + Math.max(1, ms), run);
     }
 
     private whenAwake(host: HallHost, run: () => void): void {
         if (!host.alive) return;
-        if (this.now < host.pausedUntil) this.at(host.pausedUntil - this.now, () => this.whenAwake(host, run));
+        if (this.now < host.pausedUntil) this.after(host.pausedUntil - this.now, () => this.whenAwake(host, run));
         else run();
     }
 
-    /** Lets time pass. */
-    run(ms: number): void {
-        for (const end = this.now + ms; this.now < end; this.now++) {
-            const list = this.due.get(this.now);
-            if (!list) continue;
-            for (const run of list) run();
-            this.due.delete(this.now);
-        }
-    }
-
     get running(): readonly HallHost[] {
         return this.hosts.filter(({ alive }) => alive);
     }
@@ -140,10 +127,10 @@
         const look = (): void => {
             if (host.callEndsAt !== endsAt || host.reason === undefined) return;
             const hasNews = !host.cut && this.revision > after;
-            if (!hasNews && this.now < endsAt) this.at(20, look);
+            if (!hasNews && this.now < endsAt) this.after(20, look);
             else this.answer(host, !host.cut, hasNews);
         };
-        this.at(4, () => this.whenAwake(host, look));
+        this.after(4, () => this.whenAwake(host, look));
     }
 
     private answer(host: HallHost, hears: boolean, hasNews: boolean): void {
@@ -157,7 +144,7 @@
         if (changed) this.plan(host);
         if (host.reason !== undefined) {
             const pause = hasNews ? GATHER_MS[host.reason] : hears ? 0 : 100;
-            this.at(pause, () => this.whenAwake(host, () => host.reason !== undefined && this.call(host, 1_000)));
+            this.after(pause, () => this.whenAwake(host, () => host.reason !== undefined && this.call(host, 1_000)));
         }
     }
 
@@ -172,7 +159,7 @@
     }
 
     private deliver(to: HallHost, run: () => void): void {
-        this.at(1, () => this.whenAwake(to, run));
+        this.after(1, () => this.whenAwake(to, run));
     }
 
     private hear(host: HallHost, from: HallHost, name: string, hears: boolean, revision: number): void {
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -145,7 +145,6 @@
     };
     feed.onDeployment(table => {
         applyLimits(callers, table.deployment.limits);
-        peers.announce();
         declare();
     });
     feed.onEndpoints(registry => {
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -1,5 +1,5 @@
 /**
- * What this host exchanges with its peers: heartbeats, versions of the settings, and what each holds on shared endpoints.
+ * What this host exchanges with its peers: signs of life, versions of the settings, and what each holds on shared endpoints.
  * The decisions are those of the package `hall`; this is the shell that sends, receives and keeps time.
  *
  * @module
@@ -57,7 +57,7 @@
 
 /** How versions of what is in force reach this host from its peers, and its peers from it. */
 export interface Spread {
-    /** What heartbeats say of the version in force. */
+    /** What messages to peers say of the version in force. */
     news(): VersionNews;
     /** The question to ask after hearing of a version; undefined where it is not newer. */
     ask(news: VersionNews): SettingsAsk | undefined;
@@ -115,7 +115,6 @@
         this.detector = createDetector({ name, hall, scope, address: mesh.at, start }, seeds);
         this.sharing = host.follower && new StoreSharing({
             name,
-            log: host.log,
             signal: host.signal,
             follower: host.follower,
             inHall: () => liveInHall(this.membership, performance.now()),
@@ -133,7 +132,7 @@
         return { now: performance.now(), everyMs: this.host.cfg["control.heartbeat"], random: Math.random };
     }
 
-    /** Starts to listen and to send heartbeats; ends with the host's signal. */
+    /** Starts to listen and to probe other hosts; ends with the host's signal. */
     static async start(host: PeersDeps): Promise<Peers> {
         const { cfg, log, metrics, signal } = host;
         const listen = cfg["peers.listen"];
@@ -192,7 +191,6 @@
 
     /** Tells all live peers of the version in force, at once; called when this host has a new one. */
     announce(): void {
-        if (this.host.follower) return;
         const message: PeerMessage = { kind: "gossip", news: [], ...this.progress };
         for (const { address } of aliveMembers(this.membership, performance.now())) this.send(address, message);
     }
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store-follower.ts
@@ -15,7 +15,6 @@
     type WatchReason,
     WORD_EVERY_MS,
 } from "@drumpaddle/hall";
-import type { Log } from "./log.js";
 import type { StorePeerMessage, StoreStamp, StoreState, StoreWord } from "./peer-messages.js";
 import { repeat } from "./repeat.js";
 
@@ -49,7 +48,6 @@
 /** What sharing needs of the peers. */
 export interface StoreSharingDeps {
     readonly name: string;
-    readonly log: Log;
     readonly signal: AbortSignal;
     readonly follower: StoreFollower;
     /** Live hosts of this hall, itself included. */
