While the store is away, engines that hold copies alone are asked whether they stay

Cause: asks only engines on which streams run, so that the engine which keeps a stream's copy is not asked, its leaving not heard, and the stream not copied away from both. Change: engines that hold streams or copies are asked.

--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -199,17 +199,17 @@
 }
 
 /**
- * Engines that this host asks for all: those that it owns and on which streams run. A host that is cut off owns all that it
+ * Engines that this host asks for all: those that it owns and that hold streams or their copies. A host that is cut off owns all that it
  * knows, but nobody else's streams are told to it.
  */
 function ownedEngines(engines: Placement, feed: DeploymentFeed, peers: Peers): readonly EndpointEntry[] {
     return engines.view.endpoints.values()
-        .filter(view => holdsStreams(view) && peers.owns(view.cfg.id))
+        .filter(view => holdsAny(view) && peers.owns(view.cfg.id))
         .flatMap(view => feed.endpoint(view.cfg.id) ?? []);
 }
 
-function holdsStreams({ streams, others }: EndpointView): boolean {
-    return streams.size > 0 || others.streams > 0;
+function holdsAny({ streams, backups, others }: EndpointView): boolean {
+    return streams.size + backups.size > 0 || others.curve.mean[0]! > 0;
 }
 
 function pause(ms: number): Promise<void> {
