An endpoint that starts again under its id is another life; a registration that cannot be read names none to use

And an unreadable registration kept what a host knew where it heard of it and was left out where it was read, while one odd item failed a whole read of the store. Change: a life is named by id and start (`routes/life.ts`), compared in one place; a later one, from the store, an engine's own report or a peer's word (`lifeMet`), ends the earlier one at once: copies first, then attempts (unknown unless nothing left), idle connections. An earlier one changes nothing. Each item of the store and each endpoint of a peer's list is judged by itself; an unreadable registration takes nothing new and is not over for what runs. Ruled out: keeping the id as the name and clearing state at each place (ten places, each to be remembered). A host's clock decides nothing. The check of a peer's list with an endpoint without an address is replaced: such an endpoint is now left out by itself, with its log line, and the others hold.

--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -137,6 +137,8 @@
     }
 
     private async drop({ source, name }: Copy): Promise<void> {
+        // A later life of the source may have given the name to another copy.
+        if (!this.deps.endpoint(source.incarnation)) return;
         try {
             const { signal, wire } = this.deps;
             await callEndpoint(source.address, wire.dropCopyCall(name), DROP_TIMEOUT_MS, signal);
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -6,13 +6,25 @@
  * @module
  */
 import { type SettingsGive, type WatchReason, WORD_VALID_MS } from "@drumpaddle/hall";
-import type { KeyValue, KvChange, KvEntry, KvError, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
+import type {
+    Decoded,
+    DecodeError,
+    KeyValue,
+    KvChange,
+    KvEntry,
+    KvError,
+    PlatformWire,
+    WatchTiming,
+} from "@drumpaddle/protocol";
 import {
     adoptEndpoints,
     applyChanges,
     EMPTY_REGISTRY,
     type EndpointEntry,
     expireLapsed,
+    type Life,
+    meetLife,
+    nameOfLife,
     readEndpoints,
     type Registry,
     type RegistryChange,
@@ -59,6 +71,8 @@
 const FIRST_TIMING: WatchTiming = { waitMs: 1 };
 /** Lapsed registrations are looked at this often. */
 const EXPIRE_EVERY_MS = 250;
+/** Unreadable registrations that were told of are remembered up to this number, so that each is told of once. */
+const MOST_NOTED = 1_000;
 /** The store's whole content is watched by one call: deployment and endpoints have no prefix in common. */
 const EVERYTHING = "";
 
@@ -75,6 +89,8 @@
     private answeredAt = -Infinity;
     /** As of when the store is known to have answered a peer. */
     private peersAnsweredAt = -Infinity;
+    /** Revisions of unreadable registrations that were told of, by endpoint. */
+    private readonly unreadable = new Map<string, number>();
     private watching: AbortController | undefined;
     /** Why this host watches. */
     private reason: WatchReason | undefined;
@@ -141,6 +157,7 @@
             version: () => this.table?.version ?? NO_VERSION,
             state: version => this.state(version),
             take: state => this.takeState(state),
+            meetLife: (life, source) => this.meetLife(life, source),
         };
     }
 
@@ -189,15 +206,40 @@
         this.hearOf(performance.now() - ageMs);
         if (deployment !== undefined) this.offer(deployment, "peer");
         if (revision <= (this.revision ?? -1)) return;
+        const entries = this.readFromPeer(endpoints);
+        if (!entries) return;
+        this.endpointsRead = true;
+        this.revision = revision;
+        this.deps.log.info({ endpoints: entries.length, revision, age_ms: ageMs }, "endpoints_from_peer");
+        this.setRegistry(adoptEndpoints(this.registry, entries, performance.now()));
+    }
+
+    /** The endpoints of a peer's list that can be read; undefined where it is no list. */
+    private readFromPeer(endpoints: string): readonly EndpointEntry[] | undefined {
+        const { log, metrics } = this.deps;
         const read = readEndpoints(endpoints);
         if (!read.ok) {
-            this.deps.log.warn({ source: "peer", err: read.err.kind, detail: read.err.detail }, "endpoints_ignored");
-            return;
+            log.warn({ source: "peer", err: read.err.kind }, "endpoints_ignored");
+            return undefined;
         }
-        this.endpointsRead = true;
-        this.revision = revision;
-        this.deps.log.info({ endpoints: read.value.length, revision, age_ms: ageMs }, "endpoints_from_peer");
-        this.setRegistry(adoptEndpoints(this.registry, read.value, performance.now()));
+        for (const { at, detail } of read.bad) {
+            metrics.countUnreadable("peer");
+            log.warn({ source: "peer", at, detail }, "endpoint_ignored");
+        }
+        return read.value;
+    }
+
+    /**
+     * Takes in that an endpoint has begun a later life than the one that is known, by its own word or a peer's.
+     *
+     * @returns Whether it was news.
+     */
+    private meetLife(life: Life, source: "endpoint" | "peer"): boolean {
+        const next = meetLife(this.registry, life, performance.now());
+        if (next === this.registry) return false;
+        this.deps.log.info({ endpoint: nameOfLife(life), source }, "endpoint_began_again");
+        this.setRegistry(next);
+        return true;
     }
 
     /** Whether deployment and endpoints were read. */
@@ -205,10 +247,12 @@
         return this.current !== undefined && this.endpointsRead;
     }
 
-    /** An endpoint that is registered, or was until lately. */
+    /** An endpoint that is registered, or was until lately; undefined for a life that is over. */
     endpoint(incarnation: string): EndpointEntry | undefined {
-        const known = this.registry.endpoints.get(incarnation) ?? this.registry.departed.get(incarnation);
-        return known?.entry;
+        const registered = this.registry.endpoints.get(incarnation);
+        if (registered) return registered.entry;
+        const departed = this.registry.departed.get(incarnation);
+        return departed?.isOver === false ? departed.entry : undefined;
     }
 
     /** Calls back with each deployment that comes into force. */
@@ -331,30 +375,49 @@
         const now = performance.now();
         this.revision = Math.max(revision, this.revision ?? revision);
         const answered = storeAnswered(this.registry, now);
-        const endpoints = entries.flatMap(entry => this.endpointOf(entry) ?? []);
+        const changes = entries.flatMap(entry => this.changeOf(entry) ?? []);
+        const endpoints = changes.flatMap(change => change.kind === "registered" ? [change.entry] : []);
+        const unreadable = changes.flatMap(change => change.kind === "unreadable" ? [change.id] : []);
         this.endpointsRead = true;
         const deployment = entries.find(entry => entry.key === wire.storeKeys.deployment);
-        if (deployment) this.offer(deployment.value, "store");
+        if (deployment) this.offerStored(deployment, "store");
         log.info({ revision, endpoints: endpoints.length, deployment: deployment !== undefined }, "store_read");
         // A peer may have told of changes after this read.
-        this.setRegistry(revision < this.revision ? answered : replaceAll(answered, endpoints, now));
+        this.setRegistry(revision < this.revision ? answered : replaceAll(answered, endpoints, unreadable, now));
         this.setAnswered(true);
         return revision;
     }
 
-    private endpointOf({ key, value }: KvEntry): EndpointEntry | undefined {
-        const { wire, log } = this.deps;
-        const incarnation = this.incarnationOf(key);
-        if (incarnation === undefined) return undefined;
-        const decoded = wire.decodeEndpoint(incarnation, value);
-        if (decoded.ok) return decoded.value;
-        log.warn({ endpoint: incarnation, at: decoded.err.at, detail: decoded.err.detail }, "endpoint_ignored");
-        return undefined;
+    /** What an item says of an endpoint's registration; undefined where it is of something else. */
+    private changeOf({ key, value, modRevision, unreadable }: KvChange): RegistryChange | undefined {
+        const { wire } = this.deps;
+        const { storeKeys } = wire;
+        if (!key.startsWith(storeKeys.endpoints)) return undefined;
+        const id = key.slice(storeKeys.endpoints.length);
+        if (value === undefined) return { kind: "gone", id };
+        const decoded: Decoded<EndpointEntry, DecodeError> = unreadable === undefined
+            ? wire.decodeEndpoint(id, value)
+            : { ok: false, err: { kind: "badValue", at: "/", detail: unreadable } };
+        if (decoded.ok) return { kind: "registered", entry: decoded.value };
+        this.noteUnreadable(id, modRevision, decoded.err);
+        return { kind: "unreadable", id };
+    }
+
+    /** Tells of a registration that cannot be read, once for each time that it was written. */
+    private noteUnreadable(id: string, revision: number, { at, detail }: DecodeError): void {
+        if (this.unreadable.get(id) === revision) return;
+        this.unreadable.delete(id);
+        this.unreadable.set(id, revision);
+        const oldest = this.unreadable.keys().next();
+        if (this.unreadable.size > MOST_NOTED && !oldest.done) this.unreadable.delete(oldest.value);
+        this.deps.metrics.countUnreadable("store");
+        this.deps.log.warn({ endpoint: id, revision, at, detail }, "endpoint_ignored");
     }
 
-    private incarnationOf(key: string): string | undefined {
-        const start = this.deps.wire.storeKeys.endpoints;
-        return key.startsWith(start) ? key.slice(start.length) : undefined;
+    private offerStored({ value, unreadable }: KvEntry, source: DeploymentSource): void {
+        if (unreadable === undefined) return this.offer(value, source);
+        this.deps.metrics.countOffer("invalid");
+        this.deps.log.warn({ source, at: "/", detail: unreadable }, "deployment_ignored");
     }
 
     /** The store does not answer this host; that it is away is believed only while no peer is answered either. */
@@ -377,19 +440,16 @@
         const endpoints: RegistryChange[] = [];
         const after = this.revision ?? -1;
         const news = changes.filter(change => change.modRevision > after);
-        for (const { key, value, modRevision } of news) {
+        for (const item of news) {
+            const { key, value, modRevision } = item;
             this.revision = Math.max(this.revision ?? -1, modRevision);
-            if (key === this.deps.wire.storeKeys.deployment && value !== undefined) this.offer(value, source);
-            const incarnation = this.incarnationOf(key);
-            if (incarnation === undefined) continue;
-            const entry = value === undefined ? undefined : this.endpointOf({ key, value, modRevision });
-            // A registration that cannot be read says nothing about the endpoint: what is known stays.
-            if (value !== undefined && !entry) continue;
-            endpoints.push({ incarnation, entry });
-            this.deps.log.info(
-                { endpoint: incarnation, state: entry?.state ?? "gone", hall: entry?.hall, revision: modRevision },
-                "endpoint_changed",
-            );
+            if (key === this.deps.wire.storeKeys.deployment && value !== undefined) {
+                this.offerStored({ ...item, value }, source);
+            }
+            const change = this.changeOf(item);
+            if (!change) continue;
+            endpoints.push(change);
+            this.logChange(change, modRevision);
         }
         this.setRegistry(endpoints.length > 0 ? applyChanges(answered, endpoints, now) : answered);
         if (source === "peer" || news.length === 0) return;
@@ -397,6 +457,13 @@
         if (word) { for (const listener of this.changeListeners) listener(word); }
     }
 
+    private logChange(change: RegistryChange, revision: number): void {
+        const told = change.kind === "registered"
+            ? { endpoint: change.entry.incarnation, state: change.entry.state, hall: change.entry.hall }
+            : { endpoint: change.id, state: change.kind };
+        this.deps.log.info({ ...told, revision }, "endpoint_changed");
+    }
+
     private setRegistry(registry: Registry): void {
         if (registry === this.registry) return;
         const { storeAway, endpoints } = this.registry;
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -52,6 +52,8 @@
     readonly onAnswered: (status: number, head: AnswerHead) => void;
     /** Told when the endpoint refuses because it is another one than the call names. */
     readonly onOtherIncarnation: () => void;
+    /** Aborts when the endpoint is known to have begun a later life: the connection may stay silent for good. */
+    readonly life: AbortSignal;
     readonly signal: AbortSignal;
 }
 
@@ -102,8 +104,9 @@
     }
 
     start(): void {
-        const { endpoint, method, path, send, body, signal } = this.attempt;
+        const { endpoint, method, path, send, body, life, signal } = this.attempt;
         signal.addEventListener("abort", () => this.cut(), { once: true });
+        life.addEventListener("abort", this.onLifeOver, { once: true });
         const call = { method, path, headers: this.wire.writeSend(send), body };
         this.exchange = this.connections.send(endpoint.address, call, this);
         if (this.over) this.exchange.destroy();
@@ -149,9 +152,16 @@
     }
 
     onBroken(err: Error): void {
-        if (this.over) return;
-        // Before its first byte left nothing can have run, whatever the error.
-        this.lose(this.sent ? "reset" : "connect", errText(err));
+        if (!this.over) this.breakOff(errText(err));
+    }
+
+    private readonly onLifeOver = (): void => {
+        if (!this.over) this.breakOff("the endpoint has begun another life");
+    };
+
+    /** Before its first byte left nothing can have run, whatever the reason; after it that is unknown. */
+    private breakOff(detail: string): void {
+        this.lose(this.sent ? "reset" : "connect", detail);
     }
 
     private finish(): void {
@@ -244,8 +254,14 @@
         this.exchange?.pause();
     }
 
-    private releaseConnection(): void {
+    /** Nothing more is waited for. */
+    private endWatches(): void {
         this.silence?.stop();
+        this.attempt.life.removeEventListener("abort", this.onLifeOver);
+    }
+
+    private releaseConnection(): void {
+        this.endWatches();
         if (!this.head || this.head.closes || !this.head.framed) return this.exchange?.destroy();
         this.exchange?.release(this.head.keepAliveMs);
     }
@@ -255,7 +271,7 @@
         const cannotContinue = this.hasSent && (!this.splitter || this.unnamed);
         const cause = cannotContinue ? "invalid" : loss;
         this.over = true;
-        this.silence?.stop();
+        this.endWatches();
         this.exchange?.destroy();
         this.attempt.sink.event({ kind: "lost", attempt: this.attempt.id, cause, detail });
     }
@@ -263,7 +279,7 @@
     private cut(): void {
         if (this.over) return;
         this.over = true;
-        this.silence?.stop();
+        this.endWatches();
         this.exchange?.destroy();
     }
 }
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -9,6 +9,7 @@
 import {
     type EndpointEntry,
     type EngineCfg,
+    type Life,
     pickService,
     type Route,
     RouteKind,
@@ -31,6 +32,7 @@
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
+import type { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
 import type { Metrics, Outcome } from "./metrics.js";
 import type { Placement } from "./placement.js";
@@ -59,8 +61,11 @@
     endpoint(incarnation: string): EndpointEntry | undefined;
     /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
     endsAt(): number | undefined;
-    /** An endpoint is not the one that was called: its address has another life. */
+    readonly lives: LifeSignals;
+    /** An endpoint is not the one that was called: its address has another one. */
     onOtherIncarnation(incarnation: string): void;
+    /** Takes in which life of an endpoint has answered; returns whether that ends the life that was known. */
+    meetLife(life: Life): boolean;
 }
 
 /** When callers of a host that knows no deployment yet are asked to come back. */
@@ -312,11 +317,15 @@
     return { askMs: gapMs * ASK_SHARE, lostMs: gapMs * SILENT_GAPS, answers: () => givesSign(deps, endpoint) };
 }
 
-/** Whether an endpoint answers at all; one that does not is planned with no more for a while. */
-async function givesSign(deps: Forwarding, { address, incarnation }: EndpointEntry): Promise<boolean> {
+/**
+ * Whether an endpoint's life gives a sign of itself; one that gives none is planned with no more for a while. A later life that
+ * answers at the address knows nothing of the streams that ran there.
+ */
+async function givesSign(deps: Forwarding, { id, address, incarnation }: EndpointEntry): Promise<boolean> {
     try {
-        await callEndpoint(address, deps.wire.stayCall(), SIGN_MS, deps.signal);
-        return true;
+        const { status, body } = await callEndpoint(address, deps.wire.stayCall(), SIGN_MS, deps.signal);
+        const stay = deps.wire.readStay(status, body);
+        return stay.kind !== "told" || !deps.meetLife({ id, born: stay.born });
     }
     catch (err) {
         deps.log.info({ endpoint: incarnation, detail: errText(err) }, "endpoint_gives_no_sign");
@@ -367,7 +376,7 @@
                 send: {
                     call: route.resumable ? head : { ...head, resumeAfter: undefined },
                     deadlineMs: progress.deadline - performance.now(),
-                    incarnation,
+                    endpointId: endpoint.id,
                     workspace: workspace?.name,
                     rank: rankOf(call),
                     backUpTo: progress.keeper?.address,
@@ -385,6 +394,7 @@
                     if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
                 },
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
+                life: deps.lives.of(incarnation),
                 signal,
             });
         },
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -6,7 +6,15 @@
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
 import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg, type EndpointView } from "@drumpaddle/policy";
-import { type EndpointEntry, EndpointState, type Registry, type RouteTable } from "@drumpaddle/routes";
+import {
+    compareLives,
+    type EndpointEntry,
+    EndpointState,
+    LifeOrder,
+    nameOfLife,
+    type Registry,
+    type RouteTable,
+} from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
 import type { AddressInfo } from "node:net";
@@ -17,6 +25,7 @@
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
 import { OpenRuns } from "./host.js";
+import { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
 import { Peers } from "./peers.js";
@@ -101,12 +110,15 @@
         signal,
         endpoint: incarnation => feed.endpoint(incarnation),
     });
+    const lives = new LifeSignals();
+    const connections = new EndpointConnections(signal, () => metrics.countConnection());
     let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
         log,
         metrics,
-        connections: new EndpointConnections(signal, () => metrics.countConnection()),
+        connections,
+        lives,
         engines,
         plain,
         runs,
@@ -122,13 +134,14 @@
                 log.warn({ endpoint: incarnation }, "endpoint_is_another_one");
             }
         },
+        meetLife: life => peers.meetLife(life),
     };
     const callers = createForwardServer({
         requestMs: cfg["callers.body-timeout"],
         signal,
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
-    const peers = await Peers.start({
+    const peers: Peers = await Peers.start({
         cfg,
         log,
         metrics,
@@ -150,6 +163,7 @@
     feed.onEndpoints(registry => {
         known = registry;
         declare();
+        endLives(registry, { lives, connections, engines, plain, log });
         copies.rescue();
     });
     engines.setLeavingListener(() => copies.rescue());
@@ -160,7 +174,12 @@
         signal,
         isDeaf: () => feed.isDeaf,
         owned: () => ownedEngines(engines, feed, peers),
-        onStay: (incarnation, leaving) => {
+        onStay: (endpoint, { leaving, born }) => {
+            const life = { id: endpoint.id, born };
+            const order = compareLives(life, endpoint);
+            if (order === LifeOrder.Earlier) return;
+            peers.meetLife(life);
+            const incarnation = order === LifeOrder.Later ? nameOfLife(life) : endpoint.incarnation;
             if (!engines.setLeaving(incarnation, "endpoint", leaving)) return;
             log.info({ endpoint: incarnation, leaving, source: "endpoint" }, "endpoint_stay_changed");
             peers.tellNow();
@@ -208,6 +227,27 @@
         .flatMap(view => feed.endpoint(view.cfg.id) ?? []);
 }
 
+/**
+ * Ends what rests on lives that are found to be over: first their copies, so that no stream goes on there, then their streams,
+ * which go on elsewhere or are told as unknown.
+ */
+function endLives(
+    registry: Registry,
+    { lives, connections, engines, plain, log }: Pick<
+        Forwarding,
+        "lives" | "connections" | "engines" | "plain" | "log"
+    >,
+): void {
+    for (const incarnation of lives.take(registry)) {
+        const address = registry.departed.get(incarnation)?.entry.address;
+        log.info({ endpoint: incarnation }, "endpoint_life_over");
+        engines.endLife(incarnation);
+        plain.endLife(incarnation);
+        if (address !== undefined) connections.forget(address);
+        lives.end(incarnation);
+    }
+}
+
 function holdsAny({ streams, backups, others }: EndpointView): boolean {
     return streams.size + backups.size > 0 || others.curve.mean[0]! > 0;
 }
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -72,6 +72,11 @@
         "Versions of settings offered, by what became of them.",
         ["result"],
     );
+    private readonly unreadable = this.counter(
+        "drumpaddle_unreadable_registrations_total",
+        "Registrations of endpoints that could not be read, by where they came from.",
+        ["source"],
+    );
     private readonly storeCalls = this.counter("drumpaddle_store_calls_total", "Calls to the platform's store.", [
         "call",
         "reason",
@@ -118,6 +123,11 @@
         this.settings.inc({ result });
     }
 
+    /** A registration names no endpoint to use; `source`: the store, or a peer's list. */
+    countUnreadable(source: "store" | "peer"): void {
+        this.unreadable.inc({ source });
+    }
+
     countPeerBytes(direction: "in" | "out", bytes: number): void {
         this.peers.inc({ direction }, bytes);
     }
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -46,7 +46,12 @@
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
 });
 const Revision = Type.Integer({ minimum: 0 });
-const Change = Type.Object({ key: Type.String(), value: Type.Optional(Type.String()), modRevision: Revision });
+const Change = Type.Object({
+    key: Type.String(),
+    value: Type.Optional(Type.String()),
+    modRevision: Revision,
+    unreadable: Type.Optional(Type.String()),
+});
 const Texts = Type.Record(Type.String(), Type.String());
 
 /** Shape of each message; one that is not so is dropped and counted. */
@@ -107,6 +112,7 @@
         after: Revision,
         changes: Type.Array(Change),
     }),
+    lifeMet: Type.Object({ id: Type.String({ minLength: 1 }), born: Type.Integer() }),
     storeAsk: Type.Object({ revision: Type.Integer(), version: Type.Integer() }),
     storeState: Type.Object({
         revision: Revision,
@@ -151,7 +157,9 @@
     | { readonly kind: "storeWord" } & StoreWord
     /** Asks for all that a peer knows, if it is further than this revision; the deployment, if newer than this version. */
     | { readonly kind: "storeAsk"; readonly revision: number; readonly version: number }
-    | { readonly kind: "storeState" } & StoreState;
+    | { readonly kind: "storeState" } & StoreState
+    /** An endpoint has told the sender of a later life than was known. */
+    | { readonly kind: "lifeMet"; readonly id: string; readonly born: number };
 
 /** How far a host is with the store's changes. */
 export interface StoreStamp {
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -41,6 +41,7 @@
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
 import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
+import type { Life } from "@drumpaddle/routes";
 import { randomInt } from "node:crypto";
 import type { HostCfg } from "./config.js";
 import type { Log } from "./log.js";
@@ -184,6 +185,11 @@
         return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
     }
 
+    /** Takes in which life of an endpoint has answered this host; returns whether that ends the life that was known. */
+    meetLife(life: Life): boolean {
+        return this.sharing?.meetLife(life) ?? false;
+    }
+
     /** Tells peers at once that this host is leaving. */
     leave(): void {
         this.carryOut(leaveHall(this.detector, this.env));
@@ -268,6 +274,7 @@
         storeWord: (from, message) => this.hearStore(from, message),
         storeAsk: (from, message) => this.hearStore(from, message),
         storeState: (from, message) => this.hearStore(from, message),
+        lifeMet: (from, message) => this.hearStore(from, message),
     };
 
     private hearDetector(from: PeerName, message: DetectorMessage & Progress): void {
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -116,6 +116,11 @@
         this.handle({ kind: "unreachable", endpoint });
     }
 
+    /** An endpoint's life is over, and its copies with it. */
+    endLife(endpoint: string): void {
+        this.handle({ kind: "lifeOver", endpoint });
+    }
+
     /** Takes back a request that waits. */
     withdraw(job: string): void {
         this.asking.delete(job);
--- a/packages/host/src/stay-watch.ts
+++ b/packages/host/src/stay-watch.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { errText, type PlatformWire } from "@drumpaddle/protocol";
+import { errText, type PlatformWire, type StayAnswer } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import { callEndpoint } from "./call-endpoint.js";
 import type { Log } from "./log.js";
@@ -20,7 +20,7 @@
     isDeaf(): boolean;
     /** Engines that this host asks for all hosts. */
     owned(): readonly EndpointEntry[];
-    onStay(incarnation: string, leaving: boolean): void;
+    onStay(endpoint: EndpointEntry, stay: Extract<StayAnswer, { kind: "told" }>): void;
 }
 
 /**
@@ -40,13 +40,14 @@
     repeat(ask, () => ASK_EVERY_MS, deps.signal);
 }
 
-async function askOne(deps: StayWatchDeps, { incarnation, address }: EndpointEntry): Promise<void> {
+async function askOne(deps: StayWatchDeps, endpoint: EndpointEntry): Promise<void> {
     const { wire, log, metrics, signal } = deps;
+    const { incarnation, address } = endpoint;
     try {
         const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
         const answer = wire.readStay(status, body);
         metrics.countStay(answer.kind === "told" ? leavingWord(answer.leaving) : answer.kind);
-        if (answer.kind === "told") return deps.onStay(incarnation, answer.leaving);
+        if (answer.kind === "told") return deps.onStay(endpoint, answer);
         log.debug({ endpoint: incarnation, detail: answer.detail }, "stay_not_told");
     }
     catch (err) {
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store-follower.ts
@@ -15,6 +15,7 @@
     type WatchReason,
     WORD_EVERY_MS,
 } from "@drumpaddle/hall";
+import type { Life } from "@drumpaddle/routes";
 import type { StorePeerMessage, StoreStamp, StoreState, StoreWord } from "./peer-messages.js";
 import { repeat } from "./repeat.js";
 
@@ -43,6 +44,8 @@
     /** All that it knows, the deployment only if it is newer than this version. */
     state(askerVersion: number): StoreState | undefined;
     take(state: StoreState): void;
+    /** Takes in that an endpoint has begun a later life; returns whether it was news. */
+    meetLife(life: Life, source: "endpoint" | "peer"): boolean;
 }
 
 /** What sharing needs of the peers. */
@@ -102,6 +105,14 @@
         this.deps.send(this.deps.inHall().filter(name => name !== this.deps.name), { kind: "storeWord", ...word });
     }
 
+    /** Takes in which life of an endpoint has answered this host; the hall is told of one that was not known. */
+    meetLife({ id, born }: Life): boolean {
+        const { deps } = this;
+        if (born === undefined || !deps.follower.meetLife({ id, born }, "endpoint")) return false;
+        deps.send(deps.inHall().filter(name => name !== deps.name), { kind: "lifeMet", id, born });
+        return true;
+    }
+
     private askNext(): void {
         const others = this.deps.live().filter(name => name !== this.deps.name);
         this.askTurn += 1;
@@ -153,5 +164,6 @@
             if (state && state.revision > revision) this.deps.send([from], { kind: "storeState", ...state });
         },
         storeState: (_from, state) => this.deps.follower.take(state),
+        lifeMet: (_from, { id, born }) => void this.deps.follower.meetLife({ id, born }, "peer"),
     };
 }
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -95,6 +95,8 @@
     | { readonly kind: "rescue"; readonly job: string }
     /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
     | { readonly kind: "unreachable"; readonly endpoint: string }
+    /** An endpoint has begun a later life: what it held is gone. Its streams are told to have ended by themselves. */
+    | { readonly kind: "lifeOver"; readonly endpoint: string }
     /** The copy of a request could not be made. */
     | { readonly kind: "copyLost"; readonly job: string }
     /** A caller left before its request was placed. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -147,6 +147,10 @@
         actions: [],
     }),
     copyLost: (state, { job }) => ({ state: dropBackup(state, job), actions: [] }),
+    lifeOver: (state, { endpoint }) => {
+        const held = [...state.endpoints.get(endpoint)?.backups.keys() ?? []];
+        return { state: held.reduce(dropBackup, state), actions: [] };
+    },
     withdraw: (state, { job }, now) => {
         const waiting = state.waiting.filter(other => other.job.id !== job);
         return { state: { ...takeBack(state, job, now), waiting }, actions: [] };
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -96,6 +96,23 @@
     t.like(drive(alone.state, [{ kind: "continue", job: "j", failed: true }]).actions, [{ kind: "refuse" }]);
 });
 
+test("a life that is over holds no copies, and its streams nothing of the next one's memory", t => {
+    const begun = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+    const { endpoint, backUp } = dispatched(begun);
+    const again = THREE.map(cfg => cfg.id === backUp ? endpointOf(`${cfg.id}@2`) : cfg);
+    const { state } = drive(begun.state, [
+        { kind: "endpoints", endpoints: again },
+        { kind: "lifeOver", endpoint: backUp! },
+    ]);
+    t.is(state.endpoints.get(`${backUp}@2`)?.backups.size, 0);
+    t.is(state.endpoints.get(backUp!)?.backups.size ?? 0, 0);
+    t.is(state.endpoints.get(endpoint)?.streams.size, 1);
+    t.like(drive(state, [{ kind: "continue", job: "j", failed: true }]).actions[0], {
+        kind: "refuse",
+        detail: "no endpoint keeps a copy",
+    });
+});
+
 test("streams of a leaving endpoint are rescued unless their copy's keeper stays", t => {
     const placed = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
     const { endpoint, backUp } = dispatched(placed);
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -61,8 +61,8 @@
     readonly call: CallHead;
     /** What is left of the call's time, in milliseconds. */
     readonly deadlineMs: number;
-    /** Any other life of an endpoint at the address must refuse the call. */
-    readonly incarnation: string;
+    /** Any other endpoint at the address must refuse the call; a later life of the same one does not. */
+    readonly endpointId: string;
     readonly workspace: string | undefined;
     /** 0 (first) to 9. */
     readonly rank: number;
@@ -125,6 +125,8 @@
         readonly leaving: boolean;
         /** Milliseconds until it ends, where it knows. */
         readonly endsInMs: number | undefined;
+        /** When the life that answers began, as {@link EndpointEntry} has it; undefined where it does not say. */
+        readonly born: number | undefined;
     }
     | { readonly kind: "notTold"; readonly detail: string };
 
@@ -133,11 +135,11 @@
     readonly storeKeys: {
         /** Key of the deployment. */
         readonly deployment: string;
-        /** Start of the keys of endpoints; what follows is the incarnation. */
+        /** Start of the keys of endpoints; what follows is the endpoint's id. */
         readonly endpoints: string;
     };
     decodeDeployment(text: string): Decoded<Deployment, DecodeError>;
-    decodeEndpoint(incarnation: string, text: string): Decoded<EndpointEntry, DecodeError>;
+    decodeEndpoint(id: string, text: string): Decoded<EndpointEntry, DecodeError>;
     readCall(headers: RawHeaders): Decoded<CallHead, HeadError>;
     writeSend(send: SendHead): string[];
     readAnswer(headers: RawHeaders): AnswerHead;
--- a/packages/protocol/src/kv.ts
+++ b/packages/protocol/src/kv.ts
@@ -10,6 +10,8 @@
     readonly key: string;
     readonly value: string;
     readonly modRevision: number;
+    /** Why the stored value cannot be read, where it cannot: `value` is empty then. */
+    readonly unreadable?: string | undefined;
 }
 
 /** Why a call gave no answer. `tookEffect` says whether a write may stand nevertheless. */
@@ -41,6 +43,8 @@
     readonly key: string;
     readonly value: string | undefined;
     readonly modRevision: number;
+    /** Why the value that was written cannot be read, where it cannot: `value` is empty then. */
+    readonly unreadable?: string | undefined;
 }
 
 /** All keys with a prefix, and the service's revision at which a watch goes on without a gap. */
--- a/packages/routes/src/deployment.ts
+++ b/packages/routes/src/deployment.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { Life } from "./life.js";
+
 /** How often a call of a route may run. */
 export const RouteKind = {
     /** May run more than once. */
@@ -110,8 +112,8 @@
 export type EndpointState = typeof EndpointState[keyof typeof EndpointState];
 
 /** One life of an endpoint, as it registered itself. */
-export interface EndpointEntry {
-    /** Name of this life; a restarted endpoint has another one. */
+export interface EndpointEntry extends Life {
+    /** Name of this life: what runs, is held and was learnt there is known by it. */
     readonly incarnation: string;
     readonly service: string;
     /** `ip:port`. */
--- a/packages/routes/src/endpoint-list.ts
+++ b/packages/routes/src/endpoint-list.ts
@@ -7,25 +7,33 @@
 import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { type EndpointEntry, EndpointState } from "./deployment.js";
 
-const Entries = Type.Array(Type.Object({
+const Entry = Type.Object({
     incarnation: Type.String({ minLength: 1 }),
+    id: Type.String({ minLength: 1 }),
+    born: Type.Optional(Type.Integer()),
     service: Type.String(),
     address: Type.String({ pattern: "^\\S+:\\d+$" }),
     hall: Type.String(),
     slots: Type.Number({ minimum: 0 }),
     state: Type.Union([Type.Literal(EndpointState.Ready), Type.Literal(EndpointState.Leaving)]),
     coldMs: Type.Number({ minimum: 0 }),
-}));
-const check = TypeCompiler.Compile(Entries);
+});
+const check = TypeCompiler.Compile(Entry);
 
 /** Why a list of endpoints cannot be read. */
 export type EndpointListError =
     | { readonly kind: "notJson"; readonly detail: string }
-    | { readonly kind: "badEndpoint"; readonly at: string; readonly detail: string };
+    | { readonly kind: "notList" };
 
-/** Endpoints, or why there are none. */
+/** Why one endpoint of a list names none to use. */
+export interface BadEndpoint {
+    readonly at: string;
+    readonly detail: string;
+}
+
+/** The endpoints that can be used, and what else the list holds; or why there is no list. */
 export type EndpointListResult =
-    | { readonly ok: true; readonly value: readonly EndpointEntry[] }
+    | { readonly ok: true; readonly value: readonly EndpointEntry[]; readonly bad: readonly BadEndpoint[] }
     | { readonly ok: false; readonly err: EndpointListError };
 
 /** A list of endpoints as text. */
@@ -34,7 +42,7 @@
 }
 
 /**
- * Reads a list of endpoints; never throws.
+ * Reads a list of endpoints, each by itself; never throws.
  *
  * @example
  * ```ts
@@ -43,17 +51,20 @@
  * ```
  */
 export function readEndpoints(text: string): EndpointListResult {
-    let value: unknown;
+    let list: unknown;
     try {
-        value = JSON.parse(text);
+        list = JSON.parse(text);
     }
     catch (err) {
         return { ok: false, err: { kind: "notJson", detail: (err as Error).message } };
     }
-    if (check.Check(value)) return { ok: true, value };
-    const first = check.Errors(value).First();
-    return {
-        ok: false,
-        err: { kind: "badEndpoint", at: first?.path ?? "/", detail: first?.message ?? "not as expected" },
-    };
+    if (!Array.isArray(list)) return { ok: false, err: { kind: "notList" } };
+    const value: EndpointEntry[] = [];
+    const bad: BadEndpoint[] = [];
+    list.forEach((item: unknown, at) => {
+        if (check.Check(item)) return void value.push({ ...item, born: item.born });
+        const first = check.Errors(item).First();
+        bad.push({ at: `/${at}${first?.path ?? ""}`, detail: first?.message ?? "not as expected" });
+    });
+    return { ok: true, value, bad };
 }
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -10,7 +10,14 @@
     type WeightedService,
     type WorkspaceCfg,
 } from "./deployment.js";
-export { type EndpointListError, type EndpointListResult, readEndpoints, writeEndpoints } from "./endpoint-list.js";
+export {
+    type BadEndpoint,
+    type EndpointListError,
+    type EndpointListResult,
+    readEndpoints,
+    writeEndpoints,
+} from "./endpoint-list.js";
+export { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
 export {
     adoptEndpoints,
     applyChanges,
@@ -18,6 +25,7 @@
     EMPTY_REGISTRY,
     expireLapsed,
     LAPSE_GRACE_MS,
+    meetLife,
     type Registered,
     type Registry,
     type RegistryChange,
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -4,11 +4,15 @@
  * Registrations that vanish while the store is away, or just after, may have lapsed because their owners could not reach
  * it: they are kept for {@link LAPSE_GRACE_MS} after its return, unless the endpoint had said that it leaves.
  *
+ * An endpoint that starts again under its id begins a new life: the earlier one is over at once, whoever tells of the later
+ * one, and an earlier one that is told late changes nothing.
+ *
  * Pure: each function returns the next state. Times are milliseconds on one clock of the caller's choice.
  *
  * @module
  */
 import { type EndpointEntry, EndpointState } from "./deployment.js";
+import { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
 
 /** Registrations of servers that live are back within about two seconds of the store's return (letter 2). */
 export const LAPSE_GRACE_MS = 2_000;
@@ -22,9 +26,12 @@
 
 /** All endpoints, and what is known of the store that names them. */
 export interface Registry {
+    /** By the names of their lives; of one endpoint no more than its latest. */
     readonly endpoints: ReadonlyMap<string, Registered>;
-    /** Endpoints whose registration is gone: what runs there may go on for a while, but nothing new is sent. */
+    /** Endpoints whose registration is gone, by the names of their lives: nothing new is sent to them. */
     readonly departed: ReadonlyMap<string, Departed>;
+    /** The latest life that is known of each endpoint, by its id; also of one that has departed, so that none comes back. */
+    readonly latest: ReadonlyMap<string, EndpointEntry>;
     /** Whether the store has answered since it last failed to. */
     readonly storeAway: boolean;
     /** When the store came back last; undefined if it was never away. */
@@ -35,21 +42,26 @@
 export interface Departed {
     readonly entry: EndpointEntry;
     readonly at: number;
+    /** Whether it has begun a later life, so that nothing of this one is left; what runs at others may go on for a while. */
+    readonly isOver: boolean;
 }
 
 /** Departed endpoints are remembered for as long as they may still finish what they run. */
 export const DEPARTED_KEPT_MS = 30_000;
 
-/** A registration that was written or, with no entry, deleted. */
-export interface RegistryChange {
-    readonly incarnation: string;
-    readonly entry: EndpointEntry | undefined;
-}
+/** What became of an endpoint's registration. */
+export type RegistryChange =
+    | { readonly kind: "registered"; readonly entry: EndpointEntry }
+    /** It was deleted, or ran out. */
+    | { readonly kind: "gone"; readonly id: string }
+    /** It stands there and cannot be read: the endpoint takes nothing new, and what runs there goes on. */
+    | { readonly kind: "unreadable"; readonly id: string };
 
 /** A registry that knows of no endpoint. */
 export const EMPTY_REGISTRY: Registry = {
     endpoints: new Map(),
     departed: new Map(),
+    latest: new Map(),
     storeAway: false,
     storeBackAt: undefined,
 };
@@ -71,56 +83,132 @@
 }
 
 /**
- * The registry after changes that the store told.
+ * The registry after changes that the store told. A life that is earlier than the latest one known changes nothing.
  *
  * @example
  * ```ts
- * applyChanges(registry, [{ incarnation: "i-7", entry: undefined }], now).endpoints.has("i-7");
+ * applyChanges(registry, [{ kind: "gone", id: "i-7" }], now).endpoints.has("i-7");
  * ```
  */
 export function applyChanges(registry: Registry, changes: readonly RegistryChange[], now: number): Registry {
-    const endpoints = new Map(registry.endpoints);
-    for (const { incarnation, entry } of changes) {
-        if (entry) endpoints.set(incarnation, { entry, lapsedAt: undefined });
-        else vanish(registry, endpoints, incarnation, now);
-    }
-    return withEndpoints(registry, endpoints, now);
+    const next = changes.reduce((draft, change) => applyChange(draft, change, now), draftOf(registry));
+    return withEndpoints(registry, next, now);
 }
 
-/** The registry with other endpoints; those that it had and has no more have departed. */
-function withEndpoints(registry: Registry, endpoints: ReadonlyMap<string, Registered>, now: number): Registry {
-    const departed = new Map([...registry.departed].filter(([, { at }]) => now - at < DEPARTED_KEPT_MS));
-    for (const [incarnation, { entry }] of registry.endpoints) {
-        if (!endpoints.has(incarnation)) departed.set(incarnation, { entry, at: now });
+/** What changes while changes are taken in, one after another. */
+interface Draft {
+    readonly registry: Registry;
+    readonly endpoints: Map<string, Registered>;
+    readonly latest: Map<string, EndpointEntry>;
+}
+
+function draftOf(registry: Registry): Draft {
+    return { registry, endpoints: new Map(registry.endpoints), latest: new Map(registry.latest) };
+}
+
+function applyChange(draft: Draft, change: RegistryChange, now: number): Draft {
+    if (change.kind === "registered") register(draft, change.entry);
+    else {
+        const known = draft.latest.get(change.id);
+        if (known) vanish(draft, known.incarnation, change.kind === "gone", now);
     }
-    return { ...registry, endpoints, departed };
+    return draft;
+}
+
+function register({ endpoints, latest }: Draft, entry: EndpointEntry): void {
+    const known = latest.get(entry.id);
+    const order = known ? compareLives(entry, known) : LifeOrder.Later;
+    if (order === LifeOrder.Earlier) return;
+    // One that does not say when it began goes by the name that its life has here already.
+    const taken = known && order === LifeOrder.Same
+        ? { ...entry, incarnation: known.incarnation, born: known.born ?? entry.born }
+        : entry;
+    if (known && order === LifeOrder.Later) endpoints.delete(known.incarnation);
+    endpoints.set(taken.incarnation, { entry: taken, lapsedAt: undefined });
+    latest.set(taken.id, taken);
 }
 
-function vanish(registry: Registry, endpoints: Map<string, Registered>, incarnation: string, now: number): void {
+function vanish({ registry, endpoints }: Draft, incarnation: string, mayLapse: boolean, now: number): void {
     const known = endpoints.get(incarnation);
-    if (!known || known.lapsedAt !== undefined) return;
-    const stays = mayBeLapse(registry, now) && known.entry.state === EndpointState.Ready;
+    if (!known || mayLapse && known.lapsedAt !== undefined) return;
+    const stays = mayLapse && mayBeLapse(registry, now) && known.entry.state === EndpointState.Ready;
     if (stays) endpoints.set(incarnation, { ...known, lapsedAt: now });
     else endpoints.delete(incarnation);
 }
 
-/** The registry after all registrations were read: what is not among them has vanished. */
-export function replaceAll(registry: Registry, entries: readonly EndpointEntry[], now: number): Registry {
-    const present = new Set(entries.map(entry => entry.incarnation));
-    const missing = [...registry.endpoints.keys()].filter(incarnation => !present.has(incarnation));
+/** The registry with other endpoints; those that it had and has no more have departed. */
+function withEndpoints(
+    registry: Registry,
+    { endpoints, latest }: Pick<Draft, "endpoints" | "latest">,
+    now: number,
+): Registry {
+    const isOver = (entry: EndpointEntry): boolean => latest.get(entry.id)?.incarnation !== entry.incarnation;
+    const departed = new Map<string, Departed>();
+    for (const [incarnation, { entry, at }] of registry.departed) {
+        const isBack = endpoints.has(incarnation);
+        if (!isBack && now - at < DEPARTED_KEPT_MS) departed.set(incarnation, { entry, at, isOver: isOver(entry) });
+    }
+    for (const [incarnation, { entry }] of registry.endpoints) {
+        if (!endpoints.has(incarnation)) departed.set(incarnation, { entry, at: now, isOver: isOver(entry) });
+    }
+    const remembered = new Set([...endpoints.values(), ...departed.values()].map(({ entry }) => entry.id));
+    const kept = [...latest].filter(([id]) => remembered.has(id));
+    return { ...registry, endpoints, departed, latest: new Map(kept) };
+}
+
+/**
+ * The registry after all registrations were read: what is not among them has vanished.
+ *
+ * @param unreadable Ids of endpoints whose registrations stand there and cannot be read.
+ */
+export function replaceAll(
+    registry: Registry,
+    entries: readonly EndpointEntry[],
+    unreadable: readonly string[],
+    now: number,
+): Registry {
+    const present = new Set([...entries.map(({ id }) => id), ...unreadable]);
+    const missing = [...registry.endpoints.values()].filter(({ entry }) => !present.has(entry.id));
     return applyChanges(registry, [
-        ...missing.map(incarnation => ({ incarnation, entry: undefined })),
-        ...entries.map(entry => ({ incarnation: entry.incarnation, entry })),
+        ...missing.map(({ entry: { id } }): RegistryChange => ({ kind: "gone", id })),
+        ...unreadable.map((id): RegistryChange => ({ kind: "unreadable", id })),
+        ...entries.map((entry): RegistryChange => ({ kind: "registered", entry })),
     ], now);
 }
 
 /**
  * The registry with the endpoints of a host that the store answers, taken over as they are: which of them have lapsed was
- * judged there.
+ * judged there. Where a later life is known here than there, it stays.
  */
 export function adoptEndpoints(registry: Registry, entries: readonly EndpointEntry[], now: number): Registry {
-    const endpoints = new Map(entries.map(entry => [entry.incarnation, { entry, lapsedAt: undefined }]));
-    return withEndpoints(registry, endpoints, now);
+    const draft: Draft = { registry, endpoints: new Map(), latest: new Map(registry.latest) };
+    for (const entry of entries) {
+        register(draft, entry);
+        const latest = draft.latest.get(entry.id)!;
+        const known = registry.endpoints.get(latest.incarnation);
+        if (known && !draft.endpoints.has(latest.incarnation)) draft.endpoints.set(latest.incarnation, known);
+    }
+    return withEndpoints(registry, draft, now);
+}
+
+/**
+ * The registry after an endpoint was found to have begun a later life than the one known, by its own word or a peer's: it goes
+ * on under that life's name until its registration says more. Any other life changes nothing.
+ *
+ * @example
+ * ```ts
+ * meetLife(registry, { id: "i-7", born: 1700 }, now).endpoints.has("i-7@1700");
+ * ```
+ */
+export function meetLife(registry: Registry, life: Life, now: number): Registry {
+    const known = registry.latest.get(life.id);
+    if (!known || compareLives(life, known) !== LifeOrder.Later) return registry;
+    const entry = { ...known, ...life, incarnation: nameOfLife(life), state: EndpointState.Ready };
+    const draft = draftOf(registry);
+    // Of one that has departed no more is learnt than that its earlier life is over.
+    if (draft.endpoints.has(known.incarnation)) register(draft, entry);
+    else draft.latest.set(life.id, entry);
+    return withEndpoints(registry, draft, now);
 }
 
 /** The registry without the lapsed registrations whose time to come back is over. */
@@ -130,5 +218,6 @@
     const kept = [...registry.endpoints].filter(([, { lapsedAt }]) =>
         lapsedAt === undefined || now - since < LAPSE_GRACE_MS
     );
-    return kept.length === registry.endpoints.size ? registry : withEndpoints(registry, new Map(kept), now);
+    if (kept.length === registry.endpoints.size) return registry;
+    return withEndpoints(registry, { endpoints: new Map(kept), latest: new Map(registry.latest) }, now);
 }
