--- /dev/null
+++ b/packages/policy/src/owner-answers.ts
@@ -0,0 +1,55 @@
+/**
+ * What follows when an endpoint's owner has said where a request goes, or has not said it in time.
+ *
+ * @module
+ */
+import { onUse } from "./breaker.js";
+import { backUpAt } from "./carry.js";
+import { dispatch, keeperAnswered, lengthsOf, send, without } from "./dispatch.js";
+import { addStream, type EndpointView } from "./endpoint.js";
+import { takeBack } from "./place.js";
+import { type Decision, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
+import { setIn } from "./shard-map.js";
+import { drain } from "./waiting.js";
+
+/** An owner's word: the request goes where it says, or goes back to those that wait. */
+export function answered(
+    state: SchedulerState,
+    { job, endpoint, keeper }: Extract<SchedulerEvent, { kind: "answer" }>,
+    now: number,
+): Decision {
+    if (state.askedKeeper.has(job)) return keeperAnswered(state, job, keeper);
+    const asked = state.asked.get(job);
+    if (!asked) return { state, actions: [] };
+    const back = takeBack(state, job, now);
+    const { waiting } = asked;
+    const view = endpoint === undefined ? undefined : back.endpoints.get(endpoint);
+    if (endpoint === undefined || !view || isClosed(view)) {
+        const later = endpoint === undefined ? { ...waiting, noRoomAt: now } : waiting;
+        return drain({ ...back, waiting: [...back.waiting, later] }, now);
+    }
+    const survival = lengthsOf(back, waiting.job);
+    const moved = withView(back, endpoint, known => ({
+        ...addStream(known, waiting.job, survival, now),
+        breaker: onUse(known.breaker),
+    }));
+    const placed = { ...moved, placed: setIn(moved.placed, job, endpoint) };
+    return keeper === undefined
+        ? send(placed, waiting.job, endpoint, undefined)
+        : send(backUpAt(placed, job, endpoint, keeper), waiting.job, endpoint, keeper);
+}
+
+function isClosed(view: EndpointView): boolean {
+    return view.leavingBy.length > 0 || view.cfg.models.length === 0;
+}
+
+/** Decides alone on a request whose owner does not answer; never for an endpoint that is leaving by now. */
+export function settleAsked(state: SchedulerState, job: string, now: number): Decision {
+    const { waiting, endpoint } = state.asked.get(job)!;
+    const view = state.endpoints.get(endpoint);
+    if (view && !isClosed(view)) {
+        return dispatch({ ...state, asked: without(state.asked, job) }, waiting.job, endpoint, now);
+    }
+    const back = takeBack(state, job, now);
+    return drain({ ...back, waiting: [...back.waiting, waiting] }, now);
+}
--- /dev/null
+++ b/packages/policy/src/place.ts
@@ -0,0 +1,84 @@
+/**
+ * Where a request runs: at the best endpoint that has room by what this host knows, or where that endpoint's owner says once it
+ * was asked.
+ *
+ * @module
+ */
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { onUnused, onUse } from "./breaker.js";
+import { assess, type Candidate, usable, wantedOf } from "./choose.js";
+import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
+import { addStream, removeStream } from "./endpoint.js";
+import type { Variant } from "./job.js";
+import type { Waiting } from "./queue.js";
+import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
+import { deleteIn, setIn } from "./shard-map.js";
+
+/** Room comes as streams end and prompts are read: an owner that had none is asked again after this. */
+const ASK_AGAIN_MS = 50;
+
+/** Gives a request to the best endpoint that has room; undefined where none has. */
+export function place(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
+    const { job, noRoomAt } = waiting;
+    if (noRoomAt !== undefined && now - noRoomAt < ASK_AGAIN_MS) return undefined;
+    const survival = lengthsOf(state, job);
+    const wanted = wantedOf(job, survival, now - waiting.since);
+    const views = usable(state.endpoints.values(), job.group.model, waiting.avoid, now);
+    const candidates = views.map(view => assess(view, wanted, state, now))
+        .filter(candidate => candidate !== undefined);
+    const chosen = candidates.length > 0 ? PICK[state.variant.choice](candidates, state.turn) : undefined;
+    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
+    const alwaysAsks = alwaysAsksOwners(state);
+    const id = chosen?.id ?? (alwaysAsks ? views[state.turn % Math.max(1, views.length)]?.cfg.id : undefined);
+    if (id === undefined) return undefined;
+    const mustAsk = (alwaysAsks || asksOwners(state) && chosen?.crowded === true) && !state.owned.has(id);
+    if (!mustAsk && !chosen) return undefined;
+    const added = withView(state, id, view => ({
+        ...addStream(view, job, survival, now),
+        breaker: onUse(view.breaker),
+    }));
+    const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
+    if (!mustAsk) return dispatch(next, job, id, now);
+    const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
+    const question = {
+        ...wanted,
+        hall: state.hall ?? "",
+        exclude: unusable(state, views),
+        backUp: wantsBackup(state, job),
+    };
+    return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
+}
+
+/** The state without a request that an owner was asked about. */
+export function takeBack(state: SchedulerState, job: string, now: number): SchedulerState {
+    const asked = state.asked.get(job);
+    if (!asked) return state;
+    const freed = withView(state, asked.endpoint, view => ({
+        ...removeStream(view, job, now),
+        breaker: onUnused(view.breaker),
+    }));
+    return { ...freed, asked: without(state.asked, job), placed: deleteIn(state.placed, job) };
+}
+
+/** The candidate of the best score. Equal ones take turns, so that hosts do not all choose the same. */
+function best(candidates: readonly Candidate[], turn: number): Candidate {
+    const first = turn - 1;
+    let chosen = candidates[first % candidates.length]!;
+    for (let at = 1; at < candidates.length; at++) {
+        const other = candidates[(first + at) % candidates.length]!;
+        if (other.score < chosen.score) chosen = other;
+    }
+    return chosen;
+}
+
+const PICK: { readonly [K in Variant["choice"]]: (candidates: readonly Candidate[], turn: number) => Candidate } = {
+    score: best,
+    leastOutstanding: best,
+    roundRobin: (candidates, turn) => candidates[turn % candidates.length]!,
+    twoChoices: (candidates, turn) => {
+        const random = xoroshiro128plus(turn);
+        const last = candidates.length - 1;
+        const pair = [unsafeUniformIntDistribution(0, last, random), unsafeUniformIntDistribution(0, last, random)];
+        return best(pair.map(at => candidates[at]!), turn);
+    },
+};
--- /dev/null
+++ b/packages/policy/src/refusal.ts
@@ -0,0 +1,62 @@
+/**
+ * When a request is refused, and when its caller is told to come back: at once where nothing runs its model or no room is forecast
+ * while its first token can still come in time, so that nobody waits for what cannot be.
+ *
+ * @module
+ */
+import { nextReturn, roomIn } from "./forecast.js";
+import type { Job } from "./job.js";
+import type { Waiting } from "./queue.js";
+import { readingMs } from "./reading.js";
+import type { Decision, RefuseReason, SchedulerAction, SchedulerState } from "./scheduler-state.js";
+
+const LEAST_RETRY_AFTER_MS = 250;
+/** When an endpoint for a model will be there again is not known; a caller is asked to come back after this. */
+export const NO_ENDPOINT_RETRY_MS = 5_000;
+
+/** A refusal; its caller is asked to come back no sooner than {@link LEAST_RETRY_AFTER_MS}. */
+export function refuse(job: string, reason: RefuseReason, detail: string, retryAfterMs: number): SchedulerAction {
+    return {
+        kind: "refuse",
+        job,
+        reason,
+        detail,
+        retryAfterMs: Math.max(LEAST_RETRY_AFTER_MS, Math.round(retryAfterMs)),
+    };
+}
+
+/** Whether any endpoint runs the model and takes new work. */
+export function isServed(state: SchedulerState, job: Job): boolean {
+    return state.endpoints.values().some(view =>
+        view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model)
+    );
+}
+
+/** Refuses a request that no endpoint serves. */
+export function refuseUnserved(job: Job): SchedulerAction {
+    return refuse(job.id, "noEndpoint", "no endpoint that takes new work runs the model", NO_ENDPOINT_RETRY_MS);
+}
+
+/** Whether room is forecast for a request at this place of the queue while its first token can still come in time. */
+export function isInTime(state: SchedulerState, { job, since }: Waiting, position: number, now: number): boolean {
+    const room = state.variant.forecast ? roomIn(state.drain, position, state.waiting[0]?.since, now) : 0;
+    const reading = state.variant.forecast ? readingMs(state.readingRate, job.promptTokens) : 0;
+    return now - since + room + reading < job.policy.maxWaitMs;
+}
+
+/** Refuses a request for which no room is forecast in time, and tells when its caller finds some. */
+export function refuseForRoom(
+    state: SchedulerState,
+    { job, since }: Waiting,
+    reason: RefuseReason,
+    position: number,
+    now: number,
+): Decision {
+    const room = roomIn(state.drain, position, state.waiting[0]?.since, now);
+    const { returns, afterMs } = nextReturn(state.returns, room, state.drain?.meanMs ?? 0, now);
+    const age = state.drain ? `${Math.round(now - state.drain.lastStart)} ms ago` : "never";
+    const detail = `room in ${Math.round(room)} ms at place ${position} after ${
+        Math.round(now - since)
+    } ms, last seen ${age}`;
+    return { state: { ...state, returns }, actions: [refuse(job.id, reason, detail, afterMs)] };
+}
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -30,6 +30,7 @@
 const FOLLOWING = "packages/hall/test/following.test.ts";
 const DETECTOR = "packages/hall/test/detector.test.ts";
 const SOAK = "platform/test/soak.test.ts";
+const LIVES = "platform/test/lives.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
@@ -101,7 +102,7 @@
     },
     {
         promise: "nor does it after its owner granted a request",
-        file: "packages/policy/src/scheduler.ts",
+        file: "packages/policy/src/owner-answers.ts",
         find: "if (endpoint === undefined || !view || isClosed(view)) {",
         replace: "if (endpoint === undefined || !view) {",
         tests: [POLICY],
@@ -323,6 +324,34 @@
         replace: "",
         tests: [HALL],
     },
+    {
+        promise: "lives: an earlier one that is told late changes nothing",
+        file: "packages/routes/src/registry.ts",
+        find: "if (order === LifeOrder.Earlier) return;",
+        replace: "",
+        tests: [ROUTES],
+    },
+    {
+        promise: "lives: what runs in one that is over does not wait",
+        file: ATTEMPT,
+        find: 'life.addEventListener("abort", this.onLifeOver, { once: true });',
+        replace: "",
+        tests: [LIVES],
+    },
+    {
+        promise: "lives: no stream goes on at a copy of an earlier one",
+        file: "packages/policy/src/scheduler.ts",
+        find: "held.reduce(dropBackup, state)",
+        replace: "held.length > 0 ? state : state",
+        tests: [CARRY, LIVES],
+    },
+    {
+        promise: "lives: a registration that cannot be read names none to use",
+        file: "packages/host/src/deployment-feed.ts",
+        find: 'return { kind: "unreadable", id };',
+        replace: "return undefined;",
+        tests: [LIVES],
+    },
     {
         promise: "half a request reaches no endpoint",
         file: "packages/host/src/request-body.ts",
