Registrations have a reader of their own; an earlier life that comes late is told as such; words

The log said `endpoint_changed ... state=leaving` for an earlier life that changed nothing; it says `earlier_life`. A sign of life is compared with the life that was called, in place of asking whether it was news, which would be wrong for a life that a peer had told of.

--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -6,26 +6,18 @@
  * @module
  */
 import { type SettingsGive, type WatchReason, WORD_VALID_MS } from "@drumpaddle/hall";
-import type {
-    Decoded,
-    DecodeError,
-    KeyValue,
-    KvChange,
-    KvEntry,
-    KvError,
-    PlatformWire,
-    WatchTiming,
-} from "@drumpaddle/protocol";
+import type { KeyValue, KvChange, KvEntry, KvError, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
 import {
     adoptEndpoints,
     applyChanges,
+    compareLives,
     EMPTY_REGISTRY,
     type EndpointEntry,
     expireLapsed,
     type Life,
+    LifeOrder,
     meetLife,
     nameOfLife,
-    readEndpoints,
     type Registry,
     type RegistryChange,
     replaceAll,
@@ -38,6 +30,7 @@
 import type { Metrics } from "./metrics.js";
 import type { StoreState, StoreWord } from "./peer-messages.js";
 import type { Spread } from "./peers.js";
+import { Registrations } from "./registrations.js";
 import type { StoreFollower } from "./store-follower.js";
 
 /** What the feed is made of. */
@@ -71,8 +64,6 @@
 const FIRST_TIMING: WatchTiming = { waitMs: 1 };
 /** Lapsed registrations are looked at this often. */
 const EXPIRE_EVERY_MS = 250;
-/** Unreadable registrations that were told of are remembered up to this number, so that each is told of once. */
-const MOST_NOTED = 1_000;
 /** The store's whole content is watched by one call: deployment and endpoints have no prefix in common. */
 const EVERYTHING = "";
 
@@ -89,8 +80,7 @@
     private answeredAt = -Infinity;
     /** As of when the store is known to have answered a peer. */
     private peersAnsweredAt = -Infinity;
-    /** Revisions of unreadable registrations that were told of, by endpoint. */
-    private readonly unreadable = new Map<string, number>();
+    private readonly registrations: Registrations;
     private watching: AbortController | undefined;
     /** Why this host watches. */
     private reason: WatchReason | undefined;
@@ -99,7 +89,9 @@
     private readonly deploymentListeners = new Set<(table: RouteTable) => void>();
     private readonly endpointListeners = new Set<(registry: Registry) => void>();
 
-    constructor(private readonly deps: DeploymentFeedDeps) {}
+    constructor(private readonly deps: DeploymentFeedDeps) {
+        this.registrations = new Registrations(deps);
+    }
 
     /** The deployment in force; undefined until a first one was learnt. */
     get table(): RouteTable | undefined {
@@ -206,7 +198,7 @@
         this.hearOf(performance.now() - ageMs);
         if (deployment !== undefined) this.offer(deployment, "peer");
         if (revision <= (this.revision ?? -1)) return;
-        const entries = this.readFromPeer(endpoints);
+        const entries = this.registrations.fromPeer(endpoints);
         if (!entries) return;
         this.endpointsRead = true;
         this.revision = revision;
@@ -214,21 +206,6 @@
         this.setRegistry(adoptEndpoints(this.registry, entries, performance.now()));
     }
 
-    /** The endpoints of a peer's list that can be read; undefined where it is no list. */
-    private readFromPeer(endpoints: string): readonly EndpointEntry[] | undefined {
-        const { log, metrics } = this.deps;
-        const read = readEndpoints(endpoints);
-        if (!read.ok) {
-            log.warn({ source: "peer", err: read.err.kind }, "endpoints_ignored");
-            return undefined;
-        }
-        for (const { at, detail } of read.bad) {
-            metrics.countUnreadable("peer");
-            log.warn({ source: "peer", at, detail }, "endpoint_ignored");
-        }
-        return read.value;
-    }
-
     /**
      * Takes in that an endpoint has begun a later life than the one that is known, by its own word or a peer's.
      *
@@ -375,7 +352,7 @@
         const now = performance.now();
         this.revision = Math.max(revision, this.revision ?? revision);
         const answered = storeAnswered(this.registry, now);
-        const changes = entries.flatMap(entry => this.changeOf(entry) ?? []);
+        const changes = entries.flatMap(entry => this.registrations.changeOf(entry) ?? []);
         const endpoints = changes.flatMap(change => change.kind === "registered" ? [change.entry] : []);
         const unreadable = changes.flatMap(change => change.kind === "unreadable" ? [change.id] : []);
         this.endpointsRead = true;
@@ -388,32 +365,6 @@
         return revision;
     }
 
-    /** What an item says of an endpoint's registration; undefined where it is of something else. */
-    private changeOf({ key, value, modRevision, unreadable }: KvChange): RegistryChange | undefined {
-        const { wire } = this.deps;
-        const { storeKeys } = wire;
-        if (!key.startsWith(storeKeys.endpoints)) return undefined;
-        const id = key.slice(storeKeys.endpoints.length);
-        if (value === undefined) return { kind: "gone", id };
-        const decoded: Decoded<EndpointEntry, DecodeError> = unreadable === undefined
-            ? wire.decodeEndpoint(id, value)
-            : { ok: false, err: { kind: "badValue", at: "/", detail: unreadable } };
-        if (decoded.ok) return { kind: "registered", entry: decoded.value };
-        this.noteUnreadable(id, modRevision, decoded.err);
-        return { kind: "unreadable", id };
-    }
-
-    /** Tells of a registration that cannot be read, once for each time that it was written. */
-    private noteUnreadable(id: string, revision: number, { at, detail }: DecodeError): void {
-        if (this.unreadable.get(id) === revision) return;
-        this.unreadable.delete(id);
-        this.unreadable.set(id, revision);
-        const oldest = this.unreadable.keys().next();
-        if (this.unreadable.size > MOST_NOTED && !oldest.done) this.unreadable.delete(oldest.value);
-        this.deps.metrics.countUnreadable("store");
-        this.deps.log.warn({ endpoint: id, revision, at, detail }, "endpoint_ignored");
-    }
-
     private offerStored({ value, unreadable }: KvEntry, source: DeploymentSource): void {
         if (unreadable === undefined) return this.offer(value, source);
         this.deps.metrics.countOffer("invalid");
@@ -437,7 +388,7 @@
         const now = performance.now();
         if (source === "store") this.setAnswered(true);
         const answered = storeAnswered(this.registry, now);
-        const endpoints: RegistryChange[] = [];
+        const told: { readonly change: RegistryChange; readonly revision: number }[] = [];
         const after = this.revision ?? -1;
         const news = changes.filter(change => change.modRevision > after);
         for (const item of news) {
@@ -446,22 +397,30 @@
             if (key === this.deps.wire.storeKeys.deployment && value !== undefined) {
                 this.offerStored({ ...item, value }, source);
             }
-            const change = this.changeOf(item);
-            if (!change) continue;
-            endpoints.push(change);
-            this.logChange(change, modRevision);
+            const change = this.registrations.changeOf(item);
+            if (change) told.push({ change, revision: modRevision });
         }
-        this.setRegistry(endpoints.length > 0 ? applyChanges(answered, endpoints, now) : answered);
+        const next = told.length > 0 ? applyChanges(answered, told.map(({ change }) => change), now) : answered;
+        for (const { change, revision } of told) this.logChange(change, revision, next);
+        this.setRegistry(next);
         if (source === "peer" || news.length === 0) return;
         const word = this.word(news, after);
         if (word) { for (const listener of this.changeListeners) listener(word); }
     }
 
-    private logChange(change: RegistryChange, revision: number): void {
-        const told = change.kind === "registered"
-            ? { endpoint: change.entry.incarnation, state: change.entry.state, hall: change.entry.hall }
-            : { endpoint: change.id, state: change.kind };
-        this.deps.log.info({ ...told, revision }, "endpoint_changed");
+    private logChange(change: RegistryChange, revision: number, { latest }: Registry): void {
+        const { log } = this.deps;
+        if (change.kind !== "registered") {
+            log.info({ endpoint: change.id, state: change.kind, revision }, "endpoint_changed");
+            return;
+        }
+        const { id, incarnation, state, hall } = change.entry;
+        const known = latest.get(id);
+        const isEarlier = known !== undefined && compareLives(change.entry, known) === LifeOrder.Earlier;
+        log.info(
+            { endpoint: incarnation, state: isEarlier ? "earlier_life" : state, hall, revision },
+            "endpoint_changed",
+        );
     }
 
     private setRegistry(registry: Registry): void {
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -7,9 +7,11 @@
 import { type AnswerHead, type CallHead, errText, type PlatformWire } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
 import {
+    compareLives,
     type EndpointEntry,
     type EngineCfg,
     type Life,
+    LifeOrder,
     pickService,
     type Route,
     RouteKind,
@@ -64,8 +66,8 @@
     readonly lives: LifeSignals;
     /** An endpoint is not the one that was called: its address has another one. */
     onOtherIncarnation(incarnation: string): void;
-    /** Takes in which life of an endpoint has answered; returns whether that ends the life that was known. */
-    meetLife(life: Life): boolean;
+    /** Takes in that a later life of an endpoint has answered than the one that was called. */
+    meetLife(life: Life): void;
 }
 
 /** When callers of a host that knows no deployment yet are asked to come back. */
@@ -321,11 +323,15 @@
  * Whether an endpoint's life gives a sign of itself; one that gives none is planned with no more for a while. A later life that
  * answers at the address knows nothing of the streams that ran there.
  */
-async function givesSign(deps: Forwarding, { id, address, incarnation }: EndpointEntry): Promise<boolean> {
+async function givesSign(deps: Forwarding, endpoint: EndpointEntry): Promise<boolean> {
+    const { id, address, incarnation } = endpoint;
     try {
         const { status, body } = await callEndpoint(address, deps.wire.stayCall(), SIGN_MS, deps.signal);
         const stay = deps.wire.readStay(status, body);
-        return stay.kind !== "told" || !deps.meetLife({ id, born: stay.born });
+        const life = { id, born: stay.kind === "told" ? stay.born : undefined };
+        if (compareLives(life, endpoint) !== LifeOrder.Later) return true;
+        deps.meetLife(life);
+        return false;
     }
     catch (err) {
         deps.log.info({ endpoint: incarnation, detail: errText(err) }, "endpoint_gives_no_sign");
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -185,9 +185,9 @@
         return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
     }
 
-    /** Takes in which life of an endpoint has answered this host; returns whether that ends the life that was known. */
-    meetLife(life: Life): boolean {
-        return this.sharing?.meetLife(life) ?? false;
+    /** Takes in which life of an endpoint has answered this host. */
+    meetLife(life: Life): void {
+        this.sharing?.meetLife(life);
     }
 
     /** Tells peers at once that this host is leaving. */
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store-follower.ts
@@ -106,11 +106,10 @@
     }
 
     /** Takes in which life of an endpoint has answered this host; the hall is told of one that was not known. */
-    meetLife({ id, born }: Life): boolean {
+    meetLife({ id, born }: Life): void {
         const { deps } = this;
-        if (born === undefined || !deps.follower.meetLife({ id, born }, "endpoint")) return false;
+        if (born === undefined || !deps.follower.meetLife({ id, born }, "endpoint")) return;
         deps.send(deps.inHall().filter(name => name !== deps.name), { kind: "lifeMet", id, born });
-        return true;
     }
 
     private askNext(): void {
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -347,7 +347,7 @@
     },
     {
         promise: "lives: a registration that cannot be read names none to use",
-        file: "packages/host/src/deployment-feed.ts",
+        file: "packages/host/src/registrations.ts",
         find: 'return { kind: "unreadable", id };',
         replace: "return undefined;",
         tests: [LIVES],
