--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -89,7 +89,7 @@
     /** Asked of an owner: where is a request to go? `stream` is what it will hold. */
     | { readonly kind: "question"; readonly job: string; readonly stream: Held } & Omit<Question, "curve">
     /** An owner's word; no endpoint where none has room. */
-    | { readonly kind: "answer"; readonly job: string; readonly endpoint?: string; readonly keeper?: string };
+    | { readonly kind: "answer"; readonly job: string; readonly endpoint?: string; readonly standby?: string };
 
 /** A message with the host that it goes to. */
 export interface Addressed {
@@ -309,17 +309,17 @@
         const { curve } = othersOf(stream);
         const advice = advise(scheduler, { ...rest, curve }, now);
         if (!advice) return { state, send: [{ to: from, message: { kind: "answer", job } }], events: [] };
-        const { endpoint, keeper } = advice;
+        const { endpoint, standby } = advice;
         const grants: readonly Grant[] = [
             ...(endpoint === undefined ? [] : [{ endpoint, kind: "stream", curve } as const]),
-            ...(keeper === undefined ? [] : [{ endpoint: keeper, kind: "copy", curve } as const]),
+            ...(standby === undefined ? [] : [{ endpoint: standby, kind: "copy", curve } as const]),
         ];
         const account = grants.reduce((sum, grant) => addGrant(sum, from, grant, now), state.account);
         const answer: ShareMessage = {
             kind: "answer",
             job,
             ...(endpoint === undefined ? {} : { endpoint }),
-            ...(keeper === undefined ? {} : { keeper }),
+            ...(standby === undefined ? {} : { standby }),
         };
         return {
             state: { ...state, account },
@@ -327,10 +327,10 @@
             events: grants.map(grant => othersEvent(account, grant.endpoint, state.self)),
         };
     },
-    answer: (state, _from, { job, endpoint, keeper }) => {
+    answer: (state, _from, { job, endpoint, standby }) => {
         const open = new Map(state.open);
         open.delete(job);
-        return { state: { ...state, open }, send: [], events: [{ kind: "answer", job, endpoint, keeper }] };
+        return { state: { ...state, open }, send: [], events: [{ kind: "answer", job, endpoint, standby }] };
     },
 };
 
--- a/packages/host/src/call-progress.ts
+++ b/packages/host/src/call-progress.ts
@@ -20,7 +20,7 @@
     /** Endpoint of the latest attempt; undefined where it is no longer registered. */
     endpoint: EndpointEntry | undefined;
     /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
-    keeper: EndpointEntry | undefined;
+    standby: EndpointEntry | undefined;
     /** A copy that was made because the endpoint is leaving; goes before the one that grows with the generation. */
     copy: Copy | undefined;
     /** Id of the last event that went to the caller. */
@@ -51,7 +51,7 @@
         deadline,
         attempt: "",
         endpoint: undefined,
-        keeper: undefined,
+        standby: undefined,
         copy: undefined,
         lastEvent: undefined,
         idsRiseByOne: undefined,
@@ -66,11 +66,11 @@
  *
  * @example
  * ```ts
- * const endpoint = knownKeeper(progress, incarnation) ?? registered(incarnation);
+ * const endpoint = knownStandby(progress, incarnation) ?? registered(incarnation);
  * ```
  */
-export function knownKeeper({ copy, keeper }: CallProgress, incarnation: string): EndpointEntry | undefined {
-    return [copy?.keeper, keeper].find(entry => entry?.incarnation === incarnation);
+export function knownStandby({ copy, standby }: CallProgress, incarnation: string): EndpointEntry | undefined {
+    return [copy?.standby, standby].find(entry => entry?.incarnation === incarnation);
 }
 
 /**
@@ -94,7 +94,7 @@
  *
  * @example
  * ```ts
- * continuationOf(progress, "call-1", keeper, undefined).copy; // "call-1"
+ * continuationOf(progress, "call-1", standby, undefined).copy; // "call-1"
  * ```
  */
 export function continuationOf(
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { jobsToRescue, keepsCopy } from "@drumpaddle/policy";
+import { jobsToEvacuate, keepsCopy } from "@drumpaddle/policy";
 import { type CopyAnswer, type EndpointCall, errText, neverSent, type PlatformWire } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import { callEndpoint } from "./call-endpoint.js";
@@ -16,7 +16,7 @@
 /** A copy of a running generation. */
 export interface Copy {
     /** Endpoint that holds it and may go on with it. */
-    readonly keeper: EndpointEntry;
+    readonly standby: EndpointEntry;
     /** Endpoint that made it. */
     readonly source: EndpointEntry;
     /** Its name at the source. */
@@ -55,7 +55,7 @@
 
     constructor(private readonly deps: CopiesDeps) {
         // That an endpoint cannot be reached, and that it can be again, is told by no event.
-        repeat(() => this.rescue(), () => TRY_AGAIN_MS, deps.signal);
+        repeat(() => this.evacuate(), () => TRY_AGAIN_MS, deps.signal);
     }
 
     /** A call began to run. */
@@ -72,43 +72,43 @@
     }
 
     /** Copies what runs on leaving endpoints and has no copy at one that stays and can be reached. */
-    rescue(): void {
-        for (const job of jobsToRescue(this.deps.engines.view, performance.now())) {
+    evacuate(): void {
+        for (const job of jobsToEvacuate(this.deps.engines.view, performance.now())) {
             if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
         }
     }
 
     private async copyAway(job: string): Promise<void> {
         this.busy.add(job);
-        const plan = await this.deps.engines.planRescue(job);
+        const plan = await this.deps.engines.planEvacuation(job);
         const source = plan && this.deps.endpoint(plan.from);
-        const keeper = plan && this.deps.endpoint(plan.to);
-        if (plan && source && keeper) await this.keepCopied(plan, source, keeper);
+        const standby = plan && this.deps.endpoint(plan.to);
+        if (plan && source && standby) await this.keepCopied(plan, source, standby);
         else this.deps.log.info({ req: job, planned: plan !== undefined }, "generation_not_copied");
         await pause(TRY_AGAIN_MS);
         this.busy.delete(job);
-        if (this.calls.has(job) && !this.deps.signal.aborted) this.rescue();
+        if (this.calls.has(job) && !this.deps.signal.aborted) this.evacuate();
     }
 
     /** Makes the copy, and again and again while the generation still runs at its source. */
-    private async keepCopied({ job }: CopyAction, source: EndpointEntry, keeper: EndpointEntry): Promise<void> {
+    private async keepCopied({ job }: CopyAction, source: EndpointEntry, standby: EndpointEntry): Promise<void> {
         const { engines, wire, log, metrics } = this.deps;
-        const call = wire.copyCall(job, keeper.address);
+        const call = wire.copyCall(job, standby.address);
         while (this.calls.has(job) && engines.view.endpoints.get(source.incarnation)?.streams.has(job)) {
-            if (!keepsCopy(engines.view, job, keeper.incarnation, performance.now())) return this.giveUp(job);
+            if (!keepsCopy(engines.view, job, standby.incarnation, performance.now())) return this.giveUp(job);
             const began = performance.now();
             const answer = await this.order(source, call);
             const ms = Math.round(performance.now() - began);
             metrics.countCopy(answer.kind);
             const from = source.incarnation;
-            const to = keeper.incarnation;
+            const to = standby.incarnation;
             if (answer.kind === "notMade") {
                 log.info({ req: job, from, to, ms, detail: answer.detail }, "generation_not_copied");
                 if (!this.made.has(job)) engines.copyLost(job);
                 return;
             }
             log.info({ req: job, from, to, ms, copy: answer.copy }, "generation_copied");
-            const copy = { keeper, source, name: answer.copy };
+            const copy = { standby, source, name: answer.copy };
             const target = this.calls.get(job);
             if (!target) return void this.drop(copy);
             this.made.set(job, copy);
@@ -117,7 +117,7 @@
         }
     }
 
-    /** Takes back a copy whose keeper is no longer the one to go on with it. */
+    /** Takes back a copy whose standby is no longer the one to go on with it. */
     private giveUp(job: string): void {
         const copy = this.made.get(job);
         this.made.delete(job);
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -25,7 +25,7 @@
     beginCall,
     type CallProgress,
     continuationOf,
-    knownKeeper,
+    knownStandby,
     recordProgress,
     sentBefore,
 } from "./call-progress.js";
@@ -268,7 +268,7 @@
                 // The copy of an attempt that has ended since is not one of what runs now.
                 if (copy.source.incarnation !== progress.endpoint?.incarnation) return;
                 progress.copy = copy;
-                run.event({ kind: "copied", attempt: progress.attempt, endpoint: copy.keeper.incarnation });
+                run.event({ kind: "copied", attempt: progress.attempt, endpoint: copy.standby.incarnation });
             },
         });
     }
@@ -288,9 +288,9 @@
         version: call.version,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
-        keeper: progress.keeper?.incarnation,
-        keeper_hall: progress.keeper?.hall,
-        copied_to: progress.copy?.keeper.incarnation,
+        standby: progress.standby?.incarnation,
+        standby_hall: progress.standby?.hall,
+        copied_to: progress.copy?.standby.incarnation,
         outcome,
         status: progress.answered?.status,
         framed: progress.answered?.framed,
@@ -357,13 +357,13 @@
     const { head, out, route, workspace, target, req } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
-            const endpoint = knownKeeper(progress, incarnation) ?? deps.endpoint(incarnation);
-            const copy = progress.copy?.keeper.incarnation === incarnation ? progress.copy : undefined;
+            const endpoint = knownStandby(progress, incarnation) ?? deps.endpoint(incarnation);
+            const copy = progress.copy?.standby.incarnation === incarnation ? progress.copy : undefined;
             progress.copy = undefined;
             progress.attempt = attempt;
             progress.endpoint = endpoint;
             if (copy) deps.copies.end(head.id, true);
-            progress.keeper = backUp === undefined ? undefined : deps.endpoint(backUp);
+            progress.standby = backUp === undefined ? undefined : deps.endpoint(backUp);
             if (!endpoint) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
@@ -385,7 +385,7 @@
                     endpointId: endpoint.id,
                     workspace: workspace?.name,
                     rank: rankOf(call),
-                    backUpTo: progress.keeper?.address,
+                    backUpTo: progress.standby?.address,
                     continueFrom: continueAt === undefined
                         ? undefined
                         : continuationOf(progress, head.id, endpoint, copy),
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -164,9 +164,9 @@
         known = registry;
         declare();
         endLives(registry, { lives, connections, engines, plain, log });
-        copies.rescue();
+        copies.evacuate();
     });
-    engines.setLeavingListener(() => copies.rescue());
+    engines.setLeavingListener(() => copies.evacuate());
     watchStays({
         wire: platformWire,
         log,
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -99,12 +99,12 @@
         hall: Type.String(),
         exclude: Type.Array(Type.String()),
         backUp: Type.Boolean(),
-        keeperOf: Type.Optional(Type.Object({ endpoint: Type.String(), roomShare: Type.Number() })),
+        standbyOf: Type.Optional(Type.Object({ endpoint: Type.String(), roomShare: Type.Number() })),
     }),
     answer: Type.Object({
         job: Type.String(),
         endpoint: Type.Optional(Type.String()),
-        keeper: Type.Optional(Type.String()),
+        standby: Type.Optional(Type.String()),
     }),
     storeWord: Type.Object({
         revision: Revision,
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -40,15 +40,15 @@
     private state: SchedulerState;
     private readonly asking = new Map<string, Placed>();
     private readonly timer: NodeJS.Timeout;
-    private readonly rescues = new Map<string, (plan: CopyAction | undefined) => void>();
+    private readonly evacuations = new Map<string, (plan: CopyAction | undefined) => void>();
     private onAsk: (action: AskAction) => void = () => undefined;
     private onLeaving: () => void = () => undefined;
 
     constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number, options?: SchedulerOptions) {
         this.state = createScheduler(variant, seed, options);
         this.timer = setInterval(() => {
-            const { waiting, asked, askedKeeper } = this.state;
-            if (waiting.length + asked.size + askedKeeper.size > 0) this.handle({ kind: "tick" });
+            const { waiting, asked, askedStandby } = this.state;
+            if (waiting.length + asked.size + askedStandby.size > 0) this.handle({ kind: "tick" });
         }, TICK_MS);
         signal.addEventListener("abort", () => clearInterval(this.timer), { once: true });
     }
@@ -93,16 +93,16 @@
     /** Asks for the endpoint that keeps a request's copy; the answer comes at once. */
     continueOn(job: string, failed: boolean, placed: Placed): void {
         // Its endpoint has ended: there is nothing left to copy from.
-        this.settleRescue(job, undefined);
+        this.resolveEvacuation(job, undefined);
         this.asking.set(job, placed);
         this.handle({ kind: "continue", job, failed });
     }
 
     /** Where a request whose endpoint is leaving is to be copied to; undefined where no endpoint has room. */
-    planRescue(job: string): Promise<CopyAction | undefined> {
+    planEvacuation(job: string): Promise<CopyAction | undefined> {
         return new Promise(resolve => {
-            this.rescues.set(job, resolve);
-            this.handle({ kind: "rescue", job });
+            this.evacuations.set(job, resolve);
+            this.handle({ kind: "evacuate", job });
         });
     }
 
@@ -132,14 +132,14 @@
     }
 
     ended(job: string, outcome: JobOutcome, produced: number): void {
-        this.settleRescue(job, undefined);
+        this.resolveEvacuation(job, undefined);
         this.handle({ kind: "ended", job, outcome, produced });
     }
 
-    private settleRescue(job: string, plan: CopyAction | undefined): void {
-        const settle = this.rescues.get(job);
-        this.rescues.delete(job);
-        settle?.(plan);
+    private resolveEvacuation(job: string, plan: CopyAction | undefined): void {
+        const resolve = this.evacuations.get(job);
+        this.evacuations.delete(job);
+        resolve?.(plan);
     }
 
     /** Takes in what the hall's hosts know of each other. */
@@ -161,7 +161,7 @@
             return;
         }
         if (action.kind === "copy" || action.kind === "noCopy") {
-            this.settleRescue(action.job, action.kind === "copy" ? action : undefined);
+            this.resolveEvacuation(action.job, action.kind === "copy" ? action : undefined);
             return;
         }
         const placed = this.asking.get(action.job);
--- a/packages/host/src/registrations.ts
+++ b/packages/host/src/registrations.ts
@@ -31,7 +31,7 @@
      *
      * @example
      * ```ts
-     * registrations.changeOf({ key: "servers/i-7", value: undefined, modRevision: 12 }); // { kind: "gone", id: "i-7" }
+     * registrations.changeOf({ key: `${wire.storeKeys.endpoints}i-7`, value: undefined, modRevision: 12 })?.kind; // "gone"
      * ```
      */
     changeOf({ key, value, modRevision, unreadable }: KvChange): RegistryChange | undefined {
--- a/packages/policy/src/advise.ts
+++ b/packages/policy/src/advise.ts
@@ -21,10 +21,10 @@
     const { hall, backUp } = question;
     const wanted: Wanted = question;
     const views = openTo(state, question, now);
-    if (question.keeperOf) {
-        const { endpoint: primary, roomShare } = question.keeperOf;
-        const keeper = chooseBackup(views, wanted, primary, now, hall, roomShare);
-        return keeper === undefined ? undefined : { endpoint: undefined, keeper };
+    if (question.standbyOf) {
+        const { endpoint: primary, roomShare } = question.standbyOf;
+        const standby = chooseBackup(views, wanted, primary, now, hall, roomShare);
+        return standby === undefined ? undefined : { endpoint: undefined, standby };
     }
     let best: { readonly id: string; readonly score: number } | undefined;
     for (const view of views) {
@@ -32,8 +32,8 @@
         if (candidate && candidate.score < (best?.score ?? Infinity)) best = candidate;
     }
     if (!best) return undefined;
-    const keeper = backUp ? chooseBackup(views, wanted, best.id, now, hall) : undefined;
-    return { endpoint: best.id, keeper };
+    const standby = backUp ? chooseBackup(views, wanted, best.id, now, hall) : undefined;
+    return { endpoint: best.id, standby };
 }
 
 /** Owned endpoints that the asker can use. This host's own failures with one count only where others are left. */
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { chooseBackup, isUnreachable, RESCUE_ROOM_SHARE, wantedOf } from "./choose.js";
+import { chooseBackup, EVACUATION_ROOM_SHARE, isUnreachable, wantedOf } from "./choose.js";
 import { addBackup, type EndpointView, removeBackup, type Running } from "./endpoint.js";
 import type { Job } from "./job.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
@@ -17,21 +17,21 @@
     endpoint: string,
     now: number,
     roomShare?: number,
-): { readonly state: SchedulerState; readonly keeper: string | undefined } {
+): { readonly state: SchedulerState; readonly standby: string | undefined } {
     const running = state.endpoints.get(endpoint)?.streams.get(job.id);
-    if (!running) return { state, keeper: undefined };
+    if (!running) return { state, standby: undefined };
     const wanted = { ...wantedOf(job, running.survival), curve: running.curve };
-    const keeper = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
-    if (keeper === undefined) return { state, keeper };
-    return { state: backUpAt(state, job.id, endpoint, keeper), keeper };
+    const standby = chooseBackup(state.endpoints.values(), wanted, endpoint, now, state.hall, roomShare);
+    if (standby === undefined) return { state, standby };
+    return { state: backUpAt(state, job.id, endpoint, standby), standby };
 }
 
 /** Counts a running request's copy at the endpoint that keeps it. */
-export function backUpAt(state: SchedulerState, job: string, endpoint: string, keeper: string): SchedulerState {
+export function backUpAt(state: SchedulerState, job: string, endpoint: string, standby: string): SchedulerState {
     const running = state.endpoints.get(endpoint)?.streams.get(job);
-    if (!running || !state.endpoints.get(keeper)) return state;
-    const kept = withView(state, keeper, view => addBackup(view, running));
-    return { ...kept, backedUp: setIn(kept.backedUp, job, keeper) };
+    if (!running || !state.endpoints.get(standby)) return state;
+    const kept = withView(state, standby, view => addBackup(view, running));
+    return { ...kept, backedUp: setIn(kept.backedUp, job, standby) };
 }
 
 /** Whether an endpoint is leaving or no longer declared. */
@@ -41,23 +41,23 @@
 
 /**
  * Requests that are to be copied: those whose endpoint is leaving and that have no copy at one that stays and can be
- * reached. A copy whose keeper leaves is not replaced before: the copies that this takes use up the links of those that
+ * reached. A copy whose standby leaves is not replaced before: the copies that this takes use up the links of those that
  * must be made in time.
  *
  * @example
  * ```ts
- * for (const job of jobsToRescue(state, now)) decide(state, { kind: "rescue", job }, now);
+ * for (const job of jobsToEvacuate(state, now)) decide(state, { kind: "evacuate", job }, now);
  * ```
  */
-export function jobsToRescue(state: SchedulerState, now: number): readonly string[] {
+export function jobsToEvacuate(state: SchedulerState, now: number): readonly string[] {
     const jobs: string[] = [];
     for (const view of state.endpoints.values()) {
         // What cannot be reached cannot be ordered to copy anything either.
         if (!isLeaving(view) || isUnreachable(view, now)) continue;
         for (const { job } of view.streams.values()) {
             if (job.backUp !== true) continue;
-            const keeper = getIn(state.backedUp, job.id);
-            const kept = keeper !== undefined && keepsCopy(state, job.id, keeper, now);
+            const standby = getIn(state.backedUp, job.id);
+            const kept = standby !== undefined && keepsCopy(state, job.id, standby, now);
             if (!kept) jobs.push(job.id);
         }
     }
@@ -88,29 +88,29 @@
 }
 
 /** The state after a request's copy was planned by what this host knows, and the copy to be made. */
-export function rescue(state: SchedulerState, job: string, now: number): Decision {
+export function evacuate(state: SchedulerState, job: string, now: number): Decision {
     const found = runningOf(state, job);
     if (!found) return { state, actions: [{ kind: "noCopy", job }] };
     const { from, running } = found;
-    const { state: next, keeper } = backUp(dropBackup(state, job), running.job, from, now, RESCUE_ROOM_SHARE);
-    if (keeper === undefined) return { state, actions: [{ kind: "noCopy", job }] };
-    return { state: next, actions: [{ kind: "copy", job, from, to: keeper }] };
+    const { state: next, standby } = backUp(dropBackup(state, job), running.job, from, now, EVACUATION_ROOM_SHARE);
+    if (standby === undefined) return { state, actions: [{ kind: "noCopy", job }] };
+    return { state: next, actions: [{ kind: "copy", job, from, to: standby }] };
 }
 
-/** The same with the keeper that an owner named; none where it named none. */
-export function rescueAt(state: SchedulerState, job: string, keeper: string | undefined): Decision {
+/** The same with the standby that an owner named; none where it named none. */
+export function evacuateAt(state: SchedulerState, job: string, standby: string | undefined): Decision {
     const found = runningOf(state, job);
-    if (!found || keeper === undefined || !state.endpoints.get(keeper)) {
+    if (!found || standby === undefined || !state.endpoints.get(standby)) {
         return { state, actions: [{ kind: "noCopy", job }] };
     }
-    const next = backUpAt(dropBackup(state, job), job, found.from, keeper);
-    return { state: next, actions: [{ kind: "copy", job, from: found.from, to: keeper }] };
+    const next = backUpAt(dropBackup(state, job), job, found.from, standby);
+    return { state: next, actions: [{ kind: "copy", job, from: found.from, to: standby }] };
 }
 
 /** The state without the copy of a request. */
 export function dropBackup(state: SchedulerState, job: string): SchedulerState {
-    const keeper = getIn(state.backedUp, job);
-    if (keeper === undefined) return state;
-    const freed = withView(state, keeper, view => removeBackup(view, job));
+    const standby = getIn(state.backedUp, job);
+    if (standby === undefined) return state;
+    const freed = withView(state, standby, view => removeBackup(view, job));
     return { ...freed, backedUp: deleteIn(freed.backedUp, job) };
 }
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -160,7 +160,7 @@
 export const BACKUP_ROOM_SHARE = 0.75;
 
 /** A stream whose endpoint is about to leave is copied while memory is planned up to this share: it will run there soon. */
-export const RESCUE_ROOM_SHARE = 0.9;
+export const EVACUATION_ROOM_SHARE = 0.9;
 
 /**
  * The endpoint that keeps a copy of a stream: the one with the most room, if any has some to spare. A stream that runs in
@@ -190,7 +190,7 @@
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
         const isAway = hall !== undefined && hall !== view.cfg.hall;
         const cost = used + (isAway ? AWAY_COST : 0);
-        const most = runsAway && !isAway ? Math.max(roomShare, RESCUE_ROOM_SHARE) : roomShare;
+        const most = runsAway && !isAway ? Math.max(roomShare, EVACUATION_ROOM_SHARE) : roomShare;
         if (used <= most && cost < (chosen?.cost ?? Infinity)) chosen = { id: view.cfg.id, cost };
     }
     return chosen?.id;
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -1,14 +1,14 @@
 /**
- * Sends placed requests, with the keepers of their copies, and asks owners who these are.
+ * Sends placed requests, with the standbys of their copies, and asks owners who these are.
  *
  * @module
  */
-import { backUp, backUpAt, rescue, rescueAt, runningOf } from "./carry.js";
+import { backUp, backUpAt, evacuate, evacuateAt, runningOf } from "./carry.js";
 import { usable, wantedOf } from "./choose.js";
 import type { EndpointView } from "./endpoint.js";
 import { knownLength, type Survival, survivalOf } from "./estimate.js";
 import { type Job, PRIORITY_RANK } from "./job.js";
-import type { AskedKeeper, Decision, SchedulerState } from "./scheduler-state.js";
+import type { AskedStandby, Decision, SchedulerState } from "./scheduler-state.js";
 
 /** Up to this many hosts tell each other often enough that only crowded endpoints are asked for. */
 const FEW_HOSTS = 12;
@@ -42,23 +42,23 @@
 
 /** Sends a placed request, with the endpoint that is to keep its copy where it is worth one. */
 export function dispatch(state: SchedulerState, job: Job, endpoint: string, now: number): Decision {
-    const { state: next, keeper } = wantsBackup(state, job)
+    const { state: next, standby } = wantsBackup(state, job)
         ? backUp(state, job, endpoint, now)
-        : { state, keeper: undefined };
-    return send(next, job, endpoint, keeper);
+        : { state, standby: undefined };
+    return send(next, job, endpoint, standby);
 }
 
-/** Sends a placed request whose keeper is known. */
-export function send(state: SchedulerState, job: Job, endpoint: string, keeper: string | undefined): Decision {
+/** Sends a placed request whose standby is known. */
+export function send(state: SchedulerState, job: Job, endpoint: string, standby: string | undefined): Decision {
     const priority = state.variant.priorities ? PRIORITY_RANK[job.policy.priority] : 0;
-    return { state, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: keeper }] };
+    return { state, actions: [{ kind: "dispatch", job: job.id, endpoint, priority, backUp: standby }] };
 }
 
 /** Asks an owner who keeps a running request's next copy; undefined where this host decides alone. */
-export function askKeeper(
+export function askStandby(
     state: SchedulerState,
     job: string,
-    purpose: AskedKeeper["purpose"],
+    purpose: AskedStandby["purpose"],
     roomShare: number,
     now: number,
 ): Decision | undefined {
@@ -72,30 +72,30 @@
         hall: state.hall ?? "",
         exclude: unusable(state, views),
         backUp: true,
-        keeperOf: { endpoint: from, roomShare },
+        standbyOf: { endpoint: from, roomShare },
     };
-    const askedKeeper = new Map(state.askedKeeper).set(job, { purpose, at: now });
+    const askedStandby = new Map(state.askedStandby).set(job, { purpose, at: now });
     // Any endpoint's owner may be asked; the one that the request leaves may be declared no more.
     const endpoint = views[0]?.cfg.id ?? from;
-    return { state: { ...state, askedKeeper }, actions: [{ kind: "ask", job, endpoint, question }] };
+    return { state: { ...state, askedStandby }, actions: [{ kind: "ask", job, endpoint, question }] };
 }
 
-/** An owner's word on a keeper. */
-export function keeperAnswered(state: SchedulerState, job: string, keeper: string | undefined): Decision {
-    const { purpose } = state.askedKeeper.get(job)!;
-    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
-    if (purpose === "rescue") return rescueAt(next, job, keeper);
+/** An owner's word on a standby. */
+export function standbyAnswered(state: SchedulerState, job: string, standby: string | undefined): Decision {
+    const { purpose } = state.askedStandby.get(job)!;
+    const next = { ...state, askedStandby: without(state.askedStandby, job) };
+    if (purpose === "evacuate") return evacuateAt(next, job, standby);
     const found = runningOf(next, job);
     if (!found) return { state: next, actions: [] };
-    const kept = keeper === undefined ? next : backUpAt(next, job, found.from, keeper);
-    return send(kept, found.running.job, found.from, keeper);
+    const kept = standby === undefined ? next : backUpAt(next, job, found.from, standby);
+    return send(kept, found.running.job, found.from, standby);
 }
 
-/** Decides alone on a keeper whose owner does not answer. */
-export function settleKeeper(state: SchedulerState, job: string, now: number): Decision {
-    const { purpose } = state.askedKeeper.get(job)!;
-    const next = { ...state, askedKeeper: without(state.askedKeeper, job) };
-    if (purpose === "rescue") return rescue(next, job, now);
+/** Decides alone on a standby whose owner does not answer. */
+export function decideStandbyAlone(state: SchedulerState, job: string, now: number): Decision {
+    const { purpose } = state.askedStandby.get(job)!;
+    const next = { ...state, askedStandby: without(state.askedStandby, job) };
+    if (purpose === "evacuate") return evacuate(next, job, now);
     const found = runningOf(next, job);
     return found ? dispatch(next, found.running.job, found.from, now) : { state: next, actions: [] };
 }
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -160,7 +160,7 @@
     return next;
 }
 
-/** The endpoint after it was named as the keeper of a stream's copy. */
+/** The endpoint after it was named as the standby of a stream's copy. */
 export function addBackup(view: EndpointView, running: Running): EndpointView {
     const curve = addCurve(view.curve, running.curve, 1);
     return { ...view, backups: new Map(view.backups).set(running.job.id, running), curve };
--- a/packages/policy/src/owner-answers.ts
+++ b/packages/policy/src/owner-answers.ts
@@ -5,7 +5,7 @@
  */
 import { onUse } from "./breaker.js";
 import { backUpAt } from "./carry.js";
-import { dispatch, keeperAnswered, lengthsOf, send, without } from "./dispatch.js";
+import { dispatch, lengthsOf, send, standbyAnswered, without } from "./dispatch.js";
 import { addStream, type EndpointView } from "./endpoint.js";
 import { takeBack } from "./place.js";
 import { type Decision, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
@@ -15,10 +15,10 @@
 /** An owner's word: the request goes where it says, or goes back to those that wait. */
 export function answered(
     state: SchedulerState,
-    { job, endpoint, keeper }: Extract<SchedulerEvent, { kind: "answer" }>,
+    { job, endpoint, standby }: Extract<SchedulerEvent, { kind: "answer" }>,
     now: number,
 ): Decision {
-    if (state.askedKeeper.has(job)) return keeperAnswered(state, job, keeper);
+    if (state.askedStandby.has(job)) return standbyAnswered(state, job, standby);
     const asked = state.asked.get(job);
     if (!asked) return { state, actions: [] };
     const back = takeBack(state, job, now);
@@ -34,9 +34,9 @@
         breaker: onUse(known.breaker),
     }));
     const placed = { ...moved, placed: setIn(moved.placed, job, endpoint) };
-    return keeper === undefined
+    return standby === undefined
         ? send(placed, waiting.job, endpoint, undefined)
-        : send(backUpAt(placed, job, endpoint, keeper), waiting.job, endpoint, keeper);
+        : send(backUpAt(placed, job, endpoint, standby), waiting.job, endpoint, standby);
 }
 
 function isClosed(view: EndpointView): boolean {
@@ -44,7 +44,7 @@
 }
 
 /** Decides alone on a request whose owner does not answer; never for an endpoint that is leaving by now. */
-export function settleAsked(state: SchedulerState, job: string, now: number): Decision {
+export function decideAlone(state: SchedulerState, job: string, now: number): Decision {
     const { waiting, endpoint } = state.asked.get(job)!;
     const view = state.endpoints.get(endpoint);
     if (view && !isClosed(view)) {
--- a/packages/policy/src/question.ts
+++ b/packages/policy/src/question.ts
@@ -19,14 +19,14 @@
     readonly exclude: readonly string[];
     /** Whether an endpoint is wanted as well that keeps a copy. */
     readonly backUp: boolean;
-    /** Set where only an endpoint is sought that keeps a copy: the one where the request runs, and how full a keeper may be. */
-    readonly keeperOf?: { readonly endpoint: string; readonly roomShare: number };
+    /** Set where only an endpoint is sought that keeps a copy: the one where the request runs, and how full a standby may be. */
+    readonly standbyOf?: { readonly endpoint: string; readonly roomShare: number };
 }
 
 /** Where the request goes. */
 export interface Advice {
-    /** Undefined where only a keeper was sought. */
+    /** Undefined where only a standby was sought. */
     readonly endpoint: string | undefined;
     /** Endpoint that keeps the copy; undefined where none has room or none is wanted. */
-    readonly keeper: string | undefined;
+    readonly standby: string | undefined;
 }
--- a/packages/policy/src/running.ts
+++ b/packages/policy/src/running.ts
@@ -27,12 +27,12 @@
     const readingRate = running.started
         ? state.readingRate
         : observeReading(state.readingRate, running.unreadThen, now - running.dispatchedAt);
-    const keeper = getIn(state.backedUp, event.job);
-    const kept = keeper === undefined
+    const standby = getIn(state.backedUp, event.job);
+    const kept = standby === undefined
         ? { ...state, estimates, readingRate }
         : withView(
             { ...state, estimates, readingRate },
-            keeper,
+            standby,
             view => moveStream(view, event.job, event.produced, survival),
         );
     return withView(kept, id, view => ({
@@ -49,8 +49,8 @@
     produced: number,
     now: number,
 ): SchedulerState {
-    const state = before.askedKeeper.has(job)
-        ? { ...before, askedKeeper: without(before.askedKeeper, job) }
+    const state = before.askedStandby.has(job)
+        ? { ...before, askedStandby: without(before.askedStandby, job) }
         : before;
     const id = getIn(state.placed, job);
     const running = id === undefined ? undefined : state.endpoints.get(id)?.streams.get(job);
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -39,7 +39,7 @@
     /** Requests whose endpoint's owner was asked and has not answered. */
     readonly asked: ReadonlyMap<string, Asked>;
     /** Running requests for which an owner was asked who keeps their copy. */
-    readonly askedKeeper: ReadonlyMap<string, AskedKeeper>;
+    readonly askedStandby: ReadonlyMap<string, AskedStandby>;
     /** Turn of round robin, and the seed of two choices; advances with each choice. */
     readonly turn: number;
 }
@@ -51,10 +51,10 @@
     readonly at: number;
 }
 
-/** A running request whose next keeper an owner was asked for. */
-export interface AskedKeeper {
-    /** `rescue`: its endpoint is leaving. `continue`: it goes on at another endpoint as soon as the keeper is known. */
-    readonly purpose: "rescue" | "continue";
+/** A running request whose next standby an owner was asked for. */
+export interface AskedStandby {
+    /** `evacuate`: its endpoint is leaving. `continue`: it goes on at another endpoint as soon as the standby is known. */
+    readonly purpose: "evacuate" | "continue";
     readonly at: number;
 }
 
@@ -75,7 +75,7 @@
         readonly kind: "answer";
         readonly job: string;
         readonly endpoint: string | undefined;
-        readonly keeper: string | undefined;
+        readonly standby: string | undefined;
     }
     /** What other hosts hold on an endpoint, as told by its owner. */
     | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
@@ -92,7 +92,7 @@
     /** A request's endpoint broke off: it is to go on where its copy is kept. `failed`: the endpoint is to blame. */
     | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
     /** A request's endpoint is leaving: another is to take a copy, if there is room. */
-    | { readonly kind: "rescue"; readonly job: string }
+    | { readonly kind: "evacuate"; readonly job: string }
     /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
     | { readonly kind: "unreachable"; readonly endpoint: string }
     /** An endpoint has begun a later life: what it held is gone. Its streams are told to have ended by themselves. */
@@ -176,7 +176,7 @@
         backedUp: emptyMap(),
         owned: new Set(),
         asked: new Map(),
-        askedKeeper: new Map(),
+        askedStandby: new Map(),
         turn: seed,
     };
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -7,12 +7,12 @@
  * @module
  */
 import { onResult, onUnreachable } from "./breaker.js";
-import { dropBackup, rescue } from "./carry.js";
-import { BACKUP_ROOM_SHARE, RESCUE_ROOM_SHARE } from "./choose.js";
-import { askKeeper, dispatch, settleKeeper, wantsBackup } from "./dispatch.js";
+import { dropBackup, evacuate } from "./carry.js";
+import { BACKUP_ROOM_SHARE, EVACUATION_ROOM_SHARE } from "./choose.js";
+import { askStandby, decideStandbyAlone, dispatch, wantsBackup } from "./dispatch.js";
 import { EndpointTable } from "./endpoint-table.js";
 import { createEndpoint, promoteBackup, removeStream, setLeaving, takeOthers, takeReport } from "./endpoint.js";
-import { answered, settleAsked } from "./owner-answers.js";
+import { answered, decideAlone } from "./owner-answers.js";
 import { takeBack } from "./place.js";
 import { isServed, NO_ENDPOINT_RETRY_MS, refuse } from "./refusal.js";
 import { ended, progress } from "./running.js";
@@ -104,7 +104,8 @@
     progress: (state, event, now) => ({ state: progress(state, event, now), actions: [] }),
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
-    rescue: (state, { job }, now) => askKeeper(state, job, "rescue", RESCUE_ROOM_SHARE, now) ?? rescue(state, job, now),
+    evacuate: (state, { job }, now) =>
+        askStandby(state, job, "evacuate", EVACUATION_ROOM_SHARE, now) ?? evacuate(state, job, now),
     unreachable: (state, { endpoint }, now) => ({
         state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
         actions: [],
@@ -123,13 +124,13 @@
         let next = state;
         for (const [id, { at }] of state.asked) {
             if (now - at < ASK_TIMEOUT_MS) continue;
-            const settled = settleAsked(next, id, now);
+            const settled = decideAlone(next, id, now);
             next = settled.state;
             actions.push(...settled.actions);
         }
-        for (const [id, { at }] of state.askedKeeper) {
+        for (const [id, { at }] of state.askedStandby) {
             if (now - at < ASK_TIMEOUT_MS) continue;
-            const settled = settleKeeper(next, id, now);
+            const settled = decideStandbyAlone(next, id, now);
             next = settled.state;
             actions.push(...settled.actions);
         }
@@ -141,21 +142,21 @@
 /** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
 function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
     const source = getIn(state.placed, job);
-    const keeper = getIn(state.backedUp, job);
-    const running = keeper === undefined ? undefined : state.endpoints.get(keeper)?.backups.get(job);
-    if (source === undefined || keeper === undefined || !running || !isServed(state, running.job)) {
+    const standby = getIn(state.backedUp, job);
+    const running = standby === undefined ? undefined : state.endpoints.get(standby)?.backups.get(job);
+    if (source === undefined || standby === undefined || !running || !isServed(state, running.job)) {
         return { state, actions: [refuse(job, "noEndpoint", "no endpoint keeps a copy", NO_ENDPOINT_RETRY_MS)] };
     }
     const left = withView(state, source, view => ({
         ...removeStream(view, job, now),
         breaker: failed ? onResult(view.breaker, false, now) : view.breaker,
     }));
-    const promoted = withView(left, keeper, view => promoteBackup(view, job));
+    const promoted = withView(left, standby, view => promoteBackup(view, job));
     const next = {
         ...promoted,
-        placed: setIn(promoted.placed, job, keeper),
+        placed: setIn(promoted.placed, job, standby),
         backedUp: deleteIn(promoted.backedUp, job),
     };
-    const asks = wantsBackup(next, running.job) ? askKeeper(next, job, "continue", BACKUP_ROOM_SHARE, now) : undefined;
-    return asks ?? dispatch(next, running.job, keeper, now);
+    const asks = wantsBackup(next, running.job) ? askStandby(next, job, "continue", BACKUP_ROOM_SHARE, now) : undefined;
+    return asks ?? dispatch(next, running.job, standby, now);
 }
