Calls that were not served tell the fingerprint of what they asked for

Cause: the incident's logs cannot tell whether eleven calls of one route and workspace had the same body. No decision changes.

--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -31,6 +31,7 @@
 } from "./call-progress.js";
 import type { Copies } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
+import { fingerprintOf } from "./fingerprint.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import type { OpenRuns } from "./host.js";
@@ -286,6 +287,7 @@
         route: call.route.name,
         workspace: call.workspace?.name,
         version: call.version,
+        fingerprint: end.err || end.failed ? fingerprintOfCall(call, progress.body) : undefined,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
         standby: progress.standby?.incarnation,
@@ -308,6 +310,11 @@
     }, "call_ended");
 }
 
+function fingerprintOfCall({ req, head, target, workspace }: ForwardCall, body: Buffer | undefined): string {
+    const { method = "" } = req;
+    return fingerprintOf({ method, host: head.host, target, workspace: workspace?.name ?? "", body });
+}
+
 /** When a stream is taken for lost; only where a copy is kept elsewhere. */
 function silenceOf(
     deps: Forwarding,
