Requests that end the endpoints that run them are quarantined

Cause: nothing knew of such a request. Each try came under a new id, at any host; each host took it as new, begun it at the next engine, and let it go on from its copy at one more. Class: evidence that only the fleet as a whole has, judged by each host for itself. Mend: hosts tell each other which requests were running where an endpoint's life ended (hall/endings, joined by life), judge them alike (hall/verdict), begin suspects one at a time where the least runs, and no host begins one after three endings (hall/quarantine). A host asks before each attempt: first, retry, continuation, copy (request: withheld). An ending counts only where it is shown: refused connections, a later life, a registration that lapsed though the endpoint was not leaving (ending-watch).

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -9,6 +9,16 @@
     receive,
     tick,
 } from "./detector.js";
+export {
+    clearingOf,
+    type Ending,
+    type EndingNews,
+    type Endings,
+    type Involved,
+    joinEnding,
+    MOST_REQUESTS,
+    type RequestNews,
+} from "./endings.js";
 export {
     createFollowing,
     type Following,
@@ -60,6 +70,20 @@
     unheardCandidates,
 } from "./membership.js";
 export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
+export {
+    allNews,
+    clear,
+    EMPTY_QUARANTINE,
+    forgetOld,
+    isSuspect,
+    joinNews,
+    type Quarantine,
+    type QuarantineNews,
+    type QuarantineStep,
+    type TrialNews,
+    type Verdict,
+    verdictOf,
+} from "./quarantine.js";
 export {
     type Addressed,
     createShare,
@@ -72,3 +96,4 @@
     type ShareStep,
 } from "./share.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
+export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
--- a/packages/host/src/answer.ts
+++ b/packages/host/src/answer.ts
@@ -36,6 +36,9 @@
     [FailCode.CallerGone]: 499,
     [FailCode.AlreadyClaimed]: 409,
     [FailCode.PlatformAway]: 503,
+    // Neither a promise that invites another try (429, 503) nor the caller's mistake (4xx); client libraries try 500, 502 and 504 again.
+    [FailCode.Quarantined]: 501,
+    [FailCode.OnTrial]: 503,
 };
 
 /** A request's failure as an error for its caller. */
--- /dev/null
+++ b/packages/host/src/ending-watch.ts
@@ -0,0 +1,145 @@
+/**
+ * Finds out whether an endpoint's life ended when calls there broke off: a path that was cut and a connection that was reset break
+ * them too, and leave the endpoint as it is.
+ *
+ * An endpoint whose call broke off is asked at once. Refused connections and a later life show that the one that ran the call is over;
+ * any other answer shows that it is not. Where no answer comes, what the registry tells in the next seconds decides. An endpoint that
+ * was leaving ends as planned, and its end tells nothing of what ran there.
+ *
+ * @module
+ */
+import { errText, type PlatformWire } from "@drumpaddle/protocol";
+import { compareLives, type EndpointEntry, type Life, LifeOrder, type Registry } from "@drumpaddle/routes";
+import { callEndpoint } from "./call-endpoint.js";
+import type { Log } from "./log.js";
+
+/** A call that broke off while it ran at an endpoint. */
+export interface BrokenRun {
+    readonly req: string;
+    readonly fingerprint: string;
+    /** How long it had run there, in milliseconds. */
+    readonly ranMs: number;
+}
+
+/** How it was found out that a life is over. */
+export type EndingSign = "refused" | "laterLife" | "gone";
+
+/** The end of a life under calls of this host. */
+export interface SeenEnding {
+    readonly endpoint: EndpointEntry;
+    /** When the calls broke off, on the monotonic clock: an end that is found out later counts from then. */
+    readonly at: number;
+    readonly runs: readonly BrokenRun[];
+    readonly sign: EndingSign;
+}
+
+/** What the watch needs of the gateway. */
+export interface EndingWatchDeps {
+    readonly wire: PlatformWire;
+    readonly log: Log;
+    readonly signal: AbortSignal;
+    /** Whether an endpoint is known to be leaving, or to have left. */
+    isLeaving(incarnation: string): boolean;
+    /** Whether the store does not tell what becomes of registrations. */
+    isDeaf(): boolean;
+    onEnded(ending: SeenEnding): void;
+    /** The endpoint lives on, or it cannot be found out. */
+    onNotEnded(runs: readonly BrokenRun[]): void;
+    meetLife(life: Life): void;
+}
+
+/** Endpoints of a region refuse a connection within 10 ms; a cut one is not waited for. */
+const ANSWER_MS = 250;
+/** A crashed endpoint's registration lapses after three heartbeats, seen after 2.8 s; one that has not by then is not over. */
+const UNKNOWN_MS = 10_000;
+/** Calls that break off so long after a life's end was seen are of the same end. */
+const SAME_ENDING_MS = 5_000;
+
+interface Pending {
+    readonly endpoint: EndpointEntry;
+    readonly at: number;
+    readonly runs: BrokenRun[];
+}
+
+/** The endings that one host sees. */
+export class EndingWatch {
+    private readonly pending = new Map<string, Pending>();
+    /** When lives ended, by name. */
+    private readonly ended = new Map<string, { readonly at: number; readonly sign: EndingSign }>();
+
+    constructor(private readonly deps: EndingWatchDeps) {}
+
+    /** A call broke off; what it is due to is told by one of the listeners, at once or later. */
+    broke(endpoint: EndpointEntry, run: BrokenRun): void {
+        const { incarnation } = endpoint;
+        const now = performance.now();
+        if (this.deps.isLeaving(incarnation)) return this.deps.onNotEnded([run]);
+        const known = this.ended.get(incarnation);
+        if (known && now - known.at < SAME_ENDING_MS) {
+            return this.deps.onEnded({ endpoint, at: known.at, runs: [run], sign: known.sign });
+        }
+        const pending = this.pending.get(incarnation);
+        if (pending) {
+            pending.runs.push(run);
+            return;
+        }
+        this.pending.set(incarnation, { endpoint, at: now, runs: [run] });
+        void this.ask(endpoint);
+    }
+
+    /** Takes in what the registry tells of endpoints. */
+    take({ endpoints, departed, latest }: Registry): void {
+        for (const { endpoint } of [...this.pending.values()]) {
+            const { incarnation, id } = endpoint;
+            const known = latest.get(id);
+            if (known && compareLives(known, endpoint) === LifeOrder.Later) this.end(incarnation, "laterLife");
+            else if (!endpoints.has(incarnation) && departed.has(incarnation) && !this.deps.isDeaf()) {
+                this.end(incarnation, "gone");
+            }
+        }
+    }
+
+    private async ask({ id, address, incarnation, born }: EndpointEntry): Promise<void> {
+        const { wire, log, signal } = this.deps;
+        try {
+            const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
+            const stay = wire.readStay(status, body);
+            const life = { id, born: stay.kind === "told" ? stay.born : undefined };
+            if (compareLives(life, { id, born }) !== LifeOrder.Later) return this.giveUp(incarnation);
+            this.deps.meetLife(life);
+            this.end(incarnation, "laterLife");
+        }
+        catch (err) {
+            if (isRefused(err)) return this.end(incarnation, "refused");
+            log.debug({ endpoint: incarnation, detail: errText(err) }, "endpoint_end_unknown");
+            setTimeout(() => this.giveUp(incarnation), UNKNOWN_MS).unref();
+        }
+    }
+
+    private end(incarnation: string, sign: EndingSign): void {
+        const pending = this.pending.get(incarnation);
+        if (!pending) return;
+        this.pending.delete(incarnation);
+        this.forgetOld();
+        this.ended.set(incarnation, { at: pending.at, sign });
+        this.deps.onEnded({ ...pending, sign });
+    }
+
+    private giveUp(incarnation: string): void {
+        const pending = this.pending.get(incarnation);
+        if (!pending) return;
+        this.pending.delete(incarnation);
+        this.deps.onNotEnded(pending.runs);
+    }
+
+    private forgetOld(): void {
+        const now = performance.now();
+        for (const [incarnation, { at }] of this.ended) {
+            if (now - at >= SAME_ENDING_MS) this.ended.delete(incarnation);
+        }
+    }
+}
+
+function isRefused(err: unknown): boolean {
+    return err instanceof Error && "code" in err && err.code === "ECONNREFUSED";
+}
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -5,7 +5,7 @@
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
 import { type AnswerHead, type CallHead, errText, type PlatformWire } from "@drumpaddle/protocol";
-import { FailCode } from "@drumpaddle/request";
+import { FailCode, notRun } from "@drumpaddle/request";
 import {
     compareLives,
     type EndpointEntry,
@@ -19,7 +19,7 @@
     type WorkspaceCfg,
 } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ApiError } from "./answer.js";
+import { type ApiError, toApiError } from "./answer.js";
 import { callEndpoint } from "./call-endpoint.js";
 import {
     beginCall,
@@ -34,6 +34,7 @@
 import { fingerprintOf } from "./fingerprint.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
+import { guardAttempt } from "./guard-attempt.js";
 import type { OpenRuns } from "./host.js";
 import type { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
@@ -41,6 +42,7 @@
 import type { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
 import { readBody } from "./request-body.js";
+import type { RequestGuard, Withheld } from "./request-guard.js";
 import { type AttemptRunner, Run, type RunEnd } from "./run.js";
 import type { SilenceCfg } from "./silence-watch.js";
 
@@ -65,6 +67,8 @@
     /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
     endsAt(): number | undefined;
     readonly lives: LifeSignals;
+    /** Keeps requests away that end the endpoints that run them. */
+    readonly guard: RequestGuard;
     /** An endpoint is not the one that was called: its address has another one. */
     onOtherIncarnation(incarnation: string): void;
     /** Takes in that a later life of an endpoint has answered than the one that was called. */
@@ -173,6 +177,15 @@
     return route.kind !== RouteKind.Stream && performance.now() + route.timeoutMs < endsAt;
 }
 
+/** Refuses a request that ends endpoints, or one that may and runs elsewhere now. */
+function refuseWithheld(deps: Forwarding, { head, out }: ForwardCall, fingerprint: string, withheld: Withheld): void {
+    const { code, detail, retryAfterMs } = withheld;
+    deps.guard.refused(head.id, fingerprint, withheld);
+    deps.metrics.countOutcome("refused", "no");
+    const err = toApiError(notRun(code, detail, retryAfterMs));
+    writeRefusal(out, deps.wire, { callId: head.id, err, close: deps.runs.stopping });
+}
+
 function refuse(deps: Forwarding, out: ServerResponse, callId: string | undefined, err: ApiError): void {
     deps.metrics.countOutcome("refused", err.ran);
     if (deps.logCalls) {
@@ -208,7 +221,7 @@
     };
 }
 
-function jobOf(call: ForwardCall): Job {
+function jobOf(call: ForwardCall, isSuspect: boolean): Job {
     const { head, route, workspace, service, engine } = call;
     const { generation } = head;
     return {
@@ -219,6 +232,7 @@
         prefix: generation?.parts[0]?.id ?? "",
         prefixTokens: generation?.parts[0]?.tokens ?? 0,
         policy: policyOf(call),
+        isSuspect,
         tokensPerPiece: engine?.tokensPerEvent,
         backUp: engine?.canBackUp === true && (generation?.maxTokens ?? 0) >= BACK_UP_TOKENS,
     };
@@ -231,6 +245,9 @@
     if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const progress = beginCall(body, at + holdMs);
+    const fingerprint = fingerprintOfCall(call, body);
+    const withheld = deps.guard.withhold(fingerprint);
+    if (withheld) return refuseWithheld(deps, call, fingerprint, withheld);
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -241,9 +258,10 @@
             maxResumes: 0,
             deadline: progress.deadline,
         },
-        job: jobOf(call),
+        job: jobOf(call, deps.guard.isSuspect(fingerprint)),
         placement: engine ? deps.engines : deps.plain,
-        runner: runnerOf(deps, call, progress),
+        runner: runnerOf(deps, call, progress, fingerprint),
+        withhold: attempt => deps.guard.withhold(fingerprint, attempt),
         reply: forwardReply({
             out,
             wire: deps.wire,
@@ -257,7 +275,7 @@
             queueMicrotask(() => deps.runs.delete(run));
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
-            onEnd(deps, call, progress, end);
+            onEnd(deps, call, progress, end, fingerprint);
         },
     });
     deps.metrics.open.inc();
@@ -276,7 +294,13 @@
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
-function onEnd(deps: Forwarding, call: ForwardCall, progress: CallProgress, end: RunEnd): void {
+function onEnd(
+    deps: Forwarding,
+    call: ForwardCall,
+    progress: CallProgress,
+    end: RunEnd,
+    fingerprint: string,
+): void {
     const ran = end.err?.ran ?? "yes";
     const outcome = outcomeOf(progress, end);
     deps.metrics.countOutcome(outcome, ran);
@@ -287,7 +311,7 @@
         route: call.route.name,
         workspace: call.workspace?.name,
         version: call.version,
-        fingerprint: end.err || end.failed ? fingerprintOfCall(call, progress.body) : undefined,
+        fingerprint: end.err || end.failed ? fingerprint : undefined,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
         standby: progress.standby?.incarnation,
@@ -360,7 +384,12 @@
     return route.gapMs !== undefined && longestGapMs > route.gapMs ? "pause" : undefined;
 }
 
-function runnerOf(deps: Forwarding, call: ForwardCall, progress: CallProgress): AttemptRunner<AnswerPiece> {
+function runnerOf(
+    deps: Forwarding,
+    call: ForwardCall,
+    progress: CallProgress,
+    fingerprint: string,
+): AttemptRunner<AnswerPiece> {
     const { head, out, route, workspace, target, req } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
@@ -400,7 +429,13 @@
                 body: progress.body,
                 before: sentBefore(progress, continueAt),
                 silence: silenceOf(deps, route, endpoint, backUp),
-                sink: recordProgress(sink, progress),
+                sink: guardAttempt(recordProgress(sink, progress), deps.guard, {
+                    req: head.id,
+                    attempt,
+                    fingerprint,
+                    endpoint,
+                    signal,
+                }),
                 whenWritable: resume => whenWritable(out, resume),
                 onAnswered: (status, answer) => {
                     progress.answered = { status, framed: answer.framed };
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -21,6 +21,7 @@
 import type { HostCfg } from "./config.js";
 import { Copies } from "./copies.js";
 import { DeploymentFeed } from "./deployment-feed.js";
+import { EndingWatch } from "./ending-watch.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
@@ -31,6 +32,7 @@
 import { Peers } from "./peers.js";
 import { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
+import { RequestGuard } from "./request-guard.js";
 import { watchStays } from "./stay-watch.js";
 
 /** A running gateway. */
@@ -112,6 +114,23 @@
     });
     const lives = new LifeSignals();
     const connections = new EndpointConnections(signal, () => metrics.countConnection());
+    const guard: RequestGuard = new RequestGuard({
+        log,
+        metrics,
+        signal,
+        tell: news => peers.tellQuarantine(news),
+        broke: (endpoint, run) => endings.broke(endpoint, run),
+    });
+    const endings = new EndingWatch({
+        wire: platformWire,
+        log,
+        signal,
+        isLeaving: incarnation => isLeaving(incarnation, engines, plain),
+        isDeaf: () => feed.isDeaf,
+        onEnded: ending => guard.ended(ending),
+        onNotEnded: runs => guard.notEnded(runs),
+        meetLife: life => peers.meetLife(life),
+    });
     let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
@@ -119,6 +138,7 @@
         metrics,
         connections,
         lives,
+        guard,
         engines,
         plain,
         runs,
@@ -149,9 +169,10 @@
         plain,
         spread: feed.spread,
         follower: feed.follower,
+        guard,
         signal,
     });
-    const operators = createProbes(() => feed.isReady && !runs.stopping, metrics);
+    const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
     let known: Registry | undefined;
     const declare = (): void => {
         if (known && feed.table) declareEndpoints(feed.table, known, engines, plain);
@@ -163,6 +184,7 @@
     feed.onEndpoints(registry => {
         known = registry;
         declare();
+        endings.take(registry);
         endLives(registry, { lives, connections, engines, plain, log });
         copies.evacuate();
     });
@@ -248,6 +270,12 @@
     }
 }
 
+/** Whether an endpoint is known to be leaving, or takes no new work for other reasons that were told. */
+function isLeaving(incarnation: string, ...placements: readonly Placement[]): boolean {
+    const views = placements.flatMap(({ view }) => view.endpoints.get(incarnation) ?? []);
+    return views.every(({ leavingBy, cfg }) => leavingBy.length > 0 || cfg.models.length === 0);
+}
+
 function holdsAny({ streams, backups, others }: EndpointView): boolean {
     return streams.size + backups.size > 0 || others.curve.mean[0]! > 0;
 }
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -89,6 +89,17 @@
     ]);
     private readonly connections = this.counter("drumpaddle_connections_total", "Connections opened to endpoints.", []);
     private readonly peers = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", ["direction"]);
+    private readonly endings = this.counter(
+        "drumpaddle_endings_total",
+        "Endpoints that ended under calls of this host, by how that was found out.",
+        ["sign"],
+    );
+    private readonly withheld = this.counter(
+        "drumpaddle_withheld_total",
+        "Calls that were not begun, as they were running where endpoints ended.",
+        ["code"],
+    );
+    readonly quarantined = this.gauge("drumpaddle_quarantined_requests", "Requests that are begun nowhere.");
     readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
     readonly waiting = this.gauge("drumpaddle_waiting_requests", "Requests that wait for room.");
     readonly liveHosts = this.gauge(
@@ -145,6 +156,14 @@
         this.stays.inc({ answer });
     }
 
+    countEnding(sign: string): void {
+        this.endings.inc({ sign });
+    }
+
+    countWithheld(code: FailCode): void {
+        this.withheld.inc({ code });
+    }
+
     countConnection(): void {
         this.connections.inc();
     }
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -3,7 +3,15 @@
  *
  * @module
  */
-import type { DetectorMessage, SettingsAsk, SettingsGive, ShareMessage, VersionNews } from "@drumpaddle/hall";
+import {
+    type DetectorMessage,
+    MOST_REQUESTS,
+    type QuarantineNews,
+    type SettingsAsk,
+    type SettingsGive,
+    type ShareMessage,
+    type VersionNews,
+} from "@drumpaddle/hall";
 import type { FrameMessage, KvChange } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { TypeCompiler } from "@sinclair/typebox/compiler";
@@ -30,6 +38,7 @@
 const Progress = {
     settings: Type.Optional(Type.Object({ version: Type.Integer(), hash: Type.String() })),
     store: Type.Optional(Type.Object({ revision: Type.Integer(), ageMs: Type.Number({ minimum: 0 }) })),
+    quarantine: Type.Optional(Type.Integer()),
 };
 const SignOfLife = Type.Object({
     self: Stamp,
@@ -52,6 +61,20 @@
     modRevision: Revision,
     unreadable: Type.Optional(Type.String()),
 });
+/** Names of requests, lives and attempts, as a peer may write them. */
+const Name = Type.String({ minLength: 1, maxLength: 256 });
+const Age = Type.Number({ minimum: 0 });
+const EndingShape = Type.Object({
+    life: Name,
+    agoMs: Age,
+    requests: Type.Array(
+        Type.Object({ fingerprint: Name, ranMs: Age, cleared: Type.Boolean() }),
+        { maxItems: MOST_REQUESTS },
+    ),
+});
+const TrialShape = Type.Object({ attempt: Name, fingerprint: Name, agoMs: Age, isOver: Type.Boolean() });
+/** Endings, and as many suspects that run, that one message may tell of. */
+export const MOST_TOLD = 256;
 const Texts = Type.Record(Type.String(), Type.String());
 
 /** Shape of each message; one that is not so is dropped and counted. */
@@ -120,6 +143,12 @@
         deployment: Type.Optional(Type.String()),
         endpoints: Type.String(),
     }),
+    quarantine: Type.Object({
+        isAll: Type.Boolean(),
+        endings: Type.Array(EndingShape, { maxItems: MOST_TOLD }),
+        trials: Type.Array(TrialShape, { maxItems: MOST_TOLD }),
+    }),
+    quarantineAsk: Type.Object({}),
 } as const;
 
 /** Compiled once: messages come by the hundred each second. */
@@ -143,12 +172,22 @@
     | { readonly kind: "ask" } & SettingsAsk
     | { readonly kind: "give" } & SettingsGive
     | StorePeerMessage
+    | QuarantinePeerMessage
     | ShareMessage;
 
+/** Messages by which hosts share which requests end endpoints. */
+export type QuarantinePeerMessage =
+    /** `isAll`: all that the sender knows, and not only what is new. */
+    | { readonly kind: "quarantine"; readonly isAll: boolean } & QuarantineNews
+    /** Asks for all that a peer knows. */
+    | { readonly kind: "quarantineAsk" };
+
 /** How far the sender of a message of the failure detector is. */
 export interface Progress {
     readonly settings?: VersionNews;
     readonly store?: StoreStamp;
+    /** A number by which hosts see whether they know of the same endings. */
+    readonly quarantine?: number;
 }
 
 /** Messages by which hosts share what they hear of the store. */
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -22,6 +22,7 @@
     liveInHall,
     type Membership,
     newsOf,
+    type QuarantineNews,
     receive,
     type SettingsAsk,
     type SettingsGive,
@@ -48,7 +49,9 @@
 import type { Metrics } from "./metrics.js";
 import { isPeerMessage, type PeerMessage, type Progress, type StorePeerMessage } from "./peer-messages.js";
 import type { Placement } from "./placement.js";
+import { QuarantineSharing } from "./quarantine-sharing.js";
 import { repeat } from "./repeat.js";
+import type { RequestGuard } from "./request-guard.js";
 import type { SettingsFeed } from "./settings-feed.js";
 import { type StoreFollower, StoreSharing } from "./store-follower.js";
 
@@ -79,6 +82,8 @@
     readonly spread: Spread;
     /** Where it is given, two hosts of a hall watch the store for all. */
     readonly follower?: StoreFollower;
+    /** Where it is given, hosts share which requests end endpoints. */
+    readonly guard?: Pick<RequestGuard, "all" | "digest" | "hear">;
     readonly signal: AbortSignal;
 }
 
@@ -104,6 +109,7 @@
     private detector: Detector;
     private share: ShareState;
     private readonly sharing: StoreSharing | undefined;
+    private readonly quarantine: QuarantineSharing | undefined;
     /** The live hosts that the log last told of. */
     private logged: readonly string[] = [];
     /** The version that a peer was asked for last, and when. */
@@ -123,6 +129,16 @@
             seeking: () => unheardCandidates(this.membership).length > 0,
             send: (names, message) => this.sendAll(names, message),
         });
+        const { guard } = host;
+        this.quarantine = guard && new QuarantineSharing({
+            name,
+            signal: host.signal,
+            live: () => this.live,
+            send: (names, message) => this.sendAll(names, message),
+            hear: news => guard.hear(news),
+            all: () => guard.all(),
+            digest: () => guard.digest,
+        });
     }
 
     private get membership(): Membership {
@@ -185,6 +201,16 @@
         return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
     }
 
+    /** Whether this host has heard which requests end endpoints, as far as a peer can tell. */
+    get knowsQuarantine(): boolean {
+        return this.quarantine?.isReady ?? true;
+    }
+
+    /** Tells peers of requests that end endpoints. */
+    tellQuarantine(news: QuarantineNews): void {
+        this.quarantine?.tell(news);
+    }
+
     /** Takes in which life of an endpoint has answered this host. */
     meetLife(life: Life): void {
         this.sharing?.meetLife(life);
@@ -203,10 +229,12 @@
 
     /** How far this host is, as its messages say. */
     private get progress(): Progress {
+        const { guard } = this.host;
+        const quarantine = guard ? { quarantine: guard.digest } : {};
         // What is learnt from the store is told by its revision.
-        if (!this.sharing) return { settings: this.host.spread.news() };
+        if (!this.sharing) return { settings: this.host.spread.news(), ...quarantine };
         const store = this.sharing.stamp();
-        return store ? { store } : {};
+        return { ...(store ? { store } : {}), ...quarantine };
     }
 
     private beat(): void {
@@ -275,12 +303,15 @@
         storeAsk: (from, message) => this.hearStore(from, message),
         storeState: (from, message) => this.hearStore(from, message),
         lifeMet: (from, message) => this.hearStore(from, message),
+        quarantine: (from, message) => this.quarantine?.receive(from.name, message),
+        quarantineAsk: (from, message) => this.quarantine?.receive(from.name, message),
     };
 
     private hearDetector(from: PeerName, message: DetectorMessage & Progress): void {
         this.carryOut(receive(this.detector, from.address, message, this.env));
-        const { settings, store } = message;
+        const { settings, store, quarantine } = message;
         if (store) this.sharing?.hearStamp(from.name, store);
+        if (quarantine !== undefined) this.quarantine?.hearDigest(from.name, quarantine);
         const ask = settings && this.host.spread.ask(settings);
         if (ask && this.mayAsk(settings.version)) this.send(from.address, { kind: "ask", ...ask });
     }
--- /dev/null
+++ b/packages/host/src/quarantine-sharing.ts
@@ -0,0 +1,112 @@
+/**
+ * How hosts of all halls tell each other of requests that end endpoints: news at once to a few hosts, each of which passes on what it
+ * had not known; and all that is known to a host that starts, or that knows other endings.
+ *
+ * @module
+ */
+import type { QuarantineNews } from "@drumpaddle/hall";
+import { MOST_TOLD, type QuarantinePeerMessage } from "./peer-messages.js";
+import { repeat } from "./repeat.js";
+
+/** What sharing needs of the peers. */
+export interface QuarantineSharingDeps {
+    readonly name: string;
+    readonly signal: AbortSignal;
+    /** Live hosts of the scope, itself included. */
+    live(): readonly string[];
+    send(names: readonly string[], message: QuarantinePeerMessage): void;
+    /** Takes in what a peer tells. */
+    hear(news: QuarantineNews): void;
+    all(): QuarantineNews;
+    digest(): number;
+}
+
+/**
+ * Hosts that are told at once: by each to six others, news is at all but one of 400 hosts (e^-6) after four passes; that one hears it
+ * with the next probe.
+ */
+const FANOUT = 6;
+/** News of one moment is told together: an engine's end breaks up to 24 calls at once. */
+const GATHER_MS = 2;
+/** Hosts that know other endings are told all of them this often at most. */
+const RECONCILE_MS = 1_000;
+/** A host that starts asks this often, */
+const ASK_EVERY_MS = 50;
+/** and is ready without an answer after this: its peers may all have started with it. */
+const ASK_MOST_MS = 400;
+
+const NOTHING: QuarantineNews = { endings: [], trials: [] };
+
+/** One host's part in sharing them. */
+export class QuarantineSharing {
+    private readonly startedAt = performance.now();
+    private reconciledAt = -Infinity;
+    private answered = false;
+    private asking: AbortController | undefined;
+    private gathered: QuarantineNews = NOTHING;
+
+    constructor(private readonly deps: QuarantineSharingDeps) {
+        this.asking = new AbortController();
+        repeat(() => this.ask(), () => ASK_EVERY_MS, AbortSignal.any([deps.signal, this.asking.signal]));
+    }
+
+    /** Whether a peer has told what is quarantined, or none is there that could. */
+    get isReady(): boolean {
+        return this.answered || performance.now() - this.startedAt >= ASK_MOST_MS;
+    }
+
+    /** Tells a few hosts what is new here, in a moment. */
+    tell({ endings, trials }: QuarantineNews): void {
+        const { gathered } = this;
+        this.gathered = { endings: [...gathered.endings, ...endings], trials: [...gathered.trials, ...trials] };
+        if (gathered === NOTHING) setTimeout(() => this.flush(), GATHER_MS).unref();
+    }
+
+    private flush(): void {
+        const { endings, trials } = this.gathered;
+        this.gathered = NOTHING;
+        const to = this.someOthers(FANOUT);
+        for (let at = 0; at < Math.max(endings.length, trials.length); at += MOST_TOLD) {
+            const part = { endings: endings.slice(at, at + MOST_TOLD), trials: trials.slice(at, at + MOST_TOLD) };
+            this.deps.send(to, { kind: "quarantine", isAll: false, ...part });
+        }
+    }
+
+    /** A peer's probe says by a digest what it knows. */
+    hearDigest(from: string, digest: number): void {
+        if (digest === this.deps.digest()) return;
+        const now = performance.now();
+        if (now - this.reconciledAt < RECONCILE_MS) return;
+        this.reconciledAt = now;
+        this.sendAll(from);
+    }
+
+    /** Takes in a message of a peer. */
+    receive(from: string, message: QuarantinePeerMessage): void {
+        if (message.kind === "quarantineAsk") return this.sendAll(from);
+        if (message.isAll) this.answered = true;
+        this.deps.hear(message);
+    }
+
+    private sendAll(to: string): void {
+        this.deps.send([to], { kind: "quarantine", isAll: true, ...this.deps.all() });
+    }
+
+    private ask(): void {
+        if (this.isReady) {
+            this.asking?.abort();
+            this.asking = undefined;
+            return;
+        }
+        this.deps.send(this.someOthers(1), { kind: "quarantineAsk" });
+    }
+
+    private someOthers(most: number): readonly string[] {
+        const others = this.deps.live().filter(name => name !== this.deps.name);
+        for (let at = 0; at < Math.min(most, others.length); at++) {
+            const other = at + Math.floor(Math.random() * (others.length - at));
+            [others[at], others[other]] = [others[other]!, others[at]!];
+        }
+        return others.slice(0, most);
+    }
+}
--- /dev/null
+++ b/packages/host/src/request-guard.ts
@@ -0,0 +1,266 @@
+/**
+ * Keeps requests that end the endpoints that run them from being begun: the shell around the decisions of `quarantine` in the package
+ * `hall`. It counts what breaks off here, asks before each attempt, and tells the peers.
+ *
+ * @module
+ */
+import {
+    allNews,
+    type Charge,
+    clear,
+    EMPTY_QUARANTINE,
+    type EndingNews,
+    ENDINGS_TO_QUARANTINE,
+    forgetOld,
+    isSuspect,
+    joinNews,
+    type Quarantine,
+    type QuarantineNews,
+    type QuarantineStep,
+    type Verdict,
+    verdictOf,
+} from "@drumpaddle/hall";
+import { FailCode } from "@drumpaddle/request";
+import type { EndpointEntry } from "@drumpaddle/routes";
+import type { BrokenRun, SeenEnding } from "./ending-watch.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import { repeat } from "./repeat.js";
+
+/** Why an attempt may not be begun. */
+export interface Withheld {
+    readonly code: typeof FailCode.Quarantined | typeof FailCode.OnTrial;
+    readonly detail: string;
+    readonly retryAfterMs?: number;
+}
+
+/** What the guard needs of the host. */
+export interface RequestGuardDeps {
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly signal: AbortSignal;
+    /** Tells peers what is new here. */
+    tell(news: QuarantineNews): void;
+    /** Finds out whether an endpoint's life ended as a call there broke off. */
+    broke(endpoint: EndpointEntry, run: BrokenRun): void;
+}
+
+/** What is too old is forgotten this often. */
+const FORGET_EVERY_MS = 10_000;
+/** Requests that ran to their end are remembered so long, and so many: news of an ending is late by a few seconds at most. */
+const WHOLE_KEPT_MS = 10_000;
+const MOST_WHOLE = 4_096;
+/** Refusals of one request are logged this often, whoever floods. */
+const REFUSAL_LOG_MS = 1_000;
+
+/** One host's part in keeping such requests away. */
+export class RequestGuard {
+    private state: Quarantine = EMPTY_QUARANTINE;
+    /** Attempts that broke off and of which it is not known yet whether their endpoints ended, by fingerprint. */
+    private readonly unsettled = new Map<string, number>();
+    /** When requests ran to their end, by fingerprint, the oldest first. */
+    private readonly whole = new Map<string, number>();
+    private readonly refusalLogged = new Map<string, number>();
+
+    constructor(private readonly deps: RequestGuardDeps) {
+        repeat(() => this.forget(), () => FORGET_EVERY_MS, deps.signal);
+    }
+
+    /** A number by which peers see whether they know the same. */
+    get digest(): number {
+        return this.state.digest;
+    }
+
+    /** All that is known here. */
+    all(): QuarantineNews {
+        return allNews(this.state, performance.now());
+    }
+
+    /** What is quarantined or suspected, for operators. */
+    get charges(): readonly Charge[] {
+        return [...this.state.charges.values()].filter(({ endings }) => endings.length > 0);
+    }
+
+    /**
+     * Why a request may not be begun now; undefined where it may.
+     *
+     * @param attempt The attempt that is about to begin, where there is one.
+     *
+     * @example
+     * ```ts
+     * const withheld = guard.withhold(fingerprint);
+     * if (withheld) refuse(withheld.code);
+     * ```
+     */
+    withhold(fingerprint: string, attempt?: string): Withheld | undefined {
+        const verdict = verdictOf(this.state, fingerprint, performance.now(), attempt);
+        const unsettled = this.unsettled.get(fingerprint) ?? 0;
+        // An end that is being looked into counts here already: the request would be at the next endpoint before it is known.
+        if (unsettled > 0 && endingsOf(verdict) + unsettled >= ENDINGS_TO_QUARANTINE) {
+            return quarantined(ENDINGS_TO_QUARANTINE);
+        }
+        return WITHHELD[verdict.kind](verdict as never);
+    }
+
+    /** Whether a request was at an ending: it is begun where little else runs. */
+    isSuspect(fingerprint: string): boolean {
+        return isSuspect(this.state, fingerprint);
+    }
+
+    /** An attempt is being sent. */
+    begun(fingerprint: string, attempt: string): void {
+        if (isSuspect(this.state, fingerprint)) this.tellTrial(fingerprint, attempt, false);
+    }
+
+    /** An attempt is over, however it ended. */
+    over(fingerprint: string, attempt: string): void {
+        if (this.state.trials.has(attempt)) this.tellTrial(fingerprint, attempt, true);
+    }
+
+    /** An attempt broke off while it ran. */
+    broke(endpoint: EndpointEntry, run: BrokenRun): void {
+        this.unsettled.set(run.fingerprint, (this.unsettled.get(run.fingerprint) ?? 0) + 1);
+        this.deps.broke(endpoint, run);
+    }
+
+    /** An attempt ran to its end: its endpoint outlived it. */
+    ranWhole(fingerprint: string): void {
+        const now = performance.now();
+        this.whole.delete(fingerprint);
+        this.whole.set(fingerprint, now);
+        if (this.whole.size > MOST_WHOLE) this.whole.delete(this.whole.keys().next().value!);
+        if (isSuspect(this.state, fingerprint)) this.clear(fingerprint, "whole");
+    }
+
+    /** Nothing is held against a request any more. */
+    clear(fingerprint: string, reason: "whole" | "operator"): void {
+        const charge = this.state.charges.get(fingerprint);
+        if (charge && (charge.isGuilty || reason === "operator")) {
+            this.deps.log.warn({ fingerprint, reason }, "request_quarantine_lifted");
+        }
+        this.follow(clear(this.state, fingerprint, performance.now()));
+    }
+
+    /** The lives of endpoints that calls of this host ran at are over. */
+    ended({ endpoint, at, runs, sign }: SeenEnding): void {
+        this.settle(runs);
+        const { incarnation } = endpoint;
+        this.deps.metrics.countEnding(sign);
+        this.deps.log.warn({ endpoint: incarnation, sign, runs: runs.length }, "endpoint_ended_under_calls");
+        for (const { req, fingerprint, ranMs } of runs) {
+            this.deps.log.info(
+                { req, fingerprint, endpoint: incarnation, ran_ms: Math.round(ranMs) },
+                "call_at_ending",
+            );
+        }
+        const requests = runs.map(({ fingerprint, ranMs }) => ({
+            fingerprint,
+            ranMs: Math.round(ranMs),
+            cleared: false,
+        }));
+        const ending = { life: incarnation, agoMs: performance.now() - at, requests };
+        this.follow(joinNews(this.state, { endings: [ending], trials: [] }, performance.now()));
+        this.clearWhole([ending]);
+    }
+
+    /** The endpoints of calls that broke off live on. */
+    notEnded(runs: readonly BrokenRun[]): void {
+        this.settle(runs);
+    }
+
+    /** Takes in what a peer tells; what is new is passed on. */
+    hear(told: QuarantineNews): void {
+        this.follow(joinNews(this.state, told, performance.now()));
+        this.clearWhole(told.endings);
+    }
+
+    /** Counts a refusal, and logs it now and then. */
+    refused(req: string, fingerprint: string, { code, detail }: Withheld): void {
+        this.deps.metrics.countWithheld(code);
+        const now = performance.now();
+        if (now - (this.refusalLogged.get(fingerprint) ?? -Infinity) < REFUSAL_LOG_MS) return;
+        this.refusalLogged.set(fingerprint, now);
+        this.deps.log.info({ req, fingerprint, outcome: code, detail }, "call_withheld");
+    }
+
+    /** Clears requests that have run to their end here since endings that are told only now. */
+    private clearWhole(endings: readonly EndingNews[]): void {
+        const now = performance.now();
+        for (const { agoMs, requests } of endings) {
+            for (const { fingerprint, cleared } of requests) {
+                const wholeAt = this.whole.get(fingerprint);
+                if (!cleared && wholeAt !== undefined && wholeAt >= now - agoMs) this.clear(fingerprint, "whole");
+            }
+        }
+    }
+
+    private settle(runs: readonly BrokenRun[]): void {
+        for (const { fingerprint } of runs) {
+            const left = (this.unsettled.get(fingerprint) ?? 0) - 1;
+            if (left > 0) this.unsettled.set(fingerprint, left);
+            else this.unsettled.delete(fingerprint);
+        }
+    }
+
+    private tellTrial(fingerprint: string, attempt: string, isOver: boolean): void {
+        const trials = [{ attempt, fingerprint, agoMs: 0, isOver }];
+        this.follow(joinNews(this.state, { endings: [], trials }, performance.now()));
+    }
+
+    private follow({ state, news }: QuarantineStep): void {
+        const before = this.state.charges;
+        this.state = state;
+        if (!news) return;
+        for (const charge of state.charges.values()) {
+            if (charge.isGuilty && before.get(charge.fingerprint)?.endings.length !== charge.endings.length) {
+                this.logQuarantine(charge);
+            }
+        }
+        this.deps.metrics.quarantined.set([...state.charges.values()].filter(({ isGuilty }) => isGuilty).length);
+        this.deps.tell(news);
+    }
+
+    private logQuarantine({ fingerprint, endings }: Charge): void {
+        const now = performance.now();
+        this.deps.log.warn({
+            fingerprint,
+            endings: endings.length,
+            endpoints: endings.map(({ life }) => life).join(","),
+            ages_ms: endings.map(({ at }) => Math.round(now - at)).join(","),
+        }, "request_quarantined");
+    }
+
+    private forget(): void {
+        const now = performance.now();
+        this.state = forgetOld(this.state, now);
+        for (const [fingerprint, at] of this.whole) {
+            if (now - at < WHOLE_KEPT_MS) break;
+            this.whole.delete(fingerprint);
+        }
+        for (const [fingerprint, at] of this.refusalLogged) {
+            if (now - at >= REFUSAL_LOG_MS) this.refusalLogged.delete(fingerprint);
+        }
+    }
+}
+
+function endingsOf(verdict: Verdict): number {
+    return "endings" in verdict ? verdict.endings : 0;
+}
+
+function quarantined(endings: number): Withheld {
+    const detail = `this request was running at ${endings} endpoints when they ended; do not send it again`;
+    return { code: FailCode.Quarantined, detail };
+}
+
+const WITHHELD: {
+    readonly [K in Verdict["kind"]]: (verdict: Extract<Verdict, { kind: K }>) => Withheld | undefined;
+} = {
+    free: () => undefined,
+    suspect: () => undefined,
+    onTrial: ({ againMs }) => ({
+        code: FailCode.OnTrial,
+        detail: "this request was running at an endpoint when that ended, and runs once more now",
+        retryAfterMs: againMs,
+    }),
+    quarantined: ({ endings }) => quarantined(endings),
+};
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -17,6 +17,7 @@
     step,
 } from "@drumpaddle/request";
 import type { Placed, Placement } from "./placement.js";
+import type { Withheld } from "./request-guard.js";
 
 /** Where an answer goes. All calls are made in order; after `finish` or `fail` there are none. */
 export interface Reply<T> {
@@ -84,6 +85,8 @@
     readonly job: Job;
     readonly placement: Placement;
     readonly runner: AttemptRunner<T>;
+    /** Why an attempt may not be begun; asked before each of them. */
+    readonly withhold?: (attempt: string) => Withheld | undefined;
     readonly reply: Reply<T>;
     readonly onGap: (ms: number) => void;
     readonly onDispatch: (kind: DispatchKind) => void;
@@ -165,6 +168,8 @@
             this.retryTimer = setTimeout(() => this.submit(avoid, true), Math.random() * most);
         },
         dispatch: ({ attempt, endpoint, backUp, continueAt }) => {
+            const withheld = this.deps.withhold?.(attempt);
+            if (withheld) return this.event({ kind: "withheld", ...withheld });
             const again = continueAt === undefined ? "retry" : "continue";
             this.deps.onDispatch(this.state.attempts === 1 ? "first" : again);
             const plan = { attempt, endpoint, priority: this.priority, backUp, continueAt };
@@ -298,4 +303,6 @@
     [FailCode.CallerGone]: "cancelled",
     [FailCode.DeadlinePassed]: "cancelled",
     [FailCode.EndpointRefused]: "refused",
+    [FailCode.Quarantined]: "cancelled",
+    [FailCode.OnTrial]: "cancelled",
 };
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -39,6 +39,8 @@
     readonly policy: JobPolicy;
     /** Whether losing its endpoint midway would lose so much that a copy is worth its memory. */
     readonly backUp?: boolean | undefined;
+    /** Whether it may end the endpoint that runs it: it is begun where the least else would be lost. */
+    readonly isSuspect?: boolean | undefined;
     /** Tokens in each piece of the stream; 1 where it is absent. */
     readonly tokensPerPiece?: number | undefined;
     /** The true length, for the all-knowing comparison in measurements only. */
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -8,7 +8,7 @@
 import { onUnused, onUse } from "./breaker.js";
 import { assess, type Candidate, usable, wantedOf } from "./choose.js";
 import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
-import { addStream, removeStream } from "./endpoint.js";
+import { addStream, removeStream, streamCount } from "./endpoint.js";
 import type { Variant } from "./job.js";
 import type { Waiting } from "./queue.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
@@ -26,12 +26,15 @@
     const views = usable(state.endpoints.values(), job.group.model, waiting.avoid, now);
     const candidates = views.map(view => assess(view, wanted, state, now))
         .filter(candidate => candidate !== undefined);
-    const chosen = candidates.length > 0 ? PICK[state.variant.choice](candidates, state.turn) : undefined;
-    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes.
-    const alwaysAsks = alwaysAsksOwners(state);
+    const pick = job.isSuspect ? quietest(state) : PICK[state.variant.choice];
+    const chosen = candidates.length > 0 ? pick(candidates, state.turn) : undefined;
+    // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes. An owner would
+    // choose for a suspect as for any other.
+    const alwaysAsks = alwaysAsksOwners(state) && !job.isSuspect;
     const id = chosen?.id ?? (alwaysAsks ? views[state.turn % Math.max(1, views.length)]?.cfg.id : undefined);
     if (id === undefined) return undefined;
-    const mustAsk = (alwaysAsks || asksOwners(state) && chosen?.crowded === true) && !state.owned.has(id);
+    const asks = alwaysAsks || asksOwners(state) && chosen?.crowded === true && !job.isSuspect;
+    const mustAsk = asks && !state.owned.has(id);
     if (!mustAsk && !chosen) return undefined;
     const added = withView(state, id, view => ({
         ...addStream(view, job, survival, now),
@@ -71,6 +74,15 @@
     return chosen;
 }
 
+/** Picks the endpoint at which the fewest streams would be lost with it. */
+function quietest({ endpoints }: SchedulerState): (candidates: readonly Candidate[], turn: number) => Candidate {
+    return (candidates, turn) => {
+        const carried = candidates.map(({ id }) => streamCount(endpoints.get(id)!));
+        const least = Math.min(...carried);
+        return best(candidates.filter((_candidate, at) => carried[at] === least), turn);
+    };
+}
+
 const PICK: { readonly [K in Variant["choice"]]: (candidates: readonly Candidate[], turn: number) => Candidate } = {
     score: best,
     leastOutstanding: best,
--- a/packages/request/src/error.ts
+++ b/packages/request/src/error.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { NotRunProof } from "./proof.js";
+import { NOTHING_SENT, type NotRunProof, proveNotRun } from "./proof.js";
 
 /** Whether an endpoint ran the request. `unknown` is the honest answer after a lost connection. */
 export type Ran = "no" | "yes" | "unknown";
@@ -24,6 +24,10 @@
     CallerGone: "caller_gone",
     AlreadyClaimed: "already_claimed",
     PlatformAway: "platform_away",
+    /** It has ended the endpoints that ran it. */
+    Quarantined: "request_quarantined",
+    /** It may have ended an endpoint, and runs at another one now. */
+    OnTrial: "request_on_trial",
 } as const;
 /** One of {@link FailCode}. */
 export type FailCode = typeof FailCode[keyof typeof FailCode];
@@ -49,6 +53,18 @@
 /** Any failure of a request. */
 export type RequestError = NotRunError | MayHaveRunError;
 
+/**
+ * The error for a request of which nothing was ever sent.
+ *
+ * @example
+ * ```ts
+ * notRun("overloaded", "queue is full", 500).ran; // "no"
+ * ```
+ */
+export function notRun(code: FailCode, detail: string, retryAfterMs?: number): RequestError {
+    return failure(proveNotRun(NOTHING_SENT), false, code, detail, retryAfterMs);
+}
+
 /**
  * The error for a failure, given what is proven. Without proof it says `yes` once a token came, else `unknown`.
  *
--- a/packages/request/src/index.ts
+++ b/packages/request/src/index.ts
@@ -1,4 +1,12 @@
-export { FailCode, failure, type MayHaveRunError, type NotRunError, type Ran, type RequestError } from "./error.js";
+export {
+    FailCode,
+    failure,
+    type MayHaveRunError,
+    notRun,
+    type NotRunError,
+    type Ran,
+    type RequestError,
+} from "./error.js";
 export {
     type DispatchRecord,
     NOTHING_SENT,
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -117,6 +117,13 @@
     | { readonly kind: "lost"; readonly attempt: string; readonly cause: LossCause; readonly detail: string }
     /** A copy of the running generation was made at an endpoint, which may go on with it. */
     | { readonly kind: "copied"; readonly attempt: string; readonly endpoint: string }
+    /** The attempt that was decided may not be begun. */
+    | {
+        readonly kind: "withheld";
+        readonly code: FailCode;
+        readonly detail: string;
+        readonly retryAfterMs?: number | undefined;
+    }
     | { readonly kind: "callerGone" }
     | { readonly kind: "deadline" }
     /** The host was told to stop. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -110,6 +110,7 @@
     },
     copied: (state, { attempt, endpoint }) =>
         isCurrent(state, attempt) ? stay({ ...state, attempt: { ...state.attempt!, backUp: endpoint } }) : stay(state),
+    withheld: (state, { code, detail, retryAfterMs }) => fail(state, code, detail, cancelCurrent(state), retryAfterMs),
     callerGone: state => fail(state, FailCode.CallerGone, "the caller left", cancelCurrent(state)),
     deadline: state => fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state)),
     stopping: state =>
