Whether an ending counts anew is told, not reckoned from times; tests of the quarantine's decisions

Traced by the logs of both hosts: the second host judged two endings as one, since it knows their times by the age of the news, and the first news had come 30 ms late; the run's beginning then lay before the first end. A run that was begun as a suspect is marked as such now, and times are only compared where they are far apart. Ruled out: lost news (the second host knew all four lives). Property tests: order and repeats of news, halls joined, fewer than three endings never quarantine.

--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -13,6 +13,8 @@
 export interface Involved {
     /** How long it had run there, in milliseconds. */
     readonly ranMs: number;
+    /** Whether it was begun there although it was known to have been at an ending. */
+    readonly wasSuspect: boolean;
     /** Whether it was found to be innocent: it ran to its end since, or an operator said so. */
     readonly cleared: boolean;
 }
@@ -73,10 +75,10 @@
     const at = now - told.agoMs;
     const requests = new Map(known?.requests);
     const news: RequestNews[] = [];
-    for (const { fingerprint, ranMs, cleared } of told.requests) {
+    for (const { fingerprint, ...involved } of told.requests) {
         const before = requests.get(fingerprint);
-        const joined = { ranMs: Math.max(before?.ranMs ?? 0, ranMs), cleared: (before?.cleared ?? false) || cleared };
-        if (before && joined.ranMs === before.ranMs && joined.cleared === before.cleared) continue;
+        const joined = before ? joinInvolved(before, involved) : involved;
+        if (before && isSame(before, joined)) continue;
         requests.set(fingerprint, joined);
         news.push({ fingerprint, ...joined });
     }
@@ -88,6 +90,18 @@
     };
 }
 
+function joinInvolved(a: Involved, b: Involved): Involved {
+    return {
+        ranMs: Math.max(a.ranMs, b.ranMs),
+        wasSuspect: a.wasSuspect || b.wasSuspect,
+        cleared: a.cleared || b.cleared,
+    };
+}
+
+function isSame(a: Involved, b: Involved): boolean {
+    return a.ranMs === b.ranMs && a.wasSuspect === b.wasSuspect && a.cleared === b.cleared;
+}
+
 function bounded(requests: ReadonlyMap<string, Involved>): ReadonlyMap<string, Involved> {
     if (requests.size <= MOST_REQUESTS) return requests;
     const sorted = [...requests].sort(([a, { ranMs: ranA }], [b, { ranMs: ranB }]) => ranA - ranB || (a < b ? -1 : 1));
@@ -107,7 +121,7 @@
     for (const { life, at, requests } of endings.values()) {
         const involved = requests.get(fingerprint);
         if (!involved || involved.cleared) continue;
-        news.push({ life, agoMs: now - at, requests: [{ fingerprint, ranMs: involved.ranMs, cleared: true }] });
+        news.push({ life, agoMs: now - at, requests: [{ fingerprint, ...involved, cleared: true }] });
     }
     return news;
 }
@@ -119,7 +133,9 @@
 export function digestOfEndings(endings: Endings): number {
     let digest = 0;
     for (const { life, requests } of endings.values()) {
-        for (const [fingerprint, { cleared }] of requests) digest ^= hashOf(`${life}/${fingerprint}/${cleared}`);
+        for (const [fingerprint, { wasSuspect, cleared }] of requests) {
+            digest ^= hashOf(`${life}/${fingerprint}/${wasSuspect}/${cleared}`);
+        }
     }
     return digest >>> 0;
 }
--- a/packages/hall/src/verdict.ts
+++ b/packages/hall/src/verdict.ts
@@ -4,7 +4,8 @@
  * Up to 24 requests run where one is to blame, and most of them are at one ending by chance. Two things tell them apart: the one to
  * blame is at every ending that it causes, and where several were at the same endings, the one that had run the shortest is the
  * likelier: it was just begun. What is explained by one is not held against the others. Many endpoints that end at one moment
- * have a cause of their own (a rack, a hall), and nobody is to blame.
+ * have a cause of their own (a rack, a hall), and nobody is to blame; a request that ran at several of them was at one ending, unless
+ * it was begun there as a suspect. Of times only those far apart are compared, as each host knows them by the age of its news.
  *
  * Pure: two hosts that know the same endings judge alike. Times are milliseconds.
  *
@@ -37,6 +38,7 @@
 interface Part {
     readonly ending: Ending;
     readonly ranMs: number;
+    readonly wasSuspect: boolean;
 }
 
 /**
@@ -56,11 +58,12 @@
 function partsOf(ordered: readonly Ending[]): ReadonlyMap<string, readonly Part[]> {
     const parts = new Map<string, Part[]>();
     for (const ending of ordered) {
-        for (const [fingerprint, { ranMs, cleared }] of ending.requests) {
+        for (const [fingerprint, { ranMs, wasSuspect, cleared }] of ending.requests) {
             if (cleared) continue;
             const known = parts.get(fingerprint);
-            if (known) known.push({ ending, ranMs });
-            else parts.set(fingerprint, [{ ending, ranMs }]);
+            const part = { ending, ranMs, wasSuspect };
+            if (known) known.push(part);
+            else parts.set(fingerprint, [part]);
         }
     }
     return parts;
@@ -71,7 +74,8 @@
     for (const part of parts) {
         if (endedWithMany(fingerprint, part.ending, ordered)) continue;
         const before = counted.at(-1);
-        if (!before || !sameOccasion(before, part)) counted.push(part);
+        const sameOccasion = before && !part.wasSuspect && part.ending.at - before.ending.at < MOMENT_MS;
+        if (!sameOccasion) counted.push(part);
     }
     return {
         fingerprint,
@@ -89,12 +93,6 @@
     return without > together.length - without;
 }
 
-/** Whether the request had begun at the later one before the earlier one ended, and both ended at one moment. */
-function sameOccasion(before: Part, { ending, ranMs }: Part): boolean {
-    const isAtOnce = ending.at - before.ending.at < MOMENT_MS;
-    return isAtOnce && ending.at - ranMs < before.ending.at;
-}
-
 /** Finds out who is guilty, the most involved first: what one of them explains is not held against those behind it. */
 function blame(charges: readonly Charge[]): readonly Charge[] {
     const explained = new Set<string>();
--- /dev/null
+++ b/packages/hall/test/quarantine.test.ts
@@ -0,0 +1,239 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+    allNews,
+    clear,
+    EMPTY_QUARANTINE,
+    type EndingNews,
+    forgetOld,
+    joinNews,
+    MOMENT_MS,
+    type Quarantine,
+    type QuarantineNews,
+    type Verdict,
+    verdictOf,
+} from "../src/index.js";
+
+const MINUTE_MS = 60_000;
+/** Far enough apart not to be of one moment. */
+const APART_MS = 2 * MOMENT_MS;
+
+/** A request at an ending, or at several: by default alone, just begun, and not suspected before. */
+interface At {
+    readonly fingerprint: string;
+    readonly ranMs?: number;
+    readonly wasSuspect?: boolean;
+}
+
+function ending(life: string, ...requests: readonly (At | string)[]): EndingNews {
+    return {
+        life,
+        agoMs: 0,
+        requests: requests.map(at => ({
+            ranMs: 100,
+            wasSuspect: false,
+            cleared: false,
+            ...(typeof at === "string" ? { fingerprint: at } : at),
+        })),
+    };
+}
+
+function told(...endings: readonly EndingNews[]): QuarantineNews {
+    return { endings, trials: [] };
+}
+
+/** What is known after endings that were seen one after another, and when that is. */
+function after(...endings: readonly EndingNews[]): { readonly state: Quarantine; readonly now: number } {
+    let state = EMPTY_QUARANTINE;
+    let now = 0;
+    for (const one of endings) {
+        now += APART_MS;
+        state = joinNews(state, told(one), now).state;
+    }
+    return { state, now };
+}
+
+function kindOf({ state, now }: { readonly state: Quarantine; readonly now: number }, fingerprint: string): string {
+    return verdictOf(state, fingerprint, now).kind;
+}
+
+test("a request is a suspect after its first ending and quarantined after its third", t => {
+    t.is(kindOf(after(), "a"), "free");
+    t.is(kindOf(after(ending("e1", "a")), "a"), "suspect");
+    t.is(kindOf(after(ending("e1", "a"), ending("e2", "a")), "a"), "suspect");
+    t.is(kindOf(after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a")), "a"), "quarantined");
+});
+
+test("a life counts once, however many hosts saw its end", t => {
+    t.is(kindOf(after(ending("e1", "a"), ending("e1", "a"), ending("e1", "a"), ending("e1", "a")), "a"), "suspect");
+});
+
+test("of those that ran beside each other the one that was just begun is to blame", t => {
+    const beside = { fingerprint: "old", ranMs: 8_000 };
+    const known = after(ending("e1", "a", beside), ending("e2", "a", beside), ending("e3", "a", beside));
+    t.is(kindOf(known, "a"), "quarantined");
+    t.is(kindOf(known, "old"), "suspect");
+});
+
+test("one who was beside a guilty request twice and met a crash of another cause is not quarantined", t => {
+    const known = after(ending("e1", "a", "b"), ending("e2", "a", "b"), ending("e3", "a"), ending("e4", "b"));
+    t.is(kindOf(known, "a"), "quarantined");
+    t.is(kindOf(known, "b"), "suspect");
+});
+
+test("two guilty requests are both found, also where they ended some endpoints together", t => {
+    const known = after(
+        ending("e1", "a", "b"),
+        ending("e2", "a"),
+        ending("e3", "b"),
+        ending("e4", "a"),
+        ending("e5", "b"),
+    );
+    t.is(kindOf(known, "a"), "quarantined");
+    t.is(kindOf(known, "b"), "quarantined");
+});
+
+test("nobody is to blame where many endpoints end at one moment", t => {
+    let state = EMPTY_QUARANTINE;
+    for (let rack = 0; rack < 4; rack++) {
+        const lives = ["1", "2", "3", "4", "5"].map(at =>
+            ending(`r${rack}e${at}`, ...(at === "1" ? ["hot"] : [`x${rack}${at}`]))
+        );
+        state = joinNews(state, told(...lives), rack * APART_MS).state;
+    }
+    t.is(verdictOf(state, "hot", 4 * APART_MS).kind, "free");
+});
+
+test("a request that ran at all endpoints of a rack was at one ending; one that was begun there as a suspect at each", t => {
+    const at = (wasSuspect: boolean): Verdict => {
+        const lives = ["e1", "e2", "e3"].map(life => ending(life, { fingerprint: "a", wasSuspect }));
+        return verdictOf(joinNews(EMPTY_QUARANTINE, told(...lives), 0).state, "a", 0);
+    };
+    t.like(at(false), { kind: "suspect", endings: 1 });
+    t.like(at(true), { kind: "quarantined", endings: 3 });
+});
+
+test("a request that runs to its end is cleared, and is judged anew by what comes after", t => {
+    const { state, now } = after(ending("e1", "a"), ending("e2", "a"));
+    const cleared = clear(state, "a", now);
+    t.is(verdictOf(cleared.state, "a", now).kind, "free");
+    t.is(cleared.news?.endings.length, 2);
+    const again = joinNews(cleared.state, told(ending("e3", "a")), now + APART_MS);
+    t.like(verdictOf(again.state, "a", now + APART_MS), { kind: "suspect", endings: 1 });
+});
+
+test("what was cleared at one host stays so where the ending is told again", t => {
+    const { state, now } = after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a"));
+    const cleared = clear(state, "a", now).state;
+    t.is(verdictOf(joinNews(cleared, allNews(state, now), now).state, "a", now).kind, "free");
+    t.is(verdictOf(joinNews(state, allNews(cleared, now), now).state, "a", now).kind, "free");
+});
+
+test("a suspect runs at one endpoint at a time", t => {
+    const { state, now } = after(ending("e1", "a"));
+    const trial = { attempt: "r1.1", fingerprint: "a", agoMs: 0, isOver: false };
+    const running = joinNews(state, { endings: [], trials: [trial] }, now);
+    t.is(verdictOf(running.state, "a", now).kind, "onTrial");
+    t.is(verdictOf(running.state, "a", now, "r1.1").kind, "suspect");
+    const over = joinNews(running.state, { endings: [], trials: [{ ...trial, isOver: true }] }, now);
+    t.is(verdictOf(over.state, "a", now).kind, "suspect");
+    // Told late, its beginning changes nothing.
+    t.is(joinNews(over.state, { endings: [], trials: [trial] }, now).news, undefined);
+    t.is(verdictOf(running.state, "a", now + MINUTE_MS).kind, "suspect");
+});
+
+test("one try decides again after half an hour, another after an hour, and then none", t => {
+    let { state, now } = after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a"));
+    const waits = [30, 60] as const;
+    for (const [at, minutes] of waits.entries()) {
+        t.is(verdictOf(state, "a", now + minutes * MINUTE_MS - 1).kind, "quarantined");
+        now += minutes * MINUTE_MS;
+        t.is(verdictOf(state, "a", now).kind, "suspect");
+        state = joinNews(state, told(ending(`later-${at}`, { fingerprint: "a", wasSuspect: true })), now).state;
+    }
+    t.is(verdictOf(state, "a", now + 20 * 60 * MINUTE_MS).kind, "quarantined");
+});
+
+test("what is held against a request is forgotten in time, and what a quarantine rests on a day later", t => {
+    const { state, now } = after(ending("e1", "a"), ending("e2", "b"), ending("e3", "b"), ending("e4", "b"));
+    const later = forgetOld(state, now + 11 * MINUTE_MS);
+    t.is(verdictOf(later, "a", now + 11 * MINUTE_MS).kind, "free");
+    t.is(verdictOf(later, "b", now + 11 * MINUTE_MS).kind, "quarantined");
+    t.is(forgetOld(later, now + 25 * 60 * MINUTE_MS).endings.size, 0);
+});
+
+test("drawn bodies push no guilty request out, and what is kept is bounded", t => {
+    let { state, now } = after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a"));
+    for (let at = 0; at < 1_000; at++) {
+        now += APART_MS;
+        state = joinNews(state, told(ending(`x${at}`, `drawn-${at}`)), now).state;
+    }
+    t.is(verdictOf(state, "a", now).kind, "quarantined");
+    t.true(state.endings.size <= 256);
+});
+
+// Drawn endings: the same news in any order, twice, or joined from two halls, is judged alike.
+
+const requestArb = fc.record({
+    fingerprint: fc.constantFrom("a", "b", "c", "d"),
+    ranMs: fc.integer({ min: 0, max: 5_000 }),
+    wasSuspect: fc.boolean(),
+    cleared: fc.boolean(),
+});
+const endingArb = fc.record({
+    life: fc.integer({ min: 0, max: 9 }).map(at => `e${at}`),
+    requests: fc.uniqueArray(requestArb, { maxLength: 4, selector: ({ fingerprint }) => fingerprint }),
+}).map(({ life, requests }): EndingNews => ({ life, requests, agoMs: 1_000 * Number(life.slice(1)) }));
+const NOW = 100_000;
+
+function joinAll(endings: readonly EndingNews[]): Quarantine {
+    return endings.reduce((state, one) => joinNews(state, told(one), NOW).state, EMPTY_QUARANTINE);
+}
+
+function verdicts(state: Quarantine): readonly Verdict[] {
+    return ["a", "b", "c", "d"].map(fingerprint => verdictOf(state, fingerprint, NOW));
+}
+
+test("the order of news changes nothing, and neither does news that comes twice", t => {
+    fc.assert(fc.property(fc.array(endingArb, { maxLength: 20 }), fc.func(fc.integer()), (endings, rankOf) => {
+        const shuffled = [...endings, ...endings].sort((a, b) => rankOf(a) - rankOf(b));
+        const one = joinAll(endings);
+        const other = joinAll(shuffled);
+        t.deepEqual(verdicts(other), verdicts(one));
+        t.is(other.digest, one.digest);
+    }));
+});
+
+test("halls that were cut judge alike once they are joined, whoever tells first", t => {
+    fc.assert(fc.property(
+        fc.array(endingArb, { maxLength: 12 }),
+        fc.array(endingArb, { maxLength: 12 }),
+        (here, there) => {
+            const [a, b] = [joinAll(here), joinAll(there)];
+            const atA = joinNews(a, allNews(b, NOW), NOW).state;
+            const atB = joinNews(b, allNews(a, NOW), NOW).state;
+            t.deepEqual(verdicts(atA), verdicts(atB));
+            t.is(atA.digest, atB.digest);
+            t.is(joinNews(atA, allNews(atB, NOW), NOW).news, undefined);
+        },
+    ));
+});
+
+test("no request is quarantined that was at fewer than three endings", t => {
+    fc.assert(fc.property(fc.array(endingArb, { maxLength: 20 }), endings => {
+        const state = joinAll(endings);
+        for (const fingerprint of ["a", "b", "c", "d"]) {
+            const lives = [...state.endings.values()].filter(({ requests }) =>
+                requests.get(fingerprint)?.cleared === false
+            );
+            if (lives.length < 3) t.not(verdictOf(state, fingerprint, NOW).kind, "quarantined");
+        }
+    }));
+});
+
+test("a request that is alone at three endings apart is quarantined, whatever else ended", t => {
+    fc.assert(fc.property(fc.array(endingArb, { maxLength: 20 }), endings => {
+        const alone = [0, 1, 2].map(at => ({ ...ending(`g${at}`, "guilty"), agoMs: 500 + 1_000 * at }));
+        t.is(verdictOf(joinAll([...endings, ...alone]), "guilty", NOW).kind, "quarantined");
+    }));
+});
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -19,6 +19,8 @@
     readonly fingerprint: string;
     /** How long it had run there, in milliseconds. */
     readonly ranMs: number;
+    /** Whether it was begun there although it was known to have been at an ending. */
+    readonly wasSuspect: boolean;
 }
 
 /** How it was found out that a life is over. */
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/guard-attempt.ts
@@ -35,17 +35,18 @@
     { req, attempt, fingerprint, endpoint, signal }: GuardedAttempt,
 ): AttemptSink<T> {
     let sentAt: number | undefined;
+    let wasSuspect = false;
     const over = (): void => guard.over(fingerprint, attempt);
     signal.addEventListener("abort", over, { once: true });
     const handlers: { readonly [K in RequestEvent["kind"]]?: (event: Extract<RequestEvent, { kind: K }>) => void } = {
         sending: () => {
             sentAt = performance.now();
-            guard.begun(fingerprint, attempt);
+            wasSuspect = guard.begun(fingerprint, attempt);
         },
         lost: ({ cause }) => {
             over();
             if (sentAt === undefined || !MAY_BE_ENDING.has(cause)) return;
-            guard.broke(endpoint, { req, fingerprint, ranMs: performance.now() - sentAt });
+            guard.broke(endpoint, { req, fingerprint, ranMs: performance.now() - sentAt, wasSuspect });
         },
         endpointRefused: over,
         failedAnswer: () => {
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -68,7 +68,7 @@
     life: Name,
     agoMs: Age,
     requests: Type.Array(
-        Type.Object({ fingerprint: Name, ranMs: Age, cleared: Type.Boolean() }),
+        Type.Object({ fingerprint: Name, ranMs: Age, wasSuspect: Type.Boolean(), cleared: Type.Boolean() }),
         { maxItems: MOST_REQUESTS },
     ),
 });
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -102,14 +102,16 @@
         return WITHHELD[verdict.kind](verdict as never);
     }
 
-    /** Whether a request was at an ending: it is begun where little else runs. */
+    /** Whether a request was at an ending, or at what may be one: it is begun where little else runs. */
     isSuspect(fingerprint: string): boolean {
-        return isSuspect(this.state, fingerprint);
+        return this.unsettled.has(fingerprint) || isSuspect(this.state, fingerprint);
     }
 
-    /** An attempt is being sent. */
-    begun(fingerprint: string, attempt: string): void {
-        if (isSuspect(this.state, fingerprint)) this.tellTrial(fingerprint, attempt, false);
+    /** An attempt is being sent; returns whether its request is a suspect. */
+    begun(fingerprint: string, attempt: string): boolean {
+        const suspect = this.isSuspect(fingerprint);
+        if (suspect) this.tellTrial(fingerprint, attempt, false);
+        return suspect;
     }
 
     /** An attempt is over, however it ended. */
@@ -147,15 +149,16 @@
         const { incarnation } = endpoint;
         this.deps.metrics.countEnding(sign);
         this.deps.log.warn({ endpoint: incarnation, sign, runs: runs.length }, "endpoint_ended_under_calls");
-        for (const { req, fingerprint, ranMs } of runs) {
+        for (const { req, fingerprint, ranMs, wasSuspect } of runs) {
             this.deps.log.info(
-                { req, fingerprint, endpoint: incarnation, ran_ms: Math.round(ranMs) },
+                { req, fingerprint, endpoint: incarnation, ran_ms: Math.round(ranMs), suspect: wasSuspect },
                 "call_at_ending",
             );
         }
-        const requests = runs.map(({ fingerprint, ranMs }) => ({
+        const requests = runs.map(({ fingerprint, ranMs, wasSuspect }) => ({
             fingerprint,
             ranMs: Math.round(ranMs),
+            wasSuspect,
             cleared: false,
         }));
         const ending = { life: incarnation, agoMs: performance.now() - at, requests };
