An endpoint that ends again under its old name has ended twice

Traced by both hosts' logs: a host sent the request to an endpoint that had started again 260 ms before and whose next life it did not know yet by name; that life's end was taken for the end of the one before, which the other host had told of. What ran there had begun after that end was known, so it was another life: it is told under a name of its own.

--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -126,6 +126,23 @@
     return news;
 }
 
+/**
+ * The name under which the end of a life is told. Where what ran had begun after the known end of the life of that name, the endpoint
+ * had started again and its next life was not known yet by its own name.
+ *
+ * @param beganAt When the first of what ran there was begun.
+ *
+ * @example
+ * ```ts
+ * nameOfEnded(endings, "e1@7", now - 120); // "e1@7", or "e1@7#2" where that had ended before
+ * ```
+ */
+export function nameOfEnded(endings: Endings, life: string, beganAt: number): string {
+    let name = life;
+    for (let number = 2; (endings.get(name)?.at ?? Infinity) < beganAt; number++) name = `${life}#${number}`;
+    return name;
+}
+
 const FNV_BASIS = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -17,6 +17,7 @@
     type Involved,
     joinEnding,
     MOST_REQUESTS,
+    nameOfEnded,
     type RequestNews,
 } from "./endings.js";
 export {
--- a/packages/hall/test/quarantine.test.ts
+++ b/packages/hall/test/quarantine.test.ts
@@ -8,6 +8,7 @@
     forgetOld,
     joinNews,
     MOMENT_MS,
+    nameOfEnded,
     type Quarantine,
     type QuarantineNews,
     type Verdict,
@@ -68,6 +69,16 @@
     t.is(kindOf(after(ending("e1", "a"), ending("e1", "a"), ending("e1", "a"), ending("e1", "a")), "a"), "suspect");
 });
 
+test("an endpoint that started again and ends again under its old name has had two lives", t => {
+    const { state, now } = after(ending("e1@1", "a"));
+    const beganAt = now + 50;
+    const name = nameOfEnded(state.endings, "e1@1", beganAt);
+    const again = joinNews(state, told(ending(name, { fingerprint: "a", wasSuspect: true })), beganAt + 20).state;
+    t.like(verdictOf(again, "a", beganAt + 20), { kind: "suspect", endings: 2 });
+    t.is(nameOfEnded(state.endings, "e1@1", now - 100), "e1@1");
+    t.is(nameOfEnded(again.endings, "e1@1", beganAt + 30), "e1@1#3");
+});
+
 test("of those that ran beside each other the one that was just begun is to blame", t => {
     const beside = { fingerprint: "old", ranMs: 8_000 };
     const known = after(ending("e1", "a", beside), ending("e2", "a", beside), ending("e3", "a", beside));
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -54,7 +54,7 @@
 const ANSWER_MS = 250;
 /** A crashed endpoint's registration lapses after three heartbeats, seen after 2.8 s; one that has not by then is not over. */
 const UNKNOWN_MS = 10_000;
-/** Calls that break off so long after a life's end was seen are of the same end. */
+/** Calls that were running at a life's end break off within this: a silent connection is given up by then. */
 const SAME_ENDING_MS = 5_000;
 
 interface Pending {
@@ -77,7 +77,7 @@
         const now = performance.now();
         if (this.deps.isLeaving(incarnation)) return this.deps.onNotEnded([run]);
         const known = this.ended.get(incarnation);
-        if (known && now - known.at < SAME_ENDING_MS) {
+        if (known && now - run.ranMs < known.at) {
             return this.deps.onEnded({ endpoint, at: known.at, runs: [run], sign: known.sign });
         }
         const pending = this.pending.get(incarnation);
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -14,6 +14,7 @@
     forgetOld,
     isSuspect,
     joinNews,
+    nameOfEnded,
     type Quarantine,
     type QuarantineNews,
     type QuarantineStep,
@@ -161,7 +162,9 @@
             wasSuspect,
             cleared: false,
         }));
-        const ending = { life: incarnation, agoMs: performance.now() - at, requests };
+        const beganAt = at - Math.max(...runs.map(({ ranMs }) => ranMs));
+        const life = nameOfEnded(this.state.endings, incarnation, beganAt);
+        const ending = { life, agoMs: performance.now() - at, requests };
         this.follow(joinNews(this.state, { endings: [ending], trials: [] }, performance.now()));
         this.clearWhole([ending]);
     }
