--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,4 +3,5 @@
 export { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 export { type Loss, losses, lossesOf, MOMENT_S } from "./losses.js";
 export { Exit, type Outcome, showChanges } from "./output.js";
+export { liftQuarantine, listQuarantine } from "./quarantine.js";
 export * as settings from "./settings.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,6 +11,7 @@
 import { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 import { losses, MOMENT_S } from "./losses.js";
 import { Exit, type Outcome } from "./output.js";
+import { liftQuarantine, listQuarantine } from "./quarantine.js";
 import * as settings from "./settings.js";
 
 interface Flags {
@@ -177,6 +178,14 @@
     .option("--step", "Length of a moment, in seconds", MOMENT_S)
     .example("losses host-a.log host-b.log --step 2")
     .action((flags: Flags) => finish(flags, () => losses(filesOf(flags), Number(flags.step))));
+program.command("quarantine list", "List the requests that ended endpoints, by what a host knows")
+    .example("quarantine list --hosts http://10.0.0.1:8749")
+    .action((flags: Flags) => finish(flags, () => listQuarantine(clientOf(flags))));
+program.command("quarantine lift <fingerprint>", "Let a request be begun again, at all hosts")
+    .example("quarantine lift zfrk1UZixpr7_INCf_ZeUA")
+    .action((fingerprint: string, flags: Flags) =>
+        finish(flags, () => liftQuarantine(clientOf(flags), String(fingerprint)))
+    );
 program.command("keys issue <workspace>", "Issue a key for a workspace; its secret is shown once").option(
     "--why",
     "Reason, for the audit trail",
--- /dev/null
+++ b/packages/cli/src/quarantine.ts
@@ -0,0 +1,62 @@
+/**
+ * Requests that end the endpoints that run them: which are quarantined, and how an operator lifts that.
+ *
+ * @module
+ */
+import { call, type ClientCfg } from "./client.js";
+import { Exit, type Outcome, said, tableOf } from "./output.js";
+
+/** An ending, as a host tells it. */
+interface ListedEnding {
+    readonly endpoint: string;
+    readonly ageMs: number;
+    readonly req?: string;
+}
+
+/** A request, as a host tells it. */
+interface ListedRequest {
+    readonly fingerprint: string;
+    readonly quarantined: boolean;
+    readonly route?: string;
+    readonly workspace?: string;
+    readonly endings: readonly ListedEnding[];
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Lists what is held against requests. */
+export async function listQuarantine(client: ClientCfg): Promise<Outcome> {
+    const result = await call(client, "GET", "/quarantine");
+    if (result.kind !== "answer") return said(Exit.Failed, result.detail);
+    if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
+    const requests = result.body["requests"] as readonly ListedRequest[];
+    const rows = requests.map(({ fingerprint, quarantined, route, workspace, endings }) => [
+        fingerprint,
+        quarantined ? "quarantined" : "suspected",
+        route ?? "-",
+        workspace ?? "-",
+        endings.map(textOf).join("\n"),
+    ]);
+    const table = tableOf(["fingerprint", "state", "route", "workspace", "endings"], rows);
+    const text = requests.length === 0 ? "nothing is quarantined or suspected" : table;
+    return { exit: Exit.Done, text, data: requests };
+}
+
+/** Lifts a quarantine at all hosts: the one that is asked tells the others. */
+export async function liftQuarantine(client: ClientCfg, fingerprint: string): Promise<Outcome> {
+    const result = await call(client, "POST", `/quarantine/${encodeURIComponent(fingerprint)}/lift`, {});
+    if (result.kind === "lost") return said(Exit.Unknown, result.detail);
+    if (result.kind === "unreachable") return said(Exit.Failed, result.detail);
+    if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
+    return said(Exit.Done, `lifted: ${fingerprint}`);
+}
+
+function textOf({ endpoint, ageMs, req }: ListedEnding): string {
+    const by = req === undefined ? "" : `, request ${req}`;
+    return `${endpoint} ${Math.round(ageMs / MS_PER_SECOND)} s ago${by}`;
+}
+
+function messageOf(body: Record<string, unknown>): string {
+    const { error } = body as { readonly error?: { readonly message?: string } };
+    return error?.message ?? "the host answered with an error";
+}
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -16,6 +16,8 @@
 /** A call that broke off while it ran at an endpoint. */
 export interface BrokenRun {
     readonly req: string;
+    readonly route: string;
+    readonly workspace: string | undefined;
     readonly fingerprint: string;
     /** How long it had run there, in milliseconds. */
     readonly ranMs: number;
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -432,6 +432,8 @@
                 silence: silenceOf(deps, route, endpoint, backUp),
                 sink: guardAttempt(recordProgress(sink, progress), deps.guard, {
                     req: head.id,
+                    route: route.name,
+                    workspace: workspace?.name,
                     attempt,
                     fingerprint,
                     endpoint,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,6 +32,7 @@
 import { Peers } from "./peers.js";
 import { Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
+import { serveQuarantine } from "./quarantine-api.js";
 import { RequestGuard } from "./request-guard.js";
 import { watchStays } from "./stay-watch.js";
 
@@ -175,6 +176,7 @@
         signal,
     });
     const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
+    serveQuarantine(operators, { guard, secrets: cfg["peers.secrets"] });
     const declare = (): void => {
         if (known && feed.table) declareEndpoints(feed.table, known, engines, plain);
     };
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/guard-attempt.ts
@@ -11,6 +11,8 @@
 /** An attempt that is guarded. */
 export interface GuardedAttempt {
     readonly req: string;
+    readonly route: string;
+    readonly workspace: string | undefined;
     readonly attempt: string;
     readonly fingerprint: string;
     readonly endpoint: EndpointEntry;
@@ -26,14 +28,15 @@
  *
  * @example
  * ```ts
- * startAttempt(connections, wire, { ...attempt, sink: guardAttempt(sink, guard, { req, attempt, fingerprint, endpoint, signal }) });
+ * startAttempt(connections, wire, { ...attempt, sink: guardAttempt(sink, guard, guarded) });
  * ```
  */
 export function guardAttempt<T>(
     sink: AttemptSink<T>,
     guard: RequestGuard,
-    { req, attempt, fingerprint, endpoint, signal }: GuardedAttempt,
+    { attempt, endpoint, signal, ...run }: GuardedAttempt,
 ): AttemptSink<T> {
+    const { fingerprint } = run;
     let sentAt: number | undefined;
     let wasSuspect = false;
     const over = (): void => guard.over(fingerprint, attempt);
@@ -46,7 +49,7 @@
         lost: ({ cause }) => {
             over();
             if (sentAt === undefined || !MAY_BE_ENDING.has(cause)) return;
-            guard.broke(endpoint, { req, fingerprint, ranMs: performance.now() - sentAt, wasSuspect });
+            guard.broke(endpoint, { ...run, ranMs: performance.now() - sentAt, wasSuspect });
         },
         endpointRefused: over,
         failedAnswer: () => {
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -49,6 +49,26 @@
     broke(endpoint: EndpointEntry, run: BrokenRun): void;
 }
 
+/** What operators are told of a request that was at endings. */
+export interface ListedRequest {
+    readonly fingerprint: string;
+    readonly quarantined: boolean;
+    /** Known where calls of this host were at one of the endings. */
+    readonly route: string | undefined;
+    readonly workspace: string | undefined;
+    readonly endings: readonly {
+        readonly endpoint: string;
+        readonly ageMs: number;
+        /** The call that was there, where it was one of this host. */
+        readonly req: string | undefined;
+    }[];
+}
+
+/** A call of this host that was at an ending. */
+type Sighting = Pick<BrokenRun, "req" | "route" | "workspace">;
+
+/** Sightings that are kept for operators: as many as a day of endings brings. */
+const MOST_SIGHTINGS = 1_024;
 /** What is too old is forgotten this often. */
 const FORGET_EVERY_MS = 10_000;
 /** Requests that ran to their end are remembered so long, and so many: news of an ending is late by a few seconds at most. */
@@ -65,6 +85,8 @@
     /** When requests ran to their end, by fingerprint, the oldest first. */
     private readonly whole = new Map<string, number>();
     private readonly refusalLogged = new Map<string, number>();
+    /** By life and fingerprint, the oldest first. */
+    private readonly sightings = new Map<string, Sighting>();
 
     constructor(private readonly deps: RequestGuardDeps) {
         repeat(() => this.forget(), () => FORGET_EVERY_MS, deps.signal);
@@ -81,8 +103,26 @@
     }
 
     /** What is quarantined or suspected, for operators. */
-    get charges(): readonly Charge[] {
-        return [...this.state.charges.values()].filter(({ endings }) => endings.length > 0);
+    list(): readonly ListedRequest[] {
+        const charges = [...this.state.charges.values()].filter(({ endings }) => endings.length > 0);
+        return charges.map(charge => this.listed(charge));
+    }
+
+    private listed({ fingerprint, endings }: Charge): ListedRequest {
+        const now = performance.now();
+        const seen = endings.map(({ life }) => this.sightings.get(`${life} ${fingerprint}`));
+        const first = seen.find(sighting => sighting !== undefined);
+        return {
+            fingerprint,
+            quarantined: verdictOf(this.state, fingerprint, now).kind === "quarantined",
+            route: first?.route,
+            workspace: first?.workspace,
+            endings: endings.map(({ life, at }, index) => ({
+                endpoint: life,
+                ageMs: Math.round(now - at),
+                req: seen[index]?.req,
+            })),
+        };
     }
 
     /**
@@ -168,6 +208,10 @@
         const beganAt = at - Math.max(...runs.map(({ ranMs }) => ranMs));
         const life = nameOfEnded(this.state.endings, incarnation, beganAt);
         const ending = { life, agoMs: performance.now() - at, requests };
+        for (const { req, route, workspace, fingerprint } of runs) {
+            this.sightings.set(`${life} ${fingerprint}`, { req, route, workspace });
+            if (this.sightings.size > MOST_SIGHTINGS) this.sightings.delete(this.sightings.keys().next().value!);
+        }
         this.follow(joinNews(this.state, { endings: [ending], trials: [] }, performance.now()));
         this.clearWhole([ending]);
     }
