--- a/packages/host/src/quarantine-sharing.ts
+++ b/packages/host/src/quarantine-sharing.ts
@@ -98,7 +98,8 @@
             this.asking = undefined;
             return;
         }
-        this.deps.send(this.someOthers(1), { kind: "quarantineAsk" });
+        const to = this.someOthers(1);
+        if (to.length > 0) this.deps.send(to, { kind: "quarantineAsk" });
     }
 
     private someOthers(most: number): readonly string[] {
--- /dev/null
+++ b/packages/host/test/quarantine-sharing.test.ts
@@ -0,0 +1,85 @@
+import type { QuarantineNews } from "@drumpaddle/hall";
+import test, { type ExecutionContext } from "ava";
+import type { QuarantinePeerMessage } from "../src/peer-messages.js";
+import { QuarantineSharing } from "../src/quarantine-sharing.js";
+
+const NOTHING: QuarantineNews = { endings: [], trials: [] };
+const NEWS: QuarantineNews = {
+    endings: [{ life: "e1", agoMs: 0, requests: [] }],
+    trials: [],
+};
+
+interface Sent {
+    readonly names: readonly string[];
+    readonly message: QuarantinePeerMessage;
+}
+
+/** A host among others, and what it sends. */
+function sharingOf(
+    t: ExecutionContext,
+    live: readonly string[],
+): { readonly sharing: QuarantineSharing; readonly sent: Sent[]; readonly heard: QuarantineNews[] } {
+    const end = new AbortController();
+    t.teardown(() => end.abort());
+    const sent: Sent[] = [];
+    const heard: QuarantineNews[] = [];
+    const sharing = new QuarantineSharing({
+        name: "h0",
+        signal: end.signal,
+        live: () => live,
+        send: (names, message) => void sent.push({ names, message }),
+        hear: news => void heard.push(news),
+        all: () => NEWS,
+        digest: () => 7,
+    });
+    return { sharing, sent, heard };
+}
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+test("a host that starts asks a peer, and is ready with its answer", t => {
+    const { sharing, sent, heard } = sharingOf(t, ["h0", "h1"]);
+    t.deepEqual(sent, [{ names: ["h1"], message: { kind: "quarantineAsk" } }]);
+    t.false(sharing.isReady);
+    sharing.receive("h1", { kind: "quarantine", isAll: false, ...NOTHING });
+    t.false(sharing.isReady);
+    sharing.receive("h1", { kind: "quarantine", isAll: true, ...NEWS });
+    t.true(sharing.isReady);
+    t.is(heard.length, 2);
+});
+
+test("a host that hears of no peer is ready all the same", async t => {
+    const { sharing } = sharingOf(t, ["h0"]);
+    t.false(sharing.isReady);
+    await pause(600);
+    t.true(sharing.isReady);
+});
+
+test("a peer that asks, or that knows other endings, is told everything; one that knows the same is told nothing", t => {
+    const { sharing, sent } = sharingOf(t, ["h0"]);
+    sharing.receive("h1", { kind: "quarantineAsk" });
+    t.like(sent.at(-1), { names: ["h1"], message: { kind: "quarantine", isAll: true } });
+    sharing.hearDigest("h2", 7);
+    t.is(sent.length, 1);
+    sharing.hearDigest("h2", 8);
+    t.like(sent.at(-1), { names: ["h2"], message: { kind: "quarantine", isAll: true } });
+    // At once again it would be the same news.
+    sharing.hearDigest("h3", 8);
+    t.is(sent.length, 2);
+});
+
+test("news of one moment goes to six hosts in one message, however many there are", async t => {
+    const live = Array.from({ length: 400 }, (_, at) => `h${at}`);
+    const { sharing, sent } = sharingOf(t, live);
+    const before = sent.length;
+    sharing.tell(NEWS);
+    sharing.tell(NEWS);
+    await pause(30);
+    const told = sent.slice(before).filter(({ message }) => message.kind === "quarantine");
+    t.is(told.length, 1);
+    t.is(new Set(told[0]!.names).size, 6);
+    t.false(told[0]!.names.includes("h0"));
+    t.is((told[0]!.message as QuarantineNews).endings.length, 2);
+});
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -32,6 +32,10 @@
 const SOAK = "platform/test/soak.test.ts";
 const LIVES = "platform/test/lives.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
+const FATAL = "platform/test/fatal-requests.test.ts";
+const QUARANTINE = "packages/hall/test/quarantine.test.ts";
+const VERDICT = "packages/hall/src/verdict.ts";
+const GUARD = "packages/host/src/request-guard.ts";
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
 const PROOF = "packages/request/src/proof.ts";
@@ -352,6 +356,83 @@
         replace: "return undefined;",
         tests: [LIVES],
     },
+    {
+        promise: "quarantine: nothing is begun after three endings",
+        file: "packages/host/src/run.ts",
+        find: `if (withheld) return this.event({ kind: "withheld", ...withheld });`,
+        replace: "",
+        tests: [FATAL],
+    },
+    {
+        promise: "quarantine: hosts tell each other",
+        file: GUARD,
+        find: "this.deps.tell(news);",
+        replace: "",
+        tests: [FATAL],
+    },
+    {
+        promise: "quarantine: a host that starts asks before it is ready",
+        file: "packages/host/src/quarantine-sharing.ts",
+        find: "return this.answered || ",
+        replace: "return true || ",
+        tests: ["packages/host/test/quarantine-sharing.test.ts"],
+    },
+    {
+        promise: "quarantine: a life counts once",
+        file: "packages/hall/src/endings.ts",
+        find: "const known = endings.get(told.life);",
+        replace: "const known = undefined as Ending | undefined;",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: an endpoint that lives on is no evidence",
+        file: "packages/host/src/ending-watch.ts",
+        find: "if (compareLives(life, { id, born }) !== LifeOrder.Later) return this.giveUp(incarnation);",
+        replace: "",
+        tests: [FATAL],
+    },
+    {
+        promise: "quarantine: a planned end is no evidence",
+        file: "packages/host/src/ending-watch.ts",
+        find: "if (this.deps.isLeaving(incarnation)) return this.deps.onNotEnded([run]);",
+        replace: "",
+        tests: [FATAL],
+    },
+    {
+        promise: "quarantine: nobody is to blame where a rack fails",
+        file: VERDICT,
+        find: "if (endedWithMany(fingerprint, part.ending, ordered)) continue;",
+        replace: "",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: what another explains is not held against a request",
+        file: VERDICT,
+        find: "for (const { life } of charge.endings) explained.add(life);",
+        replace: "",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: a whole run clears",
+        file: "packages/hall/src/quarantine.ts",
+        find: "{ endings: clearingOf(state.endings, fingerprint, now), trials: [] }",
+        replace: "{ endings: [], trials: [] }",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: a suspect runs at one endpoint at a time",
+        file: "packages/hall/src/quarantine.ts",
+        find: "left = Math.max(left, trial.at + TRIAL_MS - now);",
+        replace: "",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: drawn bodies push none out",
+        file: "packages/hall/src/quarantine.ts",
+        find: "Number(guilty.has(b)) - Number(guilty.has(a)) || atB - atA",
+        replace: "atB - atA",
+        tests: [QUARANTINE],
+    },
     {
         promise: "half a request reaches no endpoint",
         file: "packages/host/src/request-body.ts",
