The product's own interface keeps fatal requests away too; its engine stand-in ends by a prompt

Both runners are guarded now; an endpoint there tells nothing of its lives and is asked by a connection alone. Operators' calls ask for the roles of the tree's operators.

--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -14,12 +14,15 @@
 import { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
 import { failOnReset } from "./connector.js";
+import { EndingWatch } from "./ending-watch.js";
 import { type Host, LimitBook, OpenRuns } from "./host.js";
+import { probeByConnecting } from "./life-probe.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
 import { createOperators } from "./operators.js";
 import { Peers, treeSpread } from "./peers.js";
-import { Placement } from "./placement.js";
+import { isLeaving, Placement } from "./placement.js";
+import { RequestGuard } from "./request-guard.js";
 import { SettingsFeed } from "./settings-feed.js";
 import { SettingsStore } from "./settings-store.js";
 import { watchEndpoints } from "./watch-endpoints.js";
@@ -68,6 +71,23 @@
         connect: failOnReset(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
         pipelining: 1,
     });
+    const guard: RequestGuard = new RequestGuard({
+        log,
+        metrics,
+        signal,
+        tell: news => host.peers?.tellQuarantine(news),
+        broke: (endpoint, run) => endings.broke(endpoint, run),
+    });
+    const endings = new EndingWatch({
+        log,
+        probe: ({ address }) => probeByConnecting(address),
+        isLeaving: id => isLeaving(id, host.engines, host.plain),
+        isOver: () => false,
+        isDeaf: () => true,
+        onEnded: ending => guard.ended(ending),
+        onNotEnded: runs => guard.notEnded(runs),
+        meetLife: () => undefined,
+    });
     const host: Host = {
         cfg,
         log,
@@ -80,6 +100,7 @@
         plain: new Placement(signal, PLAIN_VARIANT),
         runs: new OpenRuns(),
         limits: new LimitBook(),
+        guard,
         claims: new Claims(kv, cfg["platform.prefix"], signal),
         peers: undefined,
     };
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -8,11 +8,18 @@
  *
  * @module
  */
-import { errText, type PlatformWire } from "@drumpaddle/protocol";
-import { compareLives, type EndpointEntry, type Life, LifeOrder, type Registry } from "@drumpaddle/routes";
-import { callEndpoint } from "./call-endpoint.js";
+import { compareLives, type Life, LifeOrder, type Registry } from "@drumpaddle/routes";
+import type { LifeSign } from "./life-probe.js";
 import type { Log } from "./log.js";
 
+/** An endpoint as the watch knows it. */
+export interface WatchedEndpoint extends Life {
+    /** Name of its life among all lives; its id alone where endpoints tell nothing of their lives. */
+    readonly incarnation: string;
+    /** Where it is reached. */
+    readonly address: string;
+}
+
 /** A call that broke off while it ran at an endpoint. */
 export interface BrokenRun {
     readonly req: string;
@@ -30,7 +37,7 @@
 
 /** The end of a life under calls of this host. */
 export interface SeenEnding {
-    readonly endpoint: EndpointEntry;
+    readonly endpoint: WatchedEndpoint;
     /** When the calls broke off, on the monotonic clock: an end that is found out later counts from then. */
     readonly at: number;
     readonly runs: readonly BrokenRun[];
@@ -39,9 +46,9 @@
 
 /** What the watch needs of the gateway. */
 export interface EndingWatchDeps {
-    readonly wire: PlatformWire;
     readonly log: Log;
-    readonly signal: AbortSignal;
+    /** Asks an endpoint whether its life is still there. */
+    probe(endpoint: WatchedEndpoint): Promise<LifeSign>;
     /** Whether an endpoint is known to be leaving, or to have left. */
     isLeaving(incarnation: string): boolean;
     /** Whether an endpoint that was not leaving is known to have begun a later life. */
@@ -54,15 +61,13 @@
     meetLife(life: Life): void;
 }
 
-/** Endpoints of a region refuse a connection within 10 ms; a cut one is not waited for. */
-const ANSWER_MS = 250;
 /** A crashed endpoint's registration lapses after three heartbeats, seen after 2.8 s; one that has not by then is not over. */
 const UNKNOWN_MS = 10_000;
 /** Calls that were running at a life's end break off within this: a silent connection is given up by then. */
 const SAME_ENDING_MS = 5_000;
 
 interface Pending {
-    readonly endpoint: EndpointEntry;
+    readonly endpoint: WatchedEndpoint;
     readonly at: number;
     readonly runs: BrokenRun[];
 }
@@ -76,7 +81,7 @@
     constructor(private readonly deps: EndingWatchDeps) {}
 
     /** A call broke off; what it is due to is told by one of the listeners, at once or later. */
-    broke(endpoint: EndpointEntry, run: BrokenRun): void {
+    broke(endpoint: WatchedEndpoint, run: BrokenRun): void {
         const { incarnation } = endpoint;
         const now = performance.now();
         if (this.deps.isOver(incarnation)) {
@@ -108,21 +113,17 @@
         }
     }
 
-    private async ask({ id, address, incarnation, born }: EndpointEntry): Promise<void> {
-        const { wire, log, signal } = this.deps;
-        try {
-            const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
-            const stay = wire.readStay(status, body);
-            const life = { id, born: stay.kind === "told" ? stay.born : undefined };
-            if (compareLives(life, { id, born }) !== LifeOrder.Later) return this.giveUp(incarnation);
-            this.deps.meetLife(life);
-            this.end(incarnation, "laterLife");
-        }
-        catch (err) {
-            if (isRefused(err)) return this.end(incarnation, "refused");
-            log.debug({ endpoint: incarnation, detail: errText(err) }, "endpoint_end_unknown");
+    private async ask(endpoint: WatchedEndpoint): Promise<void> {
+        const { incarnation } = endpoint;
+        const sign = await this.deps.probe(endpoint);
+        if (sign.kind === "lives") return this.giveUp(incarnation);
+        if (sign.kind === "unknown") {
+            this.deps.log.debug({ endpoint: incarnation, detail: sign.detail }, "endpoint_end_unknown");
             setTimeout(() => this.giveUp(incarnation), UNKNOWN_MS).unref();
+            return;
         }
+        if (sign.kind === "laterLife") this.deps.meetLife(sign.life);
+        this.end(incarnation, sign.kind);
     }
 
     private end(incarnation: string, sign: EndingSign): void {
@@ -148,7 +149,3 @@
         }
     }
 }
-
-function isRefused(err: unknown): boolean {
-    return err instanceof Error && "code" in err && err.code === "ECONNREFUSED";
-}
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -26,13 +26,14 @@
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
 import { OpenRuns } from "./host.js";
+import { probeByReport } from "./life-probe.js";
 import { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
 import { Peers } from "./peers.js";
-import { Placement } from "./placement.js";
+import { isLeaving, Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
-import { serveQuarantine } from "./quarantine-api.js";
+import { allowSecrets, serveQuarantine } from "./quarantine-api.js";
 import { RequestGuard } from "./request-guard.js";
 import { watchStays } from "./stay-watch.js";
 
@@ -124,9 +125,8 @@
     });
     let known: Registry | undefined;
     const endings = new EndingWatch({
-        wire: platformWire,
         log,
-        signal,
+        probe: ({ address, id, born }) => probeByReport(platformWire, address, { id, born }, signal),
         isLeaving: incarnation => isLeaving(incarnation, engines, plain),
         isOver: incarnation => hasBegunAgain(incarnation, known),
         isDeaf: () => feed.isDeaf,
@@ -176,7 +176,7 @@
         signal,
     });
     const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
-    serveQuarantine(operators, { guard, secrets: cfg["peers.secrets"] });
+    serveQuarantine(operators, guard, allowSecrets(cfg["peers.secrets"]));
     const declare = (): void => {
         if (known && feed.table) declareEndpoints(feed.table, known, engines, plain);
     };
@@ -273,12 +273,6 @@
     }
 }
 
-/** Whether an endpoint is known to be leaving, or takes no new work for other reasons that were told. */
-function isLeaving(incarnation: string, ...placements: readonly Placement[]): boolean {
-    const views = placements.flatMap(({ view }) => view.endpoints.get(incarnation) ?? []);
-    return views.every(({ leavingBy, cfg }) => leavingBy.length > 0 || cfg.models.length === 0);
-}
-
 /** Whether an endpoint that was not leaving has begun a later life. */
 function hasBegunAgain(incarnation: string, registry: Registry | undefined): boolean {
     const departed = registry?.departed.get(incarnation);
--- a/packages/host/src/generate.ts
+++ b/packages/host/src/generate.ts
@@ -28,6 +28,8 @@
 import { type ApiError, streamReply, wholeReply, writeError } from "./answer.js";
 import type { Directory } from "./directory.js";
 import { type EnginePiece, engineRunner } from "./engine-runner.js";
+import { fingerprintOf } from "./fingerprint.js";
+import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { Run, type RunEnd } from "./run.js";
 
@@ -184,6 +186,26 @@
     const headers = { "x-request-id": id, "x-settings-version": String(directory.version) };
     const stall = createStallWatch(out, settings["caller-stall-timeout"], () => run.event({ kind: "callerGone" }));
     host.metrics.open.inc();
+    const path = chat ? "/v1/chat/completions" : "/v1/completions";
+    const urlOf = (endpoint: string): string | undefined =>
+        host.feed.directory?.endpoints.get(endpoint)?.url ?? directory.endpoints.get(endpoint)?.url;
+    const fingerprint = fingerprintOf({
+        method: "POST",
+        host: "",
+        target: path,
+        workspace: incoming.workspace,
+        body: Buffer.from(JSON.stringify(body)),
+    });
+    const runner = engineRunner({
+        dispatcher: host.dispatcher,
+        urlOf,
+        path,
+        requestId: id,
+        bodyWith: priority => engineBody(body, priority),
+        limits: { firstTokenMs: settings["first-token-timeout"], idleMs: settings["idle-timeout"] },
+        ready: stall.ready,
+    });
+    const guarded = { req: id, route: job.group.service, workspace: incoming.workspace, fingerprint };
     const run: Run<EnginePiece> = new Run<EnginePiece>({
         cfg: {
             id,
@@ -195,16 +217,8 @@
         },
         job,
         placement: host.engines,
-        runner: engineRunner({
-            dispatcher: host.dispatcher,
-            urlOf: endpoint =>
-                host.feed.directory?.endpoints.get(endpoint)?.url ?? directory.endpoints.get(endpoint)?.url,
-            path: chat ? "/v1/chat/completions" : "/v1/completions",
-            requestId: id,
-            bodyWith: priority => engineBody(body, priority),
-            limits: { firstTokenMs: settings["first-token-timeout"], idleMs: settings["idle-timeout"] },
-            ready: stall.ready,
-        }),
+        runner: guardRunner(runner, host.guard, guarded, urlOf),
+        withhold: attempt => host.guard.withhold(fingerprint, attempt),
         reply: facts.stream ? streamReply(out, headers) : wholeReply(out, headers, chat, facts.promptTokens),
         onGap: ms => host.metrics.betweenTokens.record(ms),
         onDispatch: kind => host.metrics.countDispatch(kind),
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/guard-attempt.ts
@@ -4,18 +4,22 @@
  * @module
  */
 import type { LossCause, RequestEvent } from "@drumpaddle/request";
-import type { EndpointEntry } from "@drumpaddle/routes";
+import type { WatchedEndpoint } from "./ending-watch.js";
 import type { RequestGuard } from "./request-guard.js";
-import type { AttemptSink } from "./run.js";
+import type { AttemptRunner, AttemptSink } from "./run.js";
 
-/** An attempt that is guarded. */
-export interface GuardedAttempt {
+/** A call whose attempts are guarded. */
+export interface GuardedCall {
     readonly req: string;
     readonly route: string;
     readonly workspace: string | undefined;
-    readonly attempt: string;
     readonly fingerprint: string;
-    readonly endpoint: EndpointEntry;
+}
+
+/** An attempt that is guarded. */
+export interface GuardedAttempt extends GuardedCall {
+    readonly attempt: string;
+    readonly endpoint: WatchedEndpoint;
     /** Ends the attempt. */
     readonly signal: AbortSignal;
 }
@@ -69,3 +73,31 @@
         },
     };
 }
+
+/**
+ * A runner whose attempts are guarded, where endpoints tell nothing of their lives.
+ *
+ * @param urlOf Where an endpoint is reached; undefined where it is not declared.
+ *
+ * @example
+ * ```ts
+ * new Run({ runner: guardRunner(plainRunner(...), host.guard, call, urlOf), ... });
+ * ```
+ */
+export function guardRunner<T>(
+    runner: AttemptRunner<T>,
+    guard: RequestGuard,
+    call: GuardedCall,
+    urlOf: (endpoint: string) => string | undefined,
+): AttemptRunner<T> {
+    const guarded = (sink: AttemptSink<T>, attempt: string, id: string, signal: AbortSignal): AttemptSink<T> => {
+        const endpoint = { id, incarnation: id, born: undefined, address: urlOf(id) ?? "" };
+        return guardAttempt(sink, guard, { ...call, attempt, endpoint, signal });
+    };
+    return {
+        ...runner,
+        start: (plan, sink, signal) => runner.start(plan, guarded(sink, plan.attempt, plan.endpoint, signal), signal),
+        resume: (attempt, endpoint, generation, from, sink, signal) =>
+            runner.resume(attempt, endpoint, generation, from, guarded(sink, attempt, endpoint, signal), signal),
+    };
+}
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from "./metrics.js";
 import type { Peers } from "./peers.js";
 import type { Placement } from "./placement.js";
+import type { RequestGuard } from "./request-guard.js";
 import type { SettingsFeed } from "./settings-feed.js";
 import type { SettingsStore } from "./settings-store.js";
 
@@ -28,6 +29,8 @@
     readonly runs: OpenRuns;
     readonly limits: LimitBook;
     readonly claims: Claims;
+    /** Keeps requests away that end the endpoints that run them. */
+    readonly guard: RequestGuard;
     /** Set as soon as the host listens for its peers. */
     peers: Peers | undefined;
 }
--- /dev/null
+++ b/packages/host/src/life-probe.ts
@@ -0,0 +1,81 @@
+/**
+ * Asks an endpoint whether the life that ran a call is still there.
+ *
+ * @module
+ */
+import { errText, type PlatformWire } from "@drumpaddle/protocol";
+import { compareLives, type Life, LifeOrder } from "@drumpaddle/routes";
+import { connect } from "node:net";
+import { callEndpoint } from "./call-endpoint.js";
+
+/** What an endpoint's answer shows of a life. */
+export type LifeSign =
+    | { readonly kind: "lives" }
+    | { readonly kind: "refused" }
+    /** A later life answered. */
+    | { readonly kind: "laterLife"; readonly life: Life }
+    | { readonly kind: "unknown"; readonly detail: string };
+
+/** Endpoints of a region refuse a connection within 10 ms; a cut one is not waited for. */
+const ANSWER_MS = 250;
+const REFUSED = "ECONNREFUSED";
+
+/**
+ * Asks by the endpoint's own report, which may tell when its life began.
+ *
+ * @param address `ip:port`
+ *
+ * @example
+ * ```ts
+ * (await probeByReport(wire, "10.0.0.9:8080", { id: "i-7", born: 1700 }, signal)).kind; // "lives"
+ * ```
+ */
+export async function probeByReport(
+    wire: PlatformWire,
+    address: string,
+    known: Life,
+    signal: AbortSignal,
+): Promise<LifeSign> {
+    try {
+        const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
+        const stay = wire.readStay(status, body);
+        const life = { id: known.id, born: stay.kind === "told" ? stay.born : undefined };
+        return compareLives(life, known) === LifeOrder.Later ? { kind: "laterLife", life } : { kind: "lives" };
+    }
+    catch (err) {
+        return signOf(err);
+    }
+}
+
+/**
+ * Asks by a connection alone, where endpoints tell nothing of their lives: one that has started again meanwhile passes for the same.
+ *
+ * @param url Where the endpoint is reached.
+ *
+ * @example
+ * ```ts
+ * (await probeByConnecting("http://10.0.0.9:8080")).kind; // "refused" where nobody listens
+ * ```
+ */
+export function probeByConnecting(url: string): Promise<LifeSign> {
+    const { hostname, port, protocol } = new URL(url);
+    return new Promise(resolve => {
+        const socket = connect({
+            host: hostname.replace(/^\[|\]$/g, ""),
+            port: Number(port || (protocol === "https:" ? 443 : 80)),
+            timeout: ANSWER_MS,
+        });
+        const end = (sign: LifeSign): void => {
+            socket.destroy();
+            resolve(sign);
+        };
+        socket.once("connect", () => end({ kind: "lives" }));
+        socket.once("timeout", () => end({ kind: "unknown", detail: `no connection in ${ANSWER_MS} ms` }));
+        socket.once("error", err => end(signOf(err)));
+    });
+}
+
+function signOf(err: unknown): LifeSign {
+    const isRefused = err instanceof Error && "code" in err && err.code === REFUSED;
+    return isRefused ? { kind: "refused" } : { kind: "unknown", detail: errText(err) };
+}
--- a/packages/host/src/operators.ts
+++ b/packages/host/src/operators.ts
@@ -19,6 +19,7 @@
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { hashSecret, type Role } from "./directory.js";
 import type { Host } from "./host.js";
+import { serveQuarantine } from "./quarantine-api.js";
 import type { EditResult } from "./settings-store.js";
 
 const EditBody = Type.Object({
@@ -63,6 +64,7 @@
         ...(tls ? { https: tls } as object : {}),
     });
     health(host, app);
+    serveQuarantine(app, host.guard, (req, reply, role) => allow(host, req, reply, role) !== undefined);
     settingsRoutes(host, app);
     trailRoutes(host, app);
     return app;
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -170,3 +170,9 @@
         else placed?.onRefuse(action.reason, action.detail, action.retryAfterMs);
     }
 }
+
+/** Whether an endpoint is known to be leaving, or takes no new work for other reasons that were told. */
+export function isLeaving(incarnation: string, ...placements: readonly Placement[]): boolean {
+    const views = placements.flatMap(({ view }) => view.endpoints.get(incarnation) ?? []);
+    return views.every(({ leavingBy, cfg }) => leavingBy.length > 0 || cfg.models.length === 0);
+}
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -18,9 +18,11 @@
 import { type ApiError, toApiError, writeError } from "./answer.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
 import type { Directory } from "./directory.js";
+import { fingerprintOf } from "./fingerprint.js";
 import { NO_BODY_STATUSES } from "./forward-attempt.js";
 import { breakAnswer } from "./forward-reply.js";
 import { limitError, limitsOf, policyOf } from "./generate.js";
+import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { type AttemptRunner, type AttemptSink, type Reply, Run } from "./run.js";
 
@@ -233,6 +235,13 @@
     const { call, job, settings, body, path, once } = plan;
     const { out, id } = call;
     const reply = passThrough(out, id);
+    const fingerprint = fingerprintOf({
+        method: call.req.method,
+        host: "",
+        target: call.req.url,
+        workspace: call.workspace,
+        body,
+    });
     host.metrics.open.inc();
     const run: Run<PlainPiece> = new Run<PlainPiece>({
         cfg: {
@@ -245,7 +254,13 @@
         },
         job,
         placement: host.plain,
-        runner: plainRunner(host, call, path, settings, body),
+        runner: guardRunner(plainRunner(host, call, path, settings, body), host.guard, {
+            req: id,
+            route: call.service,
+            workspace: call.workspace,
+            fingerprint,
+        }, endpoint => urlOf(host, call.directory, endpoint)),
+        withhold: attempt => host.guard.withhold(fingerprint, attempt),
         reply,
         onGap: () => undefined,
         onDispatch: kind => host.metrics.countDispatch(kind),
@@ -332,6 +347,10 @@
     };
 }
 
+function urlOf(host: Host, directory: Directory, endpoint: string): string | undefined {
+    return directory.endpoints.get(endpoint)?.url ?? host.feed.directory?.endpoints.get(endpoint)?.url;
+}
+
 function plainRunner(
     host: Host,
     call: PlainCall,
@@ -341,8 +360,7 @@
 ): AttemptRunner<PlainPiece> {
     return {
         start: ({ attempt, endpoint }, sink, signal) => {
-            const url = call.directory.endpoints.get(endpoint)?.url
-                ?? host.feed.directory?.endpoints.get(endpoint)?.url;
+            const url = urlOf(host, call.directory, endpoint);
             if (url === undefined) {
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer declared" });
                 return;
--- a/packages/host/src/quarantine-api.ts
+++ b/packages/host/src/quarantine-api.ts
@@ -5,40 +5,51 @@
  */
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { timingSafeEqual } from "node:crypto";
-import { hashSecret } from "./directory.js";
+import { hashSecret, type Role } from "./directory.js";
 import type { RequestGuard } from "./request-guard.js";
 
-/** What the calls need of a host. */
-export interface QuarantineApiDeps {
-    readonly guard: Pick<RequestGuard, "list" | "clear" | "isSuspect">;
-    /** Whoever has one of the fleet's secrets may call. */
-    readonly secrets: readonly string[];
-}
+/** Whether a caller may do what a role may; where not, the reply was sent. */
+export type Allow = (req: FastifyRequest, reply: FastifyReply, role: Role) => boolean;
 
 const BEARER = /^Bearer (\S+)$/;
 
-/** Adds the calls to a server. */
-export function serveQuarantine(app: FastifyInstance, { guard, secrets }: QuarantineApiDeps): void {
+/**
+ * Allows whoever has one of the fleet's secrets, on hosts that know no operators.
+ *
+ * @example
+ * ```ts
+ * serveQuarantine(app, guard, allowSecrets(cfg["peers.secrets"]));
+ * ```
+ */
+export function allowSecrets(secrets: readonly string[]): Allow {
     const allowed = secrets.map(secret => Buffer.from(hashSecret(secret)));
-    const check = async (req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply | undefined> => {
+    return (req, reply) => {
         const given = Buffer.from(hashSecret(BEARER.exec(req.headers.authorization ?? "")?.[1] ?? ""));
-        if (allowed.some(hash => timingSafeEqual(hash, given))) return undefined;
-        return reply.code(401).send({
-            error: { code: "invalid_token", message: "one of the fleet's secrets is needed" },
-        });
+        const isAllowed = allowed.some(hash => timingSafeEqual(hash, given));
+        if (!isAllowed) {
+            void reply.code(401).send({
+                error: { code: "invalid_token", message: "one of the fleet's secrets is needed" },
+            });
+        }
+        return isAllowed;
     };
-    app.get("/quarantine", { preHandler: check }, (_req, reply) => reply.send({ requests: guard.list() }));
-    app.post<{ Params: { fingerprint: string } }>(
-        "/quarantine/:fingerprint/lift",
-        { preHandler: check },
-        (req, reply) => {
-            const { fingerprint } = req.params;
-            if (!guard.isSuspect(fingerprint)) {
-                const message = "nothing is held against a request of this fingerprint";
-                return reply.code(404).send({ error: { code: "not_quarantined", message } });
-            }
-            guard.clear(fingerprint, "operator");
-            return reply.send({ lifted: fingerprint });
-        },
-    );
+}
+
+/** Adds the calls to a server. */
+export function serveQuarantine(
+    app: FastifyInstance,
+    guard: Pick<RequestGuard, "list" | "clear" | "isSuspect">,
+    allow: Allow,
+): void {
+    app.get("/quarantine", (req, reply) => allow(req, reply, "read") ? reply.send({ requests: guard.list() }) : reply);
+    app.post<{ Params: { fingerprint: string } }>("/quarantine/:fingerprint/lift", (req, reply) => {
+        if (!allow(req, reply, "edit")) return reply;
+        const { fingerprint } = req.params;
+        if (!guard.isSuspect(fingerprint)) {
+            const message = "nothing is held against a request of this fingerprint";
+            return reply.code(404).send({ error: { code: "not_quarantined", message } });
+        }
+        guard.clear(fingerprint, "operator");
+        return reply.send({ lifted: fingerprint });
+    });
 }
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -23,8 +23,7 @@
     verdictOf,
 } from "@drumpaddle/hall";
 import { FailCode } from "@drumpaddle/request";
-import type { EndpointEntry } from "@drumpaddle/routes";
-import type { BrokenRun, SeenEnding } from "./ending-watch.js";
+import type { BrokenRun, SeenEnding, WatchedEndpoint } from "./ending-watch.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import { repeat } from "./repeat.js";
@@ -46,7 +45,7 @@
     /** Tells peers what is new here. */
     tell(news: QuarantineNews): void;
     /** Finds out whether an endpoint's life ended as a call there broke off. */
-    broke(endpoint: EndpointEntry, run: BrokenRun): void;
+    broke(endpoint: WatchedEndpoint, run: BrokenRun): void;
 }
 
 /** What operators are told of a request that was at endings. */
@@ -164,7 +163,7 @@
     }
 
     /** An attempt broke off while it ran. */
-    broke(endpoint: EndpointEntry, run: BrokenRun): void {
+    broke(endpoint: WatchedEndpoint, run: BrokenRun): void {
         this.unsettled.set(run.fingerprint, (this.unsettled.get(run.fingerprint) ?? 0) + 1);
         this.deps.broke(endpoint, run);
     }
--- a/packages/standins/src/engine-server.ts
+++ b/packages/standins/src/engine-server.ts
@@ -69,6 +69,7 @@
 }
 
 const CHARS_PER_TOKEN = 4;
+const LARGEST_BODY = 64_000_000;
 const HUGE_CHUNK_BYTES = 8_000_000;
 const KEEP_GENERATIONS = 5_000;
 
@@ -86,15 +87,25 @@
     private readonly generations = new Map<string, Generation>();
     private readonly attempts = new Map<string, string>();
     private readonly samples: { at: number; load: EngineLoad }[] = [];
-    private readonly app: FastifyInstance;
+    /** Texts that end the engine's process when it begins a prompt that holds one. */
+    readonly fatal: string[] = [];
+    /** How often that has ended it, and how long it is away then. */
+    endings = 0;
+    awayMs = 100;
+    private app: FastifyInstance;
     private timer: NodeJS.Timeout | undefined;
     private made = 0;
     url = "";
 
     private constructor(private readonly cfg: EngineServerCfg) {
         this.model = new EngineModel(cfg.engine ?? ENGINE);
-        this.app = Fastify({ bodyLimit: 64_000_000, forceCloseConnections: true });
-        this.routes();
+        this.app = this.createApp();
+    }
+
+    private createApp(): FastifyInstance {
+        const app = Fastify({ bodyLimit: LARGEST_BODY, forceCloseConnections: true });
+        this.routes(app);
+        return app;
     }
 
     /** Starts an engine on a port of the system's choice, or the given one. */
@@ -112,18 +123,31 @@
         await this.app.close();
     }
 
-    private routes(): void {
-        this.app.post(
+    /** Ends with all that runs, as a process that dies does, and starts again at its port after a while. */
+    private async die(): Promise<void> {
+        this.endings += 1;
+        const { port } = this.app.server.address() as AddressInfo;
+        this.generations.clear();
+        // Nobody listens any more when its connections break.
+        this.app.server.close();
+        await this.app.close();
+        await new Promise(resolve => setTimeout(resolve, this.awayMs));
+        this.app = this.createApp();
+        await this.app.listen({ host: "127.0.0.1", port });
+    }
+
+    private routes(app: FastifyInstance): void {
+        app.post(
             "/v1/chat/completions",
             (req, reply) => this.generate(req.body as Body, req.headers, reply, true),
         );
-        this.app.post("/v1/completions", (req, reply) => this.generate(req.body as Body, req.headers, reply, false));
-        this.app.get("/v1/load", () => this.load());
-        this.app.get<{ Params: { id: string }; Querystring: { from: string } }>("/v1/generations/:id", (req, reply) => {
+        app.post("/v1/completions", (req, reply) => this.generate(req.body as Body, req.headers, reply, false));
+        app.get("/v1/load", () => this.load());
+        app.get<{ Params: { id: string }; Querystring: { from: string } }>("/v1/generations/:id", (req, reply) => {
             this.resume(req.params.id, Number(req.query.from), String(req.headers["x-attempt-id"] ?? ""), reply);
         });
-        this.app.delete<{ Params: { id: string } }>("/v1/generations/:id", req => this.cancel(req.params.id));
-        this.app.delete<{ Params: { id: string } }>(
+        app.delete<{ Params: { id: string } }>("/v1/generations/:id", req => this.cancel(req.params.id));
+        app.delete<{ Params: { id: string } }>(
             "/v1/attempts/:id",
             req => this.cancel(this.attempts.get(req.params.id) ?? ""),
         );
@@ -133,6 +157,8 @@
         const fault = this.faults.shift();
         reply.hijack();
         const out = reply.raw;
+        const prompt = JSON.stringify(body.messages ?? body.prompt ?? "");
+        if (this.fatal.some(text => prompt.includes(text))) return void this.die();
         if (fault && refuseBy(fault, out)) return;
         if (this.leaving || !this.cfg.models.includes(body.model ?? "")) {
             sendRefusal(out, this.leaving ? "leaving" : "no such model", undefined);
