--- a/packages/standins/src/fault-matrix.ts
+++ b/packages/standins/src/fault-matrix.ts
@@ -243,6 +243,32 @@
             return [...afterLoss(code)(cfg, step), `${FailCode.StreamIncomplete}, ran yes`];
         },
     },
+    {
+        name: "request is quarantined as it waits",
+        apply: world => {
+            world.isQuarantined = true;
+        },
+        impossible: {
+            steps: ["admitted", "connecting", "first byte sent", ...ANSWERED, "settled"],
+            why: "what was begun goes on",
+        },
+        allowed: () => [`${FailCode.Quarantined}, ran no`],
+    },
+    {
+        name: "endpoint dies, and the request is quarantined for it",
+        apply: world => {
+            world.isQuarantined = true;
+            world.reclaim();
+        },
+        impossible: noEndpointYet,
+        allowed: (cfg, step) => {
+            if (step === "admitted" || step === "connecting") return [`${FailCode.Quarantined}, ran no`];
+            const wentOut = cfg.streamed && isStreaming(step);
+            const ran = isStreaming(step) ? "yes" : "unknown";
+            if (cfg.repeatable && !wentOut) return [`${FailCode.Quarantined}, ran ${ran}`];
+            return afterLoss(step === "first byte sent" ? FailCode.EndpointLost : FailCode.StreamIncomplete)(cfg, step);
+        },
+    },
     {
         name: "endpoint dies while the host stops",
         apply: world => (world.event({ kind: "stopping" }), world.reclaim()),
--- a/packages/standins/src/fault-world.ts
+++ b/packages/standins/src/fault-world.ts
@@ -60,6 +60,8 @@
     readonly alive = new Map<string, { readonly attempt: string; readonly endpoint: string }>();
     dispatches = 0;
     waiting = false;
+    /** Whether no attempt may be begun any more. */
+    isQuarantined = false;
     ended:
         | { readonly kind: "whole"; readonly tokens: number }
         | { readonly kind: "failed"; readonly err: RequestError }
@@ -106,6 +108,10 @@
         admitCopy: () => undefined,
         dispatch: ({ attempt, endpoint }) => {
             this.waiting = false;
+            if (this.isQuarantined) {
+                this.event({ kind: "withheld", code: FailCode.Quarantined, detail: "it ended three endpoints" });
+                return;
+            }
             this.dispatches += 1;
             if (!this.cfg.repeatable && this.ran.length > 0) {
                 this.breaches.push("dispatched again after it may have run");
