Endpoints of other software open a quarantine for one try

What ended under a request was one version of the engines: where another serves, one try alone decides again, twice at most before an operator has to. The version of an endpoint's software is read from its registration, told with its ending, and asked for where an attempt is about to begin.

--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -24,6 +24,8 @@
     /** Name of the life, unique among all lives of all endpoints. */
     readonly life: string;
     readonly at: number;
+    /** Version of the endpoint's software; undefined where it is not known. */
+    readonly software: string | undefined;
     /** Requests that ran there, by fingerprint. */
     readonly requests: ReadonlyMap<string, Involved>;
 }
@@ -35,6 +37,7 @@
 export interface EndingNews {
     readonly life: string;
     readonly agoMs: number;
+    readonly software?: string | undefined;
     readonly requests: readonly RequestNews[];
 }
 
@@ -50,9 +53,9 @@
 export const MOST_REQUESTS = 64;
 
 /** An ending as it is told. */
-export function newsOfEnding({ life, at, requests }: Ending, now: number): EndingNews {
+export function newsOfEnding({ life, at, software, requests }: Ending, now: number): EndingNews {
     const told = [...requests].map(([fingerprint, involved]) => ({ fingerprint, ...involved }));
-    return { life, agoMs: Math.max(0, now - at), requests: told };
+    return { life, agoMs: Math.max(0, now - at), software, requests: told };
 }
 
 /** Endings joined with one that was told, and what of it was not known. */
@@ -83,10 +86,11 @@
         news.push({ fingerprint, ...joined });
     }
     if (known && news.length === 0) return { endings, news: undefined };
-    const ending = { life: told.life, at: Math.min(known?.at ?? at, at), requests: bounded(requests) };
+    const software = known?.software ?? told.software;
+    const ending = { life: told.life, at: Math.min(known?.at ?? at, at), software, requests: bounded(requests) };
     return {
         endings: new Map(endings).set(told.life, ending),
-        news: { life: told.life, agoMs: Math.max(0, now - ending.at), requests: news },
+        news: { life: told.life, agoMs: Math.max(0, now - ending.at), software, requests: news },
     };
 }
 
@@ -118,10 +122,10 @@
  */
 export function clearingOf(endings: Endings, fingerprint: string, now: number): readonly EndingNews[] {
     const news: EndingNews[] = [];
-    for (const { life, at, requests } of endings.values()) {
+    for (const { life, at, software, requests } of endings.values()) {
         const involved = requests.get(fingerprint);
         if (!involved || involved.cleared) continue;
-        news.push({ life, agoMs: now - at, requests: [{ fingerprint, ...involved, cleared: true }] });
+        news.push({ life, agoMs: now - at, software, requests: [{ fingerprint, ...involved, cleared: true }] });
     }
     return news;
 }
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -73,6 +73,7 @@
 export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
 export {
     allNews,
+    type Asked,
     clear,
     EMPTY_QUARANTINE,
     forgetOld,
--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -2,7 +2,8 @@
  * Requests that end the endpoints that run them, and who may begin them still.
  *
  * A request that was at an ending is a suspect: it is begun at one endpoint at a time, by whichever host. After three endings it is
- * quarantined: no host begins it, until a time is over that doubles with each ending more; then one try, alone, decides again.
+ * quarantined: no host begins it, until a time is over that doubles with each ending more, or endpoints of other software serve; then
+ * one try, alone, decides again.
  *
  *     a --news (ending, try)--> some hosts, each of which passes on what it had not known
  *     a --digest (with each probe)--> b, and where b knows other endings: b --all that it knows--> a
@@ -95,27 +96,39 @@
 
 const FREE: Verdict = { kind: "free" };
 
+/** For what it is asked whether a request may be begun. */
+export interface Asked {
+    /** The attempt that is about to begin, where that is known. */
+    readonly attempt?: string | undefined;
+    /** Versions of the software that it may meet. */
+    readonly software?: readonly string[] | undefined;
+}
+
 /**
  * Whether a request may be begun now.
  *
- * @param own The attempt for which it is asked, where that has begun.
- *
  * @example
  * ```ts
  * verdictOf(quarantine, fingerprint, now).kind; // "free"
  * ```
  */
-export function verdictOf(state: Quarantine, fingerprint: string, now: number, own?: string): Verdict {
+export function verdictOf(state: Quarantine, fingerprint: string, now: number, asked: Asked = {}): Verdict {
     const charge = state.charges.get(fingerprint);
     if (!charge || charge.endings.length === 0) return FREE;
     const endings = charge.endings.length;
-    if (charge.isGuilty && now < heldUntil(charge)) {
+    if (charge.isGuilty && now < heldUntil(charge) && !meetsOther(charge, asked.software)) {
         return { kind: "quarantined", endings, sureMs: Math.max(0, charge.lastAt + NEWS_MS - now) };
     }
-    const againMs = trialLeftMs(state, fingerprint, now, own);
+    const againMs = trialLeftMs(state, fingerprint, now, asked.attempt);
     return againMs > 0 ? { kind: "onTrial", againMs } : { kind: "suspect", endings };
 }
 
+/** Whether a request may meet software that it has not ended yet: one try there decides again. */
+function meetsOther({ endings }: Charge, versions: readonly string[] = []): boolean {
+    const ended = new Set(endings.flatMap(({ software }) => software ?? []));
+    return endings.length < ENDINGS_FOR_GOOD && ended.size > 0 && versions.some(version => !ended.has(version));
+}
+
 /** When one try may decide again. */
 function heldUntil({ endings, lastAt }: Charge): number {
     if (endings.length >= ENDINGS_FOR_GOOD) return Infinity;
--- a/packages/hall/test/quarantine.test.ts
+++ b/packages/hall/test/quarantine.test.ts
@@ -145,7 +145,7 @@
     const trial = { attempt: "r1.1", fingerprint: "a", agoMs: 0, isOver: false };
     const running = joinNews(state, { endings: [], trials: [trial] }, now);
     t.is(verdictOf(running.state, "a", now).kind, "onTrial");
-    t.is(verdictOf(running.state, "a", now, "r1.1").kind, "suspect");
+    t.is(verdictOf(running.state, "a", now, { attempt: "r1.1" }).kind, "suspect");
     const over = joinNews(running.state, { endings: [], trials: [{ ...trial, isOver: true }] }, now);
     t.is(verdictOf(over.state, "a", now).kind, "suspect");
     // Told late, its beginning changes nothing.
@@ -165,6 +165,22 @@
     t.is(verdictOf(state, "a", now + 20 * 60 * MINUTE_MS).kind, "quarantined");
 });
 
+test("endpoints of other software open a quarantine for one try, and a second time at most", t => {
+    const of = (life: string, software: string): EndingNews => ({
+        ...ending(life, { fingerprint: "a", wasSuspect: true }),
+        software,
+    });
+    const { state, now } = after(of("e1", "v1"), of("e2", "v1"), of("e3", "v1"));
+    const kind = (known: Quarantine, ...software: readonly string[]): string =>
+        verdictOf(known, "a", now, { software }).kind;
+    t.is(kind(state, "v1"), "quarantined");
+    t.is(kind(state, "v1", "v2"), "suspect");
+    const again = joinNews(state, told(of("e4", "v2")), now).state;
+    t.is(kind(again, "v1", "v2"), "quarantined");
+    t.is(kind(again, "v3"), "suspect");
+    t.is(kind(joinNews(again, told(of("e5", "v3")), now).state, "v4"), "quarantined");
+});
+
 test("what is held against a request is forgotten in time, and what a quarantine rests on a day later", t => {
     const { state, now } = after(ending("e1", "a"), ending("e2", "b"), ending("e3", "b"), ending("e4", "b"));
     const later = forgetOld(state, now + 11 * MINUTE_MS);
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -18,6 +18,8 @@
     readonly incarnation: string;
     /** Where it is reached. */
     readonly address: string;
+    /** Version of its software; undefined where it does not say. */
+    readonly software: string | undefined;
 }
 
 /** A call that broke off while it ran at an endpoint. */
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -64,6 +64,8 @@
     /** What is declared now; undefined until it was learnt. */
     table(): RouteTable | undefined;
     endpoint(incarnation: string): EndpointEntry | undefined;
+    /** Versions of the software of a service's endpoints that take new work. */
+    softwareOf(service: string): readonly string[];
     /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
     endsAt(): number | undefined;
     readonly lives: LifeSignals;
@@ -246,7 +248,7 @@
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const progress = beginCall(body, at + holdMs);
     const fingerprint = fingerprintOfCall(call, body);
-    const withheld = deps.guard.withhold(fingerprint);
+    const withheld = deps.guard.withhold(fingerprint, { software: deps.softwareOf(call.service) });
     // What is not certain yet is asked again before the first attempt.
     if (withheld && !withheld.sureMs) return refuseWithheld(deps, call, fingerprint, withheld);
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
@@ -262,7 +264,10 @@
         job: jobOf(call, deps.guard.isSuspect(fingerprint)),
         placement: engine ? deps.engines : deps.plain,
         runner: runnerOf(deps, call, progress, fingerprint),
-        withhold: attempt => deps.guard.withhold(fingerprint, attempt),
+        withhold: (attempt, incarnation) => {
+            const endpoint = deps.endpoint(incarnation);
+            return deps.guard.withhold(fingerprint, { attempt, software: endpoint && [endpoint.software] });
+        },
         reply: forwardReply({
             out,
             wire: deps.wire,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -152,6 +152,7 @@
         endsAt: () => endsAt,
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
+        softwareOf: service => softwareOf(service, known),
         onOtherIncarnation: incarnation => {
             if (engines.setLeaving(incarnation, "endpoint", true) || plain.setLeaving(incarnation, "endpoint", true)) {
                 log.warn({ endpoint: incarnation }, "endpoint_is_another_one");
@@ -273,6 +274,13 @@
     }
 }
 
+/** Versions of the software of a service's endpoints that take new work. */
+function softwareOf(service: string, registry: Registry | undefined): readonly string[] {
+    const entries = [...registry?.endpoints.values() ?? []].map(({ entry }) => entry);
+    return entries.filter(entry => entry.service === service && entry.state === EndpointState.Ready)
+        .map(({ software }) => software);
+}
+
 /** Whether an endpoint that was not leaving has begun a later life. */
 function hasBegunAgain(incarnation: string, registry: Registry | undefined): boolean {
     const departed = registry?.departed.get(incarnation);
--- a/packages/host/src/generate.ts
+++ b/packages/host/src/generate.ts
@@ -218,7 +218,7 @@
         job,
         placement: host.engines,
         runner: guardRunner(runner, host.guard, guarded, urlOf),
-        withhold: attempt => host.guard.withhold(fingerprint, attempt),
+        withhold: attempt => host.guard.withhold(fingerprint, { attempt }),
         reply: facts.stream ? streamReply(out, headers) : wholeReply(out, headers, chat, facts.promptTokens),
         onGap: ms => host.metrics.betweenTokens.record(ms),
         onDispatch: kind => host.metrics.countDispatch(kind),
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/guard-attempt.ts
@@ -91,7 +91,7 @@
     urlOf: (endpoint: string) => string | undefined,
 ): AttemptRunner<T> {
     const guarded = (sink: AttemptSink<T>, attempt: string, id: string, signal: AbortSignal): AttemptSink<T> => {
-        const endpoint = { id, incarnation: id, born: undefined, address: urlOf(id) ?? "" };
+        const endpoint = { id, incarnation: id, born: undefined, software: undefined, address: urlOf(id) ?? "" };
         return guardAttempt(sink, guard, { ...call, attempt, endpoint, signal });
     };
     return {
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -67,6 +67,7 @@
 const EndingShape = Type.Object({
     life: Name,
     agoMs: Age,
+    software: Type.Optional(Name),
     requests: Type.Array(
         Type.Object({ fingerprint: Name, ranMs: Age, wasSuspect: Type.Boolean(), cleared: Type.Boolean() }),
         { maxItems: MOST_REQUESTS },
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -260,7 +260,7 @@
             workspace: call.workspace,
             fingerprint,
         }, endpoint => urlOf(host, call.directory, endpoint)),
-        withhold: attempt => host.guard.withhold(fingerprint, attempt),
+        withhold: attempt => host.guard.withhold(fingerprint, { attempt }),
         reply,
         onGap: () => undefined,
         onDispatch: kind => host.metrics.countDispatch(kind),
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -6,6 +6,7 @@
  */
 import {
     allNews,
+    type Asked,
     type Charge,
     clear,
     EMPTY_QUARANTINE,
@@ -127,16 +128,14 @@
     /**
      * Why a request may not be begun now; undefined where it may.
      *
-     * @param attempt The attempt that is about to begin, where there is one.
-     *
      * @example
      * ```ts
      * const withheld = guard.withhold(fingerprint);
      * if (withheld) refuse(withheld.code);
      * ```
      */
-    withhold(fingerprint: string, attempt?: string): Withheld | undefined {
-        const verdict = verdictOf(this.state, fingerprint, performance.now(), attempt);
+    withhold(fingerprint: string, asked: Asked = {}): Withheld | undefined {
+        const verdict = verdictOf(this.state, fingerprint, performance.now(), asked);
         const unsettled = this.unsettled.get(fingerprint) ?? 0;
         // An end that is being looked into: the request would be at the next endpoint before it is known.
         if (unsettled > 0 && endingsOf(verdict) + unsettled >= ENDINGS_TO_QUARANTINE) {
@@ -206,7 +205,7 @@
         }));
         const beganAt = at - Math.max(...runs.map(({ ranMs }) => ranMs));
         const life = nameOfEnded(this.state.endings, incarnation, beganAt);
-        const ending = { life, agoMs: performance.now() - at, requests };
+        const ending = { life, agoMs: performance.now() - at, software: endpoint.software, requests };
         for (const { req, route, workspace, fingerprint } of runs) {
             this.sightings.set(`${life} ${fingerprint}`, { req, route, workspace });
             if (this.sightings.size > MOST_SIGHTINGS) this.sightings.delete(this.sightings.keys().next().value!);
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -86,7 +86,7 @@
     readonly placement: Placement;
     readonly runner: AttemptRunner<T>;
     /** Why an attempt may not be begun; asked before each of them. */
-    readonly withhold?: (attempt: string) => Withheld | undefined;
+    readonly withhold?: (attempt: string, endpoint: string) => Withheld | undefined;
     readonly reply: Reply<T>;
     readonly onGap: (ms: number) => void;
     readonly onDispatch: (kind: DispatchKind) => void;
@@ -208,7 +208,7 @@
     /** Begins an attempt, unless its request is withheld; where that is not certain yet, it is asked again. */
     private dispatch(action: Extract<RequestAction, { kind: "dispatch" }>, asks: number): void {
         const { attempt, endpoint, backUp, continueAt } = action;
-        const withheld = this.deps.withhold?.(attempt);
+        const withheld = this.deps.withhold?.(attempt, endpoint);
         if (withheld?.sureMs && asks > 0) {
             this.retryTimer = setTimeout(() => this.dispatch(action, asks - 1), withheld.sureMs);
             return;
--- a/packages/routes/src/deployment.ts
+++ b/packages/routes/src/deployment.ts
@@ -123,4 +123,6 @@
     readonly state: EndpointState;
     /** How much longer it was slow when it registered, in milliseconds. */
     readonly coldMs: number;
+    /** Version of its software. */
+    readonly software: string;
 }
--- a/packages/routes/src/endpoint-list.ts
+++ b/packages/routes/src/endpoint-list.ts
@@ -17,6 +17,7 @@
     slots: Type.Number({ minimum: 0 }),
     state: Type.Union([Type.Literal(EndpointState.Ready), Type.Literal(EndpointState.Leaving)]),
     coldMs: Type.Number({ minimum: 0 }),
+    software: Type.String(),
 });
 const check = TypeCompiler.Compile(Entry);
 
--- a/packages/routes/test/endpoint-list.test.ts
+++ b/packages/routes/test/endpoint-list.test.ts
@@ -12,6 +12,7 @@
         slots: 8,
         state: EndpointState.Ready,
         coldMs: 0,
+        software: "v1",
         ...parts,
     };
 }
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -83,7 +83,18 @@
 
 function entryOf(id: string, state: EndpointState = EndpointState.Ready, born?: number): EndpointEntry {
     const incarnation = nameOfLife({ id, born });
-    return { incarnation, id, born, service: "app", address: "10.0.0.1:80", hall: "h", slots: 1, state, coldMs: 0 };
+    return {
+        incarnation,
+        id,
+        born,
+        service: "app",
+        address: "10.0.0.1:80",
+        hall: "h",
+        slots: 1,
+        state,
+        coldMs: 0,
+        software: "v1",
+    };
 }
 
 function registryOf(...ids: readonly string[]): Registry {
