Other software opens a quarantine once, not twice

Reasoned from the rule, not run: endings of one moment count once, so that a third ending may be counted two tries late; with two tries for other software four sends after the third were possible, and three are allowed.

--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -123,10 +123,13 @@
     return againMs > 0 ? { kind: "onTrial", againMs } : { kind: "suspect", endings };
 }
 
-/** Whether a request may meet software that it has not ended yet: one try there decides again. */
+/**
+ * Whether a request may meet software that it has not ended yet: one try there decides again, and no more than one, as endings of one
+ * moment count once and three tries after the third are all that is allowed.
+ */
 function meetsOther({ endings }: Charge, versions: readonly string[] = []): boolean {
     const ended = new Set(endings.flatMap(({ software }) => software ?? []));
-    return endings.length < ENDINGS_FOR_GOOD && ended.size > 0 && versions.some(version => !ended.has(version));
+    return endings.length <= ENDINGS_TO_QUARANTINE && ended.size > 0 && versions.some(version => !ended.has(version));
 }
 
 /** When one try may decide again. */
