--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,4 +14,10 @@
             "eqeqeq": "error",
         },
     },
+    {
+        // It stands still while a host is suspended: decisions are given the clock that counts that time.
+        files: ["packages/host/src/**/*.ts", "packages/protocol/src/**/*.ts", "packages/hall/src/**/*.ts"],
+        ignores: ["packages/protocol/src/clock.ts"],
+        rules: { "no-restricted-properties": ["error", { object: "performance", property: "now" }] },
+    },
 );
--- a/packages/host/src/call-progress.ts
+++ b/packages/host/src/call-progress.ts
@@ -42,7 +42,7 @@
  *
  * @example
  * ```ts
- * const progress = beginCall(body, performance.now() + 2_000);
+ * const progress = beginCall(body, clock.now() + 2_000);
  * ```
  */
 export function beginCall(body: Buffer | undefined, deadline: number): CallProgress {
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/copies.ts
@@ -5,7 +5,14 @@
  * @module
  */
 import { jobsToEvacuate, keepsCopy } from "@drumpaddle/policy";
-import { type CopyAnswer, type EndpointCall, errText, neverSent, type PlatformWire } from "@drumpaddle/protocol";
+import {
+    type Clock,
+    type CopyAnswer,
+    type EndpointCall,
+    errText,
+    neverSent,
+    type PlatformWire,
+} from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import { callEndpoint } from "./call-endpoint.js";
 import type { Log } from "./log.js";
@@ -30,6 +37,7 @@
 
 /** What copies need of the gateway. */
 export interface CopiesDeps {
+    readonly clock: Clock;
     readonly engines: Placement;
     readonly wire: PlatformWire;
     readonly log: Log;
@@ -73,7 +81,7 @@
 
     /** Copies what runs on leaving endpoints and has no copy at one that stays and can be reached. */
     evacuate(): void {
-        for (const job of jobsToEvacuate(this.deps.engines.view, performance.now())) {
+        for (const job of jobsToEvacuate(this.deps.engines.view, this.deps.clock.now())) {
             if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
         }
     }
@@ -95,10 +103,10 @@
         const { engines, wire, log, metrics } = this.deps;
         const call = wire.copyCall(job, standby.address);
         while (this.calls.has(job) && engines.view.endpoints.get(source.incarnation)?.streams.has(job)) {
-            if (!keepsCopy(engines.view, job, standby.incarnation, performance.now())) return this.giveUp(job);
-            const began = performance.now();
+            if (!keepsCopy(engines.view, job, standby.incarnation, this.deps.clock.now())) return this.giveUp(job);
+            const began = this.deps.clock.now();
             const answer = await this.order(source, call);
-            const ms = Math.round(performance.now() - began);
+            const ms = Math.round(this.deps.clock.now() - began);
             metrics.countCopy(answer.kind);
             const from = source.incarnation;
             const to = standby.incarnation;
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { DEFAULT_VARIANT } from "@drumpaddle/policy";
-import { createEtcd } from "@drumpaddle/protocol";
+import { type Clock, createClock, createEtcd } from "@drumpaddle/protocol";
 import type { FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
 import { readFileSync } from "node:fs";
@@ -56,7 +56,7 @@
  * await daemon.stop();
  * ```
  */
-export async function startDaemon(cfg: HostCfg, log: Log): Promise<Daemon> {
+export async function startDaemon(cfg: HostCfg, log: Log, clock: Clock = createClock()): Promise<Daemon> {
     const own = new AbortController();
     // Every call on its way listens to it.
     setMaxListeners(0, own.signal);
@@ -72,6 +72,7 @@
         pipelining: 1,
     });
     const guard: RequestGuard = new RequestGuard({
+        clock,
         log,
         metrics,
         signal,
@@ -79,6 +80,7 @@
         broke: (endpoint, run) => endings.broke(endpoint, run),
     });
     const endings = new EndingWatch({
+        clock,
         log,
         probe: ({ address }) => probeByConnecting(address),
         isLeaving: id => isLeaving(id, host.engines, host.plain),
@@ -90,14 +92,15 @@
     });
     const host: Host = {
         cfg,
+        clock,
         log,
         metrics,
         feed,
         store,
         dispatcher,
         signal,
-        engines: new Placement(signal),
-        plain: new Placement(signal, PLAIN_VARIANT),
+        engines: new Placement(signal, clock),
+        plain: new Placement(signal, clock, PLAIN_VARIANT),
         runs: new OpenRuns(),
         limits: new LimitBook(),
         guard,
@@ -106,6 +109,11 @@
     };
     if (cfg["peers.secrets"].length === 0) log.warn({}, "peers_secret_missing");
     host.peers = await Peers.start({ ...host, spread: treeSpread(feed) });
+    clock.onWake(({ suspendedMs, jumpMs }) => {
+        log.warn({ suspended_ms: Math.round(suspendedMs), jump_ms: Math.round(jumpMs) }, "host_woke");
+        host.runs.woke();
+        host.peers?.woke();
+    });
     watchEndpoints(host);
     feed.onChange(() => host.peers?.announce());
     const tls = readTls(cfg);
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { type SettingsGive, type WatchReason, WORD_VALID_MS } from "@drumpaddle/hall";
-import type { KeyValue, KvChange, KvEntry, KvError, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
+import type { Clock, KeyValue, KvChange, KvEntry, KvError, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
 import {
     adoptEndpoints,
     applyChanges,
@@ -35,6 +35,7 @@
 
 /** What the feed is made of. */
 export interface DeploymentFeedDeps {
+    readonly clock: Clock;
     readonly kv: KeyValue;
     readonly wire: PlatformWire;
     readonly log: Log;
@@ -64,6 +65,8 @@
 const FIRST_TIMING: WatchTiming = { waitMs: 1 };
 /** Lapsed registrations are looked at this often. */
 const EXPIRE_EVERY_MS = 250;
+/** A host that hears of nobody after a suspension serves by what it knew after this: the store and peers answer within milliseconds. */
+const STALE_MOST_MS = 500;
 /** The store's whole content is watched by one call: deployment and endpoints have no prefix in common. */
 const EVERYTHING = "";
 
@@ -82,6 +85,8 @@
     private peersAnsweredAt = -Infinity;
     private readonly registrations: Registrations;
     private watching: AbortController | undefined;
+    /** When the host woke last from a suspension. */
+    private wokeAt: number | undefined;
     /** Why this host watches. */
     private reason: WatchReason | undefined;
     private readonly answerListeners = new Set<() => void>();
@@ -161,7 +166,7 @@
 
     /** Takes in a watcher's word; true if changes before it are missing here. */
     private hear({ hears, revision, after, changes }: StoreWord): boolean {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (!hears) {
             // Mere silence does not show that the store is away; a watcher that it does not answer does.
             if (now - this.freshAt > WORD_VALID_MS) this.setRegistry(storeFailed(this.registry));
@@ -176,7 +181,7 @@
     /** A peer knows that the store answered at a time. */
     private hearOf(freshAt: number): void {
         this.peersAnsweredAt = Math.max(this.peersAnsweredAt, freshAt);
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (now - freshAt < WORD_VALID_MS) this.setRegistry(storeAnswered(this.registry, now));
     }
 
@@ -187,7 +192,7 @@
         const { table, text } = this.current;
         return {
             revision: this.revision,
-            ageMs: Math.round(performance.now() - this.freshAt),
+            ageMs: Math.round(this.deps.clock.now() - this.freshAt),
             ...(table.version > askerVersion ? { deployment: text } : {}),
             endpoints,
         };
@@ -195,7 +200,7 @@
 
     /** Takes over what a peer knows, if it is further than this host. */
     private takeState({ revision, ageMs, deployment, endpoints }: StoreState): void {
-        this.hearOf(performance.now() - ageMs);
+        this.hearOf(this.deps.clock.now() - ageMs);
         if (deployment !== undefined) this.offer(deployment, "peer");
         if (revision <= (this.revision ?? -1)) return;
         const entries = this.registrations.fromPeer(endpoints);
@@ -203,7 +208,7 @@
         this.endpointsRead = true;
         this.revision = revision;
         this.deps.log.info({ endpoints: entries.length, revision, age_ms: ageMs }, "endpoints_from_peer");
-        this.setRegistry(adoptEndpoints(this.registry, entries, performance.now()));
+        this.setRegistry(adoptEndpoints(this.registry, entries, this.deps.clock.now()));
     }
 
     /**
@@ -212,13 +217,25 @@
      * @returns Whether it was news.
      */
     private meetLife(life: Life, source: "endpoint" | "peer"): boolean {
-        const next = meetLife(this.registry, life, performance.now());
+        const next = meetLife(this.registry, life, this.deps.clock.now());
         if (next === this.registry) return false;
         this.deps.log.info({ endpoint: nameOfLife(life), source }, "endpoint_began_again");
         this.setRegistry(next);
         return true;
     }
 
+    /** The host was suspended, or may have been: what was heard before is old, and the store is asked at once. */
+    woke(suspendedMs: number): void {
+        if (suspendedMs > 0) this.wokeAt = this.deps.clock.now();
+        if (this.watching) this.beginWatch();
+    }
+
+    /** Whether nothing was heard since the host was suspended: versions may have come meanwhile. A cut-off host serves again soon. */
+    get isStale(): boolean {
+        const { wokeAt } = this;
+        return wokeAt !== undefined && this.freshAt < wokeAt && this.deps.clock.now() - wokeAt < STALE_MOST_MS;
+    }
+
     /** Whether deployment and endpoints were read. */
     get isReady(): boolean {
         return this.current !== undefined && this.endpointsRead;
@@ -246,7 +263,7 @@
     start(): void {
         const { signal } = this.deps;
         const timer = setInterval(
-            () => this.setRegistry(expireLapsed(this.registry, performance.now())),
+            () => this.setRegistry(expireLapsed(this.registry, this.deps.clock.now())),
             EXPIRE_EVERY_MS,
         );
         signal.addEventListener("abort", () => clearInterval(timer), { once: true });
@@ -272,7 +289,11 @@
             this.watching = undefined;
             return;
         }
-        if (this.watching) return;
+        if (!this.watching) this.beginWatch();
+    }
+
+    private beginWatch(): void {
+        this.watching?.abort();
         const own = new AbortController();
         this.watching = own;
         this.answered = undefined;
@@ -349,7 +370,7 @@
             return undefined;
         }
         const { entries, revision } = listed.value;
-        const now = performance.now();
+        const now = this.deps.clock.now();
         this.revision = Math.max(revision, this.revision ?? revision);
         const answered = storeAnswered(this.registry, now);
         const changes = entries.flatMap(entry => this.registrations.changeOf(entry) ?? []);
@@ -373,19 +394,19 @@
 
     /** The store does not answer this host; that it is away is believed only while no peer is answered either. */
     private onStoreAway(): void {
-        if (performance.now() - this.peersAnsweredAt > WORD_VALID_MS) this.setRegistry(storeFailed(this.registry));
+        if (this.deps.clock.now() - this.peersAnsweredAt > WORD_VALID_MS) this.setRegistry(storeFailed(this.registry));
         this.setAnswered(false);
     }
 
     private setAnswered(answered: boolean): void {
-        if (answered) this.answeredAt = performance.now();
+        if (answered) this.answeredAt = this.deps.clock.now();
         if (answered === this.answered) return;
         this.answered = answered;
         for (const listener of this.answerListeners) listener();
     }
 
     private take(changes: readonly KvChange[], source: DeploymentSource): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (source === "store") this.setAnswered(true);
         const answered = storeAnswered(this.registry, now);
         const told: { readonly change: RegistryChange; readonly revision: number }[] = [];
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import type { Clock } from "@drumpaddle/protocol";
 import { compareLives, type Life, LifeOrder, type Registry } from "@drumpaddle/routes";
 import type { LifeSign } from "./life-probe.js";
 import type { Log } from "./log.js";
@@ -48,6 +49,7 @@
 
 /** What the watch needs of the gateway. */
 export interface EndingWatchDeps {
+    readonly clock: Clock;
     readonly log: Log;
     /** Asks an endpoint whether its life is still there. */
     probe(endpoint: WatchedEndpoint): Promise<LifeSign>;
@@ -85,7 +87,7 @@
     /** A call broke off; what it is due to is told by one of the listeners, at once or later. */
     broke(endpoint: WatchedEndpoint, run: BrokenRun): void {
         const { incarnation } = endpoint;
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (this.deps.isOver(incarnation)) {
             return this.deps.onEnded({ endpoint, at: now, runs: [run], sign: "laterLife" });
         }
@@ -145,7 +147,7 @@
     }
 
     private forgetOld(): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         for (const [incarnation, { at }] of this.ended) {
             if (now - at >= SAME_ENDING_MS) this.ended.delete(incarnation);
         }
--- a/packages/host/src/endpoint-connections.ts
+++ b/packages/host/src/endpoint-connections.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { RawHeaders } from "@drumpaddle/protocol";
+import type { Clock, RawHeaders } from "@drumpaddle/protocol";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import { noteEnds } from "./connector.js";
 
@@ -70,7 +70,7 @@
     private readonly idle = new Map<string, Connection[]>();
     private readonly all = new Set<Connection>();
 
-    constructor(signal: AbortSignal, private readonly onOpened: () => void) {
+    constructor(signal: AbortSignal, private readonly clock: Clock, private readonly onOpened: () => void) {
         signal.addEventListener("abort", () => {
             for (const { client } of this.all) void client.destroy();
         }, { once: true });
@@ -134,9 +134,14 @@
         this.idle.delete(address);
     }
 
+    /** Closes all idle connections. */
+    forgetAll(): void {
+        for (const address of [...this.idle.keys()]) this.forget(address);
+    }
+
     private takeIdle(address: string): Connection | undefined {
         const resting = this.idle.get(address);
-        const now = performance.now();
+        const now = this.clock.now();
         for (;;) {
             const connection = resting?.pop();
             if (!connection) return undefined;
@@ -174,7 +179,7 @@
     private rest(address: string, connection: Connection, keepMs: number | undefined): void {
         const restMs = Math.min(LONGEST_REST_MS, (keepMs ?? Infinity) - REST_MARGIN_MS);
         if (restMs <= 0 || connection.failed || !this.all.has(connection)) return this.drop(address, connection);
-        connection.usableUntil = performance.now() + restMs;
+        connection.usableUntil = this.clock.now() + restMs;
         const resting = this.idle.get(address);
         if (resting) resting.push(connection);
         else this.idle.set(address, [connection]);
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
-import { type AnswerHead, type CallHead, errText, type PlatformWire } from "@drumpaddle/protocol";
+import { type AnswerHead, type CallHead, type Clock, errText, type PlatformWire } from "@drumpaddle/protocol";
 import { FailCode, notRun } from "@drumpaddle/request";
 import {
     compareLives,
@@ -49,6 +49,7 @@
 /** What the calls of one gateway share. */
 export interface Forwarding {
     readonly wire: PlatformWire;
+    readonly clock: Clock;
     readonly log: Log;
     readonly metrics: Metrics;
     readonly connections: EndpointConnections;
@@ -61,6 +62,8 @@
     readonly bodyMs: number;
     /** Whether each call is logged. */
     readonly logCalls: boolean;
+    /** Whether this host was suspended and has heard nothing since. */
+    isStale(): boolean;
     /** What is declared now; undefined until it was learnt. */
     table(): RouteTable | undefined;
     endpoint(incarnation: string): EndpointEntry | undefined;
@@ -110,7 +113,7 @@
     notReady: {
         status: 503,
         code: "host_not_ready",
-        message: "this host knows no deployment yet",
+        message: "this host does not know the newest deployment yet",
         ran: "no",
         retryAfterMs: NOT_READY_RETRY_MS,
     },
@@ -144,7 +147,7 @@
 
 /** Serves a call; every way out writes an answer or breaks the connection. */
 export function forward(deps: Forwarding, req: IncomingMessage, target: string, out: ServerResponse): void {
-    const at = performance.now();
+    const at = deps.clock.now();
     const read = deps.wire.readCall(req.rawHeaders);
     if (!read.ok) {
         const err: ApiError = { status: 400, code: "bad_request", message: read.err.detail, ran: "no" };
@@ -152,7 +155,7 @@
     }
     const head = read.value;
     const table = deps.table();
-    if (!table) return refuse(deps, out, head.id, OWN.notReady);
+    if (!table || deps.isStale()) return refuse(deps, out, head.id, OWN.notReady);
     const { limits } = table.deployment;
     const headBytes = req.rawHeaders.reduce((sum, text) => sum + text.length, 0);
     if (headBytes > limits.headerBytes) return refuse(deps, out, head.id, OWN.headTooLarge);
@@ -176,7 +179,7 @@
 function canFinish(deps: Forwarding, route: Route): boolean {
     const endsAt = deps.endsAt();
     if (endsAt === undefined) return true;
-    return route.kind !== RouteKind.Stream && performance.now() + route.timeoutMs < endsAt;
+    return route.kind !== RouteKind.Stream && deps.clock.now() + route.timeoutMs < endsAt;
 }
 
 /** Refuses a request that ends endpoints, or one that may and runs elsewhere now. */
@@ -261,6 +264,7 @@
             maxResumes: 0,
             deadline: progress.deadline,
         },
+        clock: deps.clock,
         job: jobOf(call, deps.guard.isSuspect(fingerprint)),
         placement: engine ? deps.engines : deps.plain,
         runner: runnerOf(deps, call, progress, fingerprint),
@@ -336,7 +340,7 @@
         most: call.head.generation?.maxTokens,
         hint: call.head.generation?.hintTokens,
         first_ms: end.firstTokenMs === undefined ? undefined : Math.round(end.firstTokenMs),
-        ms: Math.round(performance.now() - call.at),
+        ms: Math.round(deps.clock.now() - call.at),
     }, "call_ended");
 }
 
@@ -353,7 +357,8 @@
     backUp: string | undefined,
 ): SilenceCfg | undefined {
     if (backUp === undefined || gapMs === undefined) return undefined;
-    return { askMs: gapMs * ASK_SHARE, lostMs: gapMs * SILENT_GAPS, answers: () => givesSign(deps, endpoint) };
+    const awake = (): number => deps.clock.awake();
+    return { askMs: gapMs * ASK_SHARE, lostMs: gapMs * SILENT_GAPS, awake, answers: () => givesSign(deps, endpoint) };
 }
 
 /**
@@ -423,7 +428,7 @@
                 path: target,
                 send: {
                     call: route.resumable ? head : { ...head, resumeAfter: undefined },
-                    deadlineMs: progress.deadline - performance.now(),
+                    deadlineMs: progress.deadline - deps.clock.now(),
                     endpointId: endpoint.id,
                     workspace: workspace?.name,
                     rank: rankOf(call),
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -6,6 +6,7 @@
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
 import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg, type EndpointView } from "@drumpaddle/policy";
+import { type Clock, createClock } from "@drumpaddle/protocol";
 import {
     compareLives,
     type EndpointEntry,
@@ -34,6 +35,7 @@
 import { isLeaving, Placement } from "./placement.js";
 import { plainModel } from "./plain.js";
 import { allowSecrets, serveQuarantine } from "./quarantine-api.js";
+import { repeat } from "./repeat.js";
 import { RequestGuard } from "./request-guard.js";
 import { watchStays } from "./stay-watch.js";
 
@@ -71,6 +73,8 @@
 /** A stopping host looks this often whether anything still runs, and gives its last refusals this long to leave. */
 const STOP_LOOK_MS = 50;
 const STOP_FLUSH_MS = 100;
+/** A host that does nothing notices a wake within this time. */
+const LOOK_AT_CLOCK_MS = 50;
 const SEED_RANGE = 1_000_000;
 
 /**
@@ -82,7 +86,7 @@
  * await gateway.stop();
  * ```
  */
-export async function startGateway(cfg: HostCfg, log: Log): Promise<Gateway> {
+export async function startGateway(cfg: HostCfg, log: Log, clock: Clock = createClock()): Promise<Gateway> {
     const own = new AbortController();
     const { signal } = own;
     // Every call on its way listens to it.
@@ -95,7 +99,7 @@
         watchMarginMs: WATCH_MARGIN_MS,
         onCall: call => metrics.countStoreCall(call, feed.callReason),
     });
-    const feed: DeploymentFeed = new DeploymentFeed({ kv, wire: platformWire, log, metrics, signal });
+    const feed: DeploymentFeed = new DeploymentFeed({ kv, clock, wire: platformWire, log, metrics, signal });
     const runs = new OpenRuns();
     const seed = Math.floor(Math.random() * SEED_RANGE);
     const retries = createFleetBudget({
@@ -104,9 +108,10 @@
         slack: cfg["forward.retry-slack"],
     });
     const options = { hall: cfg["host.hall"], retries };
-    const engines = new Placement(signal, ENGINE_VARIANT, seed, options);
-    const plain = new Placement(signal, PLAIN_VARIANT, seed, options);
+    const engines = new Placement(signal, clock, ENGINE_VARIANT, seed, options);
+    const plain = new Placement(signal, clock, PLAIN_VARIANT, seed, options);
     const copies = new Copies({
+        clock,
         engines,
         wire: platformWire,
         log,
@@ -115,8 +120,9 @@
         endpoint: incarnation => feed.endpoint(incarnation),
     });
     const lives = new LifeSignals();
-    const connections = new EndpointConnections(signal, () => metrics.countConnection());
+    const connections = new EndpointConnections(signal, clock, () => metrics.countConnection());
     const guard: RequestGuard = new RequestGuard({
+        clock,
         log,
         metrics,
         signal,
@@ -125,6 +131,7 @@
     });
     let known: Registry | undefined;
     const endings = new EndingWatch({
+        clock,
         log,
         probe: ({ address, id, born }) => probeByReport(platformWire, address, { id, born }, signal),
         isLeaving: incarnation => isLeaving(incarnation, engines, plain),
@@ -137,6 +144,7 @@
     let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
+        clock,
         log,
         metrics,
         connections,
@@ -150,6 +158,7 @@
         bodyMs: cfg["callers.body-timeout"],
         logCalls: cfg["log.requests"],
         endsAt: () => endsAt,
+        isStale: () => feed.isStale,
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
         softwareOf: service => softwareOf(service, known),
@@ -167,6 +176,7 @@
     });
     const peers: Peers = await Peers.start({
         cfg,
+        clock,
         log,
         metrics,
         engines,
@@ -176,6 +186,15 @@
         guard,
         signal,
     });
+    clock.onWake(({ suspendedMs, jumpMs }) => {
+        log.warn({ suspended_ms: Math.round(suspendedMs), jump_ms: Math.round(jumpMs) }, "host_woke");
+        connections.forgetAll();
+        feed.woke(suspendedMs);
+        runs.woke();
+        peers.woke();
+    });
+    // Without a call a wake is noticed by the next of these.
+    repeat(() => void clock.now(), () => LOOK_AT_CLOCK_MS, signal);
     const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
     serveQuarantine(operators, guard, allowSecrets(cfg["peers.secrets"]));
     const declare = (): void => {
@@ -228,12 +247,12 @@
         log.info({ open: runs.size }, "stopping");
         peers.leave();
         void runs.drain();
-        const end = performance.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
+        const end = clock.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
         endsAt = end;
         await pause(cfg["callers.still-served"]);
-        while (runs.size > 0 && performance.now() < end) await pause(STOP_LOOK_MS);
+        while (runs.size > 0 && clock.now() < end) await pause(STOP_LOOK_MS);
         // From here on every call is refused as not run; the answers get a moment to leave.
-        endsAt = performance.now();
+        endsAt = clock.now();
         await pause(STOP_FLUSH_MS);
         log.info({ open: runs.size }, "stopped");
         await kill();
--- a/packages/host/src/generate.ts
+++ b/packages/host/src/generate.ts
@@ -158,7 +158,7 @@
         job.group.workspace,
         limitsOf(host, directory, settings),
         tokens,
-        performance.now(),
+        host.clock.now(),
     );
     if (!taken.ok) return taken.refusal;
     host.limits.state = taken.state;
@@ -213,8 +213,9 @@
             streamed: facts.stream,
             maxAttempts: settings.attempts,
             maxResumes: settings.resumes,
-            deadline: performance.now() + settings["request-deadline"],
+            deadline: host.clock.now() + settings["request-deadline"],
         },
+        clock: host.clock,
         job,
         placement: host.engines,
         runner: guardRunner(runner, host.guard, guarded, urlOf),
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/guard-attempt.ts
@@ -47,13 +47,13 @@
     signal.addEventListener("abort", over, { once: true });
     const handlers: { readonly [K in RequestEvent["kind"]]?: (event: Extract<RequestEvent, { kind: K }>) => void } = {
         sending: () => {
-            sentAt = performance.now();
+            sentAt = guard.now();
             wasSuspect = guard.begun(fingerprint, attempt);
         },
         lost: ({ cause }) => {
             over();
             if (sentAt === undefined || !MAY_BE_ENDING.has(cause)) return;
-            guard.broke(endpoint, { ...run, ranMs: performance.now() - sentAt, wasSuspect });
+            guard.broke(endpoint, { ...run, ranMs: guard.now() - sentAt, wasSuspect });
         },
         endpointRefused: over,
         failedAnswer: () => {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createLimits, type LimitState } from "@drumpaddle/policy";
+import type { Clock } from "@drumpaddle/protocol";
 import type { Dispatcher } from "undici";
 import type { Claims } from "./claims.js";
 import type { HostCfg } from "./config.js";
@@ -18,6 +19,7 @@
 /** The parts of a daemon that requests use. */
 export interface Host {
     readonly cfg: HostCfg;
+    readonly clock: Clock;
     readonly log: Log;
     readonly metrics: Metrics;
     readonly feed: SettingsFeed;
@@ -38,6 +40,8 @@
 /** A request that can be told that the host stops. */
 export interface OpenRun {
     event(event: { readonly kind: "stopping" }): void;
+    /** Looks at the time anew: its timers stood still while the host was suspended. */
+    woke(): void;
 }
 
 /** Requests that are being served. */
@@ -60,6 +64,11 @@
         if (this.runs.size === 0) this.emptied?.();
     }
 
+    /** Tells every request that the host was suspended. */
+    woke(): void {
+        for (const run of [...this.runs]) run.woke();
+    }
+
     /** Tells every request that the host stops: waiting ones end, running ones go on. Resolves when none is left. */
     drain(): Promise<void> {
         this.stopping = true;
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -41,7 +41,7 @@
     watches,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
-import { type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
+import { type Clock, type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import type { Life } from "@drumpaddle/routes";
 import { randomInt } from "node:crypto";
 import type { HostCfg } from "./config.js";
@@ -74,6 +74,7 @@
 /** What peers need of a daemon. */
 export interface PeersDeps {
     readonly cfg: HostCfg;
+    readonly clock: Clock;
     readonly log: Log;
     readonly metrics: Metrics;
     readonly engines: Placement;
@@ -122,9 +123,10 @@
         this.detector = createDetector({ name, hall, scope, address: mesh.at, start }, seeds);
         this.sharing = host.follower && new StoreSharing({
             name,
+            clock: host.clock,
             signal: host.signal,
             follower: host.follower,
-            inHall: () => liveInHall(this.membership, performance.now()),
+            inHall: () => liveInHall(this.membership, this.host.clock.now()),
             live: () => this.live,
             seeking: () => unheardCandidates(this.membership).length > 0,
             send: (names, message) => this.sendAll(names, message),
@@ -132,6 +134,7 @@
         const { guard } = host;
         this.quarantine = guard && new QuarantineSharing({
             name,
+            clock: host.clock,
             signal: host.signal,
             live: () => this.live,
             send: (names, message) => this.sendAll(names, message),
@@ -146,12 +149,12 @@
     }
 
     private get env(): DetectorEnv {
-        return { now: performance.now(), everyMs: this.host.cfg["control.heartbeat"], random: Math.random };
+        return { now: this.host.clock.now(), everyMs: this.host.cfg["control.heartbeat"], random: Math.random };
     }
 
     /** Starts to listen and to probe other hosts; ends with the host's signal. */
     static async start(host: PeersDeps): Promise<Peers> {
-        const { cfg, log, metrics, signal } = host;
+        const { cfg, clock, log, metrics, signal } = host;
         const listen = cfg["peers.listen"];
         const at = listen.lastIndexOf(":");
         const received: { peers?: Peers } = {};
@@ -159,6 +162,7 @@
             name: cfg["host.name"],
             listen: { ip: listen.slice(0, at), port: Number(listen.slice(at + 1)) },
             secrets: cfg["peers.secrets"],
+            clock,
             onMessage: (from, message) => received.peers?.receive(from, message),
             onError: (peer: string, err: PeerError) =>
                 log.debug({ peer, err: err.kind, detail: "detail" in err ? err.detail : undefined }, "peer_error"),
@@ -174,7 +178,7 @@
     private run(): void {
         const { cfg, signal } = this.host;
         this.host.engines.setAsker(action =>
-            this.follow(shareAsk(this.share, action, this.endpoints, this.live, performance.now()))
+            this.follow(shareAsk(this.share, action, this.endpoints, this.live, this.host.clock.now()))
         );
         repeat(() => this.beat(), () => cfg["control.heartbeat"], signal);
         repeat(() => this.dueRound(), () => Math.min(tellEvery(this.live.length), TELL_OWNERS_MS), signal);
@@ -187,7 +191,7 @@
 
     /** Names of the live hosts of this hall, in order. */
     get live(): readonly string[] {
-        return liveHosts(this.membership, performance.now());
+        return liveHosts(this.membership, this.host.clock.now());
     }
 
     /** Addresses that the platform's host list names. */
@@ -216,6 +220,12 @@
         this.sharing?.meetLife(life);
     }
 
+    /** The host was suspended, or may have been: asks its peers at once who they take it for, and tells them what it holds. */
+    woke(): void {
+        this.beat();
+        this.tellNow();
+    }
+
     /** Tells peers at once that this host is leaving. */
     leave(): void {
         this.carryOut(leaveHall(this.detector, this.env));
@@ -224,7 +234,7 @@
     /** Tells all live peers of the version in force, at once; called when this host has a new one. */
     announce(): void {
         const message: PeerMessage = { kind: "gossip", news: [], ...this.progress };
-        for (const { address } of aliveMembers(this.membership, performance.now())) this.send(address, message);
+        for (const { address } of aliveMembers(this.membership, this.host.clock.now())) this.send(address, message);
     }
 
     /** How far this host is, as its messages say. */
@@ -322,7 +332,7 @@
 
     /** Whether a version is asked for now: not again from every peer that tells of it. */
     private mayAsk(version: number): boolean {
-        const now = performance.now();
+        const now = this.host.clock.now();
         const asked = this.askedVersion;
         if (version <= asked.version && now - asked.at < ASK_AGAIN_MS) return false;
         this.askedVersion = { version, at: now };
@@ -334,7 +344,7 @@
     }
 
     private hearShare(from: PeerName, message: ShareMessage): void {
-        this.follow(shareHear(this.share, from.name, message, this.host.engines.view, performance.now()));
+        this.follow(shareHear(this.share, from.name, message, this.host.engines.view, this.host.clock.now()));
     }
 
     /** Carries out what follows from a step of what hosts know of each other's streams. */
@@ -358,7 +368,7 @@
     private round(othersEveryMs: number): void {
         const { live } = this;
         this.host.plain.tell([{ kind: "hosts", count: Math.max(1, live.length) }]);
-        this.follow(shareRound(this.share, this.endpoints, live, performance.now(), othersEveryMs));
+        this.follow(shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs));
     }
 
     private sendTo(name: string, message: PeerMessage): void {
@@ -368,7 +378,7 @@
 
     /** Addresses and ages of all members, for operators. */
     status(): object {
-        const now = performance.now();
+        const now = this.host.clock.now();
         return [...this.membership.members.values()].map(member => ({
             name: member.name,
             hall: member.hall,
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -19,6 +19,7 @@
     type SchedulerState,
     type Variant,
 } from "@drumpaddle/policy";
+import type { Clock } from "@drumpaddle/protocol";
 
 /** Told what was decided for a request. */
 export interface Placed {
@@ -44,7 +45,13 @@
     private onAsk: (action: AskAction) => void = () => undefined;
     private onLeaving: () => void = () => undefined;
 
-    constructor(signal: AbortSignal, variant: Variant = DEFAULT_VARIANT, seed?: number, options?: SchedulerOptions) {
+    constructor(
+        signal: AbortSignal,
+        private readonly clock: Clock,
+        variant: Variant = DEFAULT_VARIANT,
+        seed?: number,
+        options?: SchedulerOptions,
+    ) {
         this.state = createScheduler(variant, seed, options);
         this.timer = setInterval(() => {
             const { waiting, asked, askedStandby } = this.state;
@@ -148,7 +155,7 @@
     }
 
     private handle(event: SchedulerEvent): void {
-        const { state, actions } = decide(this.state, event, performance.now());
+        const { state, actions } = decide(this.state, event, this.clock.now());
         const news = event.kind === "leaving" && event.leaving && state !== this.state;
         this.state = state;
         for (const action of actions) this.carryOut(action);
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/plain.ts
@@ -109,7 +109,7 @@
         return refuse({ status: 413, code: "body_too_large", message: "the body is too large", ran: "no" });
     }
     const job = jobOf(call, settings);
-    const taken = reserve(host.limits.state, id, workspace, limitsOf(host, directory, settings), 0, performance.now());
+    const taken = reserve(host.limits.state, id, workspace, limitsOf(host, directory, settings), 0, host.clock.now());
     if (!taken.ok) return refuse(limitError(taken.refusal));
     host.limits.state = taken.state;
     const path = pathOf(call);
@@ -250,8 +250,9 @@
             streamed: true,
             maxAttempts: settings.attempts,
             maxResumes: 0,
-            deadline: performance.now() + settings["request-deadline"],
+            deadline: host.clock.now() + settings["request-deadline"],
         },
+        clock: host.clock,
         job,
         placement: host.plain,
         runner: guardRunner(plainRunner(host, call, path, settings, body), host.guard, {
--- a/packages/host/src/quarantine-sharing.ts
+++ b/packages/host/src/quarantine-sharing.ts
@@ -5,12 +5,14 @@
  * @module
  */
 import type { QuarantineNews } from "@drumpaddle/hall";
+import type { Clock } from "@drumpaddle/protocol";
 import { MOST_TOLD, type QuarantinePeerMessage } from "./peer-messages.js";
 import { repeat } from "./repeat.js";
 
 /** What sharing needs of the peers. */
 export interface QuarantineSharingDeps {
     readonly name: string;
+    readonly clock: Clock;
     readonly signal: AbortSignal;
     /** Live hosts of the scope, itself included. */
     live(): readonly string[];
@@ -39,20 +41,21 @@
 
 /** One host's part in sharing them. */
 export class QuarantineSharing {
-    private readonly startedAt = performance.now();
+    private readonly startedAt: number;
     private reconciledAt = -Infinity;
     private answered = false;
     private asking: AbortController | undefined;
     private gathered: QuarantineNews = NOTHING;
 
     constructor(private readonly deps: QuarantineSharingDeps) {
+        this.startedAt = deps.clock.now();
         this.asking = new AbortController();
         repeat(() => this.ask(), () => ASK_EVERY_MS, AbortSignal.any([deps.signal, this.asking.signal]));
     }
 
     /** Whether a peer has told what is quarantined, or none is there that could. */
     get isReady(): boolean {
-        return this.answered || performance.now() - this.startedAt >= ASK_MOST_MS;
+        return this.answered || this.deps.clock.now() - this.startedAt >= ASK_MOST_MS;
     }
 
     /** Tells a few hosts what is new here, in a moment. */
@@ -75,7 +78,7 @@
     /** A peer's probe says by a digest what it knows. */
     hearDigest(from: string, digest: number): void {
         if (digest === this.deps.digest()) return;
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (now - this.reconciledAt < RECONCILE_MS) return;
         this.reconciledAt = now;
         this.sendAll(from);
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -23,6 +23,7 @@
     type Verdict,
     verdictOf,
 } from "@drumpaddle/hall";
+import type { Clock } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
 import type { BrokenRun, SeenEnding, WatchedEndpoint } from "./ending-watch.js";
 import type { Log } from "./log.js";
@@ -42,6 +43,7 @@
 export interface RequestGuardDeps {
     readonly log: Log;
     readonly metrics: Metrics;
+    readonly clock: Clock;
     readonly signal: AbortSignal;
     /** Tells peers what is new here. */
     tell(news: QuarantineNews): void;
@@ -92,6 +94,11 @@
         repeat(() => this.forget(), () => FORGET_EVERY_MS, deps.signal);
     }
 
+    /** The time by the clock that the guard decides by. */
+    now(): number {
+        return this.deps.clock.now();
+    }
+
     /** A number by which peers see whether they know the same. */
     get digest(): number {
         return this.state.digest;
@@ -99,7 +106,7 @@
 
     /** All that is known here. */
     all(): QuarantineNews {
-        return allNews(this.state, performance.now());
+        return allNews(this.state, this.deps.clock.now());
     }
 
     /** What is quarantined or suspected, for operators. */
@@ -109,7 +116,7 @@
     }
 
     private listed({ fingerprint, endings }: Charge): ListedRequest {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         const seen = endings.map(({ life }) => this.sightings.get(`${life} ${fingerprint}`));
         const first = seen.find(sighting => sighting !== undefined);
         return {
@@ -135,7 +142,7 @@
      * ```
      */
     withhold(fingerprint: string, asked: Asked = {}): Withheld | undefined {
-        const verdict = verdictOf(this.state, fingerprint, performance.now(), asked);
+        const verdict = verdictOf(this.state, fingerprint, this.deps.clock.now(), asked);
         const unsettled = this.unsettled.get(fingerprint) ?? 0;
         // An end that is being looked into: the request would be at the next endpoint before it is known.
         if (unsettled > 0 && endingsOf(verdict) + unsettled >= ENDINGS_TO_QUARANTINE) {
@@ -169,7 +176,7 @@
 
     /** An attempt ran to its end: its endpoint outlived it. */
     ranWhole(fingerprint: string): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         this.whole.delete(fingerprint);
         this.whole.set(fingerprint, now);
         if (this.whole.size > MOST_WHOLE) this.whole.delete(this.whole.keys().next().value!);
@@ -182,7 +189,7 @@
         if (charge && (charge.isGuilty || reason === "operator")) {
             this.deps.log.warn({ fingerprint, reason }, "request_quarantine_lifted");
         }
-        this.follow(clear(this.state, fingerprint, performance.now()));
+        this.follow(clear(this.state, fingerprint, this.deps.clock.now()));
     }
 
     /** The lives of endpoints that calls of this host ran at are over. */
@@ -205,12 +212,12 @@
         }));
         const beganAt = at - Math.max(...runs.map(({ ranMs }) => ranMs));
         const life = nameOfEnded(this.state.endings, incarnation, beganAt);
-        const ending = { life, agoMs: performance.now() - at, software: endpoint.software, requests };
+        const ending = { life, agoMs: this.deps.clock.now() - at, software: endpoint.software, requests };
         for (const { req, route, workspace, fingerprint } of runs) {
             this.sightings.set(`${life} ${fingerprint}`, { req, route, workspace });
             if (this.sightings.size > MOST_SIGHTINGS) this.sightings.delete(this.sightings.keys().next().value!);
         }
-        this.follow(joinNews(this.state, { endings: [ending], trials: [] }, performance.now()));
+        this.follow(joinNews(this.state, { endings: [ending], trials: [] }, this.deps.clock.now()));
         this.clearWhole([ending]);
     }
 
@@ -221,14 +228,14 @@
 
     /** Takes in what a peer tells; what is new is passed on. */
     hear(told: QuarantineNews): void {
-        this.follow(joinNews(this.state, told, performance.now()));
+        this.follow(joinNews(this.state, told, this.deps.clock.now()));
         this.clearWhole(told.endings);
     }
 
     /** Counts a refusal, and logs it now and then. */
     refused(req: string, fingerprint: string, { code, detail }: Withheld): void {
         this.deps.metrics.countWithheld(code);
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (now - (this.refusalLogged.get(fingerprint) ?? -Infinity) < REFUSAL_LOG_MS) return;
         this.refusalLogged.set(fingerprint, now);
         this.deps.log.info({ req, fingerprint, outcome: code, detail }, "call_withheld");
@@ -236,7 +243,7 @@
 
     /** Clears requests that have run to their end here since endings that are told only now. */
     private clearWhole(endings: readonly EndingNews[]): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         for (const { agoMs, requests } of endings) {
             for (const { fingerprint, cleared } of requests) {
                 const wholeAt = this.whole.get(fingerprint);
@@ -255,7 +262,7 @@
 
     private tellTrial(fingerprint: string, attempt: string, isOver: boolean): void {
         const trials = [{ attempt, fingerprint, agoMs: 0, isOver }];
-        this.follow(joinNews(this.state, { endings: [], trials }, performance.now()));
+        this.follow(joinNews(this.state, { endings: [], trials }, this.deps.clock.now()));
     }
 
     private follow({ state, news }: QuarantineStep): void {
@@ -272,7 +279,7 @@
     }
 
     private logQuarantine({ fingerprint, endings }: Charge): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         this.deps.log.warn({
             fingerprint,
             endings: endings.length,
@@ -282,7 +289,7 @@
     }
 
     private forget(): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         this.state = forgetOld(this.state, now);
         for (const [fingerprint, at] of this.whole) {
             if (now - at < WHOLE_KEPT_MS) break;
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { isProgressDue, type Job, type JobOutcome, type RefuseReason } from "@drumpaddle/policy";
+import type { Clock } from "@drumpaddle/protocol";
 import {
     createRequest,
     FailCode,
@@ -82,6 +83,7 @@
 /** What a run needs. */
 export interface RunDeps<T> {
     readonly cfg: RequestCfg;
+    readonly clock: Clock;
     readonly job: Job;
     readonly placement: Placement;
     readonly runner: AttemptRunner<T>;
@@ -117,8 +119,8 @@
     private connection: AbortController | undefined;
     private placedAt: string | undefined;
     private priority = 0;
-    private readonly startedAt = performance.now();
-    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly startedAt: number;
+    private deadlineTimer: NodeJS.Timeout;
     private retryTimer: NodeJS.Timeout | undefined;
     private lastTokenAt = 0;
     private firstTokenMs: number | undefined;
@@ -127,9 +129,10 @@
     private sinceProgress = { tokens: 0, sum: 0, max: 0 };
 
     constructor(private readonly deps: RunDeps<T>) {
+        this.startedAt = deps.clock.now();
         const { state, actions } = createRequest(deps.cfg);
         this.state = state;
-        this.deadlineTimer = setTimeout(() => this.event({ kind: "deadline" }), deps.cfg.deadline - this.startedAt);
+        this.deadlineTimer = this.untilDeadline();
         for (const action of actions) this.carryOut(action);
     }
 
@@ -138,6 +141,18 @@
         return this.state.phase === Phase.Ended;
     }
 
+    /** Looks at the time anew, after the host was suspended: a deadline that has passed ends the request at once. */
+    woke(): void {
+        clearTimeout(this.deadlineTimer);
+        if (this.deps.clock.now() >= this.deps.cfg.deadline) this.event({ kind: "deadline" });
+        else this.deadlineTimer = this.untilDeadline();
+    }
+
+    private untilDeadline(): NodeJS.Timeout {
+        const leftMs = Math.max(0, this.deps.cfg.deadline - this.deps.clock.now());
+        return setTimeout(() => this.event({ kind: "deadline" }), leftMs);
+    }
+
     /** Whether it waits for an endpoint. */
     get waiting(): boolean {
         return this.state.phase === Phase.Waiting;
@@ -253,7 +268,7 @@
     }
 
     private measureToken(index: number): void {
-        const now = performance.now();
+        const now = this.deps.clock.now();
         if (index === 0) this.firstTokenMs = now - this.startedAt;
         else {
             const gap = now - this.lastTokenAt;
--- a/packages/host/src/silence-watch.ts
+++ b/packages/host/src/silence-watch.ts
@@ -10,6 +10,8 @@
     readonly askMs: number;
     /** Lost after this, whatever the endpoint says. */
     readonly lostMs: number;
+    /** The time that this host was awake: while it was not, nothing could be heard. */
+    awake(): number;
     /** Whether the endpoint gives a sign of life. */
     answers(): Promise<boolean>;
 }
@@ -39,7 +41,7 @@
 
     /** An event came. */
     heard(): void {
-        this.lastEventAt = performance.now();
+        this.lastEventAt = this.cfg.awake();
         this.stop();
         this.wait(this.cfg.askMs, () => this.ask());
     }
@@ -66,9 +68,9 @@
 
     /** Calls back after a time, or a little later where the host was held up when it was due: once, as it may always be. */
     private wait(ms: number, then: () => void): void {
-        const dueAt = performance.now() + ms;
+        const dueAt = this.cfg.awake() + ms;
         this.after(ms, () => {
-            const heldUp = performance.now() - dueAt > HELD_UP_MS;
+            const heldUp = this.cfg.awake() - dueAt > HELD_UP_MS;
             if (heldUp) this.after(LOOK_AGAIN_MS, then);
             else then();
         });
@@ -91,7 +93,7 @@
     }
 
     private get silentMs(): number {
-        return performance.now() - this.lastEventAt;
+        return this.cfg.awake() - this.lastEventAt;
     }
 
     private ask(): void {
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store-follower.ts
@@ -15,6 +15,7 @@
     type WatchReason,
     WORD_EVERY_MS,
 } from "@drumpaddle/hall";
+import type { Clock } from "@drumpaddle/protocol";
 import type { Life } from "@drumpaddle/routes";
 import type { StorePeerMessage, StoreStamp, StoreState, StoreWord } from "./peer-messages.js";
 import { repeat } from "./repeat.js";
@@ -51,6 +52,7 @@
 /** What sharing needs of the peers. */
 export interface StoreSharingDeps {
     readonly name: string;
+    readonly clock: Clock;
     readonly signal: AbortSignal;
     readonly follower: StoreFollower;
     /** Live hosts of this hall, itself included. */
@@ -69,7 +71,7 @@
     private askTurn = 0;
 
     constructor(private readonly deps: StoreSharingDeps) {
-        this.following = createFollowing(deps.name, performance.now());
+        this.following = createFollowing(deps.name, deps.clock.now());
         const { follower, signal } = deps;
         follower.onChanges(word => this.relay(word));
         follower.onAnswer(() => this.plan());
@@ -90,7 +92,7 @@
     private look(): FollowPlan {
         const { deps } = this;
         const heard = { ...deps.follower.heard(), seeking: deps.seeking() };
-        const plan = planFollowing(this.following, deps.inHall(), heard, performance.now());
+        const plan = planFollowing(this.following, deps.inHall(), heard, this.deps.clock.now());
         this.following = plan.state;
         return plan;
     }
@@ -129,13 +131,13 @@
         const { follower } = this.deps;
         const { freshAt } = follower.heard();
         if (freshAt === -Infinity) return undefined;
-        return { revision: follower.revision(), ageMs: Math.round(performance.now() - freshAt) };
+        return { revision: follower.revision(), ageMs: Math.round(this.deps.clock.now() - freshAt) };
     }
 
     /** Takes in how far a peer is; who stays behind for a while asks it. */
     hearStamp(from: string, { revision, ageMs }: StoreStamp): void {
         const { follower } = this.deps;
-        const now = performance.now();
+        const now = this.deps.clock.now();
         follower.hearOf(now - ageMs);
         const { state, asks } = hearRevision(this.following, revision, follower.revision(), now);
         this.following = state;
@@ -155,7 +157,7 @@
         ) => void;
     } = {
         storeWord: (from, word) => {
-            this.following = hearWatcher(this.following, from, word.hears, performance.now());
+            this.following = hearWatcher(this.following, from, word.hears, this.deps.clock.now());
             if (this.deps.follower.hear(word)) this.ask(from);
         },
         storeAsk: (from, { revision, version }) => {
--- a/packages/host/src/watch-endpoints.ts
+++ b/packages/host/src/watch-endpoints.ts
@@ -85,7 +85,7 @@
     const load = await fetchLoad(host.dispatcher, endpoint.url, timeout, host.signal);
     if (!load || host.signal.aborted) return;
     if (host.engines.setLeaving(endpoint.id, "endpoint", load.leaving)) host.peers?.tellNow();
-    host.engines.report(endpoint.id, { ...load, at: performance.now() - load.ageMs });
+    host.engines.report(endpoint.id, { ...load, at: host.clock.now() - load.ageMs });
     const before = preemptions.get(endpoint.id) ?? load.preemptions;
     preemptions.set(endpoint.id, load.preemptions);
     host.metrics.countPreemptions(endpoint.id, load.preemptions - before);
--- a/packages/host/test/deployment-feed.test.ts
+++ b/packages/host/test/deployment-feed.test.ts
@@ -1,5 +1,6 @@
 import { platformWire } from "@drumpaddle/platform";
 import type { KeyValue } from "@drumpaddle/protocol";
+import { createClock } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import test from "ava";
 import { Writable } from "node:stream";
@@ -32,6 +33,7 @@
         },
     });
     const feed = new DeploymentFeed({
+        clock: createClock(),
         kv,
         wire: platformWire,
         log: createLog("info", out),
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -1,3 +1,4 @@
+import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { EndpointConnections, type Exchange } from "../src/endpoint-connections.js";
@@ -39,7 +40,7 @@
     const own = new AbortController();
     t.teardown(() => own.abort());
     let opened = 0;
-    const connections = new EndpointConnections(own.signal, () => opened += 1);
+    const connections = new EndpointConnections(own.signal, createClock(), () => opened += 1);
     return { connections, opened: () => opened };
 }
 
--- a/packages/host/test/endpoint-ends.test.ts
+++ b/packages/host/test/endpoint-ends.test.ts
@@ -1,3 +1,4 @@
+import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { EndpointConnections } from "../src/endpoint-connections.js";
@@ -49,7 +50,7 @@
     );
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     t.teardown(() => server.close());
-    const connections = new EndpointConnections(new AbortController().signal, () => undefined);
+    const connections = new EndpointConnections(new AbortController().signal, createClock(), () => undefined);
     let bytes = "";
     return new Promise(resolve => {
         const call = { method: "GET", path: "/", headers: [], body: undefined };
--- a/packages/host/test/late-deployment.test.ts
+++ b/packages/host/test/late-deployment.test.ts
@@ -1,4 +1,5 @@
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
+import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { PassThrough } from "node:stream";
 import { Agent, buildConnector } from "undici";
@@ -39,6 +40,7 @@
     const own = new AbortController();
     t.teardown(() => own.abort());
     const feed = new DeploymentFeed({
+        clock: createClock(),
         kv: createPlatformStore({
             url: store.url,
             timeoutMs: CALL_MS,
--- a/packages/host/test/odd-registrations.test.ts
+++ b/packages/host/test/odd-registrations.test.ts
@@ -1,4 +1,5 @@
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
+import { createClock } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import test from "ava";
 import fc from "fast-check";
@@ -68,6 +69,7 @@
 
 function feedOf(url: string, signal: AbortSignal): DeploymentFeed {
     return new DeploymentFeed({
+        clock: createClock(),
         kv: createPlatformStore({ url, timeoutMs: 1_000, watchMs: 500, watchMarginMs: 500 }),
         wire: platformWire,
         log: createLog("fatal", new PassThrough().resume()),
--- a/packages/host/test/quarantine-sharing.test.ts
+++ b/packages/host/test/quarantine-sharing.test.ts
@@ -1,4 +1,5 @@
 import type { QuarantineNews } from "@drumpaddle/hall";
+import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import type { QuarantinePeerMessage } from "../src/peer-messages.js";
 import { QuarantineSharing } from "../src/quarantine-sharing.js";
@@ -25,6 +26,7 @@
     const heard: QuarantineNews[] = [];
     const sharing = new QuarantineSharing({
         name: "h0",
+        clock: createClock(),
         signal: end.signal,
         live: () => live,
         send: (names, message) => void sent.push({ names, message }),
--- a/packages/host/test/run.test.ts
+++ b/packages/host/test/run.test.ts
@@ -1,4 +1,5 @@
 import type { Job, JobOutcome } from "@drumpaddle/policy";
+import { createClock } from "@drumpaddle/protocol";
 import test from "ava";
 import type { Placement } from "../src/placement.js";
 import { type AttemptSink, Run, type RunEnd } from "../src/run.js";
@@ -46,6 +47,7 @@
     };
     new Run<string>({
         cfg: { id: "r", repeatable: false, streamed: true, maxAttempts: 1, maxResumes: 0, deadline: 1e9 },
+        clock: createClock(),
         job: JOB,
         placement: placement as Placement,
         runner: {
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -16,6 +16,7 @@
     const cfg = {
         askMs: 10,
         lostMs: 60_000,
+        awake: () => performance.now(),
         answers: async () => {
             asked += 1;
             return Promise.resolve(answers);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export { BOOT_STEP_MS, type Clock, type ClockSources, createClock, SYSTEM_SOURCES, type Wake } from "./clock.js";
 export {
     type BodyError,
     type BodyFacts,
--- a/packages/protocol/src/peer-mesh.ts
+++ b/packages/protocol/src/peer-mesh.ts
@@ -9,6 +9,7 @@
  */
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import { connect, createServer, type Server, type Socket } from "node:net";
+import type { Clock } from "./clock.js";
 import { encodeFrame, type FrameMessage, FrameReader, PEER_VERSION } from "./peer-codec.js";
 
 /** Why a connection was refused or ended. */
@@ -34,6 +35,7 @@
     readonly onMessage: (from: PeerName, message: FrameMessage) => void;
     readonly onError: (peer: string, err: PeerError) => void;
     readonly onBytes: (direction: "in" | "out", bytes: number) => void;
+    readonly clock: Clock;
     readonly signal: AbortSignal;
 }
 
@@ -117,7 +119,7 @@
 
     private dial(address: string): Link | undefined {
         const wait = this.redial.get(address);
-        if (wait && performance.now() < wait.at) return undefined;
+        if (wait && this.cfg.clock.now() < wait.at) return undefined;
         const at = address.lastIndexOf(":");
         const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
         socket.setTimeout(
@@ -174,7 +176,7 @@
             (this.redial.get(link.dialled)?.pauseMs ?? FIRST_REDIAL_MS / 2) * 2,
         );
         // Full jitter keeps hosts that lost the same peer from coming back together; it decides nothing else.
-        this.redial.set(link.dialled, { at: performance.now() + pauseMs * Math.random(), pauseMs });
+        this.redial.set(link.dialled, { at: this.cfg.clock.now() + pauseMs * Math.random(), pauseMs });
         this.cfg.onError(link.dialled, { kind: "closed", detail: failure ?? "closed by the peer" });
     }
 
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -33,6 +33,8 @@
 const LIVES = "platform/test/lives.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
 const FATAL = "platform/test/fatal-requests.test.ts";
+const SUSPENDED = "platform/test/suspended.test.ts";
+const CLOCK = "packages/protocol/src/clock.ts";
 const QUARANTINE = "packages/hall/test/quarantine.test.ts";
 const VERDICT = "packages/hall/src/verdict.ts";
 const GUARD = "packages/host/src/request-guard.ts";
@@ -433,6 +435,41 @@
         replace: "atB - atA",
         tests: [QUARANTINE],
     },
+    {
+        promise: "suspended: a deadline that passed meanwhile ends its call at the wake",
+        file: "packages/host/src/gateway.ts",
+        find: "runs.woke();",
+        replace: "",
+        tests: [SUSPENDED],
+    },
+    {
+        promise: "suspended: connections that idled are not used",
+        file: "packages/host/src/gateway.ts",
+        find: "connections.forgetAll();",
+        replace: "",
+        tests: [SUSPENDED],
+    },
+    {
+        promise: "suspended: nothing is served by what was known before",
+        file: "packages/host/src/forward.ts",
+        find: "if (!table || deps.isStale())",
+        replace: "if (!table)",
+        tests: [SUSPENDED],
+    },
+    {
+        promise: "suspended: a host that is cut off serves again",
+        file: "packages/host/src/deployment-feed.ts",
+        find: "this.deps.clock.now() - wokeAt < STALE_MOST_MS",
+        replace: "wokeAt > 0",
+        tests: [SUSPENDED],
+    },
+    {
+        promise: "suspended: a step of the time of day counts for nothing",
+        file: CLOCK,
+        find: "if (Math.abs(gainedMs - jumpMs) <= AGREE_MS) suspendedMs = gainedMs;",
+        replace: "suspendedMs = jumpMs;",
+        tests: ["packages/protocol/test/clock.test.ts"],
+    },
     {
         promise: "half a request reaches no endpoint",
         file: "packages/host/src/request-body.ts",
