A run that broke off counts against its request only while its endpoint is being asked

Found in reading: where endpoints cannot be asked (a cut), runs that broke off there were held as undecided for 10 s, and each run by itself: a request that many callers send alike, such as a lookup without a body, was withheld by such a host after three broken runs. Undecided is now what is being asked at this moment, each endpoint once.

--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/ending-watch.ts
@@ -60,7 +60,7 @@
     /** Whether the store does not tell what becomes of registrations. */
     isDeaf(): boolean;
     onEnded(ending: SeenEnding): void;
-    /** The endpoint lives on, or it cannot be found out. */
+    /** The endpoint lives on, or it cannot be asked; in the latter case its end may be found out later. */
     onNotEnded(runs: readonly BrokenRun[]): void;
     meetLife(life: Life): void;
 }
@@ -74,6 +74,8 @@
     readonly endpoint: WatchedEndpoint;
     readonly at: number;
     readonly runs: BrokenRun[];
+    /** Whether it cannot be asked, so that only the registry can tell. */
+    isUnknown: boolean;
 }
 
 /** The endings that one host sees. */
@@ -99,9 +101,10 @@
         const pending = this.pending.get(incarnation);
         if (pending) {
             pending.runs.push(run);
+            if (pending.isUnknown) this.deps.onNotEnded([run]);
             return;
         }
-        this.pending.set(incarnation, { endpoint, at: now, runs: [run] });
+        this.pending.set(incarnation, { endpoint, at: now, runs: [run], isUnknown: false });
         void this.ask(endpoint);
     }
 
@@ -123,13 +126,20 @@
         if (sign.kind === "lives") return this.giveUp(incarnation);
         if (sign.kind === "unknown") {
             this.deps.log.debug({ endpoint: incarnation, detail: sign.detail }, "endpoint_end_unknown");
-            setTimeout(() => this.giveUp(incarnation), UNKNOWN_MS).unref();
-            return;
+            return this.waitForRegistry(incarnation);
         }
         if (sign.kind === "laterLife") this.deps.meetLife(sign.life);
         this.end(incarnation, sign.kind);
     }
 
+    private waitForRegistry(incarnation: string): void {
+        const pending = this.pending.get(incarnation);
+        if (!pending) return;
+        pending.isUnknown = true;
+        this.deps.onNotEnded([...pending.runs]);
+        setTimeout(() => this.pending.delete(incarnation), UNKNOWN_MS).unref();
+    }
+
     private end(incarnation: string, sign: EndingSign): void {
         const pending = this.pending.get(incarnation);
         if (!pending) return;
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/request-guard.ts
@@ -82,8 +82,8 @@
 /** One host's part in keeping such requests away. */
 export class RequestGuard {
     private state: Quarantine = EMPTY_QUARANTINE;
-    /** Attempts that broke off and of which it is not known yet whether their endpoints ended, by fingerprint. */
-    private readonly unsettled = new Map<string, number>();
+    /** Attempts that broke off at endpoints that are being asked whether they ended, by fingerprint, with the life of each. */
+    private readonly unsettled = new Map<string, Map<BrokenRun, string>>();
     /** When requests ran to their end, by fingerprint, the oldest first. */
     private readonly whole = new Map<string, number>();
     private readonly refusalLogged = new Map<string, number>();
@@ -143,7 +143,7 @@
      */
     withhold(fingerprint: string, asked: Asked = {}): Withheld | undefined {
         const verdict = verdictOf(this.state, fingerprint, this.deps.clock.now(), asked);
-        const unsettled = this.unsettled.get(fingerprint) ?? 0;
+        const unsettled = new Set(this.unsettled.get(fingerprint)?.values()).size;
         // An end that is being looked into: the request would be at the next endpoint before it is known.
         if (unsettled > 0 && endingsOf(verdict) + unsettled >= ENDINGS_TO_QUARANTINE) {
             return quarantined(ENDINGS_TO_QUARANTINE, NEWS_MS);
@@ -170,7 +170,8 @@
 
     /** An attempt broke off while it ran. */
     broke(endpoint: WatchedEndpoint, run: BrokenRun): void {
-        this.unsettled.set(run.fingerprint, (this.unsettled.get(run.fingerprint) ?? 0) + 1);
+        const known = this.unsettled.get(run.fingerprint) ?? new Map<BrokenRun, string>();
+        this.unsettled.set(run.fingerprint, known.set(run, endpoint.incarnation));
         this.deps.broke(endpoint, run);
     }
 
@@ -221,7 +222,7 @@
         this.clearWhole([ending]);
     }
 
-    /** The endpoints of calls that broke off live on. */
+    /** The endpoints of calls that broke off live on, or cannot be asked: what becomes of them may still be told later. */
     notEnded(runs: readonly BrokenRun[]): void {
         this.settle(runs);
     }
@@ -253,10 +254,9 @@
     }
 
     private settle(runs: readonly BrokenRun[]): void {
-        for (const { fingerprint } of runs) {
-            const left = (this.unsettled.get(fingerprint) ?? 0) - 1;
-            if (left > 0) this.unsettled.set(fingerprint, left);
-            else this.unsettled.delete(fingerprint);
+        for (const run of runs) {
+            const known = this.unsettled.get(run.fingerprint);
+            if (known?.delete(run) && known.size === 0) this.unsettled.delete(run.fingerprint);
         }
     }
 
