--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -99,7 +99,7 @@
 const RETRY_BASE_MS = 50;
 
 /** How often it is asked whether a request is withheld while that is not certain: an end is found out within 250 ms. */
-const MOST_SURE_ASKS = 5;
+const MOST_SURE_ASKS = 6;
 
 const REFUSE_CODE: { readonly [K in RefuseReason]: FailCode } = {
     noEndpoint: FailCode.NoEndpoint,
@@ -228,7 +228,8 @@
             this.retryTimer = setTimeout(() => this.dispatch(action, asks - 1), withheld.sureMs);
             return;
         }
-        if (withheld) return this.event({ kind: "withheld", ...withheld });
+        // What is not certain by then is no ground to refuse: of calls that many send alike, others break off all the time.
+        if (withheld && !withheld.sureMs) return this.event({ kind: "withheld", ...withheld });
         const again = continueAt === undefined ? "retry" : "continue";
         this.deps.onDispatch(this.state.attempts === 1 ? "first" : again);
         const plan = { attempt, endpoint, priority: this.priority, backUp, continueAt };
