--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -91,6 +91,7 @@
     type Addressed,
     createShare,
     endpointOwner,
+    hostsEvent,
     shareAsk,
     shareHear,
     type ShareMessage,
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -160,6 +160,7 @@
  * hold. A host that holds nothing yet hears it too, since it must not take an endpoint for empty.
  *
  * @param othersEveryMs How often an owner tells hosts; owners are told in every round.
+ * @param unheard Hosts that this one was told of and has not heard of yet.
  *
  * @example
  * ```ts
@@ -172,6 +173,7 @@
     live: readonly string[],
     now: number,
     othersEveryMs = 0,
+    unheard = 0,
 ): ShareStep {
     const state = passOverSilent(before, now);
     const views = endpoints.values();
@@ -188,7 +190,7 @@
         ? tellOthers(next, endpoints, owned, live, now)
         : { state: next, send: [] };
     const events: SchedulerEvent[] = [
-        { kind: "hosts", count: Math.max(1, live.length) },
+        hostsEvent(state.self, live, unheard),
         { kind: "owns", endpoints: owned },
         ...owned.map((endpoint): SchedulerEvent => ({
             kind: "others",
@@ -199,6 +201,18 @@
     return { state: after, send: [...held, ...others], events };
 }
 
+/**
+ * What a host's decisions are told of the live hosts.
+ *
+ * @param live Live hosts in order, itself included unless it is leaving.
+ * @param unheard Hosts that it was told of and has not heard of yet.
+ */
+export function hostsEvent(self: string, live: readonly string[], unheard: number): SchedulerEvent {
+    // One that is leaving takes the last place.
+    const place = live.includes(self) ? live.indexOf(self) : live.length;
+    return { kind: "hosts", count: Math.max(1, live.length), place, unheard };
+}
+
 /** What this host holds on an endpoint. */
 function ownHeld(view: EndpointView, now: number): Held {
     return heldOf(view.cfg.id, {
@@ -324,7 +338,10 @@
         return {
             state: { ...state, account },
             send: [{ to: from, message: answer }],
-            events: grants.map(grant => othersEvent(account, grant.endpoint, state.self)),
+            events: [
+                ...grants.map(grant => othersEvent(account, grant.endpoint, state.self)),
+                ...(endpoint === undefined ? [] : [{ kind: "letIn", endpoint } as const]),
+            ],
         };
     },
     answer: (state, _from, { job, endpoint, standby }) => {
--- a/packages/host/src/config.ts
+++ b/packages/host/src/config.ts
@@ -87,6 +87,22 @@
         fallback: "10s",
         doc: "The window in which repeated sends are counted.",
     },
+    "forward.cold-over": {
+        type: ratio(0, 1_000),
+        fallback: "1",
+        doc: "Requests that a cold endpoint may be sent in a second by all hosts together, as a multiple of what its service "
+            + "declares that it bears.",
+    },
+    "forward.cold-slack": {
+        type: ratio(0, 1_000_000),
+        fallback: "0",
+        doc: "Requests that it may be sent in a second beyond that.",
+    },
+    "forward.regions": {
+        type: list(/^[^\s:]+:[^\s:]+$/, "hall:region"),
+        fallback: "",
+        doc: "Regions of halls, for routes and workspaces whose calls stay in some; a hall that is not named lies in none.",
+    },
     "forward.stop-grace": {
         type: duration(500, 600_000),
         fallback: "8s",
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/deployment-feed.ts
@@ -14,6 +14,7 @@
     EMPTY_REGISTRY,
     type EndpointEntry,
     expireLapsed,
+    type HallOrders,
     type Life,
     LifeOrder,
     meetLife,
@@ -189,17 +190,19 @@
     private state(askerVersion: number): StoreState | undefined {
         if (this.revision === undefined || !this.current) return undefined;
         const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
+        const evacuated = [...this.registry.halls.evacuated];
         const { table, text } = this.current;
         return {
             revision: this.revision,
             ageMs: Math.round(this.deps.clock.now() - this.freshAt),
             ...(table.version > askerVersion ? { deployment: text } : {}),
             endpoints,
+            evacuated,
         };
     }
 
     /** Takes over what a peer knows, if it is further than this host. */
-    private takeState({ revision, ageMs, deployment, endpoints }: StoreState): void {
+    private takeState({ revision, ageMs, deployment, endpoints, evacuated }: StoreState): void {
         this.hearOf(this.deps.clock.now() - ageMs);
         if (deployment !== undefined) this.offer(deployment, "peer");
         if (revision <= (this.revision ?? -1)) return;
@@ -208,7 +211,7 @@
         this.endpointsRead = true;
         this.revision = revision;
         this.deps.log.info({ endpoints: entries.length, revision, age_ms: ageMs }, "endpoints_from_peer");
-        this.setRegistry(adoptEndpoints(this.registry, entries, this.deps.clock.now()));
+        this.setRegistry(adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now()));
     }
 
     /**
@@ -376,12 +379,14 @@
         const changes = entries.flatMap(entry => this.registrations.changeOf(entry) ?? []);
         const endpoints = changes.flatMap(change => change.kind === "registered" ? [change.entry] : []);
         const unreadable = changes.flatMap(change => change.kind === "unreadable" ? [change.id] : []);
+        const evacuated = changes.flatMap(change => change.kind === "evacuated" ? [change.hall] : []);
         this.endpointsRead = true;
         const deployment = entries.find(entry => entry.key === wire.storeKeys.deployment);
         if (deployment) this.offerStored(deployment, "store");
         log.info({ revision, endpoints: endpoints.length, deployment: deployment !== undefined }, "store_read");
         // A peer may have told of changes after this read.
-        this.setRegistry(revision < this.revision ? answered : replaceAll(answered, endpoints, unreadable, now));
+        const isBehind = revision < this.revision;
+        this.setRegistry(isBehind ? answered : replaceAll(answered, endpoints, unreadable, evacuated, now));
         this.setAnswered(true);
         return revision;
     }
@@ -431,6 +436,8 @@
 
     private logChange(change: RegistryChange, revision: number, { latest }: Registry): void {
         const { log } = this.deps;
+        // Told as it comes into force, whoever tells of it.
+        if (change.kind === "evacuated" || change.kind === "reopened") return;
         if (change.kind !== "registered") {
             log.info({ endpoint: change.id, state: change.kind, revision }, "endpoint_changed");
             return;
@@ -444,14 +451,24 @@
         );
     }
 
+    private logEvacuations(before: HallOrders, { evacuated }: HallOrders): void {
+        if (evacuated === before.evacuated) return;
+        const { log, metrics } = this.deps;
+        const { revision } = this;
+        for (const hall of evacuated) if (!before.evacuated.has(hall)) log.warn({ hall, revision }, "hall_evacuated");
+        for (const hall of before.evacuated) if (!evacuated.has(hall)) log.warn({ hall, revision }, "hall_reopened");
+        metrics.evacuated.set(evacuated.size);
+    }
+
     private setRegistry(registry: Registry): void {
         if (registry === this.registry) return;
-        const { storeAway, endpoints } = this.registry;
+        const { storeAway, endpoints, halls } = this.registry;
         this.registry = registry;
         if (registry.storeAway !== storeAway) {
             this.deps.log.info({}, registry.storeAway ? "store_lost" : "store_regained");
         }
-        if (registry.endpoints === endpoints) return;
+        this.logEvacuations(halls, registry.halls);
+        if (registry.endpoints === endpoints && registry.halls === halls) return;
         for (const listener of this.endpointListeners) listener(registry);
     }
 }
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -67,6 +67,10 @@
     /** What is declared now; undefined until it was learnt. */
     table(): RouteTable | undefined;
     endpoint(incarnation: string): EndpointEntry | undefined;
+    /** Whether the operator has evacuated a hall. */
+    isEvacuated(hall: string): boolean;
+    /** Halls that lie in some regions. */
+    hallsIn(homes: readonly string[]): readonly string[];
     /** Versions of the software of a service's endpoints that take new work. */
     softwareOf(service: string): readonly string[];
     /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
@@ -226,7 +230,14 @@
     };
 }
 
-function jobOf(call: ForwardCall, isSuspect: boolean): Job {
+/** Halls that a call may be served in: those of its route's homes and of its workspace's; undefined where all may. */
+function hallsOf(deps: Forwarding, { route, workspace }: ForwardCall): readonly string[] | undefined {
+    const bounds = [route.homes, workspace?.homes].flatMap(homes => homes ? [deps.hallsIn(homes)] : []);
+    if (bounds.length === 0) return undefined;
+    return bounds.reduce((both, halls) => both.filter(hall => halls.includes(hall)));
+}
+
+function jobOf(call: ForwardCall, isSuspect: boolean, halls: readonly string[] | undefined): Job {
     const { head, route, workspace, service, engine } = call;
     const { generation } = head;
     return {
@@ -238,6 +249,7 @@
         prefixTokens: generation?.parts[0]?.tokens ?? 0,
         policy: policyOf(call),
         isSuspect,
+        halls,
         tokensPerPiece: engine?.tokensPerEvent,
         backUp: engine?.canBackUp === true && (generation?.maxTokens ?? 0) >= BACK_UP_TOKENS,
     };
@@ -265,7 +277,7 @@
             deadline: progress.deadline,
         },
         clock: deps.clock,
-        job: jobOf(call, deps.guard.isSuspect(fingerprint)),
+        job: jobOf(call, deps.guard.isSuspect(fingerprint), hallsOf(deps, call)),
         placement: engine ? deps.engines : deps.plain,
         runner: runnerOf(deps, call, progress, fingerprint),
         withhold: (attempt, incarnation) => {
@@ -415,6 +427,12 @@
                 sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint is no longer registered" });
                 return;
             }
+            // Decided a moment ago, and the order came since.
+            if (deps.isEvacuated(endpoint.hall)) {
+                deps.log.info({ req: head.id, endpoint: incarnation, hall: endpoint.hall }, "send_withheld");
+                sink.event({ kind: "lost", attempt, cause: "connect", detail: "the endpoint's hall is evacuated" });
+                return;
+            }
             if (continueAt !== undefined) {
                 deps.log.info(
                     { req: head.id, endpoint: incarnation, event: continueAt, last: progress.lastEvent },
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -5,16 +5,26 @@
  * @module
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
-import { createFleetBudget, DEFAULT_VARIANT, type EndpointCfg, type EndpointView } from "@drumpaddle/policy";
+import {
+    type ColdCfg,
+    createFleetBudget,
+    DEFAULT_VARIANT,
+    type EndpointCfg,
+    type EndpointView,
+} from "@drumpaddle/policy";
 import { type Clock, createClock } from "@drumpaddle/protocol";
 import {
     compareLives,
     type EndpointEntry,
     EndpointState,
+    type HallOrders,
     LifeOrder,
     nameOfLife,
+    type Registered,
     type Registry,
     type RouteTable,
+    type ServiceCfg,
+    warmAt,
 } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
@@ -161,6 +171,8 @@
         isStale: () => feed.isStale,
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
+        isEvacuated: hall => known?.halls.evacuated.has(hall) === true,
+        hallsIn: homes => hallsIn(cfg["forward.regions"], homes),
         softwareOf: service => softwareOf(service, known),
         onOtherIncarnation: incarnation => {
             if (engines.setLeaving(incarnation, "endpoint", true) || plain.setLeaving(incarnation, "endpoint", true)) {
@@ -197,8 +209,9 @@
     repeat(() => void clock.now(), () => LOOK_AT_CLOCK_MS, signal);
     const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
     serveQuarantine(operators, guard, allowSecrets(cfg["peers.secrets"]));
+    const bounds = { over: cfg["forward.cold-over"], slack: cfg["forward.cold-slack"] };
     const declare = (): void => {
-        if (known && feed.table) declareEndpoints(feed.table, known, engines, plain);
+        if (known && feed.table) declareEndpoints(feed.table, known, bounds, engines, plain);
     };
     feed.onDeployment(table => {
         applyLimits(callers, table.deployment.limits);
@@ -293,6 +306,12 @@
     }
 }
 
+/** Halls of some regions, by a list of `hall:region`. */
+function hallsIn(regions: readonly string[], homes: readonly string[]): readonly string[] {
+    const pairs = regions.map(pair => pair.split(":") as [string, string]);
+    return pairs.filter(([, region]) => homes.includes(region)).map(([hall]) => hall);
+}
+
 /** Versions of the software of a service's endpoints that take new work. */
 function softwareOf(service: string, registry: Registry | undefined): readonly string[] {
     const entries = [...registry?.endpoints.values() ?? []].map(({ entry }) => entry);
@@ -336,15 +355,40 @@
     app.get("/metrics", async (_req, reply) => reply.type("text/plain; version=0.0.4").send(await metrics.text()));
 }
 
-function declareEndpoints(table: RouteTable, registry: Registry, engines: Placement, plain: Placement): void {
+/** What a cold endpoint bears beyond what its service declares: a multiple, and requests a second. */
+interface ColdBounds {
+    readonly over: number;
+    readonly slack: number;
+}
+
+function coldOf(
+    registered: Registered,
+    service: ServiceCfg | undefined,
+    halls: HallOrders,
+    { over, slack }: ColdBounds,
+): ColdCfg | undefined {
+    if (service?.coldPerS === undefined) return undefined;
+    return { until: warmAt(registered, service, halls), perS: service.coldPerS * over + slack };
+}
+
+function declareEndpoints(
+    table: RouteTable,
+    registry: Registry,
+    bounds: ColdBounds,
+    engines: Placement,
+    plain: Placement,
+): void {
     const declared = { engines: [] as EndpointCfg[], plain: [] as EndpointCfg[] };
-    for (const { entry } of registry.endpoints.values()) {
+    for (const registered of registry.endpoints.values()) {
+        const { entry } = registered;
         const service = table.service(entry.service);
         const endpoint: EndpointCfg = {
             id: entry.incarnation,
             hall: entry.hall,
             models: [plainModel(entry.service)],
             memoryTokens: service?.engine?.memoryTokens ?? 0,
+            isEvacuated: registry.halls.evacuated.has(entry.hall),
+            cold: coldOf(registered, service, registry.halls, bounds),
         };
         (service?.engine ? declared.engines : declared.plain).push(endpoint);
     }
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -106,6 +106,10 @@
         "drumpaddle_live_hosts",
         "Hosts of the scope that this one relies on, itself included.",
     );
+    readonly evacuated = this.gauge(
+        "drumpaddle_evacuated_halls",
+        "Halls that take nothing new by the operator's order.",
+    );
     readonly version = this.gauge("drumpaddle_settings_version", "Version of settings in force.");
 
     constructor() {
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -118,6 +118,7 @@
             weightTail: Type.Number(),
             weightStall: Type.Number(),
             weightPrefix: Type.Number(),
+            halls: Type.Optional(Type.Array(Type.String())),
         }),
         z: Type.Number(),
         hall: Type.String(),
@@ -143,6 +144,7 @@
         ageMs: Type.Number({ minimum: 0 }),
         deployment: Type.Optional(Type.String()),
         endpoints: Type.String(),
+        evacuated: Type.Array(Type.String()),
     }),
     quarantine: Type.Object({
         isAll: Type.Boolean(),
@@ -229,4 +231,6 @@
     readonly deployment?: string;
     /** The endpoints, as the package `routes` writes them. */
     readonly endpoints: string;
+    /** Halls whose evacuation stands. */
+    readonly evacuated: readonly string[];
 }
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -15,6 +15,7 @@
     type DetectorStep,
     endpointOwner,
     give,
+    hostsEvent,
     isAlive,
     leaveHall,
     listHosts,
@@ -367,8 +368,9 @@
 
     private round(othersEveryMs: number): void {
         const { live } = this;
-        this.host.plain.tell([{ kind: "hosts", count: Math.max(1, live.length) }]);
-        this.follow(shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs));
+        const unheard = unheardCandidates(this.membership).length;
+        this.host.plain.tell([hostsEvent(this.host.cfg["host.name"], live, unheard)]);
+        this.follow(shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs, unheard));
     }
 
     private sendTo(name: string, message: PeerMessage): void {
--- a/packages/host/src/registrations.ts
+++ b/packages/host/src/registrations.ts
@@ -27,7 +27,8 @@
     constructor(private readonly deps: RegistrationsDeps) {}
 
     /**
-     * What an item of the store says of an endpoint's registration; undefined where it is of something else.
+     * What an item of the store says of an endpoint's registration or a hall's evacuation; undefined where it is of something
+     * else.
      *
      * @example
      * ```ts
@@ -36,7 +37,13 @@
      */
     changeOf({ key, value, modRevision, unreadable }: KvChange): RegistryChange | undefined {
         const { wire } = this.deps;
-        const start = wire.storeKeys.endpoints;
+        const { endpoints: start, evacuations } = wire.storeKeys;
+        if (key.startsWith(evacuations)) {
+            return {
+                kind: value === undefined && unreadable === undefined ? "reopened" : "evacuated",
+                hall: key.slice(evacuations.length),
+            };
+        }
         if (!key.startsWith(start)) return undefined;
         const id = key.slice(start.length);
         if (value === undefined) return { kind: "gone", id };
--- a/packages/host/test/deployment-feed.test.ts
+++ b/packages/host/test/deployment-feed.test.ts
@@ -46,7 +46,7 @@
 for (const endpoints of ["{", "{}"]) {
     test(`a peer's list of endpoints ${endpoints} is ignored with a log line`, t => {
         const { feed, log } = deafFeed();
-        t.notThrows(() => feed.follower.take({ revision: 7, ageMs: 0, deployment: "{}", endpoints }));
+        t.notThrows(() => feed.follower.take({ revision: 7, ageMs: 0, deployment: "{}", endpoints, evacuated: [] }));
         t.false(feed.isReady);
         t.true(log.some(line => line.includes("endpoints_ignored")));
     });
@@ -61,6 +61,7 @@
         ageMs: 0,
         deployment,
         endpoints: JSON.stringify([{ incarnation: "i-1" }, good]),
+        evacuated: [],
     });
     t.true(feed.isReady);
     t.is(feed.endpoint("i-1"), undefined);
--- a/packages/policy/src/advise.ts
+++ b/packages/policy/src/advise.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { mayUse } from "./breaker.js";
-import { assess, chooseBackup, type Wanted } from "./choose.js";
+import { assess, chooseBackup, serves, type Wanted } from "./choose.js";
+import { mayLetIn } from "./cold.js";
 import type { EndpointView } from "./endpoint.js";
 import type { Advice, Question } from "./question.js";
 import type { SchedulerState } from "./scheduler-state.js";
@@ -28,6 +29,7 @@
     }
     let best: { readonly id: string; readonly score: number } | undefined;
     for (const view of views) {
+        if (!mayLetIn(state, view, now)) continue;
         const candidate = assess(view, wanted, { ...state, hall }, now);
         if (candidate && candidate.score < (best?.score ?? Infinity)) best = candidate;
     }
@@ -41,9 +43,7 @@
     const known = state.endpoints.values();
     // Hosts may disagree for a moment on who owns what: then what is known here must do.
     const asked = state.owned.size > 0 ? known.filter(view => state.owned.has(view.cfg.id)) : known;
-    const open = asked.filter(view =>
-        view.leavingBy.length === 0 && view.cfg.models.includes(demand.model) && !exclude.includes(view.cfg.id)
-    );
+    const open = asked.filter(view => serves(view, demand) && !exclude.includes(view.cfg.id));
     const sound = open.filter(view => mayUse(view.breaker, now));
     return sound.length > 0 ? sound : open;
 }
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { chooseBackup, EVACUATION_ROOM_SHARE, isUnreachable, wantedOf } from "./choose.js";
-import { addBackup, type EndpointView, removeBackup, type Running } from "./endpoint.js";
+import { addBackup, type EndpointView, removeBackup, type Running, takesNew } from "./endpoint.js";
 import type { Job } from "./job.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
 import { deleteIn, getIn, setIn } from "./shard-map.js";
@@ -34,7 +34,7 @@
     return { ...kept, backedUp: setIn(kept.backedUp, job, standby) };
 }
 
-/** Whether an endpoint is leaving or no longer declared. */
+/** Whether an endpoint is about to end, or no longer declared: what runs there is to go on elsewhere. */
 function isLeaving(view: EndpointView | undefined): boolean {
     return !view || view.leavingBy.length > 0 || view.cfg.models.length === 0;
 }
@@ -74,7 +74,7 @@
  */
 export function keepsCopy(state: SchedulerState, job: string, endpoint: string, now: number): boolean {
     const view = state.endpoints.get(endpoint);
-    return getIn(state.backedUp, job) === endpoint && !isLeaving(view) && !isUnreachable(view!, now);
+    return view !== undefined && getIn(state.backedUp, job) === endpoint && takesNew(view) && !isUnreachable(view, now);
 }
 
 /** A running request with where it runs. */
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -6,7 +6,15 @@
 import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
 import { type Curve, peakOf, streamCurve } from "./curve.js";
-import { type EndpointView, plannedShare, stalledStreams, streamCount, unreadAt } from "./endpoint.js";
+import {
+    type EndpointView,
+    isAllowed,
+    plannedShare,
+    stalledStreams,
+    streamCount,
+    takesNew,
+    unreadAt,
+} from "./endpoint.js";
 import type { Survival } from "./estimate.js";
 import { beginsInTime } from "./forecast.js";
 import type { Job, Variant } from "./job.js";
@@ -51,6 +59,8 @@
     readonly weightTail: number;
     readonly weightStall: number;
     readonly weightPrefix: number;
+    /** Halls whose endpoints may serve it; all where it is absent. */
+    readonly halls?: readonly string[] | undefined;
 }
 
 /** What is the same for every endpoint, whatever the request. */
@@ -73,7 +83,7 @@
 
 /** What a request asks of an endpoint. */
 export function demandOf(
-    { group, promptTokens, prefix, prefixTokens, policy }: Job,
+    { group, promptTokens, prefix, prefixTokens, policy, halls }: Job,
     waitedMs: number,
 ): Demand {
     const { gapTargetMs, objectiveMs, maxWaitMs, weightTail, weightStall, weightPrefix } = policy;
@@ -88,6 +98,7 @@
         weightTail,
         weightStall,
         weightPrefix,
+        ...(halls ? { halls } : {}),
     };
 }
 
@@ -108,21 +119,22 @@
 const CROWDED_SHARE = 0.5;
 
 /**
- * Endpoints that may be given a request at all: they run the model, are not leaving and not ejected. Where more than
- * half of a model's endpoints are ejected, ejection is ignored: the fault is then hardly theirs.
+ * Endpoints that may be given a request at all: they run the model, stand where the request may go, take new work and are
+ * not ejected. Where more than half of a model's endpoints are ejected, ejection is ignored: the fault is then hardly
+ * theirs.
  *
  * @example
  * ```ts
- * usable(views, "m", [], now).length;
+ * usable(views, { model: "m" }, [], now).length;
  * ```
  */
 export function usable(
     views: Iterable<EndpointView>,
-    model: string,
+    wanted: Pick<Demand, "model" | "halls">,
     avoid: readonly string[],
     now: number,
 ): readonly EndpointView[] {
-    const serving = [...views].filter(view => view.leavingBy.length === 0 && view.cfg.models.includes(model));
+    const serving = [...views].filter(view => serves(view, wanted));
     // What cannot be reached stays out, however many they are: a hall may be cut off from the others.
     const cut = cutHalls(serving, now);
     const reachable = serving.filter(view => !isUnreachable(view, now));
@@ -134,6 +146,11 @@
     return fresh.length > 0 ? fresh : kept;
 }
 
+/** Whether an endpoint takes new requests of this kind, as far as it is not a matter of load or failures. */
+export function serves(view: EndpointView, { model, halls }: Pick<Demand, "model" | "halls">): boolean {
+    return takesNew(view) && view.cfg.models.includes(model) && isAllowed(view, halls);
+}
+
 /** Whether no connection to an endpoint came up lately. */
 export function isUnreachable({ breaker }: EndpointView, now: number): boolean {
     return breaker.unreachable === true && !mayUse(breaker, now);
@@ -185,7 +202,7 @@
     const known = [...views];
     const runsAway = hall !== undefined && known.find(view => view.cfg.id === primary)?.cfg.hall !== hall;
     let chosen: { readonly id: string; readonly cost: number } | undefined;
-    for (const view of usable(known, demand.model, [primary], now)) {
+    for (const view of usable(known, demand, [primary], now)) {
         if (view.cfg.id === primary) continue;
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
         const isAway = hall !== undefined && hall !== view.cfg.hall;
@@ -198,7 +215,10 @@
 
 /** How many streams an endpoint may have now, by pace and by how long it has been there. */
 function streamLimit(view: EndpointView, gapTargetMs: number, variant: Variant, now: number): number {
-    const ramp = RAMP_START + (RAMP_FULL - RAMP_START) * Math.max(0, now - view.since) / RAMP_MS;
+    // One that says how long it is cold is used in full as soon as it is warm.
+    const ramp = view.cfg.cold
+        ? RAMP_FULL
+        : RAMP_START + (RAMP_FULL - RAMP_START) * Math.max(0, now - view.since) / RAMP_MS;
     const pace = variant.pace ? batchWithin(view.pace, gapTargetMs) : Number.MAX_SAFE_INTEGER;
     return Math.min(ramp, pace);
 }
--- /dev/null
+++ b/packages/policy/src/cold.ts
@@ -0,0 +1,121 @@
+/**
+ * How many requests go to a cold endpoint: one that has just started, or whose caches are empty, falls over at well above
+ * the rate that is declared for it. The bound holds for the sum over all hosts in any second, also while some of them
+ * cannot hear the others, so no host's share of it may rest on how many hosts it believes to be alive.
+ *
+ * The bound is cut in four. Of each endpoint's second,
+ *
+ * - two quarters are its owner's, who lets others' requests in when they ask: one for it, and one for a host that takes
+ *   itself for the owner while views of the hall differ. Who becomes the owner lets nothing in until what the one before let
+ *   in no longer counts;
+ * - a quarter is for hosts that decide alone, in shares by their place among all that were ever alive at a time, one each
+ *   for the first of them where there are more hosts than requests;
+ * - a quarter is for streams that go on from the copies that the endpoint keeps: at most so many go on there as fit its
+ *   memory, whoever asks for them.
+ *
+ * A host that hears no more than half of the hosts that it has known lets nothing in but such streams: of several parts of a
+ * fleet that cannot hear each other, one at most goes on. Nor does one that has just started: it cannot tell a part of the
+ * fleet from the whole.
+ *
+ * Pure. Times are milliseconds on the scheduler's clock.
+ *
+ * @module
+ */
+import type { EndpointView } from "./endpoint.js";
+import type { SchedulerState } from "./scheduler-state.js";
+
+/** Parts of the bound that are kept apart, as the module's text says. */
+const PARTS = 4;
+/**
+ * What is let in counts for this long: the second that the bound is for, and as much again for a permit (100 ms) and a
+ * connection (500 ms) on their way, so that requests that were let in apart do not arrive together.
+ */
+const COUNTED_MS = 2_000;
+
+/**
+ * A host that starts knows the whole fleet after this, unless it is cut off; then it takes what it hears for the whole. Cuts that
+ * last longer than this and meet a restart of most of a part's hosts are not covered: platforms restart hosts one by one.
+ */
+const LEARNT_MS = 10_000;
+
+/** What this host knows of the hosts that may send to the same endpoints. */
+export interface Fleet {
+    /** When this host first heard of others; undefined before that. */
+    readonly since: number | undefined;
+    /** This host's place among the live hosts, from 0. */
+    readonly place: number;
+    /** Live hosts, this one included. */
+    readonly live: number;
+    /** The most that were alive or named at a time. */
+    readonly most: number;
+}
+
+/** A host that knows of no other. */
+export const ALONE: Fleet = { since: undefined, place: 0, live: 1, most: 1 };
+
+/** Times at which requests were let in, by cold endpoint; the oldest first. */
+export type LetIn = ReadonlyMap<string, readonly number[]>;
+
+/** Whether an endpoint is cold at a time. */
+export function isCold({ cfg }: EndpointView, now: number): boolean {
+    return cfg.cold !== undefined && now < cfg.cold.until;
+}
+
+/**
+ * Requests that a host may let into a cold endpoint within {@link COUNTED_MS}.
+ *
+ * @param perS The bound over all hosts, in requests a second.
+ * @param ownedSince Since when this host has owned the endpoint; undefined where another does.
+ *
+ * @example
+ * ```ts
+ * allowance(44, { since: 0, place: 3, live: 66, most: 66 }, undefined, 20_000); // 1
+ * allowance(44, { since: 0, place: 40, live: 66, most: 66 }, undefined, 20_000); // 0
+ * ```
+ */
+export function allowance(perS: number, fleet: Fleet, ownedSince: number | undefined, now: number): number {
+    const { since, place, live, most } = fleet;
+    if (since === undefined || now - since < LEARNT_MS || 2 * live <= most) return 0;
+    const part = Math.floor(perS / PARTS);
+    if (ownedSince !== undefined) return now - ownedSince < COUNTED_MS ? 0 : part;
+    return Math.floor(part / most) + (place < part % most ? 1 : 0);
+}
+
+/**
+ * Whether this host may send a request to an endpoint now, or let another host's in as its owner: always where it is warm.
+ *
+ * @example
+ * ```ts
+ * const open = views.filter(view => mayLetIn(state, view, now));
+ * ```
+ */
+export function mayLetIn(
+    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+    view: EndpointView,
+    now: number,
+): boolean {
+    if (!isCold(view, now)) return true;
+    const { id, cold } = view.cfg;
+    const counted = (state.letIn.get(id) ?? []).filter(at => now - at < COUNTED_MS);
+    return counted.length < allowance(cold!.perS, state.fleet, state.ownedSince.get(id), now);
+}
+
+/** What was let in, with one more request to an endpoint; the same value where it is warm. */
+export function withLetIn(letIn: LetIn, view: EndpointView | undefined, now: number): LetIn {
+    if (!view || !isCold(view, now)) return letIn;
+    const counted = [...letIn].map(([id, times]) => [id, times.filter(at => now - at < COUNTED_MS)] as const)
+        .filter(([, times]) => times.length > 0);
+    const next = new Map(counted);
+    return next.set(view.cfg.id, [...next.get(view.cfg.id) ?? [], now]);
+}
+
+/**
+ * Whether a stream may go on from the copy that an endpoint keeps: while it is cold, only if all copies that it can hold may go
+ * on within one second.
+ *
+ * @param promptTokens Prompt of the stream, which its copy holds at least.
+ */
+export function mayGoOnAt(view: EndpointView, promptTokens: number, now: number): boolean {
+    if (!isCold(view, now)) return true;
+    return view.cfg.memoryTokens / Math.max(1, promptTokens) <= view.cfg.cold!.perS / PARTS;
+}
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { backUp, backUpAt, evacuate, evacuateAt, runningOf } from "./carry.js";
-import { usable, wantedOf } from "./choose.js";
+import { demandOf, usable, wantedOf } from "./choose.js";
 import type { EndpointView } from "./endpoint.js";
 import { knownLength, type Survival, survivalOf } from "./estimate.js";
 import { type Job, PRIORITY_RANK } from "./job.js";
@@ -65,7 +65,7 @@
     const found = runningOf(state, job);
     if (!found || !alwaysAsksOwners(state) || state.owned.size > 0) return undefined;
     const { from, running } = found;
-    const views = usable(state.endpoints.values(), running.job.group.model, [from], now);
+    const views = usable(state.endpoints.values(), demandOf(running.job, 0), [from], now);
     const question = {
         ...wantedOf(running.job, running.survival),
         curve: running.curve,
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -19,6 +19,18 @@
     readonly hall: string;
     readonly models: readonly string[];
     readonly memoryTokens: number;
+    /** Whether the operator has evacuated its hall: nothing new goes there, what runs there runs on. */
+    readonly isEvacuated?: boolean | undefined;
+    /** What it bears while it is cold; undefined where nothing is declared of that. */
+    readonly cold?: ColdCfg | undefined;
+}
+
+/** What is declared of a cold endpoint. */
+export interface ColdCfg {
+    /** When it is warm; -Infinity where it is not cold. */
+    readonly until: number;
+    /** Requests that it may be sent in any second by all hosts together. */
+    readonly perS: number;
 }
 
 /** One of this host's streams on an endpoint. */
@@ -297,3 +309,20 @@
     const others = view.leavingBy.filter(other => other !== source);
     return { ...view, leavingBy: leaving ? [...others, source] : others };
 }
+
+/**
+ * Whether an endpoint takes new work at all: it is declared, is not about to leave, and its hall is not evacuated.
+ *
+ * @example
+ * ```ts
+ * const open = views.filter(takesNew);
+ * ```
+ */
+export function takesNew({ cfg, leavingBy }: EndpointView): boolean {
+    return leavingBy.length === 0 && cfg.models.length > 0 && cfg.isEvacuated !== true;
+}
+
+/** Whether an endpoint may serve a request by the halls that are allowed to it. */
+export function isAllowed({ cfg }: EndpointView, halls: readonly string[] | undefined): boolean {
+    return halls === undefined || halls.includes(cfg.hall);
+}
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -39,6 +39,8 @@
     readonly policy: JobPolicy;
     /** Whether losing its endpoint midway would lose so much that a copy is worth its memory. */
     readonly backUp?: boolean | undefined;
+    /** Halls whose endpoints may serve it; all where it is absent. */
+    readonly halls?: readonly string[] | undefined;
     /** Whether it may end the endpoint that runs it: it is begun where the least else would be lost. */
     readonly isSuspect?: boolean | undefined;
     /** Tokens in each piece of the stream; 1 where it is absent. */
--- a/packages/policy/src/owner-answers.ts
+++ b/packages/policy/src/owner-answers.ts
@@ -5,9 +5,10 @@
  */
 import { onUse } from "./breaker.js";
 import { backUpAt } from "./carry.js";
+import { mayLetIn } from "./cold.js";
 import { dispatch, lengthsOf, send, standbyAnswered, without } from "./dispatch.js";
-import { addStream, type EndpointView } from "./endpoint.js";
-import { takeBack } from "./place.js";
+import { addStream, takesNew } from "./endpoint.js";
+import { letIntoPlaced, takeBack } from "./place.js";
 import { type Decision, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
 import { setIn } from "./shard-map.js";
 import { drain } from "./waiting.js";
@@ -24,7 +25,7 @@
     const back = takeBack(state, job, now);
     const { waiting } = asked;
     const view = endpoint === undefined ? undefined : back.endpoints.get(endpoint);
-    if (endpoint === undefined || !view || isClosed(view)) {
+    if (endpoint === undefined || !view || !takesNew(view)) {
         const later = endpoint === undefined ? { ...waiting, noRoomAt: now } : waiting;
         return drain({ ...back, waiting: [...back.waiting, later] }, now);
     }
@@ -39,16 +40,13 @@
         : send(backUpAt(placed, job, endpoint, standby), waiting.job, endpoint, standby);
 }
 
-function isClosed(view: EndpointView): boolean {
-    return view.leavingBy.length > 0 || view.cfg.models.length === 0;
-}
-
-/** Decides alone on a request whose owner does not answer; never for an endpoint that is leaving by now. */
+/** Decides alone on a request whose owner does not answer; never for an endpoint that takes nothing new by now. */
 export function decideAlone(state: SchedulerState, job: string, now: number): Decision {
     const { waiting, endpoint } = state.asked.get(job)!;
     const view = state.endpoints.get(endpoint);
-    if (view && !isClosed(view)) {
-        return dispatch({ ...state, asked: without(state.asked, job) }, waiting.job, endpoint, now);
+    if (view && takesNew(view) && mayLetIn(state, view, now)) {
+        const sent = letIntoPlaced({ ...state, asked: without(state.asked, job) }, endpoint, now);
+        return dispatch(sent, waiting.job, endpoint, now);
     }
     const back = takeBack(state, job, now);
     return drain({ ...back, waiting: [...back.waiting, waiting] }, now);
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -7,6 +7,7 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onUnused, onUse } from "./breaker.js";
 import { assess, type Candidate, usable, wantedOf } from "./choose.js";
+import { mayLetIn, withLetIn } from "./cold.js";
 import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
 import { addStream, removeStream, streamCount } from "./endpoint.js";
 import type { Variant } from "./job.js";
@@ -23,8 +24,9 @@
     if (noRoomAt !== undefined && now - noRoomAt < ASK_AGAIN_MS) return undefined;
     const survival = lengthsOf(state, job);
     const wanted = wantedOf(job, survival, now - waiting.since);
-    const views = usable(state.endpoints.values(), job.group.model, waiting.avoid, now);
-    const candidates = views.map(view => assess(view, wanted, state, now))
+    const views = usable(state.endpoints.values(), wanted.demand, waiting.avoid, now);
+    const candidates = views.filter(view => mayLetIn(state, view, now))
+        .map(view => assess(view, wanted, state, now))
         .filter(candidate => candidate !== undefined);
     const pick = job.isSuspect ? quietest(state) : PICK[state.variant.choice];
     const chosen = candidates.length > 0 ? pick(candidates, state.turn) : undefined;
@@ -41,7 +43,7 @@
         breaker: onUse(view.breaker),
     }));
     const next = { ...added, turn: state.turn + 1, placed: setIn(state.placed, job.id, id) };
-    if (!mustAsk) return dispatch(next, job, id, now);
+    if (!mustAsk) return dispatch(letIntoPlaced(next, id, now), job, id, now);
     const asked = new Map(state.asked).set(job.id, { waiting, endpoint: id, at: now });
     const question = {
         ...wanted,
@@ -52,6 +54,11 @@
     return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
 }
 
+/** The state after a request was sent to an endpoint by this host's own decision. */
+export function letIntoPlaced(state: SchedulerState, endpoint: string, now: number): SchedulerState {
+    return { ...state, letIn: withLetIn(state.letIn, state.endpoints.get(endpoint), now) };
+}
+
 /** The state without a request that an owner was asked about. */
 export function takeBack(state: SchedulerState, job: string, now: number): SchedulerState {
     const asked = state.asked.get(job);
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { serves } from "./choose.js";
 import { nextReturn, roomIn } from "./forecast.js";
 import type { Job } from "./job.js";
 import type { Waiting } from "./queue.js";
@@ -27,9 +28,8 @@
 
 /** Whether any endpoint runs the model and takes new work. */
 export function isServed(state: SchedulerState, job: Job): boolean {
-    return state.endpoints.values().some(view =>
-        view.leavingBy.length === 0 && view.cfg.models.includes(job.group.model)
-    );
+    const { group: { model }, halls } = job;
+    return state.endpoints.values().some(view => serves(view, { model, halls }));
 }
 
 /** Refuses a request that no endpoint serves. */
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ALONE, type Fleet, type LetIn } from "./cold.js";
 import { EndpointTable } from "./endpoint-table.js";
 import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others } from "./endpoint.js";
 import { createEstimates, type Estimates } from "./estimate.js";
@@ -36,6 +37,12 @@
     readonly backedUp: ShardMap<string>;
     /** Endpoints that this host owns. */
     readonly owned: ReadonlySet<string>;
+    /** Since when it has owned each of them. */
+    readonly ownedSince: ReadonlyMap<string, number>;
+    /** What this host knows of the hosts that share its endpoints; other than `hosts`, what it has once known counts. */
+    readonly fleet: Fleet;
+    /** What this host has let into cold endpoints. */
+    readonly letIn: LetIn;
     /** Requests whose endpoint's owner was asked and has not answered. */
     readonly asked: ReadonlyMap<string, Asked>;
     /** Running requests for which an owner was asked who keeps their copy. */
@@ -66,8 +73,10 @@
     | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
     | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
     | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
-    /** How many hosts of the hall are alive. */
-    | { readonly kind: "hosts"; readonly count: number }
+    /** How many hosts of the hall are alive, this host's place among them, and how many more are named and not heard of. */
+    | { readonly kind: "hosts"; readonly count: number; readonly place?: number; readonly unheard?: number }
+    /** As an owner, this host has let another host's request into an endpoint. */
+    | { readonly kind: "letIn"; readonly endpoint: string }
     /** Which endpoints this host owns. */
     | { readonly kind: "owns"; readonly endpoints: readonly string[] }
     /** An owner's word on a request: where it goes and who keeps its copy; no endpoint where none has room. */
@@ -175,6 +184,9 @@
         placed: emptyMap(),
         backedUp: emptyMap(),
         owned: new Set(),
+        ownedSince: new Map(),
+        fleet: ALONE,
+        letIn: new Map(),
         asked: new Map(),
         askedStandby: new Map(),
         turn: seed,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -9,6 +9,7 @@
 import { onResult, onUnreachable } from "./breaker.js";
 import { dropBackup, evacuate } from "./carry.js";
 import { BACKUP_ROOM_SHARE, EVACUATION_ROOM_SHARE } from "./choose.js";
+import { mayGoOnAt, withLetIn } from "./cold.js";
 import { askStandby, decideStandbyAlone, dispatch, wantsBackup } from "./dispatch.js";
 import { EndpointTable } from "./endpoint-table.js";
 import { createEndpoint, promoteBackup, removeStream, setLeaving, takeOthers, takeReport } from "./endpoint.js";
@@ -94,8 +95,19 @@
         if (state.variant.share === "owner" && state.hosts > 1) return { state, actions: [] };
         return drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now);
     },
-    hosts: (state, { count }) => ({ state: { ...state, hosts: count }, actions: [] }),
-    owns: (state, { endpoints }) => ({ state: { ...state, owned: new Set(endpoints) }, actions: [] }),
+    hosts: (state, { count, place = 0, unheard = 0 }, now) => {
+        const { since = now, most } = state.fleet;
+        const fleet = { since, place, live: count, most: Math.max(most, count + unheard) };
+        return { state: { ...state, hosts: count, fleet }, actions: [] };
+    },
+    letIn: (state, { endpoint }, now) => {
+        const letIn = withLetIn(state.letIn, state.endpoints.get(endpoint), now);
+        return { state: { ...state, letIn }, actions: [] };
+    },
+    owns: (state, { endpoints }, now) => {
+        const ownedSince = new Map(endpoints.map(id => [id, state.ownedSince.get(id) ?? now]));
+        return { state: { ...state, owned: new Set(endpoints), ownedSince }, actions: [] };
+    },
     answer: answered,
     others: (state, { endpoint, others }, now) =>
         drain(withView(state, endpoint, view => takeOthers(view, others, now)), now),
@@ -143,8 +155,11 @@
 function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
     const source = getIn(state.placed, job);
     const standby = getIn(state.backedUp, job);
-    const running = standby === undefined ? undefined : state.endpoints.get(standby)?.backups.get(job);
-    if (source === undefined || standby === undefined || !running || !isServed(state, running.job)) {
+    const keeper = standby === undefined ? undefined : state.endpoints.get(standby);
+    const running = keeper?.backups.get(job);
+    const isOpen = keeper !== undefined && running !== undefined && keeper.cfg.isEvacuated !== true
+        && mayGoOnAt(keeper, running.job.promptTokens, now);
+    if (source === undefined || standby === undefined || !isOpen || !isServed(state, running.job)) {
         return { state, actions: [refuse(job, "noEndpoint", "no endpoint keeps a copy", NO_ENDPOINT_RETRY_MS)] };
     }
     const left = withView(state, source, view => ({
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -137,6 +137,8 @@
         readonly deployment: string;
         /** Start of the keys of endpoints; what follows is the endpoint's id. */
         readonly endpoints: string;
+        /** Start of the keys of evacuations; what follows is the hall's name. A key that stands is an order, whatever it holds. */
+        readonly evacuations: string;
     };
     decodeDeployment(text: string): Decoded<Deployment, DecodeError>;
     decodeEndpoint(id: string, text: string): Decoded<EndpointEntry, DecodeError>;
--- a/packages/routes/src/deployment.ts
+++ b/packages/routes/src/deployment.ts
@@ -47,6 +47,8 @@
     readonly isPublic: boolean;
     /** Whether a stream may run more than once, and a new run may continue it at an event that the caller names. */
     readonly resumable: boolean;
+    /** Regions whose endpoints may serve its calls; undefined where all may. */
+    readonly homes: readonly string[] | undefined;
     readonly services: readonly WeightedService[];
 }
 
@@ -74,6 +76,10 @@
     readonly name: string;
     /** Connections that one endpoint accepts from all callers together. */
     readonly maxConnections: number;
+    /** How long an endpoint is cold from its start where it does not say so itself, in milliseconds. */
+    readonly coldMs: number;
+    /** Requests that a cold endpoint bears in a second; undefined where none is declared. */
+    readonly coldPerS: number | undefined;
     /** Undefined for plain services. */
     readonly engine: EngineCfg | undefined;
 }
@@ -94,6 +100,8 @@
     readonly keys: readonly string[];
     /** Goes before a route's rank where it is given. */
     readonly rank: number | undefined;
+    /** Regions whose endpoints may serve its calls, besides what their route says; undefined where all may. */
+    readonly homes: readonly string[] | undefined;
 }
 
 /** Everything that is declared, at one version. */
@@ -121,8 +129,8 @@
     readonly hall: string;
     readonly slots: number;
     readonly state: EndpointState;
-    /** How much longer it was slow when it registered, in milliseconds. */
-    readonly coldMs: number;
+    /** How much longer it was cold when it registered, in milliseconds; undefined where it has not said so. */
+    readonly coldMs: number | undefined;
     /** Version of its software. */
     readonly software: string;
 }
--- a/packages/routes/src/endpoint-list.ts
+++ b/packages/routes/src/endpoint-list.ts
@@ -16,7 +16,7 @@
     hall: Type.String(),
     slots: Type.Number({ minimum: 0 }),
     state: Type.Union([Type.Literal(EndpointState.Ready), Type.Literal(EndpointState.Leaving)]),
-    coldMs: Type.Number({ minimum: 0 }),
+    coldMs: Type.Optional(Type.Number({ minimum: 0 })),
     software: Type.String(),
 });
 const check = TypeCompiler.Compile(Entry);
@@ -63,7 +63,7 @@
     const value: EndpointEntry[] = [];
     const bad: BadEndpoint[] = [];
     list.forEach((item: unknown, at) => {
-        if (check.Check(item)) return void value.push({ ...item, born: item.born });
+        if (check.Check(item)) return void value.push({ ...item, born: item.born, coldMs: item.coldMs });
         const first = check.Errors(item).First();
         bad.push({ at: `/${at}${first?.path ?? ""}`, detail: first?.message ?? "not as expected" });
     });
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -17,6 +17,7 @@
     readEndpoints,
     writeEndpoints,
 } from "./endpoint-list.js";
+export { type HallChange, type HallOrders, NO_ORDERS, orderHall, replaceOrders } from "./evacuation.js";
 export { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
 export {
     adoptEndpoints,
@@ -34,3 +35,4 @@
     storeFailed,
 } from "./registry.js";
 export { pickService, RouteTable } from "./route-table.js";
+export { warmAt } from "./warmth.js";
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -12,6 +12,7 @@
  * @module
  */
 import { type EndpointEntry, EndpointState } from "./deployment.js";
+import { type HallChange, type HallOrders, NO_ORDERS, orderHall, replaceOrders } from "./evacuation.js";
 import { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
 
 /** Registrations of servers that live are back within about two seconds of the store's return (letter 2). */
@@ -22,6 +23,8 @@
     readonly entry: EndpointEntry;
     /** When its registration vanished for a reason that may be the store's; undefined while it stands. */
     readonly lapsedAt: number | undefined;
+    /** When its registration was last heard to say what it says of its state and warmth. */
+    readonly saidAt: number;
 }
 
 /** All endpoints, and what is known of the store that names them. */
@@ -36,6 +39,8 @@
     readonly storeAway: boolean;
     /** When the store came back last; undefined if it was never away. */
     readonly storeBackAt: number | undefined;
+    /** Halls that take nothing new. */
+    readonly halls: HallOrders;
 }
 
 /** An endpoint whose registration is gone. */
@@ -49,8 +54,9 @@
 /** Departed endpoints are remembered for as long as they may still finish what they run. */
 export const DEPARTED_KEPT_MS = 30_000;
 
-/** What became of an endpoint's registration. */
+/** What became of an endpoint's registration, or of a hall's evacuation. */
 export type RegistryChange =
+    | HallChange
     | { readonly kind: "registered"; readonly entry: EndpointEntry }
     /** It was deleted, or ran out. */
     | { readonly kind: "gone"; readonly id: string }
@@ -64,6 +70,7 @@
     latest: new Map(),
     storeAway: false,
     storeBackAt: undefined,
+    halls: NO_ORDERS,
 };
 
 /** The registry when a call to the store failed. */
@@ -91,8 +98,13 @@
  * ```
  */
 export function applyChanges(registry: Registry, changes: readonly RegistryChange[], now: number): Registry {
-    const next = changes.reduce((draft, change) => applyChange(draft, change, now), draftOf(registry));
-    return withEndpoints(registry, next, now);
+    const isOrder = (change: RegistryChange): change is HallChange =>
+        change.kind === "evacuated" || change.kind === "reopened";
+    const orders = changes.filter(isOrder);
+    const halls = orders.reduce((sum, change) => orderHall(sum, change, now), registry.halls);
+    const draft = draftOf(registry);
+    for (const change of changes) if (!isOrder(change)) applyChange(draft, change, now);
+    return withEndpoints({ ...registry, halls }, draft, now);
 }
 
 /** What changes while changes are taken in, one after another. */
@@ -106,16 +118,13 @@
     return { registry, endpoints: new Map(registry.endpoints), latest: new Map(registry.latest) };
 }
 
-function applyChange(draft: Draft, change: RegistryChange, now: number): Draft {
-    if (change.kind === "registered") register(draft, change.entry);
-    else {
-        const known = draft.latest.get(change.id);
-        if (known) vanish(draft, known.incarnation, change.kind === "gone", now);
-    }
-    return draft;
+function applyChange(draft: Draft, change: Exclude<RegistryChange, HallChange>, now: number): void {
+    if (change.kind === "registered") return register(draft, change.entry, now);
+    const known = draft.latest.get(change.id);
+    if (known) vanish(draft, known.incarnation, change.kind === "gone", now);
 }
 
-function register({ endpoints, latest }: Draft, entry: EndpointEntry): void {
+function register({ registry, endpoints, latest }: Draft, entry: EndpointEntry, now: number): void {
     const known = latest.get(entry.id);
     const order = known ? compareLives(entry, known) : LifeOrder.Later;
     if (order === LifeOrder.Earlier) return;
@@ -124,10 +133,16 @@
         ? { ...entry, incarnation: known.incarnation, born: known.born ?? entry.born }
         : entry;
     if (known && order === LifeOrder.Later) endpoints.delete(known.incarnation);
-    endpoints.set(taken.incarnation, { entry: taken, lapsedAt: undefined });
+    endpoints.set(taken.incarnation, { entry: taken, lapsedAt: undefined, saidAt: saidAt(registry, taken, now) });
     latest.set(taken.id, taken);
 }
 
+/** A registration that is told again says nothing new. */
+function saidAt({ endpoints }: Registry, { incarnation, coldMs, state }: EndpointEntry, now: number): number {
+    const known = endpoints.get(incarnation);
+    return known && known.entry.coldMs === coldMs && known.entry.state === state ? known.saidAt : now;
+}
+
 function vanish({ registry, endpoints }: Draft, incarnation: string, mayLapse: boolean, now: number): void {
     const known = endpoints.get(incarnation);
     if (!known || mayLapse && known.lapsedAt !== undefined) return;
@@ -160,16 +175,19 @@
  * The registry after all registrations were read: what is not among them has vanished.
  *
  * @param unreadable Ids of endpoints whose registrations stand there and cannot be read.
+ * @param evacuated Halls whose evacuation stands there.
  */
 export function replaceAll(
     registry: Registry,
     entries: readonly EndpointEntry[],
     unreadable: readonly string[],
+    evacuated: readonly string[],
     now: number,
 ): Registry {
+    const halls = replaceOrders(registry.halls, evacuated, now);
     const present = new Set([...entries.map(({ id }) => id), ...unreadable]);
     const missing = [...registry.endpoints.values()].filter(({ entry }) => !present.has(entry.id));
-    return applyChanges(registry, [
+    return applyChanges({ ...registry, halls }, [
         ...missing.map(({ entry: { id } }): RegistryChange => ({ kind: "gone", id })),
         ...unreadable.map((id): RegistryChange => ({ kind: "unreadable", id })),
         ...entries.map((entry): RegistryChange => ({ kind: "registered", entry })),
@@ -180,15 +198,21 @@
  * The registry with the endpoints of a host that the store answers, taken over as they are: which of them have lapsed was
  * judged there. Where a later life is known here than there, it stays.
  */
-export function adoptEndpoints(registry: Registry, entries: readonly EndpointEntry[], now: number): Registry {
+export function adoptEndpoints(
+    registry: Registry,
+    entries: readonly EndpointEntry[],
+    evacuated: readonly string[],
+    now: number,
+): Registry {
+    const halls = replaceOrders(registry.halls, evacuated, now);
     const draft: Draft = { registry, endpoints: new Map(), latest: new Map(registry.latest) };
     for (const entry of entries) {
-        register(draft, entry);
+        register(draft, entry, now);
         const latest = draft.latest.get(entry.id)!;
         const known = registry.endpoints.get(latest.incarnation);
         if (known && !draft.endpoints.has(latest.incarnation)) draft.endpoints.set(latest.incarnation, known);
     }
-    return withEndpoints(registry, draft, now);
+    return withEndpoints({ ...registry, halls }, draft, now);
 }
 
 /**
@@ -203,10 +227,17 @@
 export function meetLife(registry: Registry, life: Life, now: number): Registry {
     const known = registry.latest.get(life.id);
     if (!known || compareLives(life, known) !== LifeOrder.Later) return registry;
-    const entry = { ...known, ...life, incarnation: nameOfLife(life), state: EndpointState.Ready };
+    // How cold it is, the later life has not said.
+    const entry = {
+        ...known,
+        ...life,
+        incarnation: nameOfLife(life),
+        state: EndpointState.Ready,
+        coldMs: undefined,
+    };
     const draft = draftOf(registry);
     // Of one that has departed no more is learnt than that its earlier life is over.
-    if (draft.endpoints.has(known.incarnation)) register(draft, entry);
+    if (draft.endpoints.has(known.incarnation)) register(draft, entry, now);
     else draft.latest.set(life.id, entry);
     return withEndpoints(registry, draft, now);
 }
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -33,6 +33,7 @@
         attempts: 1,
         isPublic: false,
         resumable: false,
+        homes: undefined,
         services: [{ service: "app", weight: 1 }],
     };
 }
@@ -41,9 +42,9 @@
     return {
         version: 3,
         routes,
-        services: [{ name: "app", maxConnections: 10, engine: undefined }],
+        services: [{ name: "app", maxConnections: 10, coldMs: 0, coldPerS: undefined, engine: undefined }],
         limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
-        workspaces: [{ name: "payroll", keys: ["k1", "k2"], rank: undefined }],
+        workspaces: [{ name: "payroll", keys: ["k1", "k2"], rank: undefined, homes: undefined }],
     };
 }
 
@@ -98,7 +99,7 @@
 }
 
 function registryOf(...ids: readonly string[]): Registry {
-    return replaceAll(EMPTY_REGISTRY, ids.map(id => entryOf(id)), [], 0);
+    return replaceAll(EMPTY_REGISTRY, ids.map(id => entryOf(id)), [], [], 0);
 }
 
 function namesOf(registry: Registry): readonly string[] {
@@ -145,8 +146,11 @@
 });
 
 test("what a full read lacks has vanished, by the same rules", t => {
-    t.deepEqual(namesOf(replaceAll(registryOf("i-1", "i-2"), [entryOf("i-2")], [], 5)), ["i-2"]);
-    t.deepEqual(namesOf(replaceAll(storeFailed(registryOf("i-1", "i-2")), [entryOf("i-2")], [], 5)), ["i-1", "i-2"]);
+    t.deepEqual(namesOf(replaceAll(registryOf("i-1", "i-2"), [entryOf("i-2")], [], [], 5)), ["i-2"]);
+    t.deepEqual(namesOf(replaceAll(storeFailed(registryOf("i-1", "i-2")), [entryOf("i-2")], [], [], 5)), [
+        "i-1",
+        "i-2",
+    ]);
 });
 
 /** A registry with one endpoint, in the life that began then. */
@@ -166,8 +170,8 @@
     const early = entryOf("i-1", EndpointState.Leaving, 1_000);
     const later = livingSince(2_000);
     t.deepEqual(namesOf(registered(later, early)), ["i-1@2000"]);
-    t.deepEqual(namesOf(replaceAll(later, [early], [], 5)), ["i-1@2000"]);
-    t.deepEqual(namesOf(adoptEndpoints(later, [early], 5)), ["i-1@2000"]);
+    t.deepEqual(namesOf(replaceAll(later, [early], [], [], 5)), ["i-1@2000"]);
+    t.deepEqual(namesOf(adoptEndpoints(later, [early], [], 5)), ["i-1@2000"]);
     t.deepEqual(namesOf(registered(gone(later, "i-1", 5), early, 6)), []);
 });
 
@@ -203,6 +207,6 @@
     const unreadable = applyChanges(away, [{ kind: "unreadable", id: "i-1" }], 5);
     t.deepEqual(namesOf(unreadable), []);
     t.false(unreadable.departed.get("i-1@1000")?.isOver);
-    t.deepEqual(namesOf(replaceAll(away, [], ["i-1"], 5)), []);
+    t.deepEqual(namesOf(replaceAll(away, [], ["i-1"], [], 5)), []);
     t.deepEqual(namesOf(registered(unreadable, entryOf("i-1", EndpointState.Ready, 1_000), 6)), ["i-1@1000"]);
 });
