--- /dev/null
+++ b/packages/cli/src/endpoints.ts
@@ -0,0 +1,34 @@
+/**
+ * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold.
+ *
+ * @module
+ */
+import { call, type ClientCfg } from "./client.js";
+import { Exit, messageOf, type Outcome, said, tableOf } from "./output.js";
+
+/** An endpoint, as a host tells it. */
+interface ListedEndpoint {
+    readonly endpoint: string;
+    readonly hall: string;
+    readonly takesNew: boolean;
+    readonly hallEvacuated: boolean;
+    readonly coldForMs: number;
+    readonly running: number;
+}
+
+/** Lists endpoints by what a host knows. */
+export async function listEndpoints(client: ClientCfg): Promise<Outcome> {
+    const result = await call(client, "GET", "/endpoints");
+    if (result.kind !== "answer") return said(Exit.Failed, result.detail);
+    if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
+    const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
+    const rows = endpoints.map(({ endpoint, hall, takesNew, hallEvacuated, coldForMs, running }) => [
+        endpoint,
+        hall,
+        hallEvacuated ? "hall evacuated" : takesNew ? "open" : "leaving",
+        coldForMs > 0 ? `cold for ${coldForMs} ms` : "warm",
+        String(running),
+    ]);
+    const text = tableOf(["endpoint", "hall", "new work", "warmth", "running here"], rows);
+    return { exit: Exit.Done, text, data: endpoints };
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { SingleBar } from "cli-progress";
 import sade from "sade";
 import type { ClientCfg } from "./client.js";
+import { listEndpoints } from "./endpoints.js";
 import { explain } from "./explain.js";
 import { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 import { losses, MOMENT_S } from "./losses.js";
@@ -178,6 +179,9 @@
     .option("--step", "Length of a moment, in seconds", MOMENT_S)
     .example("losses host-a.log host-b.log --step 2")
     .action((flags: Flags) => finish(flags, () => losses(filesOf(flags), Number(flags.step))));
+program.command("endpoints", "List the endpoints that a host knows, evacuated halls and cold ones among them")
+    .example("endpoints --hosts http://10.0.0.1:8749")
+    .action((flags: Flags) => finish(flags, () => listEndpoints(clientOf(flags))));
 program.command("quarantine list", "List the requests that ended endpoints, by what a host knows")
     .example("quarantine list --hosts http://10.0.0.1:8749")
     .action((flags: Flags) => finish(flags, () => listQuarantine(clientOf(flags))));
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -61,3 +61,9 @@
     if (before === undefined) return `+ ${key} = ${after}`;
     return after === undefined ? `- ${key} = ${before}` : `~ ${key} = ${before} -> ${after}`;
 }
+
+/** What a host says of its own error. */
+export function messageOf(body: Record<string, unknown>): string {
+    const { error } = body as { readonly error?: { readonly message?: string } };
+    return error?.message ?? "the host answered with an error";
+}
--- a/packages/cli/src/quarantine.ts
+++ b/packages/cli/src/quarantine.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { call, type ClientCfg } from "./client.js";
-import { Exit, type Outcome, said, tableOf } from "./output.js";
+import { Exit, messageOf, type Outcome, said, tableOf } from "./output.js";
 
 /** An ending, as a host tells it. */
 interface ListedEnding {
@@ -55,8 +55,3 @@
     const by = req === undefined ? "" : `, request ${req}`;
     return `${endpoint} ${Math.round(ageMs / MS_PER_SECOND)} s ago${by}`;
 }
-
-function messageOf(body: Record<string, unknown>): string {
-    const { error } = body as { readonly error?: { readonly message?: string } };
-    return error?.message ?? "the host answered with an error";
-}
--- /dev/null
+++ b/packages/host/src/endpoints-api.ts
@@ -0,0 +1,56 @@
+/**
+ * What operators may ask of the endpoints that a gateway knows: which of them take new work, which halls are evacuated, and
+ * which endpoints are cold and for how long.
+ *
+ * @module
+ */
+import { type EndpointView, isCold, takesNew } from "@drumpaddle/policy";
+import type { FastifyInstance } from "fastify";
+import type { Placement } from "./placement.js";
+import type { Allow } from "./quarantine-api.js";
+
+/** An endpoint, as operators are told of it. */
+export interface ListedEndpoint {
+    readonly endpoint: string;
+    readonly hall: string;
+    readonly takesNew: boolean;
+    readonly hallEvacuated: boolean;
+    /** How much longer it is taken for cold, in milliseconds; 0 where it is warm or nothing bounds a cold one. */
+    readonly coldForMs: number;
+    /** Calls of this host that run there. */
+    readonly running: number;
+}
+
+/**
+ * An endpoint as operators are told of it.
+ *
+ * @example
+ * ```ts
+ * listed(view, clock.now()).coldForMs;
+ * ```
+ */
+export function listed(view: EndpointView, now: number): ListedEndpoint {
+    const { id, hall, isEvacuated = false, cold } = view.cfg;
+    return {
+        endpoint: id,
+        hall,
+        takesNew: takesNew(view),
+        hallEvacuated: isEvacuated,
+        coldForMs: isCold(view, now) ? Math.round(cold!.until - now) : 0,
+        running: view.streams.size,
+    };
+}
+
+/** Adds the call to a server. */
+export function serveEndpoints(
+    app: FastifyInstance,
+    placements: readonly Placement[],
+    now: () => number,
+    allow: Allow,
+): void {
+    app.get("/endpoints", (req, reply) => {
+        if (!allow(req, reply, "read")) return reply;
+        const views = placements.flatMap(({ view }) => view.endpoints.values());
+        return reply.send({ endpoints: views.map(view => listed(view, now())) });
+    });
+}
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -34,6 +34,7 @@
 import { DeploymentFeed } from "./deployment-feed.js";
 import { EndingWatch } from "./ending-watch.js";
 import { EndpointConnections } from "./endpoint-connections.js";
+import { serveEndpoints } from "./endpoints-api.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
 import { OpenRuns } from "./host.js";
@@ -208,7 +209,9 @@
     // Without a call a wake is noticed by the next of these.
     repeat(() => void clock.now(), () => LOOK_AT_CLOCK_MS, signal);
     const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
-    serveQuarantine(operators, guard, allowSecrets(cfg["peers.secrets"]));
+    const allow = allowSecrets(cfg["peers.secrets"]);
+    serveQuarantine(operators, guard, allow);
+    serveEndpoints(operators, [engines, plain], () => clock.now(), allow);
     const bounds = { over: cfg["forward.cold-over"], slack: cfg["forward.cold-slack"] };
     const declare = (): void => {
         if (known && feed.table) declareEndpoints(feed.table, known, bounds, engines, plain);
