--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -40,6 +40,12 @@
 const GUARD = "packages/host/src/request-guard.ts";
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
+const ENDPOINT = "packages/policy/src/endpoint.ts";
+const COLD_SOURCE = "packages/policy/src/cold.ts";
+const COLD = "packages/policy/test/cold.test.ts";
+const COLD_FLEET = "packages/hall/test/cold.test.ts";
+const EVACUATION = "platform/test/evacuation.test.ts";
+const ORDERS = "packages/routes/test/evacuation.test.ts";
 const PROOF = "packages/request/src/proof.ts";
 
 const MUTATIONS: readonly Mutation[] = [
@@ -101,15 +107,64 @@
     },
     {
         promise: "a leaving endpoint gets nothing new",
-        file: "packages/policy/src/choose.ts",
-        find: "view.leavingBy.length === 0 && view.cfg.models",
-        replace: "view.cfg.models",
+        file: ENDPOINT,
+        find: "leavingBy.length === 0 && cfg.models.length > 0",
+        replace: "cfg.models.length > 0",
         tests: [POLICY],
     },
+    {
+        promise: "an evacuated hall gets nothing new",
+        file: ENDPOINT,
+        find: " && cfg.isEvacuated !== true",
+        replace: "",
+        tests: [EVACUATION],
+    },
+    {
+        promise: "nor a stream that goes on from its copy there",
+        file: "packages/policy/src/scheduler.ts",
+        find: " && keeper.cfg.isEvacuated !== true",
+        replace: "",
+        tests: [COLD],
+    },
+    {
+        promise: "what a peer tells of evacuations counts",
+        file: "packages/host/src/deployment-feed.ts",
+        find: "adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now())",
+        replace: "adoptEndpoints(this.registry, entries, [], this.deps.clock.now())",
+        tests: [EVACUATION],
+    },
+    {
+        promise: "all hosts together keep to what a cold endpoint bears",
+        file: COLD_SOURCE,
+        find: " || 2 * live <= most",
+        replace: "",
+        tests: [COLD, COLD_FLEET],
+    },
+    {
+        promise: "nor does a host that has just started let anything in there",
+        file: COLD_SOURCE,
+        find: "const LEARNT_MS = 10_000;",
+        replace: "const LEARNT_MS = 0;",
+        tests: [COLD],
+    },
+    {
+        promise: "a hall that is taken back is cold",
+        file: "packages/routes/src/warmth.ts",
+        find: "Math.max(own, returned)",
+        replace: "own",
+        tests: [ORDERS],
+    },
+    {
+        promise: "homes bind",
+        file: ENDPOINT,
+        find: "halls === undefined || halls.includes(cfg.hall)",
+        replace: "true || halls?.includes(cfg.hall) === true",
+        tests: [EVACUATION],
+    },
     {
         promise: "nor does it after its owner granted a request",
         file: "packages/policy/src/owner-answers.ts",
-        find: "if (endpoint === undefined || !view || isClosed(view)) {",
+        find: "if (endpoint === undefined || !view || !takesNew(view)) {",
         replace: "if (endpoint === undefined || !view) {",
         tests: [POLICY],
     },
