drumpaddle losses tells the hall of what was lost as well

Where a hall is evacuated or cut the table by route alone hides it. A call that reached no endpoint has none (-). Failing test first: the hall in its expectations.

--- a/packages/cli/src/losses.ts
+++ b/packages/cli/src/losses.ts
@@ -1,15 +1,17 @@
 /**
- * Tells from the daemons' log lines which calls were not served in time, by route, moment and reason: where to look first
- * after a bad day.
+ * Tells from the daemons' log lines which calls were not served in time, by route, hall of their last endpoint, moment and reason:
+ * where to look first after a bad day.
  *
  * @module
  */
 import { type LogLine, readLines } from "./explain.js";
 import { Exit, type Outcome, said, tableOf } from "./output.js";
 
-/** Calls of one route that were not served in time for one reason, at one moment. */
+/** Calls of one route and hall that were not served in time for one reason, at one moment. */
 export interface Loss {
     readonly route: string;
+    /** Hall of the last endpoint; `-` where the calls reached none. */
+    readonly hall: string;
     /** Start of the moment, in seconds after the first line of the logs. */
     readonly fromS: number;
     /** Code of a failure, or `late: first` or `late: pause`. */
@@ -47,11 +49,12 @@
         const cameMs = Math.max(startMs, line.atMs - Number(line.pairs.get("ms") ?? 0));
         const fromS = Math.floor((cameMs - startMs) / 1000 / stepS) * stepS;
         const route = line.pairs.get("route") ?? "";
-        const key = `${route} ${fromS} ${reason}`;
-        counts.set(key, { route, fromS, reason, calls: (counts.get(key)?.calls ?? 0) + 1 });
+        const hall = line.pairs.get("hall") ?? "-";
+        const key = `${route} ${hall} ${fromS} ${reason}`;
+        counts.set(key, { route, hall, fromS, reason, calls: (counts.get(key)?.calls ?? 0) + 1 });
     }
     return [...counts.values()].sort((a, b) =>
-        a.route.localeCompare(b.route) || a.fromS - b.fromS || b.calls - a.calls
+        a.route.localeCompare(b.route) || a.fromS - b.fromS || b.calls - a.calls || a.hall.localeCompare(b.hall)
     );
 }
 
@@ -61,6 +64,12 @@
     const read = readLines(files);
     if (!read.ok) return read.outcome;
     const found = lossesOf(read.lines, stepS);
-    const rows = found.map(({ route, fromS, reason, calls }) => [route, String(fromS), reason, String(calls)]);
-    return { exit: Exit.Done, text: tableOf(["route", "from second", "reason", "calls"], rows), data: found };
+    const rows = found.map(({ route, hall, fromS, reason, calls }) => [
+        route,
+        hall,
+        String(fromS),
+        reason,
+        String(calls),
+    ]);
+    return { exit: Exit.Done, text: tableOf(["route", "hall", "from second", "reason", "calls"], rows), data: found };
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -174,7 +174,7 @@
     .action((request: string | number, flags: Flags) => finish(flags, () => explain(String(request), filesOf(flags))));
 program.command(
     "losses",
-    "Count the calls in daemons' log files that were not served in time, by route, moment and reason",
+    "Count the calls in daemons' log files that were not served in time, by route, hall, moment and reason",
 )
     .option("--step", "Length of a moment, in seconds", MOMENT_S)
     .example("losses host-a.log host-b.log --step 2")
