A silent stream is ended only where it can go on elsewhere

Now a copy that may not be used is no ground to ask or to end; as soon as one may, the watch goes on as before.

--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -364,13 +364,19 @@
 /** When a stream is taken for lost; only where a copy is kept elsewhere. */
 function silenceOf(
     deps: Forwarding,
-    { gapMs }: Route,
+    { head, route: { gapMs } }: ForwardCall,
     endpoint: EndpointEntry,
     backUp: string | undefined,
 ): SilenceCfg | undefined {
     if (backUp === undefined || gapMs === undefined) return undefined;
     const awake = (): number => deps.clock.awake();
-    return { askMs: gapMs * ASK_SHARE, lostMs: gapMs * SILENT_GAPS, awake, answers: () => givesSign(deps, endpoint) };
+    return {
+        askMs: gapMs * ASK_SHARE,
+        lostMs: gapMs * SILENT_GAPS,
+        awake,
+        answers: () => givesSign(deps, endpoint),
+        canGoOn: () => deps.engines.canGoOn(head.id),
+    };
 }
 
 /**
@@ -457,7 +463,7 @@
                 },
                 body: progress.body,
                 before: sentBefore(progress, continueAt),
-                silence: silenceOf(deps, route, endpoint, backUp),
+                silence: silenceOf(deps, call, endpoint, backUp),
                 sink: guardAttempt(recordProgress(sink, progress), deps.guard, {
                     req: head.id,
                     route: route.name,
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    canGoOn,
     createScheduler,
     decide,
     DEFAULT_VARIANT,
@@ -113,6 +114,11 @@
         });
     }
 
+    /** Whether a running request could go on from a copy now. */
+    canGoOn(job: string): boolean {
+        return canGoOn(this.state, job, this.clock.now());
+    }
+
     /** The copy of a request could not be made. */
     copyLost(job: string): void {
         this.handle({ kind: "copyLost", job });
--- a/packages/host/src/silence-watch.ts
+++ b/packages/host/src/silence-watch.ts
@@ -14,6 +14,8 @@
     awake(): number;
     /** Whether the endpoint gives a sign of life. */
     answers(): Promise<boolean>;
+    /** Whether the stream may go on elsewhere now: where it may not, silence is no reason to end it. */
+    canGoOn(): boolean;
 }
 
 /** A timer that fires later than this shows that the host itself was held up: events may wait to be read. */
@@ -98,6 +100,7 @@
 
     private ask(): void {
         const { lastEventAt, cfg } = this;
+        if (!cfg.canGoOn()) return this.askLater();
         this.wait(Math.max(0, cfg.lostMs - this.silentMs), () => this.lose("its endpoint lives"));
         void cfg.answers().then(answers => {
             if (!answers && this.lastEventAt === lastEventAt && this.timers.size + this.looks.size > 0) {
@@ -106,8 +109,14 @@
         });
     }
 
+    private askLater(): void {
+        this.wait(this.cfg.askMs, () => this.ask());
+    }
+
     private lose(why: string): void {
         this.stop();
+        // Its copy went, or may not be used any more, since its endpoint was asked.
+        if (!this.cfg.canGoOn()) return this.askLater();
         this.onLost(`no event for ${Math.round(this.silentMs)} ms, ${why}`);
     }
 }
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -10,7 +10,7 @@
 }
 
 /** A watch with short times, and what came of it. */
-function watched(answers: boolean): Watched {
+function watched(answers: boolean, canGoOn = (): boolean => true): Watched {
     const lost: string[] = [];
     let asked = 0;
     const cfg = {
@@ -21,6 +21,7 @@
             asked += 1;
             return Promise.resolve(answers);
         },
+        canGoOn,
     };
     return { watch: new SilenceWatch(cfg, detail => void lost.push(detail)), asked: () => asked, lost };
 }
@@ -102,3 +103,15 @@
     watch.stop();
     t.is(asked(), 0);
 });
+
+test("a silent stream that may go on nowhere is waited for, and is lost once it may", async t => {
+    let hasCopy = false;
+    const { watch, lost, asked } = watched(false, () => hasCopy);
+    watch.heard();
+    await pause(100);
+    t.is(lost.length, 0);
+    t.is(asked(), 0);
+    hasCopy = true;
+    while (lost.length === 0) await pause(5);
+    t.is(lost.length, 1);
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -71,4 +71,4 @@
     type SchedulerOptions,
     type SchedulerState,
 } from "./scheduler-state.js";
-export { decide, isProgressDue, PROGRESS_EVERY } from "./scheduler.js";
+export { canGoOn, decide, isProgressDue, PROGRESS_EVERY } from "./scheduler.js";
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -12,7 +12,15 @@
 import { mayGoOnAt, withLetIn } from "./cold.js";
 import { askStandby, decideStandbyAlone, dispatch, wantsBackup } from "./dispatch.js";
 import { EndpointTable } from "./endpoint-table.js";
-import { createEndpoint, promoteBackup, removeStream, setLeaving, takeOthers, takeReport } from "./endpoint.js";
+import {
+    createEndpoint,
+    promoteBackup,
+    removeStream,
+    type Running,
+    setLeaving,
+    takeOthers,
+    takeReport,
+} from "./endpoint.js";
 import { answered, decideAlone } from "./owner-answers.js";
 import { takeBack } from "./place.js";
 import { isServed, NO_ENDPOINT_RETRY_MS, refuse } from "./refusal.js";
@@ -151,17 +159,41 @@
     },
 };
 
-/** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
-function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
-    const source = getIn(state.placed, job);
+/** The copy from which a request may go on now. */
+interface UsableCopy {
+    readonly standby: string;
+    readonly running: Running;
+}
+
+function usableCopy(state: SchedulerState, job: string, now: number): UsableCopy | undefined {
     const standby = getIn(state.backedUp, job);
     const keeper = standby === undefined ? undefined : state.endpoints.get(standby);
     const running = keeper?.backups.get(job);
-    const isOpen = keeper !== undefined && running !== undefined && keeper.cfg.isEvacuated !== true
-        && mayGoOnAt(keeper, running.job.promptTokens, now);
-    if (source === undefined || standby === undefined || !isOpen || !isServed(state, running.job)) {
+    if (standby === undefined || !keeper || !running) return undefined;
+    const isOpen = keeper.cfg.isEvacuated !== true && mayGoOnAt(keeper, running.job.promptTokens, now);
+    return isOpen && isServed(state, running.job) ? { standby, running } : undefined;
+}
+
+/**
+ * Whether a running request could go on elsewhere now: a copy of it is kept, and may be used.
+ *
+ * @example
+ * ```ts
+ * if (!canGoOn(state, "r1", now)) wait();
+ * ```
+ */
+export function canGoOn(state: SchedulerState, job: string, now: number): boolean {
+    return usableCopy(state, job, now) !== undefined;
+}
+
+/** Lets a request go on at the endpoint that keeps its copy; refused where no such endpoint is left. */
+function continueOn(state: SchedulerState, job: string, failed: boolean, now: number): Decision {
+    const source = getIn(state.placed, job);
+    const copy = usableCopy(state, job, now);
+    if (source === undefined || !copy) {
         return { state, actions: [refuse(job, "noEndpoint", "no endpoint keeps a copy", NO_ENDPOINT_RETRY_MS)] };
     }
+    const { standby, running } = copy;
     const left = withView(state, source, view => ({
         ...removeStream(view, job, now),
         breaker: failed ? onResult(view.breaker, false, now) : view.breaker,
