--- a/packages/hall/test/cold.test.ts
+++ b/packages/hall/test/cold.test.ts
@@ -22,7 +22,7 @@
 const COLD = "cold";
 /** The fleet has known itself for a while when the requests come. */
 const CALM_MS = 12_000;
-const RUN_MS = 5_000;
+const RUN_MS = 6_000;
 const STEP_MS = 20;
 /** Hosts find out so much later, at most, who is alive. */
 const DETECTED_MS = 1_400;
@@ -152,7 +152,7 @@
             if (host.asleepUntil > now) continue;
             jobs += 1;
             // Each comes once: waiting is not what is looked at.
-            const job = makeJob(`j${jobs}`, { promptTokens: 1, maxTokens: 1 }, { maxWaitMs: 120 });
+            const job = makeJob(`j${jobs}`, { promptTokens: 1, maxTokens: 1 }, { maxWaitMs: 300 });
             feed(host, [{ kind: "arrive", job, avoid: [], retry: false }]);
         }
     }
@@ -176,7 +176,7 @@
 
 const drawn = fc.record({
     seed: fc.integer({ min: 1, max: 1_000_000 }),
-    perS: fc.constantFrom(60, 200, 500),
+    perS: fc.constantFrom(60, 300, 1_000),
     parts: fc.integer({ min: 1, max: 4 }),
     partMs: fc.constantFrom(1_000, 1_500, 2_500),
     sleeps: fc.boolean(),
