Hosts tell what limit an endpoint names in its answers

The header is decoded, kept with the endpoint's life, and told by endpoint_limit (a line for each change) and drumpaddle_limited_endpoints. Nothing is decided by it yet. A surplus answer and one that was misdirected say nothing of the endpoint that was called.

--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -50,6 +50,8 @@
     readonly whenWritable: (resume: () => void) => boolean;
     /** Told of each answer's status and head, before anything of it is reported. */
     readonly onAnswered: (status: number, head: AnswerHead) => void;
+    /** Told what the endpoint says of itself in an answer that is surely its own. */
+    readonly onSaid: (said: AnswerHead) => void;
     /** Told when the endpoint refuses because it is another one than the call names. */
     readonly onOtherIncarnation: () => void;
     /** Aborts when the endpoint is known to have begun a later life: the connection may stay silent for good. */
@@ -120,10 +122,12 @@
     onHead(status: number, headers: RawHeaders): void {
         // An informational head; the answer's own is to come.
         if (this.over || status < 200) return;
-        const { id, send, sink, before, onAnswered } = this.attempt;
+        const { id, send, sink, before, onAnswered, onSaid } = this.attempt;
         this.status = status;
         this.head = this.wire.readAnswer(headers);
         onAnswered(status, this.head);
+        // A surplus answer is late, and one that was misdirected is another endpoint's.
+        if (this.head.id === send.call.id && status !== MISDIRECTED) onSaid(this.head);
         this.verdict = judgeAnswer(send.call.id, status, this.head, before);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -31,6 +31,7 @@
 } from "./call-progress.js";
 import type { Copies } from "./copies.js";
 import type { EndpointConnections } from "./endpoint-connections.js";
+import type { EndpointWords } from "./endpoint-words.js";
 import { fingerprintOf } from "./fingerprint.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
@@ -57,6 +58,8 @@
     readonly plain: Placement;
     readonly runs: OpenRuns;
     readonly copies: Copies;
+    /** Takes in what endpoints say of themselves. */
+    readonly words: EndpointWords;
     readonly signal: AbortSignal;
     /** Time for a caller to send a body, in milliseconds. */
     readonly bodyMs: number;
@@ -478,6 +481,7 @@
                     progress.answered = { status, framed: answer.framed };
                     if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
                 },
+                onSaid: said => deps.words.heard(incarnation, said),
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
                 life: deps.lives.of(incarnation),
                 signal,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -34,6 +34,7 @@
 import { DeploymentFeed } from "./deployment-feed.js";
 import { EndingWatch } from "./ending-watch.js";
 import { EndpointConnections } from "./endpoint-connections.js";
+import { EndpointWords } from "./endpoint-words.js";
 import { serveEndpoints } from "./endpoints-api.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
@@ -152,6 +153,7 @@
         onNotEnded: runs => guard.notEnded(runs),
         meetLife: life => peers.meetLife(life),
     });
+    const words = new EndpointWords({ clock, log, metrics, placements: [engines, plain] });
     let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
@@ -165,6 +167,7 @@
         plain,
         runs,
         copies,
+        words,
         signal,
         bodyMs: cfg["callers.body-timeout"],
         logCalls: cfg["log.requests"],
@@ -225,6 +228,7 @@
         declare();
         endings.take(registry);
         endLives(registry, { lives, connections, engines, plain, log });
+        words.count();
         copies.evacuate();
     });
     engines.setLeavingListener(() => copies.evacuate());
--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -110,6 +110,10 @@
         "drumpaddle_evacuated_halls",
         "Halls that take nothing new by the operator's order.",
     );
+    readonly limited = this.gauge(
+        "drumpaddle_limited_endpoints",
+        "Endpoints that name a limit of requests a second.",
+    );
     readonly version = this.gauge("drumpaddle_settings_version", "Version of settings in force.");
 
     constructor() {
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -14,6 +14,7 @@
     type LeavingSource,
     type LoadReport,
     type RefuseReason,
+    type Said,
     type SchedulerAction,
     type SchedulerEvent,
     type SchedulerOptions,
@@ -129,6 +130,11 @@
         this.handle({ kind: "unreachable", endpoint });
     }
 
+    /** An endpoint has said something of itself. */
+    said(endpoint: string, said: Said): void {
+        this.handle({ kind: "said", endpoint, said });
+    }
+
     /** An endpoint's life is over, and its copies with it. */
     endLife(endpoint: string): void {
         this.handle({ kind: "lifeOver", endpoint });
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -70,6 +70,14 @@
     readonly curve: Curve;
 }
 
+/** What an endpoint said last of itself, in an answer to any host. */
+export interface Said {
+    /** Requests a second that it takes from all hosts together; undefined where it names no limit. */
+    readonly limitPerS: number | undefined;
+    /** When it said so, in milliseconds on the scheduler's clock. */
+    readonly at: number;
+}
+
 /** One endpoint as this host sees it. */
 export interface EndpointView {
     readonly cfg: EndpointCfg;
@@ -88,6 +96,8 @@
     readonly latelyEnded: readonly LatelyEnded[];
     /** Prompt starts that the endpoint has probably cached, the latest use last. */
     readonly prefixes: ReadonlyMap<string, number>;
+    /** Undefined before it was heard. */
+    readonly said: Said | undefined;
 }
 
 const NO_OTHERS: Others = { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() };
@@ -114,6 +124,7 @@
         breaker: CLOSED,
         latelyEnded: [],
         prefixes: new Map(),
+        said: undefined,
     };
 }
 
@@ -304,6 +315,18 @@
     return hosts <= 1 || known ? 1 : 1 / hosts;
 }
 
+/**
+ * The endpoint after it was heard to say something of itself. What it said before that changes nothing.
+ *
+ * @example
+ * ```ts
+ * takeSaid(view, { limitPerS: 2.3, at: now }).said?.limitPerS; // 2.3
+ * ```
+ */
+export function takeSaid(view: EndpointView, said: Said): EndpointView {
+    return view.said && view.said.at >= said.at ? view : { ...view, said };
+}
+
 /** The endpoint after a source said whether it is leaving. */
 export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean): EndpointView {
     const others = view.leavingBy.filter(other => other !== source);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,6 +15,7 @@
     type Others,
     plannedShare,
     type Running,
+    type Said,
     stalledStreams,
     streamCount,
     takeOthers,
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -5,7 +5,7 @@
  */
 import { ALONE, type Fleet, type LetIn } from "./cold.js";
 import { EndpointTable } from "./endpoint-table.js";
-import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others } from "./endpoint.js";
+import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others, Said } from "./endpoint.js";
 import { createEstimates, type Estimates } from "./estimate.js";
 import { NO_RETURNS, type Returns } from "./forecast.js";
 import { DEFAULT_VARIANT, type Job, type Variant } from "./job.js";
@@ -102,6 +102,8 @@
     | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
     /** A request's endpoint is leaving: another is to take a copy, if there is room. */
     | { readonly kind: "evacuate"; readonly job: string }
+    /** An endpoint has said something of itself. */
+    | { readonly kind: "said"; readonly endpoint: string; readonly said: Said }
     /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
     | { readonly kind: "unreachable"; readonly endpoint: string }
     /** An endpoint has begun a later life: what it held is gone. Its streams are told to have ended by themselves. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -20,6 +20,7 @@
     setLeaving,
     takeOthers,
     takeReport,
+    takeSaid,
 } from "./endpoint.js";
 import { answered, decideAlone } from "./owner-answers.js";
 import { takeBack } from "./place.js";
@@ -126,6 +127,10 @@
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
     evacuate: (state, { job }, now) =>
         askStandby(state, job, "evacuate", EVACUATION_ROOM_SHARE, now) ?? evacuate(state, job, now),
+    said: (state, { endpoint, said }) => ({
+        state: withView(state, endpoint, view => takeSaid(view, said)),
+        actions: [],
+    }),
     unreachable: (state, { endpoint }, now) => ({
         state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
         actions: [],
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -71,6 +71,12 @@
     readonly backUpTo?: string | undefined;
 }
 
+/** What an endpoint in need says in an answer of the requests that it takes from all hosts together. */
+export type SaidLimit =
+    | { readonly kind: "none" }
+    | { readonly kind: "perS"; readonly perS: number }
+    | { readonly kind: "malformed"; readonly text: string };
+
 /** An endpoint's answer head, decoded. */
 export interface AnswerHead {
     /** Id of the call that it answers; undefined where it does not say. */
@@ -90,6 +96,8 @@
     readonly length: number | undefined;
     /** Whether its end can be seen in its bytes, by a length or by chunks. */
     readonly framed: boolean;
+    /** The requests a second that the endpoint takes for as long as it says so. */
+    readonly limit: SaidLimit;
     /** What goes on to the caller. */
     readonly passed: RawHeaders;
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -35,6 +35,7 @@
     type PlatformWire,
     type PromptPart,
     type RawHeaders,
+    type SaidLimit,
     type SendHead,
     type StayAnswer,
 } from "./forwarding.js";
