An endpoint that names a limit gets no more than that from all hosts together

Callers saw nothing at first: calls to two of three workers of a service went on as before although these, in need, had named 2.5 and 4.4 requests a second; 22 and 32 came in 4 s where 20 and 31 are allowed, and a worker in need that is pressed on falls over.

Cause: nothing read what an endpoint says of itself in its answers. Class: a word of an endpoint that some way to it does not ask, and a bound on a sum that no host sees. Ruled out: each host keeping the limit for itself (one host alone sent five a second where 2.5 are named), second tries (60 of 62 were first attempts).

Each host has a part of the requests of a span by its place among the live hosts; the parts come to the limit, however many hosts there are, are sent one after another over the span, and begin anew where hosts come or go. Hosts that hear no more than half of the others have no part of what does not go round, one that has just started none. Hosts tell each other what endpoints say, also that a limit is over; a host that starts asks before it is ready. Asked by choice, advice, owners' words, standbys, continuations and the system's own questions; what all limits keep away is refused at once with the time of the next request.

Before: 81 requests in 4 s at 2.3 a second from three hosts that had been told (18.8 allowed).

--- a/packages/cli/src/endpoints.ts
+++ b/packages/cli/src/endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold.
+ * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit.
  *
  * @module
  */
@@ -13,6 +13,8 @@
     readonly takesNew: boolean;
     readonly hallEvacuated: boolean;
     readonly coldForMs: number;
+    /** Requests a second that it takes from all hosts together; absent where it names no limit. */
+    readonly limitPerS?: number;
     readonly running: number;
 }
 
@@ -22,13 +24,14 @@
     if (result.kind !== "answer") return said(Exit.Failed, result.detail);
     if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
     const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
-    const rows = endpoints.map(({ endpoint, hall, takesNew, hallEvacuated, coldForMs, running }) => [
+    const rows = endpoints.map(({ endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, running }) => [
         endpoint,
         hall,
         hallEvacuated ? "hall evacuated" : takesNew ? "open" : "leaving",
         coldForMs > 0 ? `cold for ${coldForMs} ms` : "warm",
+        limitPerS === undefined ? "none" : `${limitPerS} a second`,
         String(running),
     ]);
-    const text = tableOf(["endpoint", "hall", "new work", "warmth", "running here"], rows);
+    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "running here"], rows);
     return { exit: Exit.Done, text, data: endpoints };
 }
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -57,6 +57,8 @@
 
 /** Endpoints of one owner at most, on average: it chooses among all of them at once. */
 const ENDPOINTS_PER_OWNER = 64;
+/** Marks that hosts are told apart by. */
+const MARKS = 2 ** 16;
 /** A question is answered in a few milliseconds; an owner that took longer is passed over for a while. */
 const ANSWER_MS = 100;
 const SILENT_MS = 2_000;
@@ -210,7 +212,7 @@
 export function hostsEvent(self: string, live: readonly string[], unheard: number): SchedulerEvent {
     // One that is leaving takes the last place.
     const place = live.includes(self) ? live.indexOf(self) : live.length;
-    return { kind: "hosts", count: Math.max(1, live.length), place, unheard };
+    return { kind: "hosts", count: Math.max(1, live.length), place, unheard, mark: shardOf(self, MARKS) };
 }
 
 /** What this host holds on an endpoint. */
--- a/packages/host/src/answer.ts
+++ b/packages/host/src/answer.ts
@@ -27,6 +27,7 @@
     [FailCode.NoEndpoint]: 503,
     [FailCode.Stopping]: 503,
     [FailCode.WaitTooLong]: 503,
+    [FailCode.EndpointsLimited]: 503,
     [FailCode.DeadlinePassed]: 504,
     [FailCode.EndpointRefused]: 503,
     [FailCode.EndpointLost]: 502,
--- /dev/null
+++ b/packages/host/src/ask-at-start.ts
@@ -0,0 +1,54 @@
+/**
+ * A host that has just started asks its peers for what they know, before it says that it is ready.
+ *
+ * @module
+ */
+import type { Clock } from "@drumpaddle/protocol";
+import { repeat } from "./repeat.js";
+
+/** What asking needs. */
+export interface AskAtStartDeps {
+    readonly clock: Clock;
+    readonly signal: AbortSignal;
+    /** Asks one peer, if there is any. */
+    ask(): void;
+}
+
+/** A host that starts asks this often, */
+const ASK_EVERY_MS = 50;
+/** and is ready without an answer after this: its peers may all have started with it. */
+const ASK_MOST_MS = 400;
+
+/**
+ * The questions of one start.
+ *
+ * @example
+ * ```ts
+ * const asking = new AskAtStart({ clock, signal, ask: () => send(someOf(others(), 1), { kind: "saidAsk" }) });
+ * ```
+ */
+export class AskAtStart {
+    private readonly startedAt: number;
+    private readonly asking = new AbortController();
+    private isAnswered = false;
+
+    constructor(private readonly deps: AskAtStartDeps) {
+        this.startedAt = deps.clock.now();
+        repeat(() => this.round(), () => ASK_EVERY_MS, AbortSignal.any([deps.signal, this.asking.signal]));
+    }
+
+    /** Whether a peer has answered, or none is there that could. */
+    get isReady(): boolean {
+        return this.isAnswered || this.deps.clock.now() - this.startedAt >= ASK_MOST_MS;
+    }
+
+    /** A peer has answered. */
+    answered(): void {
+        this.isAnswered = true;
+    }
+
+    private round(): void {
+        if (this.isReady) this.asking.abort();
+        else this.deps.ask();
+    }
+}
--- a/packages/host/src/endpoint-words.ts
+++ b/packages/host/src/endpoint-words.ts
@@ -1,9 +1,11 @@
 /**
- * Takes in what endpoints say of themselves in their answers: a line for each change, and the word for the decisions.
+ * Takes in what endpoints say of themselves in their answers to this host or to its peers: a line for each change, and the
+ * word for the decisions.
  *
  * @module
  */
-import type { Said } from "@drumpaddle/policy";
+import { type EndpointWord, saidOf, wordOf, wordsToTell } from "@drumpaddle/hall";
+import { isLimited, type Said } from "@drumpaddle/policy";
 import type { AnswerHead, Clock } from "@drumpaddle/protocol";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
@@ -16,8 +18,13 @@
     readonly metrics: Metrics;
     /** Decisions that know of endpoints; each endpoint is known to one of them. */
     readonly placements: readonly Placement[];
+    /** Tells peers of a change. */
+    tell(words: readonly EndpointWord[]): void;
 }
 
+/** That an endpoint says the same again is taken in this often: it counts as news of seconds. */
+const SAME_AGAIN_MS = 250;
+
 /** What a gateway hears endpoints say. */
 export class EndpointWords {
     constructor(private readonly deps: EndpointWordsDeps) {}
@@ -35,25 +42,41 @@
             this.deps.log.debug({ endpoint, text: limit.text }, "endpoint_limit_ignored");
             return;
         }
-        const limitPerS = limit.kind === "perS" ? limit.perS : undefined;
-        this.take(endpoint, { limitPerS, at: this.deps.clock.now() });
+        const said = { limitPerS: limit.kind === "perS" ? limit.perS : undefined, at: this.deps.clock.now() };
+        if (this.take(endpoint, said, "endpoint")) this.deps.tell([wordOf(endpoint, said, said.at)]);
+    }
+
+    /** Takes in what a peer tells; returns what had not been known. */
+    hear(words: readonly EndpointWord[]): readonly EndpointWord[] {
+        const now = this.deps.clock.now();
+        return words.filter(word => this.take(word.endpoint, saidOf(word, now), "peer"));
+    }
+
+    /** All that is worth telling a peer. */
+    all(): readonly EndpointWord[] {
+        const now = this.deps.clock.now();
+        return this.deps.placements.flatMap(({ view }) => wordsToTell(view.endpoints.values(), now));
     }
 
     /** Counts anew how many endpoints name a limit; called when endpoints come or go as well. */
     count(): void {
         const views = this.deps.placements.flatMap(({ view }) => view.endpoints.values());
-        this.deps.metrics.limited.set(views.filter(({ said }) => said?.limitPerS !== undefined).length);
+        this.deps.metrics.limited.set(views.filter(isLimited).length);
     }
 
-    private take(endpoint: string, said: Said): void {
+    /** Takes in a word; returns whether it changes what is known. */
+    private take(endpoint: string, said: Said, source: "endpoint" | "peer"): boolean {
         const placement = this.deps.placements.find(({ view }) => view.endpoints.get(endpoint));
         const known = placement?.view.endpoints.get(endpoint)?.said;
         // Nearly every answer names no limit where none was named before.
-        if (!placement || !known && said.limitPerS === undefined) return;
+        if (!placement || !known && said.limitPerS === undefined) return false;
+        const isSame = known?.limitPerS === said.limitPerS;
+        if (known && (known.at >= said.at || isSame && said.at - known.at < SAME_AGAIN_MS)) return false;
         placement.said(endpoint, said);
-        if (known?.limitPerS === said.limitPerS) return;
+        if (isSame) return false;
         const before = known?.limitPerS ?? "none";
-        this.deps.log.info({ endpoint, per_s: said.limitPerS ?? "none", before }, "endpoint_limit");
+        this.deps.log.info({ endpoint, per_s: said.limitPerS ?? "none", before, source }, "endpoint_limit");
         this.count();
+        return true;
     }
 }
--- a/packages/host/src/endpoints-api.ts
+++ b/packages/host/src/endpoints-api.ts
@@ -1,6 +1,6 @@
 /**
  * What operators may ask of the endpoints that a gateway knows: which of them take new work, which halls are evacuated, and
- * which endpoints are cold and for how long.
+ * which endpoints are cold and for how long, and which name a limit.
  *
  * @module
  */
@@ -17,6 +17,8 @@
     readonly hallEvacuated: boolean;
     /** How much longer it is taken for cold, in milliseconds; 0 where it is warm or nothing bounds a cold one. */
     readonly coldForMs: number;
+    /** Requests a second that it takes from all hosts together; absent where it names no limit. */
+    readonly limitPerS?: number | undefined;
     /** Calls of this host that run there. */
     readonly running: number;
 }
@@ -37,6 +39,7 @@
         takesNew: takesNew(view),
         hallEvacuated: isEvacuated,
         coldForMs: isCold(view, now) ? Math.round(cold!.until - now) : 0,
+        limitPerS: view.said?.limitPerS,
         running: view.streams.size,
     };
 }
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -388,6 +388,8 @@
  */
 async function givesSign(deps: Forwarding, endpoint: EndpointEntry): Promise<boolean> {
     const { id, address, incarnation } = endpoint;
+    // One that limits what it is sent is slow, and not gone.
+    if (!deps.engines.mayAsk(incarnation)) return true;
     try {
         const { status, body } = await callEndpoint(address, deps.wire.stayCall(), SIGN_MS, deps.signal);
         const stay = deps.wire.readStay(status, body);
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,14 +32,14 @@
 import type { HostCfg } from "./config.js";
 import { Copies } from "./copies.js";
 import { DeploymentFeed } from "./deployment-feed.js";
-import { EndingWatch } from "./ending-watch.js";
+import { EndingWatch, type WatchedEndpoint } from "./ending-watch.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointWords } from "./endpoint-words.js";
 import { serveEndpoints } from "./endpoints-api.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward, type Forwarding } from "./forward.js";
 import { OpenRuns } from "./host.js";
-import { probeByReport } from "./life-probe.js";
+import { type LifeSign, probeByReport } from "./life-probe.js";
 import { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
 import { Metrics } from "./metrics.js";
@@ -145,7 +145,7 @@
     const endings = new EndingWatch({
         clock,
         log,
-        probe: ({ address, id, born }) => probeByReport(platformWire, address, { id, born }, signal),
+        probe: endpoint => probeWhereAllowed(endpoint, [engines, plain], signal),
         isLeaving: incarnation => isLeaving(incarnation, engines, plain),
         isOver: incarnation => hasBegunAgain(incarnation, known),
         isDeaf: () => feed.isDeaf,
@@ -153,7 +153,13 @@
         onNotEnded: runs => guard.notEnded(runs),
         meetLife: life => peers.meetLife(life),
     });
-    const words = new EndpointWords({ clock, log, metrics, placements: [engines, plain] });
+    const words = new EndpointWords({
+        clock,
+        log,
+        metrics,
+        placements: [engines, plain],
+        tell: news => peers.tellWords(news),
+    });
     let endsAt: number | undefined;
     const deps: Forwarding = {
         wire: platformWire,
@@ -200,6 +206,7 @@
         spread: feed.spread,
         follower: feed.follower,
         guard,
+        words,
         signal,
     });
     clock.onWake(({ suspendedMs, jumpMs }) => {
@@ -211,7 +218,7 @@
     });
     // Without a call a wake is noticed by the next of these.
     repeat(() => void clock.now(), () => LOOK_AT_CLOCK_MS, signal);
-    const operators = createProbes(() => feed.isReady && peers.knowsQuarantine && !runs.stopping, metrics);
+    const operators = createProbes(() => feed.isReady && peers.isInformed && !runs.stopping, metrics);
     const allow = allowSecrets(cfg["peers.secrets"]);
     serveQuarantine(operators, guard, allow);
     serveEndpoints(operators, [engines, plain], () => clock.now(), allow);
@@ -239,6 +246,7 @@
         signal,
         isDeaf: () => feed.isDeaf,
         owned: () => ownedEngines(engines, feed, peers),
+        mayAsk: incarnation => engines.mayAsk(incarnation),
         onStay: (endpoint, { leaving, born }) => {
             const life = { id: endpoint.id, born };
             const order = compareLives(life, endpoint);
@@ -332,6 +340,17 @@
     return departed?.isOver === true && departed.entry.state === EndpointState.Ready;
 }
 
+/** Asks an endpoint whether its life is still there, unless the limit that it names keeps the question away. */
+async function probeWhereAllowed(
+    { incarnation, address, id, born }: WatchedEndpoint,
+    placements: readonly Placement[],
+    signal: AbortSignal,
+): Promise<LifeSign> {
+    const isAllowed = placements.every(placement => placement.mayAsk(incarnation));
+    if (!isAllowed) return { kind: "unknown", detail: "its limit keeps the question away" };
+    return probeByReport(platformWire, address, { id, born }, signal);
+}
+
 function holdsAny({ streams, backups, others }: EndpointView): boolean {
     return streams.size + backups.size > 0 || others.curve.mean[0]! > 0;
 }
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -5,6 +5,7 @@
  */
 import {
     type DetectorMessage,
+    type EndpointWord,
     MOST_REQUESTS,
     type QuarantineNews,
     type SettingsAsk,
@@ -74,7 +75,12 @@
     ),
 });
 const TrialShape = Type.Object({ attempt: Name, fingerprint: Name, agoMs: Age, isOver: Type.Boolean() });
-/** Endings, and as many suspects that run, that one message may tell of. */
+const WordShape = Type.Object({
+    endpoint: Name,
+    limitPerS: Type.Optional(Type.Number({ minimum: 0 })),
+    agoMs: Age,
+});
+/** Endings, and as many suspects that run, or words of endpoints, that one message may tell of. */
 export const MOST_TOLD = 256;
 const Texts = Type.Record(Type.String(), Type.String());
 
@@ -152,6 +158,8 @@
         trials: Type.Array(TrialShape, { maxItems: MOST_TOLD }),
     }),
     quarantineAsk: Type.Object({}),
+    said: Type.Object({ words: Type.Array(WordShape, { maxItems: MOST_TOLD }), isAll: Type.Boolean() }),
+    saidAsk: Type.Object({}),
 } as const;
 
 /** Compiled once: messages come by the hundred each second. */
@@ -176,8 +184,16 @@
     | { readonly kind: "give" } & SettingsGive
     | StorePeerMessage
     | QuarantinePeerMessage
+    | WordPeerMessage
     | ShareMessage;
 
+/** Messages by which hosts share what endpoints say of themselves. */
+export type WordPeerMessage =
+    /** `isAll`: the answer to a question for all that the sender knows. */
+    | { readonly kind: "said"; readonly words: readonly EndpointWord[]; readonly isAll: boolean }
+    /** Asks for all that a peer knows. */
+    | { readonly kind: "saidAsk" };
+
 /** Messages by which hosts share which requests end endpoints. */
 export type QuarantinePeerMessage =
     /** `isAll`: all that the sender knows, and not only what is new. */
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers.ts
@@ -14,6 +14,7 @@
     type DetectorMessage,
     type DetectorStep,
     endpointOwner,
+    type EndpointWord,
     give,
     hostsEvent,
     isAlive,
@@ -46,6 +47,7 @@
 import type { Life } from "@drumpaddle/routes";
 import { randomInt } from "node:crypto";
 import type { HostCfg } from "./config.js";
+import type { EndpointWords } from "./endpoint-words.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import { isPeerMessage, type PeerMessage, type Progress, type StorePeerMessage } from "./peer-messages.js";
@@ -55,6 +57,7 @@
 import type { RequestGuard } from "./request-guard.js";
 import type { SettingsFeed } from "./settings-feed.js";
 import { type StoreFollower, StoreSharing } from "./store-follower.js";
+import { WordSharing } from "./word-sharing.js";
 
 type Handlers = {
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
@@ -86,6 +89,8 @@
     readonly follower?: StoreFollower;
     /** Where it is given, hosts share which requests end endpoints. */
     readonly guard?: Pick<RequestGuard, "all" | "digest" | "hear">;
+    /** Where it is given, hosts share what endpoints say of themselves. */
+    readonly words?: Pick<EndpointWords, "all" | "hear">;
     readonly signal: AbortSignal;
 }
 
@@ -112,6 +117,7 @@
     private share: ShareState;
     private readonly sharing: StoreSharing | undefined;
     private readonly quarantine: QuarantineSharing | undefined;
+    private readonly words: WordSharing | undefined;
     /** The live hosts that the log last told of. */
     private logged: readonly string[] = [];
     /** The version that a peer was asked for last, and when. */
@@ -143,6 +149,16 @@
             all: () => guard.all(),
             digest: () => guard.digest,
         });
+        const { words } = host;
+        this.words = words && new WordSharing({
+            name,
+            clock: host.clock,
+            signal: host.signal,
+            live: () => this.live,
+            send: (names, message) => this.sendAll(names, message),
+            hear: told => words.hear(told),
+            all: () => words.all(),
+        });
     }
 
     private get membership(): Membership {
@@ -206,9 +222,9 @@
         return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
     }
 
-    /** Whether this host has heard which requests end endpoints, as far as a peer can tell. */
-    get knowsQuarantine(): boolean {
-        return this.quarantine?.isReady ?? true;
+    /** Whether this host has heard what its peers know of endpoints and of requests that end them, as far as one can tell. */
+    get isInformed(): boolean {
+        return (this.quarantine?.isReady ?? true) && (this.words?.isReady ?? true);
     }
 
     /** Tells peers of requests that end endpoints. */
@@ -216,6 +232,11 @@
         this.quarantine?.tell(news);
     }
 
+    /** Tells peers of a change in what endpoints say of themselves. */
+    tellWords(words: readonly EndpointWord[]): void {
+        this.words?.tell(words);
+    }
+
     /** Takes in which life of an endpoint has answered this host. */
     meetLife(life: Life): void {
         this.sharing?.meetLife(life);
@@ -316,6 +337,8 @@
         lifeMet: (from, message) => this.hearStore(from, message),
         quarantine: (from, message) => this.quarantine?.receive(from.name, message),
         quarantineAsk: (from, message) => this.quarantine?.receive(from.name, message),
+        said: (from, message) => this.words?.receive(from.name, message),
+        saidAsk: (from, message) => this.words?.receive(from.name, message),
     };
 
     private hearDetector(from: PeerName, message: DetectorMessage & Progress): void {
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -9,10 +9,12 @@
     decide,
     DEFAULT_VARIANT,
     type EndpointCfg,
+    isLimited,
     type Job,
     type JobOutcome,
     type LeavingSource,
     type LoadReport,
+    mayLetIn,
     type RefuseReason,
     type Said,
     type SchedulerAction,
@@ -120,6 +122,18 @@
         return canGoOn(this.state, job, this.clock.now());
     }
 
+    /**
+     * Whether a question of this host's own may go to an endpoint now; counted where it names a limit, which is for all that
+     * it is sent.
+     */
+    mayAsk(endpoint: string): boolean {
+        const view = this.state.endpoints.get(endpoint);
+        if (!view || !isLimited(view)) return true;
+        if (!mayLetIn(this.state, view, this.clock.now())) return false;
+        this.handle({ kind: "letIn", endpoint });
+        return true;
+    }
+
     /** The copy of a request could not be made. */
     copyLost(job: string): void {
         this.handle({ kind: "copyLost", job });
--- a/packages/host/src/quarantine-sharing.ts
+++ b/packages/host/src/quarantine-sharing.ts
@@ -6,8 +6,9 @@
  */
 import type { QuarantineNews } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
+import { AskAtStart } from "./ask-at-start.js";
 import { MOST_TOLD, type QuarantinePeerMessage } from "./peer-messages.js";
-import { repeat } from "./repeat.js";
+import { someOf } from "./some-of.js";
 
 /** What sharing needs of the peers. */
 export interface QuarantineSharingDeps {
@@ -32,30 +33,22 @@
 const GATHER_MS = 2;
 /** Hosts that know other endings are told all of them this often at most. */
 const RECONCILE_MS = 1_000;
-/** A host that starts asks this often, */
-const ASK_EVERY_MS = 50;
-/** and is ready without an answer after this: its peers may all have started with it. */
-const ASK_MOST_MS = 400;
-
 const NOTHING: QuarantineNews = { endings: [], trials: [] };
 
 /** One host's part in sharing them. */
 export class QuarantineSharing {
-    private readonly startedAt: number;
     private reconciledAt = -Infinity;
-    private answered = false;
-    private asking: AbortController | undefined;
+    private readonly asking: AskAtStart;
     private gathered: QuarantineNews = NOTHING;
 
     constructor(private readonly deps: QuarantineSharingDeps) {
-        this.startedAt = deps.clock.now();
-        this.asking = new AbortController();
-        repeat(() => this.ask(), () => ASK_EVERY_MS, AbortSignal.any([deps.signal, this.asking.signal]));
+        const { clock, signal } = deps;
+        this.asking = new AskAtStart({ clock, signal, ask: () => this.ask() });
     }
 
     /** Whether a peer has told what is quarantined, or none is there that could. */
     get isReady(): boolean {
-        return this.answered || this.deps.clock.now() - this.startedAt >= ASK_MOST_MS;
+        return this.asking.isReady;
     }
 
     /** Tells a few hosts what is new here, in a moment. */
@@ -87,7 +80,7 @@
     /** Takes in a message of a peer. */
     receive(from: string, message: QuarantinePeerMessage): void {
         if (message.kind === "quarantineAsk") return this.sendAll(from);
-        if (message.isAll) this.answered = true;
+        if (message.isAll) this.asking.answered();
         this.deps.hear(message);
     }
 
@@ -96,21 +89,11 @@
     }
 
     private ask(): void {
-        if (this.isReady) {
-            this.asking?.abort();
-            this.asking = undefined;
-            return;
-        }
         const to = this.someOthers(1);
         if (to.length > 0) this.deps.send(to, { kind: "quarantineAsk" });
     }
 
     private someOthers(most: number): readonly string[] {
-        const others = this.deps.live().filter(name => name !== this.deps.name);
-        for (let at = 0; at < Math.min(most, others.length); at++) {
-            const other = at + Math.floor(Math.random() * (others.length - at));
-            [others[at], others[other]] = [others[other]!, others[at]!];
-        }
-        return others.slice(0, most);
+        return someOf(this.deps.live().filter(name => name !== this.deps.name), most);
     }
 }
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -105,6 +105,7 @@
     noEndpoint: FailCode.NoEndpoint,
     queueFull: FailCode.Overloaded,
     waitTooLong: FailCode.WaitTooLong,
+    limited: FailCode.EndpointsLimited,
     retryBudget: FailCode.Overloaded,
 };
 
--- a/packages/host/src/stay-watch.ts
+++ b/packages/host/src/stay-watch.ts
@@ -20,6 +20,8 @@
     isDeaf(): boolean;
     /** Engines that this host asks for all hosts. */
     owned(): readonly EndpointEntry[];
+    /** Whether a question may go to an endpoint now. */
+    mayAsk(incarnation: string): boolean;
     onStay(endpoint: EndpointEntry, stay: Extract<StayAnswer, { kind: "told" }>): void;
 }
 
@@ -35,7 +37,9 @@
 export function watchStays(deps: StayWatchDeps): void {
     const ask = (): void => {
         if (!deps.isDeaf()) return;
-        for (const endpoint of deps.owned()) void askOne(deps, endpoint);
+        for (const endpoint of deps.owned()) {
+            if (deps.mayAsk(endpoint.incarnation)) void askOne(deps, endpoint);
+        }
     };
     repeat(ask, () => ASK_EVERY_MS, deps.signal);
 }
--- a/packages/policy/src/advise.ts
+++ b/packages/policy/src/advise.ts
@@ -5,8 +5,9 @@
  */
 import { mayUse } from "./breaker.js";
 import { assess, chooseBackup, serves, type Wanted } from "./choose.js";
-import { mayLetIn } from "./cold.js";
 import type { EndpointView } from "./endpoint.js";
+import { mayLetIn } from "./let-in.js";
+import { isLimited } from "./limit.js";
 import type { Advice, Question } from "./question.js";
 import type { SchedulerState } from "./scheduler-state.js";
 
@@ -29,7 +30,7 @@
     }
     let best: { readonly id: string; readonly score: number } | undefined;
     for (const view of views) {
-        if (!mayLetIn(state, view, now)) continue;
+        if (isLimited(view) || !mayLetIn(state, view, now)) continue;
         const candidate = assess(view, wanted, { ...state, hall }, now);
         if (candidate && candidate.score < (best?.score ?? Infinity)) best = candidate;
     }
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -18,6 +18,7 @@
 import type { Survival } from "./estimate.js";
 import { beginsInTime } from "./forecast.js";
 import type { Job, Variant } from "./job.js";
+import { isLimited } from "./limit.js";
 import { batchWithin } from "./pace.js";
 import { readingMs, type ReadingRate } from "./reading.js";
 
@@ -25,6 +26,8 @@
 const WAIT_SCALE = 0.5;
 /** What an engine of another hall costs in the score: a stream there is lost when the halls lose each other. */
 const AWAY_COST = 0.5;
+/** What one costs that names a limit, as the standby of a copy: going on there takes a request of its limit. */
+const LIMITED_COST = 2;
 /** The same for plain services, in open calls: less than one, so that it decides between equals only. */
 const AWAY_CALLS = 0.5;
 /** What an engine costs in the score where streams wait too long for their first token: above all else but no room at all. */
@@ -211,7 +214,7 @@
         if (view.cfg.id === primary) continue;
         const used = peakOf([view.curve, view.others.curve, curve], z) / view.cfg.memoryTokens;
         const isAway = hall !== undefined && hall !== view.cfg.hall;
-        const cost = used + (isAway ? AWAY_COST : 0);
+        const cost = used + (isAway ? AWAY_COST : 0) + (isLimited(view) ? LIMITED_COST : 0);
         const most = runsAway && !isAway ? Math.max(roomShare, EVACUATION_ROOM_SHARE) : roomShare;
         if (used <= most && cost < (chosen?.cost ?? Infinity)) chosen = { id: view.cfg.id, cost };
     }
--- a/packages/policy/src/cold.ts
+++ b/packages/policy/src/cold.ts
@@ -48,13 +48,14 @@
     readonly live: number;
     /** The most that were alive or named at a time. */
     readonly most: number;
+    /** When `place` or `live` last became another. */
+    readonly changedAt: number;
+    /** A whole number that tells this host from most others, whatever it hears of them. */
+    readonly mark: number;
 }
 
 /** A host that knows of no other. */
-export const ALONE: Fleet = { since: undefined, place: 0, live: 1, most: 1 };
-
-/** Times at which requests were let in, by cold endpoint; the oldest first. */
-export type LetIn = ReadonlyMap<string, readonly number[]>;
+export const ALONE: Fleet = { since: undefined, place: 0, live: 1, most: 1, changedAt: -Infinity, mark: 0 };
 
 /** Whether an endpoint is cold at a time. */
 export function isCold({ cfg }: EndpointView, now: number): boolean {
@@ -69,8 +70,8 @@
  *
  * @example
  * ```ts
- * allowance(44, { since: 0, place: 3, live: 66, most: 66 }, undefined, 20_000); // 1
- * allowance(44, { since: 0, place: 40, live: 66, most: 66 }, undefined, 20_000); // 0
+ * allowance(44, { ...fleet, place: 3, live: 66, most: 66 }, undefined, 20_000); // 1
+ * allowance(44, { ...fleet, place: 40, live: 66, most: 66 }, undefined, 20_000); // 0
  * ```
  */
 export function allowance(perS: number, fleet: Fleet, ownedSince: number | undefined, now: number): number {
@@ -82,31 +83,21 @@
 }
 
 /**
- * Whether this host may send a request to an endpoint now, or let another host's in as its owner: always where it is warm.
+ * Whether this host may send a request to an endpoint now, or let another host's in as its owner, by what the endpoint bears
+ * while it is cold: always where it is warm.
  *
- * @example
- * ```ts
- * const open = views.filter(view => mayLetIn(state, view, now));
- * ```
+ * @param times When it let requests in there.
  */
-export function mayLetIn(
-    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+export function coldLetsIn(
     view: EndpointView,
+    times: readonly number[],
+    { fleet, ownedSince }: Pick<SchedulerState, "fleet" | "ownedSince">,
     now: number,
 ): boolean {
     if (!isCold(view, now)) return true;
     const { id, cold } = view.cfg;
-    const counted = (state.letIn.get(id) ?? []).filter(at => now - at < COUNTED_MS);
-    return counted.length < allowance(cold!.perS, state.fleet, state.ownedSince.get(id), now);
-}
-
-/** What was let in, with one more request to an endpoint; the same value where it is warm. */
-export function withLetIn(letIn: LetIn, view: EndpointView | undefined, now: number): LetIn {
-    if (!view || !isCold(view, now)) return letIn;
-    const counted = [...letIn].map(([id, times]) => [id, times.filter(at => now - at < COUNTED_MS)] as const)
-        .filter(([, times]) => times.length > 0);
-    const next = new Map(counted);
-    return next.set(view.cfg.id, [...next.get(view.cfg.id) ?? [], now]);
+    const counted = times.filter(at => now - at < COUNTED_MS);
+    return counted.length < allowance(cold!.perS, fleet, ownedSince.get(id), now);
 }
 
 /**
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -78,6 +78,12 @@
     readonly at: number;
 }
 
+/** The same, with how long it is known. */
+export interface KnownSaid extends Said {
+    /** When this host first took in the limit that is known now. */
+    readonly since: number;
+}
+
 /** One endpoint as this host sees it. */
 export interface EndpointView {
     readonly cfg: EndpointCfg;
@@ -97,7 +103,7 @@
     /** Prompt starts that the endpoint has probably cached, the latest use last. */
     readonly prefixes: ReadonlyMap<string, number>;
     /** Undefined before it was heard. */
-    readonly said: Said | undefined;
+    readonly said: KnownSaid | undefined;
 }
 
 const NO_OTHERS: Others = { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() };
@@ -320,11 +326,14 @@
  *
  * @example
  * ```ts
- * takeSaid(view, { limitPerS: 2.3, at: now }).said?.limitPerS; // 2.3
+ * takeSaid(view, { limitPerS: 2.3, at: now }, now).said?.limitPerS; // 2.3
  * ```
  */
-export function takeSaid(view: EndpointView, said: Said): EndpointView {
-    return view.said && view.said.at >= said.at ? view : { ...view, said };
+export function takeSaid(view: EndpointView, said: Said, now: number): EndpointView {
+    const known = view.said;
+    if (known && known.at >= said.at) return view;
+    const since = known?.limitPerS === said.limitPerS ? known?.since ?? now : now;
+    return { ...view, said: { ...said, since } };
 }
 
 /** The endpoint after a source said whether it is leaving. */
--- /dev/null
+++ b/packages/policy/src/let-in.ts
@@ -0,0 +1,42 @@
+/**
+ * Bounds on how many requests an endpoint is sent in a time, whatever room it has: what it bears while it is cold, and the
+ * limit that it names. What this host lets in is counted at each decision that sends a request there.
+ *
+ * @module
+ */
+import { coldLetsIn, isCold } from "./cold.js";
+import type { EndpointView } from "./endpoint.js";
+import { isLimited, limitLetsIn } from "./limit.js";
+import type { SchedulerState } from "./scheduler-state.js";
+
+/** Times at which requests were let in, by endpoint; the oldest first. Only of endpoints that are bounded. */
+export type LetIn = ReadonlyMap<string, readonly number[]>;
+
+/** Nothing that was let in counts for longer. */
+const KEPT_MS = 10_000;
+
+/**
+ * Whether this host may send a request to an endpoint now, or let another host's in as its owner.
+ *
+ * @example
+ * ```ts
+ * const open = views.filter(view => mayLetIn(state, view, now));
+ * ```
+ */
+export function mayLetIn(
+    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+    view: EndpointView,
+    now: number,
+): boolean {
+    const times = state.letIn.get(view.cfg.id) ?? [];
+    return coldLetsIn(view, times, state, now) && limitLetsIn(view, times, state.fleet, now);
+}
+
+/** What was let in, with one more request to an endpoint; the same value where nothing bounds what it is sent. */
+export function withLetIn(letIn: LetIn, view: EndpointView | undefined, now: number): LetIn {
+    if (!view || !isCold(view, now) && !isLimited(view)) return letIn;
+    const counted = [...letIn].map(([id, times]) => [id, times.filter(at => now - at < KEPT_MS)] as const)
+        .filter(([, times]) => times.length > 0);
+    const next = new Map(counted);
+    return next.set(view.cfg.id, [...next.get(view.cfg.id) ?? [], now]);
+}
--- /dev/null
+++ b/packages/policy/src/limit.ts
@@ -0,0 +1,168 @@
+/**
+ * Limits that endpoints in need name themselves: requests a second from all hosts together. No host sees what the others
+ * send, so each has a fixed part of the requests of a span, by its place among the live hosts: the parts add up to no more
+ * than the limit, with as many hosts as there are, more hosts than requests included. A host whose part is nothing sends
+ * nothing. Who hears no more than half of the hosts that it has known has no part of what does not go round, so that several
+ * parts of a fleet that cannot hear each other do not hand it out twice.
+ *
+ * That a limit is over is told by answers alone. Where none was heard of for a while, as by hosts whose parts go unused,
+ * hosts take turns in sending one request.
+ *
+ * Pure. Times are milliseconds on the scheduler's clock.
+ *
+ * @module
+ */
+import type { Fleet } from "./cold.js";
+import type { EndpointView, Said } from "./endpoint.js";
+
+/** Limits are kept over the least span of whole requests above this: one of 2.3 a second is ten in 4.35 s. */
+const LEAST_SPAN_S = 4;
+/** Limits below one request in this time are taken for it: without any, nobody would hear that the limit is over. */
+const LONGEST_SPAN_MS = 10_000;
+/** Hosts that start together know each other after this, in fleets of any size. */
+const LEARNT_MS = 3_000;
+/** One that starts where it hears few of those that it was told of may be cut off, and does not know how many there are. */
+const LEARNT_UNHEARD_MS = 10_000;
+/** A limit of which no host has heard for this long is in doubt. */
+const DOUBT_MS = 10_000;
+/** Then each host's turn to send one request lasts so long: below five requests in a span, whatever the limit. */
+const TURN_MS = 1_000;
+
+/** Turns for each host that a host knows which hears no more than half of them. */
+const UNHEARD_TURNS = 3;
+
+/** A limit as it is kept: requests within a span. */
+interface Bound {
+    readonly most: number;
+    readonly spanMs: number;
+}
+
+function boundOf(perS: number): Bound {
+    const most = Math.max(1, Math.ceil(perS * LEAST_SPAN_S));
+    return { most, spanMs: Math.min(LONGEST_SPAN_MS, 1_000 * most / perS) };
+}
+
+/** Whether an endpoint names a limit. */
+export function isLimited({ said }: EndpointView): boolean {
+    return said?.limitPerS !== undefined;
+}
+
+/** Whether a host hears more than half of the hosts that it has known: no other part of the fleet does. */
+function hearsMost({ live, most }: Fleet): boolean {
+    return 2 * live > most;
+}
+
+/** Endpoints begin with different hosts, so that small limits of several endpoints are not all the same host's. */
+function placeFor(endpoint: string, { place, live }: Fleet): number {
+    let sum = 0;
+    for (let at = 0; at < endpoint.length; at++) sum = (31 * sum + endpoint.charCodeAt(at)) % 65_536;
+    return (place + sum) % Math.max(1, live);
+}
+
+/**
+ * Requests that a host may send to an endpoint within a span of its limit.
+ *
+ * @example
+ * ```ts
+ * limitPart("i-7", 2.3, { ...fleet, place: 0, live: 6, most: 6 }, now); // 1 or 2: ten in 4.35 s among six
+ * ```
+ */
+export function limitPart(endpoint: string, perS: number, fleet: Fleet, now: number): number {
+    const { since, most: hosts } = fleet;
+    const learntMs = hearsMost(fleet) ? LEARNT_MS : LEARNT_UNHEARD_MS;
+    if (since === undefined || now - since < learntMs) return 0;
+    const { most } = boundOf(perS);
+    const each = Math.floor(most / hosts);
+    return hearsMost(fleet) && placeFor(endpoint, fleet) < most % hosts ? each + 1 : each;
+}
+
+/**
+ * When each request of a host's part may first be sent after it heard of the limit or got this part, in milliseconds: all parts
+ * together come one after another over a span. So an endpoint in need gets them evenly, soon after its limit is over one of them
+ * shows that, and where parts pass to other hosts, what those before them sent no longer counts.
+ */
+function opens(endpoint: string, perS: number, fleet: Fleet, now: number): readonly number[] {
+    const { most, spanMs } = boundOf(perS);
+    const place = placeFor(endpoint, fleet);
+    const part = limitPart(endpoint, perS, fleet, now);
+    return Array.from({ length: part }, (_, at) => spanMs * ((at * fleet.most + place) / most % 1));
+}
+
+/**
+ * Whether it is this host's turn to find out if a limit is over that nobody has heard of for a while. Hosts that do not hear each
+ * other cannot take turns in order: each of them takes one by its mark, and so rarely that few meet.
+ */
+function isTurn(endpoint: string, said: Said, fleet: Fleet, now: number): boolean {
+    const inDoubtMs = now - said.at - DOUBT_MS;
+    if (inDoubtMs < 0) return false;
+    const turn = Math.floor(inDoubtMs / TURN_MS);
+    if (hearsMost(fleet)) return turn % Math.max(1, fleet.live) === placeFor(endpoint, fleet);
+    const turns = UNHEARD_TURNS * fleet.most;
+    return turn % turns === fleet.mark % turns;
+}
+
+/** When a host may send requests to a limited endpoint, as times from now, the soonest first; those of its part alone. */
+function openings(
+    { cfg: { id }, said }: EndpointView,
+    times: readonly number[],
+    fleet: Fleet,
+    now: number,
+): readonly number[] {
+    const { limitPerS: perS = 0, since } = said!;
+    const { spanMs } = boundOf(perS);
+    const from = Math.max(since, fleet.changedAt);
+    const first = opens(id, perS, fleet, now).map(ms => Math.max(0, from + ms - now)).sort((a, b) => a - b);
+    const counted = times.filter(at => now - at < spanMs).slice(-first.length);
+    // Each request that counts holds one of the part until a span has passed.
+    return [...first.slice(counted.length), ...counted.map(at => at + spanMs - now)].sort((a, b) => a - b);
+}
+
+/**
+ * Whether a host may send a request to an endpoint now, by the limit that the endpoint names.
+ *
+ * @param times When it sent requests there, the oldest first.
+ *
+ * @example
+ * ```ts
+ * limitLetsIn(view, state.letIn.get(view.cfg.id) ?? [], state.fleet, now);
+ * ```
+ */
+export function limitLetsIn(view: EndpointView, times: readonly number[], fleet: Fleet, now: number): boolean {
+    const { cfg: { id }, said } = view;
+    if (!said || !isLimited(view)) return true;
+    const [next] = openings(view, times, fleet, now);
+    if (next === 0) return true;
+    const isFirstOfTurn = times.every(at => now - at >= TURN_MS);
+    return isFirstOfTurn && isTurn(id, said, fleet, now);
+}
+
+/** What the limits of endpoints let a host send. */
+export interface LimitedRoom {
+    /** Time until the request at a place of the queue may be sent; Infinity where none of the next ones is this host's. */
+    readonly waitMs: number;
+    /** Time between two requests that this host may send, in the mean. */
+    readonly everyMs: number;
+}
+
+/**
+ * When a host may send one more request where all endpoints name a limit; undefined where one of them names none.
+ *
+ * @param views Endpoints that the request may go to.
+ * @param place Its place among those that wait, from 1.
+ */
+export function limitedRoom(
+    views: readonly EndpointView[],
+    letIn: ReadonlyMap<string, readonly number[]>,
+    fleet: Fleet,
+    place: number,
+    now: number,
+): LimitedRoom | undefined {
+    if (views.length === 0 || !views.every(isLimited)) return undefined;
+    const next = views.flatMap(view => openings(view, letIn.get(view.cfg.id) ?? [], fleet, now));
+    next.sort((a, b) => a - b);
+    const perMs = views.map(({ said }) => boundOf(said!.limitPerS!)).reduce(
+        (sum, { most, spanMs }) => sum + most / spanMs,
+        0,
+    );
+    return { waitMs: next[place - 1] ?? Infinity, everyMs: fleet.live / perMs };
+}
--- a/packages/policy/src/owner-answers.ts
+++ b/packages/policy/src/owner-answers.ts
@@ -5,9 +5,10 @@
  */
 import { onUse } from "./breaker.js";
 import { backUpAt } from "./carry.js";
-import { mayLetIn } from "./cold.js";
 import { dispatch, lengthsOf, send, standbyAnswered, without } from "./dispatch.js";
 import { addStream, takesNew } from "./endpoint.js";
+import { mayLetIn } from "./let-in.js";
+import { isLimited } from "./limit.js";
 import { letIntoPlaced, takeBack } from "./place.js";
 import { type Decision, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
 import { setIn } from "./shard-map.js";
@@ -25,8 +26,10 @@
     const back = takeBack(state, job, now);
     const { waiting } = asked;
     const view = endpoint === undefined ? undefined : back.endpoints.get(endpoint);
-    if (endpoint === undefined || !view || !takesNew(view)) {
-        const later = endpoint === undefined ? { ...waiting, noRoomAt: now } : waiting;
+    // Named by an owner that has not heard of its limit yet, as owners name none that they know to be limited.
+    const unadvised = view !== undefined && isLimited(view);
+    if (endpoint === undefined || !view || !takesNew(view) || unadvised) {
+        const later = endpoint === undefined || unadvised ? { ...waiting, noRoomAt: now } : waiting;
         return drain({ ...back, waiting: [...back.waiting, later] }, now);
     }
     const survival = lengthsOf(back, waiting.job);
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -7,10 +7,11 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onUnused, onUse } from "./breaker.js";
 import { assess, type Candidate, usable, wantedOf } from "./choose.js";
-import { mayLetIn, withLetIn } from "./cold.js";
 import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
 import { addStream, removeStream, streamCount } from "./endpoint.js";
 import type { Variant } from "./job.js";
+import { mayLetIn, withLetIn } from "./let-in.js";
+import { isLimited } from "./limit.js";
 import type { Waiting } from "./queue.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
 import { deleteIn, setIn } from "./shard-map.js";
@@ -33,9 +34,12 @@
     // Rounds of telling are long in large halls: there every stream is asked for, whatever this host believes. An owner would
     // choose for a suspect as for any other.
     const alwaysAsks = alwaysAsksOwners(state) && !job.isSuspect;
-    const id = chosen?.id ?? (alwaysAsks ? views[state.turn % Math.max(1, views.length)]?.cfg.id : undefined);
+    // Each host keeps its own part of an endpoint's limit: owners let nobody in there.
+    const advised = views.filter(view => !isLimited(view));
+    const id = chosen?.id ?? (alwaysAsks ? advised[state.turn % Math.max(1, advised.length)]?.cfg.id : undefined);
     if (id === undefined) return undefined;
-    const asks = alwaysAsks || asksOwners(state) && chosen?.crowded === true && !job.isSuspect;
+    const isAdvised = advised.some(view => view.cfg.id === id);
+    const asks = isAdvised && (alwaysAsks || asksOwners(state) && chosen?.crowded === true && !job.isSuspect);
     const mustAsk = asks && !state.owned.has(id);
     if (!mustAsk && !chosen) return undefined;
     const added = withView(state, id, view => ({
@@ -48,7 +52,7 @@
     const question = {
         ...wanted,
         hall: state.hall ?? "",
-        exclude: unusable(state, views),
+        exclude: unusable(state, advised),
         backUp: wantsBackup(state, job),
     };
     return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import { ALONE, type Fleet, type LetIn } from "./cold.js";
+import { ALONE, type Fleet } from "./cold.js";
 import { EndpointTable } from "./endpoint-table.js";
 import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others, Said } from "./endpoint.js";
 import { createEstimates, type Estimates } from "./estimate.js";
 import { NO_RETURNS, type Returns } from "./forecast.js";
 import { DEFAULT_VARIANT, type Job, type Variant } from "./job.js";
+import type { LetIn } from "./let-in.js";
 import type { Question } from "./question.js";
 import type { DrainRate, Waiting } from "./queue.js";
 import { createReadingRate, type ReadingRate } from "./reading.js";
@@ -73,8 +74,14 @@
     | { readonly kind: "endpoints"; readonly endpoints: readonly EndpointCfg[] }
     | { readonly kind: "leaving"; readonly endpoint: string; readonly source: LeavingSource; readonly leaving: boolean }
     | { readonly kind: "report"; readonly endpoint: string; readonly report: LoadReport }
-    /** How many hosts of the hall are alive, this host's place among them, and how many more are named and not heard of. */
-    | { readonly kind: "hosts"; readonly count: number; readonly place?: number; readonly unheard?: number }
+    /** How many hosts of the hall are alive, this host's place among them and its mark, and how many more are named and not heard of. */
+    | {
+        readonly kind: "hosts";
+        readonly count: number;
+        readonly place?: number;
+        readonly unheard?: number;
+        readonly mark?: number;
+    }
     /** As an owner, this host has let another host's request into an endpoint. */
     | { readonly kind: "letIn"; readonly endpoint: string }
     /** Which endpoints this host owns. */
@@ -115,7 +122,7 @@
     | { readonly kind: "tick" };
 
 /** Why a request is refused. */
-export type RefuseReason = "noEndpoint" | "queueFull" | "waitTooLong" | "retryBudget";
+export type RefuseReason = "noEndpoint" | "queueFull" | "waitTooLong" | "limited" | "retryBudget";
 
 /** What a host is asked to do. */
 export type SchedulerAction =
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -9,7 +9,7 @@
 import { onResult, onUnreachable } from "./breaker.js";
 import { dropBackup, evacuate } from "./carry.js";
 import { BACKUP_ROOM_SHARE, EVACUATION_ROOM_SHARE } from "./choose.js";
-import { mayGoOnAt, withLetIn } from "./cold.js";
+import { mayGoOnAt } from "./cold.js";
 import { askStandby, decideStandbyAlone, dispatch, wantsBackup } from "./dispatch.js";
 import { EndpointTable } from "./endpoint-table.js";
 import {
@@ -22,6 +22,8 @@
     takeReport,
     takeSaid,
 } from "./endpoint.js";
+import { withLetIn } from "./let-in.js";
+import { isLimited, limitLetsIn } from "./limit.js";
 import { answered, decideAlone } from "./owner-answers.js";
 import { takeBack } from "./place.js";
 import { isServed, NO_ENDPOINT_RETRY_MS, refuse } from "./refusal.js";
@@ -104,9 +106,10 @@
         if (state.variant.share === "owner" && state.hosts > 1) return { state, actions: [] };
         return drain(withView(state, endpoint, view => takeReport(view, report, state.variant.lagCorrection)), now);
     },
-    hosts: (state, { count, place = 0, unheard = 0 }, now) => {
-        const { since = now, most } = state.fleet;
-        const fleet = { since, place, live: count, most: Math.max(most, count + unheard) };
+    hosts: (state, { count, place = 0, unheard = 0, mark = 0 }, now) => {
+        const { since = now, most, ...known } = state.fleet;
+        const changedAt = known.place === place && known.live === count ? known.changedAt : now;
+        const fleet = { since, place, live: count, most: Math.max(most, count + unheard), changedAt, mark };
         return { state: { ...state, hosts: count, fleet }, actions: [] };
     },
     letIn: (state, { endpoint }, now) => {
@@ -127,8 +130,8 @@
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
     evacuate: (state, { job }, now) =>
         askStandby(state, job, "evacuate", EVACUATION_ROOM_SHARE, now) ?? evacuate(state, job, now),
-    said: (state, { endpoint, said }) => ({
-        state: withView(state, endpoint, view => takeSaid(view, said)),
+    said: (state, { endpoint, said }, now) => ({
+        state: withView(state, endpoint, view => takeSaid(view, said, now)),
         actions: [],
     }),
     unreachable: (state, { endpoint }, now) => ({
@@ -175,7 +178,9 @@
     const keeper = standby === undefined ? undefined : state.endpoints.get(standby);
     const running = keeper?.backups.get(job);
     if (standby === undefined || !keeper || !running) return undefined;
-    const isOpen = keeper.cfg.isEvacuated !== true && mayGoOnAt(keeper, running.job.promptTokens, now);
+    const isOpen = keeper.cfg.isEvacuated !== true
+        && mayGoOnAt(keeper, running.job.promptTokens, now)
+        && limitLetsIn(keeper, state.letIn.get(standby) ?? [], state.fleet, now);
     return isOpen && isServed(state, running.job) ? { standby, running } : undefined;
 }
 
@@ -204,10 +209,12 @@
         breaker: failed ? onResult(view.breaker, false, now) : view.breaker,
     }));
     const promoted = withView(left, standby, view => promoteBackup(view, job));
+    const keeper = promoted.endpoints.get(standby)!;
     const next = {
         ...promoted,
         placed: setIn(promoted.placed, job, standby),
         backedUp: deleteIn(promoted.backedUp, job),
+        letIn: isLimited(keeper) ? withLetIn(promoted.letIn, keeper, now) : promoted.letIn,
     };
     const asks = wantsBackup(next, running.job) ? askStandby(next, job, "continue", BACKUP_ROOM_SHARE, now) : undefined;
     return asks ?? dispatch(next, running.job, standby, now);
--- a/packages/policy/test/cold.test.ts
+++ b/packages/policy/test/cold.test.ts
@@ -15,7 +15,7 @@
 const PER_S = 40;
 /** Long after a host's start. */
 const LATER = 60_000;
-const FLEET: Fleet = { since: 0, place: 0, live: 66, most: 66 };
+const FLEET: Fleet = { since: 0, place: 0, live: 66, most: 66, changedAt: 0, mark: 0 };
 
 const ALLOWED: Readonly<
     Record<string, { readonly fleet?: Partial<Fleet>; readonly ownedSince?: number; readonly most: number }>
--- a/packages/request/src/error.ts
+++ b/packages/request/src/error.ts
@@ -15,6 +15,8 @@
     NoEndpoint: "no_endpoint",
     Stopping: "host_stopping",
     WaitTooLong: "wait_too_long",
+    /** All endpoints limit the requests that they take, and the next ones are taken too late or by another host. */
+    EndpointsLimited: "endpoints_limited",
     DeadlinePassed: "deadline_passed",
     EndpointRefused: "endpoint_refused",
     EndpointLost: "endpoint_lost",
