--- /dev/null
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -0,0 +1,173 @@
+/**
+ * Mutations of the promises on what endpoints say, what is said of them, and which lives they have.
+ *
+ * @module
+ */
+import type { Mutation } from "./mutation.js";
+
+const POLICY = "packages/policy/test/policy.test.ts";
+const CARRY = "packages/policy/test/carry.test.ts";
+const LIVES = "platform/test/lives.test.ts";
+const ROUTES = "packages/routes/test/routes.test.ts";
+const ATTEMPT = "packages/host/src/forward-attempt.ts";
+const ENDPOINT = "packages/policy/src/endpoint.ts";
+const COLD_SOURCE = "packages/policy/src/cold.ts";
+const COLD = "packages/policy/test/cold.test.ts";
+const COLD_FLEET = "packages/hall/test/cold.test.ts";
+const LIMIT_SOURCE = "packages/policy/src/limit.ts";
+const LIMIT = "packages/policy/test/limit.test.ts";
+const LIMIT_FLEET = "packages/hall/test/limit.test.ts";
+const LIMITS = "platform/test/endpoint-limits.test.ts";
+const EVACUATION = "platform/test/evacuation.test.ts";
+const ORDERS = "packages/routes/test/evacuation.test.ts";
+
+/** Broken one at a time by `npm run test:mutations`. */
+export const ENDPOINT_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "an evacuated hall gets nothing new",
+        file: ENDPOINT,
+        find: " && cfg.isEvacuated !== true",
+        replace: "",
+        tests: [EVACUATION],
+    },
+    {
+        promise: "nor a stream that goes on from its copy there",
+        file: "packages/policy/src/scheduler.ts",
+        find: " && keeper.cfg.isEvacuated !== true",
+        replace: "",
+        tests: [COLD],
+    },
+    {
+        promise: "what a peer tells of evacuations counts",
+        file: "packages/host/src/deployment-feed.ts",
+        find: "adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now())",
+        replace: "adoptEndpoints(this.registry, entries, [], this.deps.clock.now())",
+        tests: [EVACUATION],
+    },
+    {
+        promise: "all hosts together keep to what a cold endpoint bears",
+        file: COLD_SOURCE,
+        find: " || 2 * live <= most",
+        replace: "",
+        tests: [COLD, COLD_FLEET],
+    },
+    {
+        promise: "nor does a host that has just started let anything in there",
+        file: COLD_SOURCE,
+        find: "const LEARNT_MS = 10_000;",
+        replace: "const LEARNT_MS = 0;",
+        tests: [COLD],
+    },
+    {
+        promise: "a hall that is taken back is cold",
+        file: "packages/routes/src/warmth.ts",
+        find: "Math.max(own, returned)",
+        replace: "own",
+        tests: [ORDERS],
+    },
+    {
+        promise: "homes bind",
+        file: ENDPOINT,
+        find: "halls === undefined || halls.includes(cfg.hall)",
+        replace: "true || halls?.includes(cfg.hall) === true",
+        tests: [EVACUATION],
+    },
+    {
+        promise: "nor does it after its owner granted a request",
+        file: "packages/policy/src/owner-answers.ts",
+        find: "if (endpoint === undefined || !view || !takesNew(view)) {",
+        replace: "if (endpoint === undefined || !view) {",
+        tests: [POLICY],
+    },
+    {
+        promise: "lives: an earlier one that is told late changes nothing",
+        file: "packages/routes/src/registry.ts",
+        find: "if (order === LifeOrder.Earlier) return;",
+        replace: "",
+        tests: [ROUTES],
+    },
+    {
+        promise: "lives: what runs in one that is over does not wait",
+        file: ATTEMPT,
+        find: 'life.addEventListener("abort", this.onLifeOver, { once: true });',
+        replace: "",
+        tests: [LIVES],
+    },
+    {
+        promise: "lives: no stream goes on at a copy of an earlier one",
+        file: "packages/policy/src/scheduler.ts",
+        find: "held.reduce(dropBackup, state)",
+        replace: "held.length > 0 ? state : state",
+        tests: [CARRY, LIVES],
+    },
+    {
+        promise: "lives: a registration that cannot be read names none to use",
+        file: "packages/host/src/registrations.ts",
+        find: 'return { kind: "unreadable", id };',
+        replace: "return undefined;",
+        tests: [LIVES],
+    },
+    {
+        promise: "limits: all hosts together keep to what an endpoint names",
+        file: LIMIT_SOURCE,
+        find: "const each = Math.floor(most / hosts);",
+        replace: "const each = most;",
+        tests: [LIMIT, LIMIT_FLEET, LIMITS],
+    },
+    {
+        promise: "limits: a part of the fleet does not hand out what goes to the whole",
+        file: LIMIT_SOURCE,
+        find: "return hearsMost(fleet) && placeFor(endpoint, fleet) < most % hosts ? each + 1 : each;",
+        replace: "return placeFor(endpoint, fleet) < most % hosts ? each + 1 : each;",
+        tests: [LIMIT],
+    },
+    {
+        promise: "limits: a host that starts hears of them before it is ready",
+        file: "packages/host/src/word-sharing.ts",
+        find: "return this.asking.isReady;",
+        replace: "return true;",
+        tests: ["packages/host/test/word-sharing.test.ts"],
+    },
+    {
+        promise: "limits: hosts tell each other",
+        file: "packages/host/src/word-sharing.ts",
+        find: "if (words.length > 0) this.send(this.someOthers(most), words, false);",
+        replace: "void [most, words];",
+        tests: [LIMITS],
+    },
+    {
+        promise: "limits: a stream goes on at its copy within them",
+        file: "packages/policy/src/scheduler.ts",
+        find: "&& limitLetsIn(keeper, state.letIn.get(standby) ?? [], state.fleet, now);",
+        replace: ";",
+        tests: [LIMIT],
+    },
+    {
+        promise: "limits: owners let nobody in",
+        file: "packages/policy/src/owner-answers.ts",
+        find: "const unadvised = view !== undefined && isLimited(view);",
+        replace: "const unadvised = false;",
+        tests: [LIMIT],
+    },
+    {
+        promise: "limits: what they keep away is refused at once",
+        file: "packages/policy/src/refusal.ts",
+        find: "const limited = limitsFor(state, waiting, position, now)?.waitMs ?? 0;",
+        replace: "const limited = 0;",
+        tests: [LIMITS],
+    },
+    {
+        promise: "limits: another worker's answer names none of this one's",
+        file: ATTEMPT,
+        find: "if (this.head.id === send.call.id && status !== MISDIRECTED) onSaid(this.head);",
+        replace: "onSaid(this.head);",
+        tests: [LIMITS],
+    },
+    {
+        promise: "limits: one that is over binds nobody",
+        file: "packages/host/src/endpoint-words.ts",
+        find: "if (!placement || !known && said.limitPerS === undefined) return false;",
+        replace: "if (!placement || said.limitPerS === undefined) return false;",
+        tests: [LIMITS],
+    },
+];
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -6,14 +6,8 @@
  */
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
-
-interface Mutation {
-    readonly promise: string;
-    readonly file: string;
-    readonly find: string;
-    readonly replace: string;
-    readonly tests: readonly string[];
-}
+import { ENDPOINT_MUTATIONS } from "./endpoint-mutations.js";
+import type { Mutation } from "./mutation.js";
 
 const FAULTS = "packages/standins/test/faults.test.ts";
 const ENGINES = "packages/standins/test/engine-faults.test.ts";
@@ -30,7 +24,6 @@
 const FOLLOWING = "packages/hall/test/following.test.ts";
 const DETECTOR = "packages/hall/test/detector.test.ts";
 const SOAK = "platform/test/soak.test.ts";
-const LIVES = "platform/test/lives.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
 const FATAL = "platform/test/fatal-requests.test.ts";
 const SUSPENDED = "platform/test/suspended.test.ts";
@@ -41,14 +34,10 @@
 const ATTEMPT = "packages/host/src/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
 const ENDPOINT = "packages/policy/src/endpoint.ts";
-const COLD_SOURCE = "packages/policy/src/cold.ts";
-const COLD = "packages/policy/test/cold.test.ts";
-const COLD_FLEET = "packages/hall/test/cold.test.ts";
-const EVACUATION = "platform/test/evacuation.test.ts";
-const ORDERS = "packages/routes/test/evacuation.test.ts";
 const PROOF = "packages/request/src/proof.ts";
 
 const MUTATIONS: readonly Mutation[] = [
+    ...ENDPOINT_MUTATIONS,
     {
         promise: "each token once",
         file: STEP,
@@ -112,62 +101,6 @@
         replace: "cfg.models.length > 0",
         tests: [POLICY],
     },
-    {
-        promise: "an evacuated hall gets nothing new",
-        file: ENDPOINT,
-        find: " && cfg.isEvacuated !== true",
-        replace: "",
-        tests: [EVACUATION],
-    },
-    {
-        promise: "nor a stream that goes on from its copy there",
-        file: "packages/policy/src/scheduler.ts",
-        find: " && keeper.cfg.isEvacuated !== true",
-        replace: "",
-        tests: [COLD],
-    },
-    {
-        promise: "what a peer tells of evacuations counts",
-        file: "packages/host/src/deployment-feed.ts",
-        find: "adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now())",
-        replace: "adoptEndpoints(this.registry, entries, [], this.deps.clock.now())",
-        tests: [EVACUATION],
-    },
-    {
-        promise: "all hosts together keep to what a cold endpoint bears",
-        file: COLD_SOURCE,
-        find: " || 2 * live <= most",
-        replace: "",
-        tests: [COLD, COLD_FLEET],
-    },
-    {
-        promise: "nor does a host that has just started let anything in there",
-        file: COLD_SOURCE,
-        find: "const LEARNT_MS = 10_000;",
-        replace: "const LEARNT_MS = 0;",
-        tests: [COLD],
-    },
-    {
-        promise: "a hall that is taken back is cold",
-        file: "packages/routes/src/warmth.ts",
-        find: "Math.max(own, returned)",
-        replace: "own",
-        tests: [ORDERS],
-    },
-    {
-        promise: "homes bind",
-        file: ENDPOINT,
-        find: "halls === undefined || halls.includes(cfg.hall)",
-        replace: "true || halls?.includes(cfg.hall) === true",
-        tests: [EVACUATION],
-    },
-    {
-        promise: "nor does it after its owner granted a request",
-        file: "packages/policy/src/owner-answers.ts",
-        find: "if (endpoint === undefined || !view || !takesNew(view)) {",
-        replace: "if (endpoint === undefined || !view) {",
-        tests: [POLICY],
-    },
     {
         promise: "a planned stop cuts nothing",
         file: "packages/host/src/daemon.ts",
@@ -385,34 +318,6 @@
         replace: "",
         tests: [HALL],
     },
-    {
-        promise: "lives: an earlier one that is told late changes nothing",
-        file: "packages/routes/src/registry.ts",
-        find: "if (order === LifeOrder.Earlier) return;",
-        replace: "",
-        tests: [ROUTES],
-    },
-    {
-        promise: "lives: what runs in one that is over does not wait",
-        file: ATTEMPT,
-        find: 'life.addEventListener("abort", this.onLifeOver, { once: true });',
-        replace: "",
-        tests: [LIVES],
-    },
-    {
-        promise: "lives: no stream goes on at a copy of an earlier one",
-        file: "packages/policy/src/scheduler.ts",
-        find: "held.reduce(dropBackup, state)",
-        replace: "held.length > 0 ? state : state",
-        tests: [CARRY, LIVES],
-    },
-    {
-        promise: "lives: a registration that cannot be read names none to use",
-        file: "packages/host/src/registrations.ts",
-        find: 'return { kind: "unreadable", id };',
-        replace: "return undefined;",
-        tests: [LIVES],
-    },
     {
         promise: "quarantine: nothing is begun after three endings",
         file: "packages/host/src/run.ts",
