Hosts tell when an answer says that its endpoint leaves, or asks for rest

Both headers are decoded and logged (endpoint_says_leaving, endpoint_rests, and what is no number as endpoint_word_ignored); nothing is decided by them yet.

--- a/packages/host/src/endpoint-words.ts
+++ b/packages/host/src/endpoint-words.ts
@@ -22,6 +22,12 @@
     tell(words: readonly EndpointWord[]): void;
 }
 
+/** What an answer's head says of its endpoint. */
+export type EndpointHead = Pick<AnswerHead, "notRun" | "limitPerS" | "leaving" | "retryAfterS">;
+
+/** With this status an endpoint turns a request away, and may ask for rest. */
+const REFUSED = 503;
+const MS_PER_S = 1_000;
 /** That an endpoint says the same again is taken in this often: it counts as news of seconds. */
 const SAME_AGAIN_MS = 250;
 
@@ -34,18 +40,33 @@
      *
      * @example
      * ```ts
-     * words.heard("i-7@1700", wire.readAnswer(headers));
+     * words.heard("i-7@1700", 200, wire.readAnswer(headers));
      * ```
      */
-    heard(endpoint: string, { limit }: Pick<AnswerHead, "limit">): void {
-        if (limit.kind === "malformed") {
-            this.deps.log.debug({ endpoint, text: limit.text }, "endpoint_limit_ignored");
-            return;
-        }
-        const said = { limitPerS: limit.kind === "perS" ? limit.perS : undefined, at: this.deps.clock.now() };
+    heard(endpoint: string, status: number, head: EndpointHead): void {
+        this.hearLimit(endpoint, head);
+        if (head.leaving) this.deps.log.info({ endpoint }, "endpoint_says_leaving");
+        if (status === REFUSED && head.notRun) this.hearRest(endpoint, head);
+    }
+
+    private hearLimit(endpoint: string, { limitPerS }: EndpointHead): void {
+        if (limitPerS.kind === "malformed") return this.ignore(endpoint, "limit", limitPerS.text);
+        const value = limitPerS.kind === "number" ? limitPerS.value : undefined;
+        const said = { limitPerS: value, at: this.deps.clock.now() };
         if (this.take(endpoint, said, "endpoint")) this.deps.tell([wordOf(endpoint, said, said.at)]);
     }
 
+    private hearRest(endpoint: string, { retryAfterS }: EndpointHead): void {
+        if (retryAfterS.kind === "malformed") return this.ignore(endpoint, "rest", retryAfterS.text);
+        if (retryAfterS.kind === "none") return;
+        const forMs = Math.round(MS_PER_S * retryAfterS.value);
+        this.deps.log.info({ endpoint, for_ms: forMs }, "endpoint_rests");
+    }
+
+    private ignore(endpoint: string, said: "limit" | "rest", text: string): void {
+        this.deps.log.debug({ endpoint, said, text }, "endpoint_word_ignored");
+    }
+
     /** Takes in what a peer tells; returns what had not been known. */
     hear(words: readonly EndpointWord[]): readonly EndpointWord[] {
         const now = this.deps.clock.now();
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/forward-attempt.ts
@@ -51,7 +51,7 @@
     /** Told of each answer's status and head, before anything of it is reported. */
     readonly onAnswered: (status: number, head: AnswerHead) => void;
     /** Told what the endpoint says of itself in an answer that is surely its own. */
-    readonly onSaid: (said: AnswerHead) => void;
+    readonly onSaid: (status: number, said: AnswerHead) => void;
     /** Told when the endpoint refuses because it is another one than the call names. */
     readonly onOtherIncarnation: () => void;
     /** Aborts when the endpoint is known to have begun a later life: the connection may stay silent for good. */
@@ -127,7 +127,7 @@
         this.head = this.wire.readAnswer(headers);
         onAnswered(status, this.head);
         // A surplus answer is late, and one that was misdirected is another endpoint's.
-        if (this.head.id === send.call.id && status !== MISDIRECTED) onSaid(this.head);
+        if (this.head.id === send.call.id && status !== MISDIRECTED) onSaid(status, this.head);
         this.verdict = judgeAnswer(send.call.id, status, this.head, before);
         if (this.verdict.kind === "invalid") return this.lose("invalid", this.verdict.detail);
         if (this.verdict.kind === "refused") return;
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/forward.ts
@@ -483,7 +483,7 @@
                     progress.answered = { status, framed: answer.framed };
                     if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
                 },
-                onSaid: said => deps.words.heard(incarnation, said),
+                onSaid: (status, said) => deps.words.heard(incarnation, status, said),
                 onOtherIncarnation: () => deps.onOtherIncarnation(incarnation),
                 life: deps.lives.of(incarnation),
                 signal,
--- a/packages/protocol/src/forwarding.ts
+++ b/packages/protocol/src/forwarding.ts
@@ -71,10 +71,10 @@
     readonly backUpTo?: string | undefined;
 }
 
-/** What an endpoint in need says in an answer of the requests that it takes from all hosts together. */
-export type SaidLimit =
+/** A number that an endpoint may say in an answer. */
+export type SaidNumber =
     | { readonly kind: "none" }
-    | { readonly kind: "perS"; readonly perS: number }
+    | { readonly kind: "number"; readonly value: number }
     | { readonly kind: "malformed"; readonly text: string };
 
 /** An endpoint's answer head, decoded. */
@@ -96,8 +96,12 @@
     readonly length: number | undefined;
     /** Whether its end can be seen in its bytes, by a length or by chunks. */
     readonly framed: boolean;
-    /** The requests a second that the endpoint takes for as long as it says so. */
-    readonly limit: SaidLimit;
+    /** The requests a second that the endpoint takes from all hosts together, for as long as it says so. */
+    readonly limitPerS: SaidNumber;
+    /** Whether the endpoint says that it is leaving. */
+    readonly leaving: boolean;
+    /** Seconds after which a caller may come back; of a refusal, those for which the endpoint wants nothing from this host. */
+    readonly retryAfterS: SaidNumber;
     /** What goes on to the caller. */
     readonly passed: RawHeaders;
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -35,7 +35,7 @@
     type PlatformWire,
     type PromptPart,
     type RawHeaders,
-    type SaidLimit,
+    type SaidNumber,
     type SendHead,
     type StayAnswer,
 } from "./forwarding.js";
