An endpoint that says in its answers that it leaves gets nothing new in that life

Callers were served by a worker that was about to end: for 12 s after its first answer had said so, as many calls as before went there, the last allowed being those of the first 2 s. The store, where it had written the same, answered nobody meanwhile.

Cause: what leaves was known by its registration, an engine's report and a 421; nothing read the word in an answer, which is the only one of a plain worker while the store is away. Class: a word of an endpoint that no way to it asks, as with limits. Ruled out: that the word is taken back by an owner's round (a plain worker has none), that calls decided before were sent late (they came evenly for 12 s).

The word is a source of its own that is never taken back in that life, as answers overtake one another; it is told to all hosts, makes copies of what runs there, and is kept while a registration lapses and comes back. A life that had said so has ended as planned: it is no evidence against what it ran, also where the later life is known first (that test fails without it).

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -101,4 +101,4 @@
 } from "./share.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
 export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
-export { type EndpointWord, saidOf, wordOf, wordsToTell } from "./words.js";
+export { type EndpointWord, type LimitWord, saidOf, wordOf, wordsToTell } from "./words.js";
--- a/packages/hall/src/words.ts
+++ b/packages/hall/src/words.ts
@@ -6,13 +6,21 @@
  *
  * @module
  */
-import type { EndpointView, Said } from "@drumpaddle/policy";
+import { type EndpointView, type Said, saysLeaving } from "@drumpaddle/policy";
 
-/** What an endpoint said last, as a peer is told. */
+/** What an endpoint said, as a peer is told. */
 export interface EndpointWord {
     readonly endpoint: string;
-    /** Requests a second that it takes from all hosts together; absent where it names no limit. */
-    readonly limitPerS?: number;
+    /** Whether it said that it is leaving; that holds for its life. */
+    readonly leaves: boolean;
+    /** What it said last of a limit; absent where it named none lately. */
+    readonly limit?: LimitWord;
+}
+
+/** What an endpoint said last of the requests that it takes. */
+export interface LimitWord {
+    /** Requests a second from all hosts together; absent where its limit is over. */
+    readonly perS?: number;
     /** How long ago it said so, in milliseconds. */
     readonly agoMs: number;
 }
@@ -25,25 +33,27 @@
  *
  * @example
  * ```ts
- * wordsToTell(scheduler.endpoints.values(), now); // [{ endpoint: "i-7", limitPerS: 2.3, agoMs: 120 }]
+ * wordsToTell(scheduler.endpoints.values(), now); // [{ endpoint: "i-7", leaves: false, limit: { perS: 2.3, agoMs: 120 } }]
  * ```
  */
 export function wordsToTell(views: readonly EndpointView[], now: number): readonly EndpointWord[] {
-    return views.flatMap(({ cfg: { id: endpoint }, said }) => {
-        if (!said || said.limitPerS === undefined && now - said.at > OVER_TOLD_MS) return [];
-        return [wordOf(endpoint, said, now)];
-    });
+    return views.flatMap(view => wordOf(view, now) ?? []);
 }
 
-/** What an endpoint said, as a peer is told. */
-export function wordOf(endpoint: string, { limitPerS, at }: Said, now: number): EndpointWord {
-    return { endpoint, agoMs: Math.max(0, now - at), ...(limitPerS === undefined ? {} : { limitPerS }) };
+/** What an endpoint said, as a peer is told; undefined where nothing of it is worth telling. */
+export function wordOf(view: EndpointView, now: number): EndpointWord | undefined {
+    const { cfg: { id: endpoint }, said } = view;
+    const leaves = saysLeaving(view);
+    const isNews = said && (said.limitPerS !== undefined || now - said.at <= OVER_TOLD_MS);
+    if (!isNews) return leaves ? { endpoint, leaves } : undefined;
+    const perS = said.limitPerS === undefined ? {} : { perS: said.limitPerS };
+    return { endpoint, leaves, limit: { ...perS, agoMs: Math.max(0, now - said.at) } };
 }
 
 /**
- * What an endpoint said, as a peer has told. A message that was held up makes it look newer than it is: what the endpoint says in
- * its next answer, to any host, corrects that.
+ * What an endpoint said of its limit, as a peer has told. A message that was held up makes it look newer than it is: what the endpoint
+ * says in its next answer, to any host, corrects that.
  */
-export function saidOf({ limitPerS, agoMs }: EndpointWord, now: number): Said {
-    return { limitPerS, at: now - agoMs };
+export function saidOf({ perS, agoMs }: LimitWord, now: number): Said {
+    return { limitPerS: perS, at: now - agoMs };
 }
--- a/packages/hall/test/bounded-fleet.ts
+++ b/packages/hall/test/bounded-fleet.ts
@@ -24,7 +24,6 @@
     shareRound,
     type ShareState,
     type ShareStep,
-    wordOf,
     wordsToTell,
 } from "../src/index.js";
 import { seeded } from "./fleet.js";
@@ -148,16 +147,18 @@
     const hear = (host: Host, word: Said): void => {
         const before = said(host);
         feed(host, [{ kind: "said", endpoint: endpoint.id, said: word }]);
-        if (before?.limitPerS !== said(host)?.limitPerS) tell(host, FANOUT, [wordOf(endpoint.id, word, now)]);
+        if (before?.limitPerS === said(host)?.limitPerS) return;
+        tell(host, FANOUT, wordsToTell(host.state.endpoints.values(), now));
+    };
+    const hearWords = (host: Host, words: readonly EndpointWord[]): void => {
+        for (const { limit } of words) if (limit) hear(host, saidOf(limit, now));
     };
     const tell = (host: Host, most: number, words: readonly EndpointWord[]): void => {
         if (words.length === 0) return;
         for (let at = 0; at < most; at++) {
             const peer = hosts[Math.floor(random() * hosts.length)]!;
             if (peer === host || !host.hears.includes(peer.name)) continue;
-            deliver(host, peer, () => {
-                for (const word of words) hear(peer, saidOf(word, now));
-            });
+            deliver(host, peer, () => hearWords(peer, words));
         }
     };
     const deliver = (from: Host, to: Host, run: () => void): void => {
@@ -232,9 +233,7 @@
             const peer = hosts.find(other => other !== host && other.part === host.part && other.asleepUntil <= now);
             if (!peer || !limitAt) return;
             const words = wordsToTell(peer.state.endpoints.values(), now);
-            deliver(peer, host, () => {
-                for (const word of words) hear(host, saidOf(word, now));
-            });
+            deliver(peer, host, () => hearWords(host, words));
         });
         later(DETECTED_MS * random(), () => {
             host.hears = hosts.filter(({ part }) => part === host.part).map(({ name }) => name);
--- a/packages/host/src/endpoint-words.ts
+++ b/packages/host/src/endpoint-words.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type EndpointWord, saidOf, wordOf, wordsToTell } from "@drumpaddle/hall";
-import { isLimited, type Said } from "@drumpaddle/policy";
+import { type EndpointView, isLimited, type Said, saysLeaving } from "@drumpaddle/policy";
 import type { AnswerHead, Clock } from "@drumpaddle/protocol";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
@@ -25,6 +25,9 @@
 /** What an answer's head says of its endpoint. */
 export type EndpointHead = Pick<AnswerHead, "notRun" | "limitPerS" | "leaving" | "retryAfterS">;
 
+/** Who told what an endpoint says. */
+type WordSource = "endpoint" | "peer";
+
 /** With this status an endpoint turns a request away, and may ask for rest. */
 const REFUSED = 503;
 const MS_PER_S = 1_000;
@@ -44,60 +47,96 @@
      * ```
      */
     heard(endpoint: string, status: number, head: EndpointHead): void {
-        this.hearLimit(endpoint, head);
-        if (head.leaving) this.deps.log.info({ endpoint }, "endpoint_says_leaving");
+        const leaves = head.leaving && this.takeLeaving(endpoint, "endpoint");
+        const limits = this.hearLimit(endpoint, head);
+        if (leaves || limits) this.tell(endpoint);
         if (status === REFUSED && head.notRun) this.hearRest(endpoint, head);
     }
 
-    private hearLimit(endpoint: string, { limitPerS }: EndpointHead): void {
+    /** Takes in what a peer tells; returns what had not been known. */
+    hear(words: readonly EndpointWord[]): readonly EndpointWord[] {
+        const now = this.deps.clock.now();
+        return words.filter(({ endpoint, leaves, limit }) => {
+            const isLeavingNews = leaves && this.takeLeaving(endpoint, "peer");
+            const isLimitNews = limit !== undefined && this.takeLimit(endpoint, saidOf(limit, now), "peer");
+            return isLeavingNews || isLimitNews;
+        });
+    }
+
+    /** All that is worth telling a peer. */
+    all(): readonly EndpointWord[] {
+        return wordsToTell(this.views(), this.deps.clock.now());
+    }
+
+    /** Whether a life of an endpoint has said that it leaves; also of one that is declared no more. */
+    hasSaidLeaving(endpoint: string): boolean {
+        const view = this.viewOf(endpoint);
+        if (view) return saysLeaving(view);
+        return this.deps.placements.some(({ view: { remembered } }) => remembered.get(endpoint)?.leaves === true);
+    }
+
+    /** Counts anew how many endpoints name a limit; called when endpoints come or go as well. */
+    count(): void {
+        this.deps.metrics.limited.set(this.views().filter(isLimited).length);
+    }
+
+    private hearLimit(endpoint: string, { limitPerS }: EndpointHead): boolean {
         if (limitPerS.kind === "malformed") return this.ignore(endpoint, "limit", limitPerS.text);
         const value = limitPerS.kind === "number" ? limitPerS.value : undefined;
-        const said = { limitPerS: value, at: this.deps.clock.now() };
-        if (this.take(endpoint, said, "endpoint")) this.deps.tell([wordOf(endpoint, said, said.at)]);
+        return this.takeLimit(endpoint, { limitPerS: value, at: this.deps.clock.now() }, "endpoint");
     }
 
     private hearRest(endpoint: string, { retryAfterS }: EndpointHead): void {
-        if (retryAfterS.kind === "malformed") return this.ignore(endpoint, "rest", retryAfterS.text);
-        if (retryAfterS.kind === "none") return;
+        if (retryAfterS.kind === "malformed") this.ignore(endpoint, "rest", retryAfterS.text);
+        if (retryAfterS.kind !== "number") return;
         const forMs = Math.round(MS_PER_S * retryAfterS.value);
         this.deps.log.info({ endpoint, for_ms: forMs }, "endpoint_rests");
     }
 
-    private ignore(endpoint: string, said: "limit" | "rest", text: string): void {
+    private ignore(endpoint: string, said: "limit" | "rest", text: string): false {
         this.deps.log.debug({ endpoint, said, text }, "endpoint_word_ignored");
+        return false;
     }
 
-    /** Takes in what a peer tells; returns what had not been known. */
-    hear(words: readonly EndpointWord[]): readonly EndpointWord[] {
-        const now = this.deps.clock.now();
-        return words.filter(word => this.take(word.endpoint, saidOf(word, now), "peer"));
-    }
-
-    /** All that is worth telling a peer. */
-    all(): readonly EndpointWord[] {
-        const now = this.deps.clock.now();
-        return this.deps.placements.flatMap(({ view }) => wordsToTell(view.endpoints.values(), now));
+    private tell(endpoint: string): void {
+        const view = this.viewOf(endpoint);
+        const word = view && wordOf(view, this.deps.clock.now());
+        if (word) this.deps.tell([word]);
     }
 
-    /** Counts anew how many endpoints name a limit; called when endpoints come or go as well. */
-    count(): void {
-        const views = this.deps.placements.flatMap(({ view }) => view.endpoints.values());
-        this.deps.metrics.limited.set(views.filter(isLimited).length);
+    /** Takes in that an endpoint leaves; returns whether that is news. */
+    private takeLeaving(endpoint: string, source: WordSource): boolean {
+        const view = this.viewOf(endpoint);
+        if (!view || saysLeaving(view)) return false;
+        for (const placement of this.deps.placements) placement.setLeaving(endpoint, "answer", true);
+        this.deps.log.info({ endpoint, source }, "endpoint_says_leaving");
+        return true;
     }
 
-    /** Takes in a word; returns whether it changes what is known. */
-    private take(endpoint: string, said: Said, source: "endpoint" | "peer"): boolean {
-        const placement = this.deps.placements.find(({ view }) => view.endpoints.get(endpoint));
-        const known = placement?.view.endpoints.get(endpoint)?.said;
+    /** Takes in what an endpoint says of its limit; returns whether it changes what is known. */
+    private takeLimit(endpoint: string, said: Said, source: WordSource): boolean {
+        const known = this.viewOf(endpoint)?.said;
         // Nearly every answer names no limit where none was named before.
-        if (!placement || !known && said.limitPerS === undefined) return false;
+        if (!known && said.limitPerS === undefined) return false;
         const isSame = known?.limitPerS === said.limitPerS;
         if (known && (known.at >= said.at || isSame && said.at - known.at < SAME_AGAIN_MS)) return false;
-        placement.said(endpoint, said);
-        if (isSame) return false;
+        for (const placement of this.deps.placements) placement.said(endpoint, said);
+        if (isSame || !this.viewOf(endpoint)) return false;
         const before = known?.limitPerS ?? "none";
         this.deps.log.info({ endpoint, per_s: said.limitPerS ?? "none", before, source }, "endpoint_limit");
         this.count();
         return true;
     }
+
+    private views(): readonly EndpointView[] {
+        return this.deps.placements.flatMap(({ view }) => view.endpoints.values());
+    }
+
+    private viewOf(endpoint: string): EndpointView | undefined {
+        for (const { view } of this.deps.placements) {
+            const known = view.endpoints.get(endpoint);
+            if (known) return known;
+        }
+        return undefined;
+    }
 }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -147,7 +147,8 @@
         log,
         probe: endpoint => probeWhereAllowed(endpoint, [engines, plain], signal),
         isLeaving: incarnation => isLeaving(incarnation, engines, plain),
-        isOver: incarnation => hasBegunAgain(incarnation, known),
+        // One that had said that it leaves has ended as planned.
+        isOver: incarnation => hasBegunAgain(incarnation, known) && !words.hasSaidLeaving(incarnation),
         isDeaf: () => feed.isDeaf,
         onEnded: ending => guard.ended(ending),
         onNotEnded: runs => guard.notEnded(runs),
--- a/packages/host/src/peer-messages.ts
+++ b/packages/host/src/peer-messages.ts
@@ -77,8 +77,8 @@
 const TrialShape = Type.Object({ attempt: Name, fingerprint: Name, agoMs: Age, isOver: Type.Boolean() });
 const WordShape = Type.Object({
     endpoint: Name,
-    limitPerS: Type.Optional(Type.Number({ minimum: 0 })),
-    agoMs: Age,
+    leaves: Type.Boolean(),
+    limit: Type.Optional(Type.Object({ perS: Type.Optional(Type.Number({ minimum: 0 })), agoMs: Age })),
 });
 /** Endings, and as many suspects that run, or words of endpoints, that one message may tell of. */
 export const MOST_TOLD = 256;
--- a/packages/host/test/word-sharing.test.ts
+++ b/packages/host/test/word-sharing.test.ts
@@ -4,8 +4,8 @@
 import type { WordPeerMessage } from "../src/peer-messages.js";
 import { WordSharing } from "../src/word-sharing.js";
 
-const KNOWN: readonly EndpointWord[] = [{ endpoint: "e1", limitPerS: 2.3, agoMs: 40 }];
-const NEWS: readonly EndpointWord[] = [{ endpoint: "e2", agoMs: 0 }];
+const KNOWN: readonly EndpointWord[] = [{ endpoint: "e1", leaves: false, limit: { perS: 2.3, agoMs: 40 } }];
+const NEWS: readonly EndpointWord[] = [{ endpoint: "e2", leaves: true }];
 
 interface Sent {
     readonly names: readonly string[];
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -10,8 +10,11 @@
 import type { Job } from "./job.js";
 import { createPace, type PaceFit } from "./pace.js";
 
-/** Sources that may say that an endpoint is leaving; each takes back only its own word. */
-export type LeavingSource = "settings" | "hostList" | "registry" | "endpoint";
+/**
+ * Sources that may say that an endpoint is leaving; each takes back only its own word. `endpoint`: it said so when it was asked;
+ * `answer`: in its answers, which holds for its life.
+ */
+export type LeavingSource = "settings" | "hostList" | "registry" | "endpoint" | "answer";
 
 /** What is declared of an endpoint. */
 export interface EndpointCfg {
@@ -342,6 +345,11 @@
     return { ...view, leavingBy: leaving ? [...others, source] : others };
 }
 
+/** Whether an endpoint has said in an answer that it is leaving. */
+export function saysLeaving({ leavingBy }: EndpointView): boolean {
+    return leavingBy.includes("answer");
+}
+
 /**
  * Whether an endpoint takes new work at all: it is declared, is not about to leave, and its hall is not evacuated.
  *
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,6 +16,7 @@
     plannedShare,
     type Running,
     type Said,
+    saysLeaving,
     stalledStreams,
     streamCount,
     takeOthers,
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -13,6 +13,7 @@
 import type { Question } from "./question.js";
 import type { DrainRate, Waiting } from "./queue.js";
 import { createReadingRate, type ReadingRate } from "./reading.js";
+import type { Remembered } from "./remembered.js";
 import { createRetryBudget, type FleetBudget, type RetryBudget } from "./retry-budget.js";
 import { emptyMap, type ShardMap } from "./shard-map.js";
 
@@ -22,6 +23,8 @@
     /** Live hosts of the hall, this one included. */
     readonly hosts: number;
     readonly endpoints: EndpointTable;
+    /** What endpoints said that are declared no more. */
+    readonly remembered: Remembered;
     readonly waiting: readonly Waiting[];
     readonly estimates: Estimates;
     readonly retries: RetryBudget;
@@ -184,6 +187,7 @@
         fleetRetries: retries,
         hosts: 1,
         endpoints: EndpointTable.of([]),
+        remembered: new Map(),
         waiting: [],
         estimates: createEstimates(),
         retries: createRetryBudget(),
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -27,6 +27,7 @@
 import { answered, decideAlone } from "./owner-answers.js";
 import { takeBack } from "./place.js";
 import { isServed, NO_ENDPOINT_RETRY_MS, refuse } from "./refusal.js";
+import { recall, remember } from "./remembered.js";
 import { ended, progress } from "./running.js";
 import {
     type Decision,
@@ -84,16 +85,15 @@
     endpoints: (state, { endpoints }, now) => {
         const declared = endpoints.map(cfg => {
             const known = state.endpoints.get(cfg.id);
-            return known ? { ...known, cfg } : createEndpoint(cfg, now);
+            return known ? { ...known, cfg } : recall(createEndpoint(cfg, now), state.remembered);
         });
-        // An endpoint that is no longer declared keeps its streams until they end.
         const names = new Set(endpoints.map(cfg => cfg.id));
-        const left = state.endpoints.values().filter(view =>
-            !names.has(view.cfg.id) && view.streams.size + view.backups.size > 0
-        )
+        const gone = state.endpoints.values().filter(view => !names.has(view.cfg.id));
+        // An endpoint that is no longer declared keeps its streams until they end.
+        const left = gone.filter(view => view.streams.size + view.backups.size > 0)
             .map(view => ({ ...view, cfg: { ...view.cfg, models: [] } }));
         const next = EndpointTable.of([...declared, ...left]);
-        return drain({ ...state, endpoints: next }, now);
+        return drain({ ...state, endpoints: next, remembered: remember(state.remembered, gone, now) }, now);
     },
     leaving: (state, { endpoint, source, leaving }, now) => {
         const known = state.endpoints.get(endpoint)?.leavingBy.includes(source);
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -14,6 +14,7 @@
 const COLD_SOURCE = "packages/policy/src/cold.ts";
 const COLD = "packages/policy/test/cold.test.ts";
 const COLD_FLEET = "packages/hall/test/cold.test.ts";
+const LEAVING = "platform/test/endpoint-leaving.test.ts";
 const LIMIT_SOURCE = "packages/policy/src/limit.ts";
 const LIMIT = "packages/policy/test/limit.test.ts";
 const LIMIT_FLEET = "packages/hall/test/limit.test.ts";
@@ -166,8 +167,29 @@
     {
         promise: "limits: one that is over binds nobody",
         file: "packages/host/src/endpoint-words.ts",
-        find: "if (!placement || !known && said.limitPerS === undefined) return false;",
-        replace: "if (!placement || said.limitPerS === undefined) return false;",
+        find: "if (!known && said.limitPerS === undefined) return false;",
+        replace: "if (said.limitPerS === undefined) return false;",
         tests: [LIMITS],
     },
+    {
+        promise: "says it leaves: nothing new goes there",
+        file: "packages/host/src/endpoint-words.ts",
+        find: 'for (const placement of this.deps.placements) placement.setLeaving(endpoint, "answer", true);',
+        replace: "",
+        tests: [LEAVING],
+    },
+    {
+        promise: "says it leaves: hosts tell each other",
+        file: "packages/host/src/endpoint-words.ts",
+        find: 'const isLeavingNews = leaves && this.takeLeaving(endpoint, "peer");',
+        replace: "const isLeavingNews = false;",
+        tests: [LEAVING],
+    },
+    {
+        promise: "says it leaves: it holds while its registration comes and goes",
+        file: "packages/policy/src/remembered.ts",
+        find: "if (!words) return view;",
+        replace: "if (words) return view;",
+        tests: [LEAVING],
+    },
 ];
