An endpoint that turns a host away and asks it for rest gets nothing from it meanwhile

Callers of calls that may run once were refused: 40 in 4.5 s, over a tenth of their kind, while two of three workers served all that came. The third turned everything away with 503 and asked each host for 3 s of rest; hosts sent it five to eight requests in that time, where two are allowed.

Cause: nothing read the time in a refusal; and as an endpoint that turns calls away at once has the fewest open ones, it was preferred to those that serve. Ruled out: second attempts or calls that waited (first attempts), sums over hosts (single hosts sent seven and eight).

The rest is kept with the endpoint's life for the host that was asked, and no other; of several times the last one counts. First sends, second tries, calls that wait, owners' words, continuations and the system's own questions ask it. Where all endpoints want rest, calls are refused at once with a short time to come back, as another host may serve them.

--- a/packages/cli/src/endpoints.ts
+++ b/packages/cli/src/endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit.
+ * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit or want rest.
  *
  * @module
  */
@@ -15,6 +15,8 @@
     readonly coldForMs: number;
     /** Requests a second that it takes from all hosts together; absent where it names no limit. */
     readonly limitPerS?: number;
+    /** How much longer it wants nothing from this host, in milliseconds. */
+    readonly restsForMs: number;
     readonly running: number;
 }
 
@@ -24,14 +26,17 @@
     if (result.kind !== "answer") return said(Exit.Failed, result.detail);
     if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
     const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
-    const rows = endpoints.map(({ endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, running }) => [
+    const rows = endpoints.map((
+        { endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, restsForMs, running },
+    ) => [
         endpoint,
         hall,
         hallEvacuated ? "hall evacuated" : takesNew ? "open" : "leaving",
         coldForMs > 0 ? `cold for ${coldForMs} ms` : "warm",
         limitPerS === undefined ? "none" : `${limitPerS} a second`,
+        restsForMs > 0 ? `for ${restsForMs} ms` : "no",
         String(running),
     ]);
-    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "running here"], rows);
+    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "rests", "running here"], rows);
     return { exit: Exit.Done, text, data: endpoints };
 }
--- a/packages/host/src/endpoint-words.ts
+++ b/packages/host/src/endpoint-words.ts
@@ -90,6 +90,7 @@
         if (retryAfterS.kind === "malformed") this.ignore(endpoint, "rest", retryAfterS.text);
         if (retryAfterS.kind !== "number") return;
         const forMs = Math.round(MS_PER_S * retryAfterS.value);
+        for (const placement of this.deps.placements) placement.rest(endpoint, forMs);
         this.deps.log.info({ endpoint, for_ms: forMs }, "endpoint_rests");
     }
 
--- a/packages/host/src/endpoints-api.ts
+++ b/packages/host/src/endpoints-api.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { type EndpointView, isCold, takesNew } from "@drumpaddle/policy";
+import { type EndpointView, isCold, isResting, takesNew } from "@drumpaddle/policy";
 import type { FastifyInstance } from "fastify";
 import type { Placement } from "./placement.js";
 import type { Allow } from "./quarantine-api.js";
@@ -19,6 +19,8 @@
     readonly coldForMs: number;
     /** Requests a second that it takes from all hosts together; absent where it names no limit. */
     readonly limitPerS?: number | undefined;
+    /** How much longer it wants nothing from this host, in milliseconds; 0 where it does not rest. */
+    readonly restsForMs: number;
     /** Calls of this host that run there. */
     readonly running: number;
 }
@@ -40,6 +42,7 @@
         hallEvacuated: isEvacuated,
         coldForMs: isCold(view, now) ? Math.round(cold!.until - now) : 0,
         limitPerS: view.said?.limitPerS,
+        restsForMs: isResting(view, now) ? Math.round(view.restUntil! - now) : 0,
         running: view.streams.size,
     };
 }
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -10,11 +10,12 @@
     DEFAULT_VARIANT,
     type EndpointCfg,
     isLimited,
+    isResting,
     type Job,
     type JobOutcome,
     type LeavingSource,
     type LoadReport,
-    mayLetIn,
+    maySend,
     type RefuseReason,
     type Said,
     type SchedulerAction,
@@ -123,13 +124,15 @@
     }
 
     /**
-     * Whether a question of this host's own may go to an endpoint now; counted where it names a limit, which is for all that
-     * it is sent.
+     * Whether a question of this host's own may go to an endpoint now: not while it wants rest; counted where it names a limit,
+     * which is for all that it is sent.
      */
     mayAsk(endpoint: string): boolean {
         const view = this.state.endpoints.get(endpoint);
-        if (!view || !isLimited(view)) return true;
-        if (!mayLetIn(this.state, view, this.clock.now())) return false;
+        const now = this.clock.now();
+        if (!view) return true;
+        if (!isLimited(view)) return !isResting(view, now);
+        if (!maySend(this.state, view, now)) return false;
         this.handle({ kind: "letIn", endpoint });
         return true;
     }
@@ -149,6 +152,11 @@
         this.handle({ kind: "said", endpoint, said });
     }
 
+    /** An endpoint wants nothing from this host for a while. */
+    rest(endpoint: string, forMs: number): void {
+        this.handle({ kind: "rest", endpoint, until: this.clock.now() + forMs });
+    }
+
     /** An endpoint's life is over, and its copies with it. */
     endLife(endpoint: string): void {
         this.handle({ kind: "lifeOver", endpoint });
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -107,6 +107,8 @@
     readonly prefixes: ReadonlyMap<string, number>;
     /** Undefined before it was heard. */
     readonly said: KnownSaid | undefined;
+    /** Until when it wants nothing from this host, in milliseconds on the scheduler's clock; undefined where it never said so. */
+    readonly restUntil: number | undefined;
 }
 
 const NO_OTHERS: Others = { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() };
@@ -134,6 +136,7 @@
         latelyEnded: [],
         prefixes: new Map(),
         said: undefined,
+        restUntil: undefined,
     };
 }
 
@@ -339,6 +342,16 @@
     return { ...view, said: { ...said, since } };
 }
 
+/** The endpoint after it asked this host for rest. Of several times the last one counts. */
+export function takeRest(view: EndpointView, until: number): EndpointView {
+    return { ...view, restUntil: Math.max(until, view.restUntil ?? -Infinity) };
+}
+
+/** Whether an endpoint wants nothing from this host now. */
+export function isResting({ restUntil }: EndpointView, now: number): boolean {
+    return restUntil !== undefined && now < restUntil;
+}
+
 /** The endpoint after a source said whether it is leaving. */
 export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean): EndpointView {
     const others = view.leavingBy.filter(other => other !== source);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,6 +10,7 @@
     createEndpoint,
     type EndpointCfg,
     type EndpointView,
+    isResting,
     type LeavingSource,
     type LoadReport,
     type Others,
@@ -39,7 +40,7 @@
 } from "./estimate.js";
 export { beginsInTime, nextReturn, NO_RETURNS, type Returns, roomIn } from "./forecast.js";
 export { DEFAULT_VARIANT, type Job, type JobPolicy, type Priority, PRIORITY_RANK, type Variant } from "./job.js";
-export { mayLetIn } from "./let-in.js";
+export { mayLetIn, maySend } from "./let-in.js";
 export { isLimited, limitPart } from "./limit.js";
 export {
     createLimits,
--- a/packages/policy/src/let-in.ts
+++ b/packages/policy/src/let-in.ts
@@ -1,11 +1,11 @@
 /**
- * Bounds on how many requests an endpoint is sent in a time, whatever room it has: what it bears while it is cold, and the
- * limit that it names. What this host lets in is counted at each decision that sends a request there.
+ * Bounds on what an endpoint is sent in a time, whatever room it has: what it bears while it is cold, the limit that it names,
+ * and the rest that it asks for. What this host lets in is counted at each decision that sends a request there.
  *
  * @module
  */
 import { coldLetsIn, isCold } from "./cold.js";
-import type { EndpointView } from "./endpoint.js";
+import { type EndpointView, isResting } from "./endpoint.js";
 import { isLimited, limitLetsIn } from "./limit.js";
 import type { SchedulerState } from "./scheduler-state.js";
 
@@ -32,6 +32,18 @@
     return coldLetsIn(view, times, state, now) && limitLetsIn(view, times, state.fleet, now);
 }
 
+/**
+ * Whether this host may send a request of its own to an endpoint now: one that has asked it for rest wants none of it, and may be
+ * sent those of others.
+ */
+export function maySend(
+    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+    view: EndpointView,
+    now: number,
+): boolean {
+    return !isResting(view, now) && mayLetIn(state, view, now);
+}
+
 /** What was let in, with one more request to an endpoint; the same value where nothing bounds what it is sent. */
 export function withLetIn(letIn: LetIn, view: EndpointView | undefined, now: number): LetIn {
     if (!view || !isCold(view, now) && !isLimited(view)) return letIn;
--- a/packages/policy/src/limit.ts
+++ b/packages/policy/src/limit.ts
@@ -42,6 +42,12 @@
     return { most, spanMs: Math.min(LONGEST_SPAN_MS, 1_000 * most / perS) };
 }
 
+/** Requests a millisecond that all hosts together may send to a limited endpoint. */
+export function limitPerMs({ said }: EndpointView): number {
+    const { most, spanMs } = boundOf(said?.limitPerS ?? 0);
+    return most / spanMs;
+}
+
 /** Whether an endpoint names a limit. */
 export function isLimited({ said }: EndpointView): boolean {
     return said?.limitPerS !== undefined;
@@ -102,7 +108,7 @@
 }
 
 /** When a host may send requests to a limited endpoint, as times from now, the soonest first; those of its part alone. */
-function openings(
+export function openings(
     { cfg: { id }, said }: EndpointView,
     times: readonly number[],
     fleet: Fleet,
@@ -135,34 +141,3 @@
     const isFirstOfTurn = times.every(at => now - at >= TURN_MS);
     return isFirstOfTurn && isTurn(id, said, fleet, now);
 }
-
-/** What the limits of endpoints let a host send. */
-export interface LimitedRoom {
-    /** Time until the request at a place of the queue may be sent; Infinity where none of the next ones is this host's. */
-    readonly waitMs: number;
-    /** Time between two requests that this host may send, in the mean. */
-    readonly everyMs: number;
-}
-
-/**
- * When a host may send one more request where all endpoints name a limit; undefined where one of them names none.
- *
- * @param views Endpoints that the request may go to.
- * @param place Its place among those that wait, from 1.
- */
-export function limitedRoom(
-    views: readonly EndpointView[],
-    letIn: ReadonlyMap<string, readonly number[]>,
-    fleet: Fleet,
-    place: number,
-    now: number,
-): LimitedRoom | undefined {
-    if (views.length === 0 || !views.every(isLimited)) return undefined;
-    const next = views.flatMap(view => openings(view, letIn.get(view.cfg.id) ?? [], fleet, now));
-    next.sort((a, b) => a - b);
-    const perMs = views.map(({ said }) => boundOf(said!.limitPerS!)).reduce(
-        (sum, { most, spanMs }) => sum + most / spanMs,
-        0,
-    );
-    return { waitMs: next[place - 1] ?? Infinity, everyMs: fleet.live / perMs };
-}
--- a/packages/policy/src/owner-answers.ts
+++ b/packages/policy/src/owner-answers.ts
@@ -6,8 +6,8 @@
 import { onUse } from "./breaker.js";
 import { backUpAt } from "./carry.js";
 import { dispatch, lengthsOf, send, standbyAnswered, without } from "./dispatch.js";
-import { addStream, takesNew } from "./endpoint.js";
-import { mayLetIn } from "./let-in.js";
+import { addStream, isResting, takesNew } from "./endpoint.js";
+import { maySend } from "./let-in.js";
 import { isLimited } from "./limit.js";
 import { letIntoPlaced, takeBack } from "./place.js";
 import { type Decision, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
@@ -26,8 +26,8 @@
     const back = takeBack(state, job, now);
     const { waiting } = asked;
     const view = endpoint === undefined ? undefined : back.endpoints.get(endpoint);
-    // Named by an owner that has not heard of its limit yet, as owners name none that they know to be limited.
-    const unadvised = view !== undefined && isLimited(view);
+    // Named by an owner that has not heard of its limit, or that cannot know that it wants rest from this host.
+    const unadvised = view !== undefined && (isLimited(view) || isResting(view, now));
     if (endpoint === undefined || !view || !takesNew(view) || unadvised) {
         const later = endpoint === undefined || unadvised ? { ...waiting, noRoomAt: now } : waiting;
         return drain({ ...back, waiting: [...back.waiting, later] }, now);
@@ -47,7 +47,7 @@
 export function decideAlone(state: SchedulerState, job: string, now: number): Decision {
     const { waiting, endpoint } = state.asked.get(job)!;
     const view = state.endpoints.get(endpoint);
-    if (view && takesNew(view) && mayLetIn(state, view, now)) {
+    if (view && takesNew(view) && maySend(state, view, now)) {
         const sent = letIntoPlaced({ ...state, asked: without(state.asked, job) }, endpoint, now);
         return dispatch(sent, waiting.job, endpoint, now);
     }
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -8,9 +8,9 @@
 import { onUnused, onUse } from "./breaker.js";
 import { assess, type Candidate, usable, wantedOf } from "./choose.js";
 import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
-import { addStream, removeStream, streamCount } from "./endpoint.js";
+import { addStream, isResting, removeStream, streamCount } from "./endpoint.js";
 import type { Variant } from "./job.js";
-import { mayLetIn, withLetIn } from "./let-in.js";
+import { maySend, withLetIn } from "./let-in.js";
 import { isLimited } from "./limit.js";
 import type { Waiting } from "./queue.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
@@ -26,7 +26,7 @@
     const survival = lengthsOf(state, job);
     const wanted = wantedOf(job, survival, now - waiting.since);
     const views = usable(state.endpoints.values(), wanted.demand, waiting.avoid, now);
-    const candidates = views.filter(view => mayLetIn(state, view, now))
+    const candidates = views.filter(view => maySend(state, view, now))
         .map(view => assess(view, wanted, state, now))
         .filter(candidate => candidate !== undefined);
     const pick = job.isSuspect ? quietest(state) : PICK[state.variant.choice];
@@ -35,7 +35,7 @@
     // choose for a suspect as for any other.
     const alwaysAsks = alwaysAsksOwners(state) && !job.isSuspect;
     // Each host keeps its own part of an endpoint's limit: owners let nobody in there.
-    const advised = views.filter(view => !isLimited(view));
+    const advised = views.filter(view => !isLimited(view) && !isResting(view, now));
     const id = chosen?.id ?? (alwaysAsks ? advised[state.turn % Math.max(1, advised.length)]?.cfg.id : undefined);
     if (id === undefined) return undefined;
     const isAdvised = advised.some(view => view.cfg.id === id);
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
+import { type BoundedRoom, boundedRoom, isBounded } from "./bounded-room.js";
 import { serves, usable } from "./choose.js";
 import { nextReturn, roomIn } from "./forecast.js";
 import type { Job } from "./job.js";
-import { isLimited, type LimitedRoom, limitedRoom } from "./limit.js";
 import type { Waiting } from "./queue.js";
 import { readingMs } from "./reading.js";
 import type { Decision, RefuseReason, SchedulerAction, SchedulerState } from "./scheduler-state.js";
@@ -38,17 +38,17 @@
     return refuse(job.id, "noEndpoint", "no endpoint that takes new work runs the model", NO_ENDPOINT_RETRY_MS);
 }
 
-/** What limits of endpoints let this host send; undefined where one that may serve the request names none. */
-function limitsFor(
+/** What endpoints let this host send by their limits and their rest; undefined where one that may serve the request bounds nothing. */
+function boundsOn(
     state: SchedulerState,
     { job, avoid }: Waiting,
     position: number,
     now: number,
-): LimitedRoom | undefined {
+): BoundedRoom | undefined {
     const known = state.endpoints.values();
-    if (!known.some(isLimited)) return undefined;
+    if (!known.some(view => isBounded(view, now))) return undefined;
     const views = usable(known, { model: job.group.model, halls: job.halls }, avoid, now);
-    return limitedRoom(views, state.letIn, state.fleet, position, now);
+    return boundedRoom(state, views, position, now);
 }
 
 /** Whether room is forecast for a request at this place of the queue while its first token can still come in time. */
@@ -56,8 +56,8 @@
     const { job, since } = waiting;
     const room = state.variant.forecast ? roomIn(state.drain, position, state.waiting[0]?.since, now) : 0;
     const reading = state.variant.forecast ? readingMs(state.readingRate, job.promptTokens) : 0;
-    const limited = limitsFor(state, waiting, position, now)?.waitMs ?? 0;
-    return now - since + Math.max(room, limited) + reading < job.policy.maxWaitMs;
+    const bounded = boundsOn(state, waiting, position, now)?.waitMs ?? 0;
+    return now - since + Math.max(room, bounded) + reading < job.policy.maxWaitMs;
 }
 
 /** Refuses a request for which no room is forecast in time, and tells when its caller finds some. */
@@ -69,8 +69,8 @@
     now: number,
 ): Decision {
     const { job, since } = waiting;
-    const limited = limitsFor(state, waiting, position, now);
-    if (limited && limited.waitMs > 0) return refuseForLimits(state, job, limited, now);
+    const bounded = boundsOn(state, waiting, position, now);
+    if (bounded && bounded.waitMs > 0) return refuseForBounds(state, job, bounded, now);
     const room = roomIn(state.drain, position, state.waiting[0]?.since, now);
     const { returns, afterMs } = nextReturn(state.returns, room, state.drain?.meanMs ?? 0, now);
     const age = state.drain ? `${Math.round(now - state.drain.lastStart)} ms ago` : "never";
@@ -80,12 +80,18 @@
     return { state: { ...state, returns }, actions: [refuse(job.id, reason, detail, afterMs)] };
 }
 
-/** Refuses a request that all endpoints' limits keep away. Where none of what they take is this host's, another host may have some. */
-function refuseForLimits(state: SchedulerState, job: Job, { waitMs, everyMs }: LimitedRoom, now: number): Decision {
+/** Refuses a request that the limits or the rest of all endpoints keep away. Where another host may serve it, its caller comes back soon. */
+function refuseForBounds(
+    state: SchedulerState,
+    job: Job,
+    { waitMs, everyMs, othersMay }: BoundedRoom,
+    now: number,
+): Decision {
+    const next = Number.isFinite(waitMs) ? `in ${Math.round(waitMs)} ms` : "not this host's";
+    const detail = `all endpoints limit what they take, or want rest; the next request ${next}`;
+    if (othersMay) return { state, actions: [refuse(job.id, "limited", detail, LEAST_RETRY_AFTER_MS)] };
     const roomMs = Number.isFinite(waitMs) ? waitMs : everyMs;
     const { returns, afterMs } = nextReturn(state.returns, roomMs, everyMs, now);
-    const next = Number.isFinite(waitMs) ? `in ${Math.round(waitMs)} ms` : "not this host's";
-    const detail = `all endpoints limit what they take; the next request ${next}`;
     // Behind many others a caller does as well to ask again soon: another host may have room, or the limits be over.
     const backMs = Math.min(afterMs, NO_ENDPOINT_RETRY_MS);
     return { state: { ...state, returns }, actions: [refuse(job.id, "limited", detail, backMs)] };
--- a/packages/policy/src/remembered.ts
+++ b/packages/policy/src/remembered.ts
@@ -10,6 +10,7 @@
 interface Words {
     readonly said: KnownSaid | undefined;
     readonly leaves: boolean;
+    readonly restUntil: number | undefined;
     /** When it was no longer declared. */
     readonly goneAt: number;
 }
@@ -26,12 +27,13 @@
  * @param gone Endpoints that were declared until now.
  */
 export function remember(before: Remembered, gone: readonly EndpointView[], now: number): Remembered {
-    const spoke = gone.filter(view => view.said !== undefined || saysLeaving(view));
+    const spoke = gone.filter(view => view.said !== undefined || view.restUntil !== undefined || saysLeaving(view));
     if (before.size + spoke.length === 0) return before;
     const kept = [...before].filter(([, { goneAt }]) => now - goneAt < KEPT_MS);
-    const added = spoke.map(view =>
-        [view.cfg.id, { said: view.said, leaves: saysLeaving(view), goneAt: now }] as const
-    );
+    const added = spoke.map(view => {
+        const { cfg, said, restUntil } = view;
+        return [cfg.id, { said, restUntil, leaves: saysLeaving(view), goneAt: now }] as const;
+    });
     return new Map([...kept, ...added]);
 }
 
@@ -39,5 +41,6 @@
 export function recall(view: EndpointView, remembered: Remembered): EndpointView {
     const words = remembered.get(view.cfg.id);
     if (!words) return view;
-    return { ...setLeaving(view, "answer", words.leaves), said: words.said };
+    const { said, restUntil, leaves } = words;
+    return { ...setLeaving(view, "answer", leaves), said, restUntil };
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -14,12 +14,14 @@
 import { EndpointTable } from "./endpoint-table.js";
 import {
     createEndpoint,
+    isResting,
     promoteBackup,
     removeStream,
     type Running,
     setLeaving,
     takeOthers,
     takeReport,
+    takeRest,
     takeSaid,
 } from "./endpoint.js";
 import { withLetIn } from "./let-in.js";
@@ -134,6 +136,10 @@
         state: withView(state, endpoint, view => takeSaid(view, said, now)),
         actions: [],
     }),
+    rest: (state, { endpoint, until }) => ({
+        state: withView(state, endpoint, view => takeRest(view, until)),
+        actions: [],
+    }),
     unreachable: (state, { endpoint }, now) => ({
         state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
         actions: [],
@@ -179,6 +185,7 @@
     const running = keeper?.backups.get(job);
     if (standby === undefined || !keeper || !running) return undefined;
     const isOpen = keeper.cfg.isEvacuated !== true
+        && !isResting(keeper, now)
         && mayGoOnAt(keeper, running.job.promptTokens, now)
         && limitLetsIn(keeper, state.letIn.get(standby) ?? [], state.fleet, now);
     return isOpen && isServed(state, running.job) ? { standby, running } : undefined;
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -14,6 +14,8 @@
 const COLD_SOURCE = "packages/policy/src/cold.ts";
 const COLD = "packages/policy/test/cold.test.ts";
 const COLD_FLEET = "packages/hall/test/cold.test.ts";
+const REST = "platform/test/endpoint-rest.test.ts";
+const REST_POLICY = "packages/policy/test/rest.test.ts";
 const LEAVING = "platform/test/endpoint-leaving.test.ts";
 const LIMIT_SOURCE = "packages/policy/src/limit.ts";
 const LIMIT = "packages/policy/test/limit.test.ts";
@@ -146,15 +148,15 @@
     {
         promise: "limits: owners let nobody in",
         file: "packages/policy/src/owner-answers.ts",
-        find: "const unadvised = view !== undefined && isLimited(view);",
-        replace: "const unadvised = false;",
+        find: "(isLimited(view) || isResting(view, now))",
+        replace: "isResting(view, now)",
         tests: [LIMIT],
     },
     {
         promise: "limits: what they keep away is refused at once",
         file: "packages/policy/src/refusal.ts",
-        find: "const limited = limitsFor(state, waiting, position, now)?.waitMs ?? 0;",
-        replace: "const limited = 0;",
+        find: "const bounded = boundsOn(state, waiting, position, now)?.waitMs ?? 0;",
+        replace: "const bounded = 0;",
         tests: [LIMITS],
     },
     {
@@ -192,4 +194,39 @@
         replace: "if (words) return view;",
         tests: [LEAVING],
     },
+    {
+        promise: "rest: nothing goes to an endpoint that wants it",
+        file: "packages/policy/src/let-in.ts",
+        find: "return !isResting(view, now) && mayLetIn(state, view, now);",
+        replace: "return mayLetIn(state, view, now);",
+        tests: [REST],
+    },
+    {
+        promise: "rest: nor what an owner advises",
+        file: "packages/policy/src/owner-answers.ts",
+        find: "(isLimited(view) || isResting(view, now))",
+        replace: "isLimited(view)",
+        tests: [REST_POLICY],
+    },
+    {
+        promise: "rest: nor a stream that goes on there",
+        file: "packages/policy/src/scheduler.ts",
+        find: "&& !isResting(keeper, now)",
+        replace: "",
+        tests: [REST_POLICY],
+    },
+    {
+        promise: "rest: only a refusal asks for it",
+        file: "packages/host/src/endpoint-words.ts",
+        find: "if (status === REFUSED && head.notRun) this.hearRest(endpoint, head);",
+        replace: "this.hearRest(endpoint, head);",
+        tests: [REST],
+    },
+    {
+        promise: "rest: of several times the last one counts",
+        file: ENDPOINT,
+        find: "restUntil: Math.max(until, view.restUntil ?? -Infinity)",
+        replace: "restUntil: until",
+        tests: [REST_POLICY],
+    },
 ];
