A stream does not go on at a copy whose endpoint has long been leaving

A stream that broke off 2 s after its standby's registration had said so was sent there all the same, later than anything may reach it. Now it may for one second after that is known, which is what a stream needs that loses its endpoint by the same reclaim, by whatever source: registration, report, answer, or no registration any more. A copy beyond that is treated as none, so that silence is no reason to end its stream.

--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -92,6 +92,8 @@
     readonly cfg: EndpointCfg;
     readonly since: number;
     readonly leavingBy: readonly LeavingSource[];
+    /** Since when it is known to be leaving, or to be declared no more; undefined while it stays. */
+    readonly closingSince: number | undefined;
     readonly streams: ReadonlyMap<string, Running>;
     /** Copies that it keeps of this host's streams at other endpoints: memory without any work. */
     readonly backups: ReadonlyMap<string, Running>;
@@ -126,6 +128,7 @@
         cfg,
         since: now,
         leavingBy: [],
+        closingSince: undefined,
         streams: new Map(),
         backups: new Map(),
         curve: zeroCurve(),
@@ -353,9 +356,30 @@
 }
 
 /** The endpoint after a source said whether it is leaving. */
-export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean): EndpointView {
+export function setLeaving(view: EndpointView, source: LeavingSource, leaving: boolean, now: number): EndpointView {
     const others = view.leavingBy.filter(other => other !== source);
-    return { ...view, leavingBy: leaving ? [...others, source] : others };
+    return withClosing({ ...view, leavingBy: leaving ? [...others, source] : others }, now);
+}
+
+/** The endpoint as it is declared now; with no models where it is declared no more. */
+export function declare(view: EndpointView, cfg: EndpointCfg, now: number): EndpointView {
+    return withClosing({ ...view, cfg }, now);
+}
+
+function withClosing(view: EndpointView, now: number): EndpointView {
+    const stays = view.leavingBy.length === 0 && view.cfg.models.length > 0;
+    return { ...view, closingSince: stays ? undefined : view.closingSince ?? now };
+}
+
+/**
+ * What an endpoint may still be sent for so long after it is known to be leaving: a stream that loses its own endpoint, as one of the
+ * same reclaim. Nothing may reach it 2 s after the word of its leaving, which takes up to a second to be known here.
+ */
+const LAST_SENDS_MS = 1_000;
+
+/** Whether a stream may still go on at an endpoint that keeps its copy, as far as leaving is concerned. */
+export function mayStillGoOn({ closingSince }: EndpointView, now: number): boolean {
+    return closingSince === undefined || now - closingSince < LAST_SENDS_MS;
 }
 
 /** Whether an endpoint has said in an answer that it is leaving. */
--- a/packages/policy/src/remembered.ts
+++ b/packages/policy/src/remembered.ts
@@ -38,9 +38,9 @@
 }
 
 /** A newly declared endpoint with what it had said before. */
-export function recall(view: EndpointView, remembered: Remembered): EndpointView {
+export function recall(view: EndpointView, remembered: Remembered, now: number): EndpointView {
     const words = remembered.get(view.cfg.id);
     if (!words) return view;
     const { said, restUntil, leaves } = words;
-    return { ...setLeaving(view, "answer", leaves), said, restUntil };
+    return { ...setLeaving(view, "answer", leaves, now), said, restUntil };
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -14,7 +14,9 @@
 import { EndpointTable } from "./endpoint-table.js";
 import {
     createEndpoint,
+    declare,
     isResting,
+    mayStillGoOn,
     promoteBackup,
     removeStream,
     type Running,
@@ -87,20 +89,20 @@
     endpoints: (state, { endpoints }, now) => {
         const declared = endpoints.map(cfg => {
             const known = state.endpoints.get(cfg.id);
-            return known ? { ...known, cfg } : recall(createEndpoint(cfg, now), state.remembered);
+            return known ? declare(known, cfg, now) : recall(createEndpoint(cfg, now), state.remembered, now);
         });
         const names = new Set(endpoints.map(cfg => cfg.id));
         const gone = state.endpoints.values().filter(view => !names.has(view.cfg.id));
         // An endpoint that is no longer declared keeps its streams until they end.
         const left = gone.filter(view => view.streams.size + view.backups.size > 0)
-            .map(view => ({ ...view, cfg: { ...view.cfg, models: [] } }));
+            .map(view => declare(view, { ...view.cfg, models: [] }, now));
         const next = EndpointTable.of([...declared, ...left]);
         return drain({ ...state, endpoints: next, remembered: remember(state.remembered, gone, now) }, now);
     },
     leaving: (state, { endpoint, source, leaving }, now) => {
         const known = state.endpoints.get(endpoint)?.leavingBy.includes(source);
         if (known === undefined || known === leaving) return { state, actions: [] };
-        const changed = withView(state, endpoint, view => setLeaving(view, source, leaving));
+        const changed = withView(state, endpoint, view => setLeaving(view, source, leaving, now));
         return drain(changed, now);
     },
     report: (state, { endpoint, report }, now) => {
@@ -185,6 +187,7 @@
     const running = keeper?.backups.get(job);
     if (standby === undefined || !keeper || !running) return undefined;
     const isOpen = keeper.cfg.isEvacuated !== true
+        && mayStillGoOn(keeper, now)
         && !isResting(keeper, now)
         && mayGoOnAt(keeper, running.job.promptTokens, now)
         && limitLetsIn(keeper, state.letIn.get(standby) ?? [], state.fleet, now);
--- a/packages/policy/test/carry.test.ts
+++ b/packages/policy/test/carry.test.ts
@@ -144,6 +144,26 @@
     t.true(going.state.endpoints.get(backUp!)!.streams.has("j"));
 });
 
+const LEAVES: Readonly<Record<string, (endpoint: string) => SchedulerEvent>> = {
+    "its registration": leaving,
+    "an answer": endpoint => ({ kind: "leaving", endpoint, source: "answer", leaving: true }),
+    "no registration any more": endpoint => ({
+        kind: "endpoints",
+        endpoints: THREE.filter(({ id }) => id !== endpoint),
+    }),
+};
+
+for (const [source, leave] of Object.entries(LEAVES)) {
+    test(`it goes on at a copy whose endpoint leaves, by ${source}, only for a moment after that is known`, t => {
+        const begun = drive(fleetOf(THREE), [arrive(jobOf("j"))]);
+        const standby = dispatched(begun).backUp!;
+        const { state } = drive(begun.state, [leave(standby)], 1_000);
+        const goOn: SchedulerEvent = { kind: "continue", job: "j", failed: false };
+        t.is(dispatched(drive(state, [goOn], 1_900)).endpoint, standby);
+        t.is(drive(state, [goOn], 2_000).actions[0]?.kind, "refuse");
+    });
+}
+
 test("without a copy it does not go on", t => {
     const alone = drive(fleetOf([endpointOf("e1")]), [arrive(jobOf("j"))]);
     t.like(drive(alone.state, [{ kind: "continue", job: "j", failed: true }]).actions, [{ kind: "refuse" }]);
