What answered as another endpoint at an address is not tried again when an owner says that it stays

Such tries are turned away and cost their callers time. It has a source of its own now, which nobody else takes back. It is not told to others: a host that still looks for what ended a call there must not take that end for a planned one.

--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -186,7 +186,8 @@
         hallsIn: homes => hallsIn(cfg["forward.regions"], homes),
         softwareOf: service => softwareOf(service, known),
         onOtherIncarnation: incarnation => {
-            if (engines.setLeaving(incarnation, "endpoint", true) || plain.setLeaving(incarnation, "endpoint", true)) {
+            // A source of its own: an owner that has not met the other one says that this one stays.
+            if (engines.setLeaving(incarnation, "address", true) || plain.setLeaving(incarnation, "address", true)) {
                 log.warn({ endpoint: incarnation }, "endpoint_is_another_one");
             }
         },
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -12,9 +12,9 @@
 
 /**
  * Sources that may say that an endpoint is leaving; each takes back only its own word. `endpoint`: it said so when it was asked;
- * `answer`: in its answers, which holds for its life.
+ * `answer`: in its answers, which holds for its life; `address`: another one answers at its address, and will.
  */
-export type LeavingSource = "settings" | "hostList" | "registry" | "endpoint" | "answer";
+export type LeavingSource = "settings" | "hostList" | "registry" | "endpoint" | "answer" | "address";
 
 /** What is declared of an endpoint. */
 export interface EndpointCfg {
