--- /dev/null
+++ b/packages/host/src/declare-endpoints.ts
@@ -0,0 +1,64 @@
+/**
+ * Tells the decisions which endpoints there are, by the deployment and the registrations.
+ *
+ * @module
+ */
+import type { ColdCfg, EndpointCfg } from "@drumpaddle/policy";
+import {
+    EndpointState,
+    type HallOrders,
+    type Registered,
+    type Registry,
+    type RouteTable,
+    type ServiceCfg,
+    warmAt,
+} from "@drumpaddle/routes";
+import type { Placement } from "./placement.js";
+import { plainModel } from "./plain.js";
+
+/** What a cold endpoint bears beyond what its service declares: a multiple, and requests a second. */
+export interface ColdBounds {
+    readonly over: number;
+    readonly slack: number;
+}
+
+function coldOf(
+    registered: Registered,
+    service: ServiceCfg | undefined,
+    halls: HallOrders,
+    { over, slack }: ColdBounds,
+): ColdCfg | undefined {
+    if (service?.coldPerS === undefined) return undefined;
+    return { until: warmAt(registered, service, halls), perS: service.coldPerS * over + slack };
+}
+
+/** Declares engines and plain endpoints, each to its own decisions, and which of them are leaving by their registrations. */
+export function declareEndpoints(
+    table: RouteTable,
+    registry: Registry,
+    bounds: ColdBounds,
+    engines: Placement,
+    plain: Placement,
+): void {
+    const declared = { engines: [] as EndpointCfg[], plain: [] as EndpointCfg[] };
+    for (const registered of registry.endpoints.values()) {
+        const { entry } = registered;
+        const service = table.service(entry.service);
+        const endpoint: EndpointCfg = {
+            id: entry.incarnation,
+            hall: entry.hall,
+            models: [plainModel(entry.service)],
+            memoryTokens: service?.engine?.memoryTokens ?? 0,
+            isEvacuated: registry.halls.evacuated.has(entry.hall),
+            cold: coldOf(registered, service, registry.halls, bounds),
+        };
+        (service?.engine ? declared.engines : declared.plain).push(endpoint);
+    }
+    engines.setEndpoints(declared.engines);
+    plain.setEndpoints(declared.plain);
+    for (const { entry } of registry.endpoints.values()) {
+        const leaving = entry.state === EndpointState.Leaving;
+        engines.setLeaving(entry.incarnation, "registry", leaving);
+        plain.setLeaving(entry.incarnation, "registry", leaving);
+    }
+}
--- /dev/null
+++ b/packages/host/src/forward-call.ts
@@ -0,0 +1,71 @@
+/**
+ * A call that is forwarded as it is, and what the calls of one gateway share.
+ *
+ * @module
+ */
+import type { CallHead, Clock, PlatformWire } from "@drumpaddle/protocol";
+import type { EndpointEntry, EngineCfg, Life, Route, RouteTable, WorkspaceCfg } from "@drumpaddle/routes";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Copies } from "./copies.js";
+import type { EndpointConnections } from "./endpoint-connections.js";
+import type { EndpointWords } from "./endpoint-words.js";
+import type { OpenRuns } from "./host.js";
+import type { LifeSignals } from "./life-signals.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import type { Placement } from "./placement.js";
+import type { RequestGuard } from "./request-guard.js";
+
+/** What the calls of one gateway share. */
+export interface Forwarding {
+    readonly wire: PlatformWire;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly connections: EndpointConnections;
+    readonly engines: Placement;
+    readonly plain: Placement;
+    readonly runs: OpenRuns;
+    readonly copies: Copies;
+    /** Takes in what endpoints say of themselves. */
+    readonly words: EndpointWords;
+    readonly signal: AbortSignal;
+    /** Time for a caller to send a body, in milliseconds. */
+    readonly bodyMs: number;
+    /** Whether each call is logged. */
+    readonly logCalls: boolean;
+    /** Whether this host was suspended and has heard nothing since. */
+    isStale(): boolean;
+    /** What is declared now; undefined until it was learnt. */
+    table(): RouteTable | undefined;
+    endpoint(incarnation: string): EndpointEntry | undefined;
+    /** Whether the operator has evacuated a hall. */
+    isEvacuated(hall: string): boolean;
+    /** Halls that lie in some regions. */
+    hallsIn(homes: readonly string[]): readonly string[];
+    /** Versions of the software of a service's endpoints that take new work. */
+    softwareOf(service: string): readonly string[];
+    /** When this host ends, on the monotonic clock; undefined while it is not told to stop. */
+    endsAt(): number | undefined;
+    readonly lives: LifeSignals;
+    /** Keeps requests away that end the endpoints that run them. */
+    readonly guard: RequestGuard;
+    /** An endpoint is not the one that was called: its address has another one. */
+    onOtherIncarnation(incarnation: string): void;
+    /** Takes in that a later life of an endpoint has answered than the one that was called. */
+    meetLife(life: Life): void;
+}
+
+/** A call with all that is pinned for it. */
+export interface ForwardCall {
+    readonly at: number;
+    readonly req: IncomingMessage;
+    readonly out: ServerResponse;
+    readonly target: string;
+    readonly head: CallHead;
+    readonly route: Route;
+    readonly workspace: WorkspaceCfg | undefined;
+    readonly service: string;
+    readonly engine: EngineCfg | undefined;
+    readonly version: number;
+}
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -5,39 +5,30 @@
  * @module
  */
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
-import {
-    type ColdCfg,
-    createFleetBudget,
-    DEFAULT_VARIANT,
-    type EndpointCfg,
-    type EndpointView,
-} from "@drumpaddle/policy";
+import { createFleetBudget, DEFAULT_VARIANT, type EndpointView } from "@drumpaddle/policy";
 import { type Clock, createClock } from "@drumpaddle/protocol";
 import {
     compareLives,
     type EndpointEntry,
     EndpointState,
-    type HallOrders,
     LifeOrder,
     nameOfLife,
-    type Registered,
     type Registry,
-    type RouteTable,
-    type ServiceCfg,
-    warmAt,
 } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
 import type { AddressInfo } from "node:net";
 import type { HostCfg } from "./config.js";
 import { Copies } from "./copies.js";
+import { declareEndpoints } from "./declare-endpoints.js";
 import { DeploymentFeed } from "./deployment-feed.js";
 import { EndingWatch, type WatchedEndpoint } from "./ending-watch.js";
 import { EndpointConnections } from "./endpoint-connections.js";
 import { EndpointWords } from "./endpoint-words.js";
 import { serveEndpoints } from "./endpoints-api.js";
+import type { Forwarding } from "./forward-call.js";
 import { applyLimits, createForwardServer } from "./forward-server.js";
-import { forward, type Forwarding } from "./forward.js";
+import { forward } from "./forward.js";
 import { OpenRuns } from "./host.js";
 import { type LifeSign, probeByReport } from "./life-probe.js";
 import { LifeSignals } from "./life-signals.js";
@@ -45,7 +36,6 @@
 import { Metrics } from "./metrics.js";
 import { Peers } from "./peers.js";
 import { isLeaving, Placement } from "./placement.js";
-import { plainModel } from "./plain.js";
 import { allowSecrets, serveQuarantine } from "./quarantine-api.js";
 import { repeat } from "./repeat.js";
 import { RequestGuard } from "./request-guard.js";
@@ -383,52 +373,6 @@
     app.get("/metrics", async (_req, reply) => reply.type("text/plain; version=0.0.4").send(await metrics.text()));
 }
 
-/** What a cold endpoint bears beyond what its service declares: a multiple, and requests a second. */
-interface ColdBounds {
-    readonly over: number;
-    readonly slack: number;
-}
-
-function coldOf(
-    registered: Registered,
-    service: ServiceCfg | undefined,
-    halls: HallOrders,
-    { over, slack }: ColdBounds,
-): ColdCfg | undefined {
-    if (service?.coldPerS === undefined) return undefined;
-    return { until: warmAt(registered, service, halls), perS: service.coldPerS * over + slack };
-}
-
-function declareEndpoints(
-    table: RouteTable,
-    registry: Registry,
-    bounds: ColdBounds,
-    engines: Placement,
-    plain: Placement,
-): void {
-    const declared = { engines: [] as EndpointCfg[], plain: [] as EndpointCfg[] };
-    for (const registered of registry.endpoints.values()) {
-        const { entry } = registered;
-        const service = table.service(entry.service);
-        const endpoint: EndpointCfg = {
-            id: entry.incarnation,
-            hall: entry.hall,
-            models: [plainModel(entry.service)],
-            memoryTokens: service?.engine?.memoryTokens ?? 0,
-            isEvacuated: registry.halls.evacuated.has(entry.hall),
-            cold: coldOf(registered, service, registry.halls, bounds),
-        };
-        (service?.engine ? declared.engines : declared.plain).push(endpoint);
-    }
-    engines.setEndpoints(declared.engines);
-    plain.setEndpoints(declared.plain);
-    for (const { entry } of registry.endpoints.values()) {
-        const leaving = entry.state === EndpointState.Leaving;
-        engines.setLeaving(entry.incarnation, "registry", leaving);
-        plain.setLeaving(entry.incarnation, "registry", leaving);
-    }
-}
-
 /** Listens at `ip:port`; gives the port. */
 async function listen(app: FastifyInstance, address: string): Promise<number> {
     const at = address.lastIndexOf(":");
