An endpoint whose connections end by themselves is taken for cold until it has told that it lives on

Cause: hosts learn of a later life by its registration, a peer or its own word when asked, and none of the three comes at once while those who watch the store are stopping. That its connections had all ended said so at once. Ruled out: sends after a host had heard of it (none), calls that broke off (none was running).

A connection that ends under a call, or at rest before the time for which its endpoint said it would keep it, raises a doubt: the endpoint counts as cold for 2 s, and is asked at once; its answer ends the doubt or tells the later life, which goes to all. Only endpoints that say when they were born, of services that declare what a cold one bears.

--- a/packages/host/src/endpoint-connections.ts
+++ b/packages/host/src/endpoint-connections.ts
@@ -55,6 +55,8 @@
     /** Whether its socket has ended: what is left of an answer is taken at once. */
     ended: boolean;
     usableUntil: number;
+    /** Until when its endpoint said that it keeps the connection at rest; -Infinity where it did not say. */
+    keptUntil: number;
     /** Reads on, where a call is on its way. */
     readOn: () => void;
 }
@@ -70,7 +72,13 @@
     private readonly idle = new Map<string, Connection[]>();
     private readonly all = new Set<Connection>();
 
-    constructor(signal: AbortSignal, private readonly clock: Clock, private readonly onOpened: () => void) {
+    /** @param onEndedAtRest Told when an endpoint ends a connection at rest before the time for which it said it would keep it. */
+    constructor(
+        signal: AbortSignal,
+        private readonly clock: Clock,
+        private readonly onOpened: () => void,
+        private readonly onEndedAtRest: (address: string) => void = () => undefined,
+    ) {
         signal.addEventListener("abort", () => {
             for (const { client } of this.all) void client.destroy();
         }, { once: true });
@@ -161,6 +169,7 @@
             failed: false,
             ended: false,
             usableUntil: 0,
+            keptUntil: -Infinity,
             readOn: () => undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
@@ -171,7 +180,11 @@
                     }),
             }),
         };
-        connection.client.on("disconnect", () => this.drop(address, connection));
+        connection.client.on("disconnect", () => {
+            const isAtRest = this.idle.get(address)?.includes(connection) === true;
+            if (isAtRest && this.clock.now() < connection.keptUntil) this.onEndedAtRest(address);
+            this.drop(address, connection);
+        });
         this.all.add(connection);
         return connection;
     }
@@ -179,7 +192,9 @@
     private rest(address: string, connection: Connection, keepMs: number | undefined): void {
         const restMs = Math.min(LONGEST_REST_MS, (keepMs ?? Infinity) - REST_MARGIN_MS);
         if (restMs <= 0 || connection.failed || !this.all.has(connection)) return this.drop(address, connection);
-        connection.usableUntil = this.clock.now() + restMs;
+        const now = this.clock.now();
+        connection.usableUntil = now + restMs;
+        connection.keptUntil = keepMs === undefined ? -Infinity : now + keepMs - REST_MARGIN_MS;
         const resting = this.idle.get(address);
         if (resting) resting.push(connection);
         else this.idle.set(address, [connection]);
--- a/packages/host/src/endpoints-api.ts
+++ b/packages/host/src/endpoints-api.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { type EndpointView, isCold, isResting, takesNew } from "@drumpaddle/policy";
+import { coldUntil, type EndpointView, isCold, isResting, takesNew } from "@drumpaddle/policy";
 import type { FastifyInstance } from "fastify";
 import type { Placement } from "./placement.js";
 import type { Allow } from "./quarantine-api.js";
@@ -34,13 +34,13 @@
  * ```
  */
 export function listed(view: EndpointView, now: number): ListedEndpoint {
-    const { id, hall, isEvacuated = false, cold } = view.cfg;
+    const { id, hall, isEvacuated = false } = view.cfg;
     return {
         endpoint: id,
         hall,
         takesNew: takesNew(view),
         hallEvacuated: isEvacuated,
-        coldForMs: isCold(view, now) ? Math.round(cold!.until - now) : 0,
+        coldForMs: isCold(view, now) ? Math.round(coldUntil(view) - now) : 0,
         limitPerS: view.said?.limitPerS,
         restsForMs: isResting(view, now) ? Math.round(view.restUntil! - now) : 0,
         running: view.streams.size,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -30,6 +30,7 @@
 import { applyLimits, createForwardServer } from "./forward-server.js";
 import { forward } from "./forward.js";
 import { OpenRuns } from "./host.js";
+import { LifeDoubts } from "./life-doubts.js";
 import { type LifeSign, probeByReport } from "./life-probe.js";
 import { LifeSignals } from "./life-signals.js";
 import type { Log } from "./log.js";
@@ -122,14 +123,24 @@
         endpoint: incarnation => feed.endpoint(incarnation),
     });
     const lives = new LifeSignals();
-    const connections = new EndpointConnections(signal, clock, () => metrics.countConnection());
+    const connections = new EndpointConnections(
+        signal,
+        clock,
+        () => metrics.countConnection(),
+        address => {
+            for (const endpoint of endpointsAt(address, known)) doubts.raise(endpoint);
+        },
+    );
     const guard: RequestGuard = new RequestGuard({
         clock,
         log,
         metrics,
         signal,
         tell: news => peers.tellQuarantine(news),
-        broke: (endpoint, run) => endings.broke(endpoint, run),
+        broke: (endpoint, run) => {
+            doubts.raise(endpoint);
+            endings.broke(endpoint, run);
+        },
     });
     let known: Registry | undefined;
     const endings = new EndingWatch({
@@ -144,6 +155,12 @@
         onNotEnded: runs => guard.notEnded(runs),
         meetLife: life => peers.meetLife(life),
     });
+    const doubts = new LifeDoubts({
+        log,
+        placements: [engines, plain],
+        probe: endpoint => probeWhereAllowed(endpoint, [engines, plain], signal),
+        meetLife: life => peers.meetLife(life),
+    });
     const words = new EndpointWords({
         clock,
         log,
@@ -326,6 +343,12 @@
         .map(({ software }) => software);
 }
 
+/** Endpoints that are registered at an address. */
+function endpointsAt(address: string, registry: Registry | undefined): readonly EndpointEntry[] {
+    const entries = [...registry?.endpoints.values() ?? []].map(({ entry }) => entry);
+    return entries.filter(entry => entry.address === address);
+}
+
 /** Whether an endpoint that was not leaving has begun a later life. */
 function hasBegunAgain(incarnation: string, registry: Registry | undefined): boolean {
     const departed = registry?.departed.get(incarnation);
--- a/packages/host/src/life-probe.ts
+++ b/packages/host/src/life-probe.ts
@@ -10,7 +10,8 @@
 
 /** What an endpoint's answer shows of a life. */
 export type LifeSign =
-    | { readonly kind: "lives" }
+    /** `saysBorn`: it tells when its life began, so that it is surely the one that is known. */
+    | { readonly kind: "lives"; readonly saysBorn: boolean }
     | { readonly kind: "refused" }
     /** A later life answered. */
     | { readonly kind: "laterLife"; readonly life: Life }
@@ -40,7 +41,8 @@
         const { status, body } = await callEndpoint(address, wire.stayCall(), ANSWER_MS, signal);
         const stay = wire.readStay(status, body);
         const life = { id: known.id, born: stay.kind === "told" ? stay.born : undefined };
-        return compareLives(life, known) === LifeOrder.Later ? { kind: "laterLife", life } : { kind: "lives" };
+        if (compareLives(life, known) === LifeOrder.Later) return { kind: "laterLife", life };
+        return { kind: "lives", saysBorn: life.born !== undefined };
     }
     catch (err) {
         return signOf(err);
@@ -69,7 +71,7 @@
             socket.destroy();
             resolve(sign);
         };
-        socket.once("connect", () => end({ kind: "lives" }));
+        socket.once("connect", () => end({ kind: "lives", saysBorn: false }));
         socket.once("timeout", () => end({ kind: "unknown", detail: `no connection in ${ANSWER_MS} ms` }));
         socket.once("error", err => end(signOf(err)));
     });
--- a/packages/host/src/placement.ts
+++ b/packages/host/src/placement.ts
@@ -157,6 +157,17 @@
         this.handle({ kind: "rest", endpoint, until: this.clock.now() + forMs });
     }
 
+    /** An endpoint may have begun a later life, for so long; not any more where nothing is given. */
+    doubt(endpoint: string, forMs: number | undefined): void {
+        const until = forMs === undefined ? undefined : this.clock.now() + forMs;
+        this.handle({ kind: "doubt", endpoint, until });
+    }
+
+    /** Whether an endpoint is bounded while it is cold. */
+    boundsCold(endpoint: string): boolean {
+        return this.state.endpoints.get(endpoint)?.cfg.cold !== undefined;
+    }
+
     /** An endpoint's life is over, and its copies with it. */
     endLife(endpoint: string): void {
         this.handle({ kind: "lifeOver", endpoint });
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -148,3 +148,52 @@
     }
     t.is(opened(), 2);
 });
+
+/** What ends a connection at rest, and whether its endpoint ended it early. */
+const ENDS_AT_REST: Readonly<
+    Record<string, {
+        /** How long the endpoint says that it keeps a connection, in milliseconds. */
+        readonly keepMs: number | undefined;
+        readonly end: (sockets: readonly Socket[], connections: EndpointConnections, address: string) => void;
+        readonly isEarly: boolean;
+    }>
+> = {
+    "its endpoint, before its time": { keepMs: 5_000, end: ([socket]) => void socket!.end(), isEarly: true },
+    "a reset, before its time": { keepMs: 5_000, end: ([socket]) => void socket!.resetAndDestroy(), isEarly: true },
+    "its endpoint, which did not say when": {
+        keepMs: undefined,
+        end: ([socket]) => void socket!.end(),
+        isEarly: false,
+    },
+    "this host": {
+        keepMs: 5_000,
+        end: (_sockets, connections, address) => connections.forget(address),
+        isEarly: false,
+    },
+};
+
+for (const [name, { keepMs, end, isEarly }] of Object.entries(ENDS_AT_REST)) {
+    test(`a connection at rest that is ended by ${name} is ${isEarly ? "" : "not "}told as ended early`, async t => {
+        const own = new AbortController();
+        t.teardown(() => own.abort());
+        const early: string[] = [];
+        const connections = new EndpointConnections(
+            own.signal,
+            createClock(),
+            () => undefined,
+            address => void early.push(address),
+        );
+        const { address, sockets } = await deafEndpoint(t, socket => {
+            socket.resume();
+            socket.write(WHOLE);
+        });
+        const call = send(connections, address);
+        await call.ended;
+        call.exchange.release(keepMs);
+        t.is(connections.size, 1);
+        end(sockets, connections, address);
+        await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+        t.is(connections.size, 0);
+        t.deepEqual(early, isEarly ? [address] : []);
+    });
+}
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -65,7 +65,7 @@
 });
 
 test("several runs at one endpoint that is being asked are one ending", t => {
-    const { guard, broke } = guardOf(t, { kind: "lives" });
+    const { guard, broke } = guardOf(t, { kind: "lives", saysBorn: true });
     for (let at = 0; at < 5; at++) broke("f", "e1");
     t.is(guard.withhold("f"), undefined);
     for (const id of ["e2", "e3"]) broke("f", id);
@@ -73,7 +73,7 @@
 });
 
 test("a request whose runs break off at endpoints that live on is begun as before", async t => {
-    const { guard, broke } = guardOf(t, { kind: "lives" });
+    const { guard, broke } = guardOf(t, { kind: "lives", saysBorn: true });
     for (const id of ["e1", "e2", "e3", "e4"]) broke("f", id);
     await soon();
     t.is(guard.withhold("f"), undefined);
--- a/packages/policy/src/cold.ts
+++ b/packages/policy/src/cold.ts
@@ -57,9 +57,14 @@
 /** A host that knows of no other. */
 export const ALONE: Fleet = { since: undefined, place: 0, live: 1, most: 1, changedAt: -Infinity, mark: 0 };
 
-/** Whether an endpoint is cold at a time. */
-export function isCold({ cfg }: EndpointView, now: number): boolean {
-    return cfg.cold !== undefined && now < cfg.cold.until;
+/** Whether an endpoint is cold at a time, or may be, as it may have begun another life. */
+export function isCold(view: EndpointView, now: number): boolean {
+    return view.cfg.cold !== undefined && now < coldUntil(view);
+}
+
+/** When an endpoint is warm, as far as it is known. */
+export function coldUntil({ cfg, doubtUntil }: EndpointView): number {
+    return Math.max(cfg.cold?.until ?? -Infinity, doubtUntil ?? -Infinity);
 }
 
 /**
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -111,6 +111,8 @@
     readonly said: KnownSaid | undefined;
     /** Until when it wants nothing from this host, in milliseconds on the scheduler's clock; undefined where it never said so. */
     readonly restUntil: number | undefined;
+    /** Until when it may be a later life than the one known, and is taken for cold; undefined where nothing shows that. */
+    readonly doubtUntil: number | undefined;
 }
 
 const NO_OTHERS: Others = { streams: 0, unread: 0, stalled: 0, curve: zeroCurve() };
@@ -140,6 +142,7 @@
         prefixes: new Map(),
         said: undefined,
         restUntil: undefined,
+        doubtUntil: undefined,
     };
 }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,7 +2,7 @@
 export { type Breaker, CLOSED, mayUse, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
 export { jobsToEvacuate, keepsCopy } from "./carry.js";
 export { assess, type Candidate, type Demand, demandOf, usable, type Wanted, wantedOf } from "./choose.js";
-export { allowance, ALONE, type Fleet, isCold } from "./cold.js";
+export { allowance, ALONE, coldUntil, type Fleet, isCold } from "./cold.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
 export { EndpointTable } from "./endpoint-table.js";
 export {
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -116,6 +116,8 @@
     | { readonly kind: "said"; readonly endpoint: string; readonly said: Said }
     /** An endpoint wants nothing from this host until then. */
     | { readonly kind: "rest"; readonly endpoint: string; readonly until: number }
+    /** An endpoint may have begun a later life; until this time, or no longer where it is over. */
+    | { readonly kind: "doubt"; readonly endpoint: string; readonly until: number | undefined }
     /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
     | { readonly kind: "unreachable"; readonly endpoint: string }
     /** An endpoint has begun a later life: what it held is gone. Its streams are told to have ended by themselves. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -142,6 +142,8 @@
         state: withView(state, endpoint, view => takeRest(view, until)),
         actions: [],
     }),
+    doubt: (state, { endpoint, until }, now) =>
+        drain(withView(state, endpoint, view => ({ ...view, doubtUntil: until })), now),
     unreachable: (state, { endpoint }, now) => ({
         state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
         actions: [],
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -14,6 +14,7 @@
 const COLD_SOURCE = "packages/policy/src/cold.ts";
 const COLD = "packages/policy/test/cold.test.ts";
 const COLD_FLEET = "packages/hall/test/cold.test.ts";
+const COLD_AGAIN = "platform/test/cold-again.test.ts";
 const REST = "platform/test/endpoint-rest.test.ts";
 const REST_POLICY = "packages/policy/test/rest.test.ts";
 const LEAVING = "platform/test/endpoint-leaving.test.ts";
@@ -229,4 +230,18 @@
         replace: "restUntil: until",
         tests: [REST_POLICY],
     },
+    {
+        promise: "lives: one that may have begun is taken for cold",
+        file: "packages/host/src/life-doubts.ts",
+        find: "placement.doubt(incarnation, DOUBT_MS);",
+        replace: "",
+        tests: [COLD_AGAIN],
+    },
+    {
+        promise: "lives: one that lives on is used in full",
+        file: "packages/host/src/life-doubts.ts",
+        find: 'if (sign.kind === "lives" && sign.saysBorn) placement.doubt(incarnation, undefined);',
+        replace: "",
+        tests: [COLD_AGAIN],
+    },
 ];
