Decisions no longer import each other in a circle

Cause: cold.ts, let-in.ts and limit.ts took the whole scheduler's state as their argument, and question.ts the types of choose.ts, so that six modules could only be read together; metrics.ts, run.ts and request-guard.ts of the daemon likewise.

What a bound on sends is judged by stands in fleet.ts, what a request asks of an endpoint in demand.ts, and the kinds of dispatch with the metrics that count them. Nothing is decided otherwise. Types, format and lint pass; no circle is left in any package.

--- a/packages/host/src/metrics.ts
+++ b/packages/host/src/metrics.ts
@@ -7,7 +7,6 @@
 import type { FailCode, Ran } from "@drumpaddle/request";
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
-import type { DispatchKind } from "./run.js";
 
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 /** Histograms count in tenths of a millisecond, so that gaps of a few milliseconds keep their shape. */
@@ -45,6 +44,9 @@
     }
 }
 
+/** What a dispatch is to its request. */
+export type DispatchKind = "first" | "retry" | "resume" | "continue";
+
 /** How a request ended, as counted. */
 export type Outcome = "whole" | "endpoint_failed" | FailCode | "bad_request" | "unauthorized" | "refused";
 
--- a/packages/host/src/run.ts
+++ b/packages/host/src/run.ts
@@ -17,6 +17,7 @@
     type RequestState,
     step,
 } from "@drumpaddle/request";
+import type { DispatchKind } from "./metrics.js";
 import type { Placed, Placement } from "./placement.js";
 import type { Withheld } from "./request-guard.js";
 
@@ -77,9 +78,6 @@
     readonly longestGapMs: number;
 }
 
-/** What a dispatch is to its request. */
-export type DispatchKind = "first" | "retry" | "resume" | "continue";
-
 /** What a run needs. */
 export interface RunDeps<T> {
     readonly cfg: RequestCfg;
--- a/packages/policy/src/advise.ts
+++ b/packages/policy/src/advise.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { mayUse } from "./breaker.js";
-import { assess, chooseBackup, serves, type Wanted } from "./choose.js";
+import { assess, chooseBackup, serves } from "./choose.js";
+import type { Wanted } from "./demand.js";
 import type { EndpointView } from "./endpoint.js";
 import { mayLetIn } from "./let-in.js";
 import { isLimited } from "./limit.js";
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -4,7 +4,8 @@
  *
  * @module
  */
-import { chooseBackup, EVACUATION_ROOM_SHARE, isUnreachable, wantedOf } from "./choose.js";
+import { chooseBackup, EVACUATION_ROOM_SHARE, isUnreachable } from "./choose.js";
+import { wantedOf } from "./demand.js";
 import { addBackup, type EndpointView, removeBackup, type Running, takesNew } from "./endpoint.js";
 import type { Job } from "./job.js";
 import { type Decision, type SchedulerState, withView } from "./scheduler-state.js";
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { probit } from "simple-statistics";
 import { mayUse } from "./breaker.js";
-import { type Curve, peakOf, streamCurve } from "./curve.js";
+import { peakOf } from "./curve.js";
+import type { Demand, Wanted } from "./demand.js";
 import {
     type EndpointView,
     isAllowed,
@@ -15,9 +15,8 @@
     takesNew,
     unreadAt,
 } from "./endpoint.js";
-import type { Survival } from "./estimate.js";
 import { beginsInTime } from "./forecast.js";
-import type { Job, Variant } from "./job.js";
+import type { Variant } from "./job.js";
 import { isLimited } from "./limit.js";
 import { batchWithin } from "./pace.js";
 import { readingMs, type ReadingRate } from "./reading.js";
@@ -49,23 +48,6 @@
     readonly crowded: boolean;
 }
 
-/** What a request asks of an endpoint; hosts tell it to owners. */
-export interface Demand {
-    readonly model: string;
-    readonly promptTokens: number;
-    readonly prefix: string;
-    readonly prefixTokens: number;
-    readonly gapTargetMs: number;
-    readonly objectiveMs: number;
-    /** Time that its first token has left, in milliseconds. */
-    readonly leftMs: number;
-    readonly weightTail: number;
-    readonly weightStall: number;
-    readonly weightPrefix: number;
-    /** Halls whose endpoints may serve it; all where it is absent. */
-    readonly halls?: readonly string[] | undefined;
-}
-
 /** What is the same for every endpoint, whatever the request. */
 export interface Around {
     readonly variant: Variant;
@@ -76,48 +58,6 @@
     readonly readingRate: ReadingRate;
 }
 
-/** A request with what is the same for every endpoint, worked out once. */
-export interface Wanted {
-    readonly demand: Demand;
-    readonly curve: Curve;
-    /** Standard deviations at which the peak is asked for. */
-    readonly z: number;
-}
-
-/** What a request asks of an endpoint. */
-export function demandOf(
-    { group, promptTokens, prefix, prefixTokens, policy, halls }: Job,
-    waitedMs: number,
-): Demand {
-    const { gapTargetMs, objectiveMs, maxWaitMs, weightTail, weightStall, weightPrefix } = policy;
-    return {
-        model: group.model,
-        promptTokens,
-        prefix,
-        prefixTokens,
-        gapTargetMs,
-        objectiveMs,
-        leftMs: maxWaitMs - waitedMs,
-        weightTail,
-        weightStall,
-        weightPrefix,
-        ...(halls ? { halls } : {}),
-    };
-}
-
-/**
- * A request as it is held against endpoints.
- *
- * @example
- * ```ts
- * assess(view, wantedOf(job, lengths), state, now);
- * ```
- */
-export function wantedOf(job: Job, survival: Survival, waitedMs = 0): Wanted {
-    const curve = streamCurve(survival, job.promptTokens, 0);
-    return { demand: demandOf(job, waitedMs), curve, z: probit(job.policy.quantile) };
-}
-
 /** From this share of its bounds on, an endpoint counts as crowded. */
 const CROWDED_SHARE = 0.5;
 
--- a/packages/policy/src/cold.ts
+++ b/packages/policy/src/cold.ts
@@ -22,7 +22,7 @@
  * @module
  */
 import type { EndpointView } from "./endpoint.js";
-import type { SchedulerState } from "./scheduler-state.js";
+import type { Fleet, SendBounds } from "./fleet.js";
 
 /** Parts of the bound that are kept apart, as the module's text says. */
 const PARTS = 4;
@@ -38,25 +38,6 @@
  */
 const LEARNT_MS = 10_000;
 
-/** What this host knows of the hosts that may send to the same endpoints. */
-export interface Fleet {
-    /** When this host first heard of others; undefined before that. */
-    readonly since: number | undefined;
-    /** This host's place among the live hosts, from 0. */
-    readonly place: number;
-    /** Live hosts, this one included. */
-    readonly live: number;
-    /** The most that were alive or named at a time. */
-    readonly most: number;
-    /** When `place` or `live` last became another. */
-    readonly changedAt: number;
-    /** A whole number that tells this host from most others, whatever it hears of them. */
-    readonly mark: number;
-}
-
-/** A host that knows of no other. */
-export const ALONE: Fleet = { since: undefined, place: 0, live: 1, most: 1, changedAt: -Infinity, mark: 0 };
-
 /** Whether an endpoint is cold at a time, or may be, as it may have begun another life. */
 export function isCold(view: EndpointView, now: number): boolean {
     return view.cfg.cold !== undefined && now < coldUntil(view);
@@ -96,7 +77,7 @@
 export function coldLetsIn(
     view: EndpointView,
     times: readonly number[],
-    { fleet, ownedSince }: Pick<SchedulerState, "fleet" | "ownedSince">,
+    { fleet, ownedSince }: Pick<SendBounds, "fleet" | "ownedSince">,
     now: number,
 ): boolean {
     if (!isCold(view, now)) return true;
--- /dev/null
+++ b/packages/policy/src/demand.ts
@@ -0,0 +1,68 @@
+/**
+ * What a request asks of an endpoint.
+ *
+ * @module
+ */
+import { probit } from "simple-statistics";
+import { type Curve, streamCurve } from "./curve.js";
+import type { Survival } from "./estimate.js";
+import type { Job } from "./job.js";
+
+/** What a request asks of an endpoint; hosts tell it to owners. */
+export interface Demand {
+    readonly model: string;
+    readonly promptTokens: number;
+    readonly prefix: string;
+    readonly prefixTokens: number;
+    readonly gapTargetMs: number;
+    readonly objectiveMs: number;
+    /** Time that its first token has left, in milliseconds. */
+    readonly leftMs: number;
+    readonly weightTail: number;
+    readonly weightStall: number;
+    readonly weightPrefix: number;
+    /** Halls whose endpoints may serve it; all where it is absent. */
+    readonly halls?: readonly string[] | undefined;
+}
+
+/** A request with what is the same for every endpoint, worked out once. */
+export interface Wanted {
+    readonly demand: Demand;
+    readonly curve: Curve;
+    /** Standard deviations at which the peak is asked for. */
+    readonly z: number;
+}
+
+/** What a request asks of an endpoint. */
+export function demandOf(
+    { group, promptTokens, prefix, prefixTokens, policy, halls }: Job,
+    waitedMs: number,
+): Demand {
+    const { gapTargetMs, objectiveMs, maxWaitMs, weightTail, weightStall, weightPrefix } = policy;
+    return {
+        model: group.model,
+        promptTokens,
+        prefix,
+        prefixTokens,
+        gapTargetMs,
+        objectiveMs,
+        leftMs: maxWaitMs - waitedMs,
+        weightTail,
+        weightStall,
+        weightPrefix,
+        ...(halls ? { halls } : {}),
+    };
+}
+
+/**
+ * A request as it is held against endpoints.
+ *
+ * @example
+ * ```ts
+ * assess(view, wantedOf(job, lengths), state, now);
+ * ```
+ */
+export function wantedOf(job: Job, survival: Survival, waitedMs = 0): Wanted {
+    const curve = streamCurve(survival, job.promptTokens, 0);
+    return { demand: demandOf(job, waitedMs), curve, z: probit(job.policy.quantile) };
+}
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { backUp, backUpAt, evacuate, evacuateAt, runningOf } from "./carry.js";
-import { demandOf, usable, wantedOf } from "./choose.js";
+import { usable } from "./choose.js";
+import { demandOf, wantedOf } from "./demand.js";
 import type { EndpointView } from "./endpoint.js";
 import { knownLength, type Survival, survivalOf } from "./estimate.js";
 import { type Job, PRIORITY_RANK } from "./job.js";
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,9 +1,10 @@
 export { advise } from "./advise.js";
 export { type Breaker, CLOSED, mayUse, onResult, onUnreachable, onUnused, onUse } from "./breaker.js";
 export { jobsToEvacuate, keepsCopy } from "./carry.js";
-export { assess, type Candidate, type Demand, demandOf, usable, type Wanted, wantedOf } from "./choose.js";
-export { allowance, ALONE, coldUntil, type Fleet, isCold } from "./cold.js";
+export { assess, type Candidate, usable } from "./choose.js";
+export { allowance, coldUntil, isCold } from "./cold.js";
 export { addCurve, type Curve, HORIZON, peakOf, streamCurve, zeroCurve } from "./curve.js";
+export { type Demand, demandOf, type Wanted, wantedOf } from "./demand.js";
 export { EndpointTable } from "./endpoint-table.js";
 export {
     type ColdCfg,
@@ -38,6 +39,7 @@
     type Survival,
     survivalOf,
 } from "./estimate.js";
+export { ALONE, type Fleet } from "./fleet.js";
 export { beginsInTime, nextReturn, NO_RETURNS, type Returns, roomIn } from "./forecast.js";
 export { DEFAULT_VARIANT, type Job, type JobPolicy, type Priority, PRIORITY_RANK, type Variant } from "./job.js";
 export { mayLetIn, maySend } from "./let-in.js";
--- a/packages/policy/src/let-in.ts
+++ b/packages/policy/src/let-in.ts
@@ -6,11 +6,8 @@
  */
 import { coldLetsIn, isCold } from "./cold.js";
 import { type EndpointView, isResting } from "./endpoint.js";
+import type { LetIn, SendBounds } from "./fleet.js";
 import { isLimited, limitLetsIn } from "./limit.js";
-import type { SchedulerState } from "./scheduler-state.js";
-
-/** Times at which requests were let in, by endpoint; the oldest first. Only of endpoints that are bounded. */
-export type LetIn = ReadonlyMap<string, readonly number[]>;
 
 /** Nothing that was let in counts for longer. */
 const KEPT_MS = 10_000;
@@ -24,7 +21,7 @@
  * ```
  */
 export function mayLetIn(
-    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+    state: SendBounds,
     view: EndpointView,
     now: number,
 ): boolean {
@@ -37,7 +34,7 @@
  * sent those of others.
  */
 export function maySend(
-    state: Pick<SchedulerState, "fleet" | "letIn" | "ownedSince">,
+    state: SendBounds,
     view: EndpointView,
     now: number,
 ): boolean {
--- a/packages/policy/src/limit.ts
+++ b/packages/policy/src/limit.ts
@@ -12,8 +12,8 @@
  *
  * @module
  */
-import type { Fleet } from "./cold.js";
 import type { EndpointView, Said } from "./endpoint.js";
+import type { Fleet } from "./fleet.js";
 
 /** Limits are kept over the least span of whole requests above this: one of 2.3 a second is ten in 4.35 s. */
 const LEAST_SPAN_S = 4;
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -6,7 +6,8 @@
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { onUnused, onUse } from "./breaker.js";
-import { assess, type Candidate, usable, wantedOf } from "./choose.js";
+import { assess, type Candidate, usable } from "./choose.js";
+import { wantedOf } from "./demand.js";
 import { alwaysAsksOwners, asksOwners, dispatch, lengthsOf, unusable, wantsBackup, without } from "./dispatch.js";
 import { addStream, isResting, removeStream, streamCount } from "./endpoint.js";
 import type { Variant } from "./job.js";
--- a/packages/policy/src/question.ts
+++ b/packages/policy/src/question.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Demand } from "./choose.js";
 import type { Curve } from "./curve.js";
+import type { Demand } from "./demand.js";
 
 /** What another host asks. */
 export interface Question {
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -3,13 +3,12 @@
  *
  * @module
  */
-import { ALONE, type Fleet } from "./cold.js";
 import { EndpointTable } from "./endpoint-table.js";
 import type { EndpointCfg, EndpointView, LeavingSource, LoadReport, Others, Said } from "./endpoint.js";
 import { createEstimates, type Estimates } from "./estimate.js";
+import { ALONE, type SendBounds } from "./fleet.js";
 import { NO_RETURNS, type Returns } from "./forecast.js";
 import { DEFAULT_VARIANT, type Job, type Variant } from "./job.js";
-import type { LetIn } from "./let-in.js";
 import type { Question } from "./question.js";
 import type { DrainRate, Waiting } from "./queue.js";
 import { createReadingRate, type ReadingRate } from "./reading.js";
@@ -18,7 +17,7 @@
 import { emptyMap, type ShardMap } from "./shard-map.js";
 
 /** All that one host knows for its decisions. */
-export interface SchedulerState {
+export interface SchedulerState extends SendBounds {
     readonly variant: Variant;
     /** Live hosts of the hall, this one included. */
     readonly hosts: number;
@@ -41,12 +40,6 @@
     readonly backedUp: ShardMap<string>;
     /** Endpoints that this host owns. */
     readonly owned: ReadonlySet<string>;
-    /** Since when it has owned each of them. */
-    readonly ownedSince: ReadonlyMap<string, number>;
-    /** What this host knows of the hosts that share its endpoints; other than `hosts`, what it has once known counts. */
-    readonly fleet: Fleet;
-    /** What this host has let into cold endpoints. */
-    readonly letIn: LetIn;
     /** Requests whose endpoint's owner was asked and has not answered. */
     readonly asked: ReadonlyMap<string, Asked>;
     /** Running requests for which an owner was asked who keeps their copy. */
