The daemon's modules stand in folders with one direction of imports

packages/host/src had sixty flat files, so that the path of a call could not be told from the wiring of peers. They stand now, names kept, in runtime, store, endpoints, peers, calls and operators, each importing only those before it; what puts them together stays above. For that the types of what hosts say of the store, the spread of versions and a plain service's model moved to modules of their own.

--- a/packages/host/src/callers.ts
+++ b/packages/host/src/calls/callers.ts
@@ -5,8 +5,8 @@
  */
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { randomUUID } from "node:crypto";
+import type { Directory } from "../store/directory.js";
 import { type ApiError, errorBody, errorHeaders, writeError } from "./answer.js";
-import type { Directory } from "./directory.js";
 import { generate } from "./generate.js";
 import type { Host } from "./host.js";
 import { servePlain } from "./plain.js";
--- a/packages/host/src/copies.ts
+++ b/packages/host/src/calls/copies.ts
@@ -14,11 +14,11 @@
     type PlatformWire,
 } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
-import { callEndpoint } from "./call-endpoint.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import type { CopyAction, Placement } from "./placement.js";
-import { repeat } from "./repeat.js";
+import { callEndpoint } from "../endpoints/call-endpoint.js";
+import type { CopyAction, Placement } from "../endpoints/placement.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+import { repeat } from "../runtime/repeat.js";
 
 /** A copy of a running generation. */
 export interface Copy {
--- a/packages/host/src/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -15,7 +15,7 @@
 } from "@drumpaddle/protocol";
 import type { LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
-import type { EndpointConnections, Exchange, ExchangeSink } from "./endpoint-connections.js";
+import type { EndpointConnections, Exchange, ExchangeSink } from "../endpoints/endpoint-connections.js";
 import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type SentBefore, type Verdict } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 import { type SilenceCfg, SilenceWatch } from "./silence-watch.js";
--- a/packages/host/src/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -6,15 +6,15 @@
 import type { CallHead, Clock, PlatformWire } from "@drumpaddle/protocol";
 import type { EndpointEntry, EngineCfg, Life, Route, RouteTable, WorkspaceCfg } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EndpointConnections } from "../endpoints/endpoint-connections.js";
+import type { EndpointWords } from "../endpoints/endpoint-words.js";
+import type { LifeSignals } from "../endpoints/life-signals.js";
+import type { Placement } from "../endpoints/placement.js";
+import type { RequestGuard } from "../endpoints/request-guard.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
 import type { Copies } from "./copies.js";
-import type { EndpointConnections } from "./endpoint-connections.js";
-import type { EndpointWords } from "./endpoint-words.js";
 import type { OpenRuns } from "./host.js";
-import type { LifeSignals } from "./life-signals.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import type { Placement } from "./placement.js";
-import type { RequestGuard } from "./request-guard.js";
 
 /** What the calls of one gateway share. */
 export interface Forwarding {
--- a/packages/host/src/forward-job.ts
+++ b/packages/host/src/calls/forward-job.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Job, JobPolicy, Priority } from "@drumpaddle/policy";
+import { plainModel } from "../endpoints/plain-model.js";
 import type { ForwardCall, Forwarding } from "./forward-call.js";
-import { plainModel } from "./plain.js";
 
 /** Calls that may wait on a host. */
 const QUEUE_LIMIT = 500;
--- a/packages/host/src/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -5,7 +5,7 @@
  */
 import { errText } from "@drumpaddle/protocol";
 import { compareLives, type EndpointEntry, LifeOrder } from "@drumpaddle/routes";
-import { callEndpoint } from "./call-endpoint.js";
+import { callEndpoint } from "../endpoints/call-endpoint.js";
 import type { ForwardCall, Forwarding } from "./forward-call.js";
 import type { SilenceCfg } from "./silence-watch.js";
 
--- a/packages/host/src/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -6,6 +6,8 @@
 import { FailCode, notRun } from "@drumpaddle/request";
 import { pickService, type Route, RouteKind } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Withheld } from "../endpoints/request-guard.js";
+import type { Outcome } from "../runtime/metrics.js";
 import { type ApiError, toApiError } from "./answer.js";
 import { beginCall, type CallProgress } from "./call-progress.js";
 import { fingerprintOf } from "./fingerprint.js";
@@ -14,9 +16,7 @@
 import { hallsOf, jobOf } from "./forward-job.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import { runnerOf } from "./forward-runner.js";
-import type { Outcome } from "./metrics.js";
 import { readBody } from "./request-body.js";
-import type { Withheld } from "./request-guard.js";
 import { Run, type RunEnd } from "./run.js";
 
 /** When callers of a host that knows no deployment yet are asked to come back. */
--- a/packages/host/src/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -25,8 +25,8 @@
 import { FailCode } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { ServerResponse } from "node:http";
+import type { Directory } from "../store/directory.js";
 import { type ApiError, streamReply, wholeReply, writeError } from "./answer.js";
-import type { Directory } from "./directory.js";
 import { type EnginePiece, engineRunner } from "./engine-runner.js";
 import { fingerprintOf } from "./fingerprint.js";
 import { guardRunner } from "./guard-attempt.js";
--- a/packages/host/src/guard-attempt.ts
+++ b/packages/host/src/calls/guard-attempt.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { LossCause, RequestEvent } from "@drumpaddle/request";
-import type { WatchedEndpoint } from "./ending-watch.js";
-import type { RequestGuard } from "./request-guard.js";
+import type { WatchedEndpoint } from "../endpoints/ending-watch.js";
+import type { RequestGuard } from "../endpoints/request-guard.js";
 import type { AttemptRunner, AttemptSink } from "./run.js";
 
 /** A call whose attempts are guarded. */
--- a/packages/host/src/host.ts
+++ b/packages/host/src/calls/host.ts
@@ -6,15 +6,15 @@
 import { createLimits, type LimitState } from "@drumpaddle/policy";
 import type { Clock } from "@drumpaddle/protocol";
 import type { Dispatcher } from "undici";
+import type { Placement } from "../endpoints/placement.js";
+import type { RequestGuard } from "../endpoints/request-guard.js";
+import type { Peers } from "../peers/peers.js";
+import type { HostCfg } from "../runtime/config.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+import type { SettingsFeed } from "../store/settings-feed.js";
+import type { SettingsStore } from "../store/settings-store.js";
 import type { Claims } from "./claims.js";
-import type { HostCfg } from "./config.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import type { Peers } from "./peers.js";
-import type { Placement } from "./placement.js";
-import type { RequestGuard } from "./request-guard.js";
-import type { SettingsFeed } from "./settings-feed.js";
-import type { SettingsStore } from "./settings-store.js";
 
 /** The parts of a daemon that requests use. */
 export interface Host {
--- a/packages/host/src/plain.ts
+++ b/packages/host/src/calls/plain.ts
@@ -15,9 +15,10 @@
 import type { Readable } from "node:stream";
 import { TLSSocket } from "node:tls";
 import { type Dispatcher, request } from "undici";
+import { plainModel } from "../endpoints/plain-model.js";
+import type { Directory } from "../store/directory.js";
 import { type ApiError, toApiError, writeError } from "./answer.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
-import type { Directory } from "./directory.js";
 import { fingerprintOf } from "./fingerprint.js";
 import { NO_BODY_STATUSES } from "./forward-attempt.js";
 import { breakAnswer } from "./forward-reply.js";
@@ -63,11 +64,6 @@
     "x-attempt-id",
 ]);
 
-/** Name under which a plain service's endpoints stand among the models that decisions know. */
-export function plainModel(service: string): string {
-    return `service:${service}`;
-}
-
 /**
  * Whether a call runs at most once.
  *
--- a/packages/host/src/run.ts
+++ b/packages/host/src/calls/run.ts
@@ -17,9 +17,9 @@
     type RequestState,
     step,
 } from "@drumpaddle/request";
-import type { DispatchKind } from "./metrics.js";
-import type { Placed, Placement } from "./placement.js";
-import type { Withheld } from "./request-guard.js";
+import type { Placed, Placement } from "../endpoints/placement.js";
+import type { Withheld } from "../endpoints/request-guard.js";
+import type { DispatchKind } from "../runtime/metrics.js";
 
 /** Where an answer goes. All calls are made in order; after `finish` or `fail` there are none. */
 export interface Reply<T> {
--- a/packages/host/src/declare-endpoints.ts
+++ b/packages/host/src/endpoints/declare-endpoints.ts
@@ -14,7 +14,7 @@
     warmAt,
 } from "@drumpaddle/routes";
 import type { Placement } from "./placement.js";
-import { plainModel } from "./plain.js";
+import { plainModel } from "./plain-model.js";
 
 /** What a cold endpoint bears beyond what its service declares: a multiple, and requests a second. */
 export interface ColdBounds {
--- a/packages/host/src/ending-watch.ts
+++ b/packages/host/src/endpoints/ending-watch.ts
@@ -10,8 +10,8 @@
  */
 import type { Clock } from "@drumpaddle/protocol";
 import { compareLives, type Life, LifeOrder, type Registry } from "@drumpaddle/routes";
+import type { Log } from "../runtime/log.js";
 import type { LifeSign } from "./life-probe.js";
-import type { Log } from "./log.js";
 
 /** An endpoint as the watch knows it. */
 export interface WatchedEndpoint extends Life {
--- a/packages/host/src/endpoint-words.ts
+++ b/packages/host/src/endpoints/endpoint-words.ts
@@ -7,8 +7,8 @@
 import { type EndpointWord, saidOf, wordOf, wordsToTell } from "@drumpaddle/hall";
 import { type EndpointView, isLimited, type Said, saysLeaving } from "@drumpaddle/policy";
 import type { AnswerHead, Clock } from "@drumpaddle/protocol";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
 import type { Placement } from "./placement.js";
 
 /** What the words are told to. */
--- a/packages/host/src/life-doubts.ts
+++ b/packages/host/src/endpoints/life-doubts.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import type { Life } from "@drumpaddle/routes";
+import type { Log } from "../runtime/log.js";
 import type { WatchedEndpoint } from "./ending-watch.js";
 import type { LifeSign } from "./life-probe.js";
-import type { Log } from "./log.js";
 import type { Placement } from "./placement.js";
 
 /** What doubts need of the gateway. */
--- a/packages/host/src/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -25,10 +25,10 @@
 } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
 import { FailCode } from "@drumpaddle/request";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+import { repeat } from "../runtime/repeat.js";
 import type { BrokenRun, SeenEnding, WatchedEndpoint } from "./ending-watch.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import { repeat } from "./repeat.js";
 
 /** Why an attempt may not be begun. */
 export interface Withheld {
--- a/packages/host/src/stay-watch.ts
+++ b/packages/host/src/endpoints/stay-watch.ts
@@ -5,10 +5,10 @@
  */
 import { errText, type PlatformWire, type StayAnswer } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+import { repeat } from "../runtime/repeat.js";
 import { callEndpoint } from "./call-endpoint.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import { repeat } from "./repeat.js";
 
 /** What the watch needs of the gateway. */
 export interface StayWatchDeps {
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,3 +1,7 @@
+export { isOnce } from "./calls/plain.js";
+export { type Daemon, startDaemon } from "./daemon.js";
+export { plainModel } from "./endpoints/plain-model.js";
+export { type Gateway, startGateway } from "./gateway.js";
 export {
     type ConfigError,
     type ConfigResult,
@@ -6,12 +10,9 @@
     type HostCfg,
     printConfig,
     readConfig,
-} from "./config.js";
-export { type Daemon, startDaemon } from "./daemon.js";
-export { Directory, hashSecret } from "./directory.js";
-export { type Gateway, startGateway } from "./gateway.js";
-export { createLog, formatRecord, type Log } from "./log.js";
-export { Metrics, Timing } from "./metrics.js";
-export { isOnce, plainModel } from "./plain.js";
-export { type FeedDeps, SettingsFeed } from "./settings-feed.js";
-export { type EditRequest, type EditResult, SettingsStore } from "./settings-store.js";
+} from "./runtime/config.js";
+export { createLog, formatRecord, type Log } from "./runtime/log.js";
+export { Metrics, Timing } from "./runtime/metrics.js";
+export { Directory, hashSecret } from "./store/directory.js";
+export { type FeedDeps, SettingsFeed } from "./store/settings-feed.js";
+export { type EditRequest, type EditResult, SettingsStore } from "./store/settings-store.js";
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -5,12 +5,12 @@
  * @module
  */
 // First of all: signals may come while the rest is loaded.
-import { handleSignals } from "./signals.js";
+import { handleSignals } from "./runtime/signals.js";
 
 import { readFileSync } from "node:fs";
 import sade from "sade";
-import { type ConfigResult, describeConfigError, type HostCfg, printConfig, readConfig } from "./config.js";
-import { createLog, type Log } from "./log.js";
+import { type ConfigResult, describeConfigError, type HostCfg, printConfig, readConfig } from "./runtime/config.js";
+import { createLog, type Log } from "./runtime/log.js";
 
 const EXIT = { done: 0, failed: 1, usage: 2 } as const;
 
--- a/packages/host/src/endpoints-api.ts
+++ b/packages/host/src/operators/endpoints-api.ts
@@ -6,7 +6,7 @@
  */
 import { coldUntil, type EndpointView, isCold, isResting, takesNew } from "@drumpaddle/policy";
 import type { FastifyInstance } from "fastify";
-import type { Placement } from "./placement.js";
+import type { Placement } from "../endpoints/placement.js";
 import type { Allow } from "./quarantine-api.js";
 
 /** An endpoint, as operators are told of it. */
--- a/packages/host/src/operators.ts
+++ b/packages/host/src/operators/operators.ts
@@ -17,10 +17,10 @@
 } from "@drumpaddle/settings";
 import { type Static, Type } from "@sinclair/typebox";
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
-import { hashSecret, type Role } from "./directory.js";
-import type { Host } from "./host.js";
+import type { Host } from "../calls/host.js";
+import { hashSecret, type Role } from "../store/directory.js";
+import type { EditResult } from "../store/settings-store.js";
 import { serveQuarantine } from "./quarantine-api.js";
-import type { EditResult } from "./settings-store.js";
 
 const EditBody = Type.Object({
     editId: Type.String({ pattern: "^[A-Za-z0-9-]{8,64}$" }),
--- a/packages/host/src/quarantine-api.ts
+++ b/packages/host/src/operators/quarantine-api.ts
@@ -5,8 +5,8 @@
  */
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { timingSafeEqual } from "node:crypto";
-import { hashSecret, type Role } from "./directory.js";
-import type { RequestGuard } from "./request-guard.js";
+import type { RequestGuard } from "../endpoints/request-guard.js";
+import { hashSecret, type Role } from "../store/directory.js";
 
 /** Whether a caller may do what a role may; where not, the reply was sent. */
 export type Allow = (req: FastifyRequest, reply: FastifyReply, role: Role) => boolean;
--- a/packages/host/src/ask-at-start.ts
+++ b/packages/host/src/peers/ask-at-start.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@drumpaddle/protocol";
-import { repeat } from "./repeat.js";
+import { repeat } from "../runtime/repeat.js";
 
 /** What asking needs. */
 export interface AskAtStartDeps {
--- a/packages/host/src/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -6,7 +6,6 @@
  */
 import {
     aliveMembers,
-    askAfter,
     createDetector,
     createShare,
     type Detector,
@@ -15,7 +14,6 @@
     type DetectorStep,
     endpointOwner,
     type EndpointWord,
-    give,
     hostsEvent,
     isAlive,
     leaveHall,
@@ -23,58 +21,42 @@
     liveHosts,
     liveInHall,
     type Membership,
-    newsOf,
     type QuarantineNews,
     receive,
-    type SettingsAsk,
-    type SettingsGive,
     shareAsk,
     shareHear,
     type ShareMessage,
     shareRound,
     type ShareState,
     type ShareStep,
-    takeGiven,
     TELL_OWNERS_MS,
     tellEvery,
     tick,
     unheardCandidates,
-    type VersionNews,
     watches,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
 import { type Clock, type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
 import type { Life } from "@drumpaddle/routes";
 import { randomInt } from "node:crypto";
-import type { HostCfg } from "./config.js";
-import type { EndpointWords } from "./endpoint-words.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import { isPeerMessage, type PeerMessage, type Progress, type StorePeerMessage } from "./peer-messages.js";
-import type { Placement } from "./placement.js";
+import type { EndpointWords } from "../endpoints/endpoint-words.js";
+import type { Placement } from "../endpoints/placement.js";
+import type { RequestGuard } from "../endpoints/request-guard.js";
+import type { HostCfg } from "../runtime/config.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+import { repeat } from "../runtime/repeat.js";
+import type { Spread } from "../store/spread.js";
+import { type StoreFollower, StoreSharing } from "../store/store-follower.js";
+import type { StorePeerMessage } from "../store/store-words.js";
+import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
 import { QuarantineSharing } from "./quarantine-sharing.js";
-import { repeat } from "./repeat.js";
-import type { RequestGuard } from "./request-guard.js";
-import type { SettingsFeed } from "./settings-feed.js";
-import { type StoreFollower, StoreSharing } from "./store-follower.js";
 import { WordSharing } from "./word-sharing.js";
 
 type Handlers = {
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
 };
 
-/** How versions of what is in force reach this host from its peers, and its peers from it. */
-export interface Spread {
-    /** What messages to peers say of the version in force. */
-    news(): VersionNews;
-    /** The question to ask after hearing of a version; undefined where it is not newer. */
-    ask(news: VersionNews): SettingsAsk | undefined;
-    give(ask: SettingsAsk): SettingsGive | undefined;
-    take(given: SettingsGive): void;
-    /** Whether this host is one of those that watch the service for all. */
-    setWatching(watching: boolean): void;
-}
-
 /** What peers need of a daemon. */
 export interface PeersDeps {
     readonly cfg: HostCfg;
@@ -94,18 +76,6 @@
     readonly signal: AbortSignal;
 }
 
-/** The spread of the settings tree. */
-export function treeSpread(feed: SettingsFeed): Spread {
-    return {
-        news: () => newsOf(feed.inForce),
-        ask: news => askAfter(feed.inForce, news),
-        give: ask => give(feed.inForce, ask),
-        take: given => void feed.offer(takeGiven(feed.inForce, given), "peer"),
-        // A host that has no settings yet asks the service itself, whoever watches.
-        setWatching: watching => feed.setWatching(watching || feed.inForce === undefined),
-    };
-}
-
 /** Many peers tell of a new version at once: another of them is asked only after this. */
 const ASK_AGAIN_MS = 500;
 /** Starts of a host are told apart by a number of this range. */
--- a/packages/host/src/quarantine-sharing.ts
+++ b/packages/host/src/peers/quarantine-sharing.ts
@@ -6,9 +6,9 @@
  */
 import type { QuarantineNews } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
+import { someOf } from "../runtime/some-of.js";
 import { AskAtStart } from "./ask-at-start.js";
 import { MOST_TOLD, type QuarantinePeerMessage } from "./peer-messages.js";
-import { someOf } from "./some-of.js";
 
 /** What sharing needs of the peers. */
 export interface QuarantineSharingDeps {
--- a/packages/host/src/word-sharing.ts
+++ b/packages/host/src/peers/word-sharing.ts
@@ -7,10 +7,10 @@
  */
 import type { EndpointWord } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
+import { repeat } from "../runtime/repeat.js";
+import { someOf } from "../runtime/some-of.js";
 import { AskAtStart } from "./ask-at-start.js";
 import { MOST_TOLD, type WordPeerMessage } from "./peer-messages.js";
-import { repeat } from "./repeat.js";
-import { someOf } from "./some-of.js";
 
 /** What sharing needs of the peers. */
 export interface WordSharingDeps {
--- a/packages/host/src/deployment-feed.ts
+++ b/packages/host/src/store/deployment-feed.ts
@@ -27,12 +27,12 @@
     storeFailed,
     writeEndpoints,
 } from "@drumpaddle/routes";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
-import type { StoreState, StoreWord } from "./peer-messages.js";
-import type { Spread } from "./peers.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
 import { Registrations } from "./registrations.js";
+import type { Spread } from "./spread.js";
 import type { StoreFollower } from "./store-follower.js";
+import type { StoreState, StoreWord } from "./store-words.js";
 
 /** What the feed is made of. */
 export interface DeploymentFeedDeps {
--- a/packages/host/src/registrations.ts
+++ b/packages/host/src/store/registrations.ts
@@ -6,8 +6,8 @@
  */
 import type { Decoded, DecodeError, KvChange, PlatformWire } from "@drumpaddle/protocol";
 import { type EndpointEntry, readEndpoints, type RegistryChange } from "@drumpaddle/routes";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
 
 /** What reading needs of the gateway. */
 export interface RegistrationsDeps {
--- a/packages/host/src/settings-feed.ts
+++ b/packages/host/src/store/settings-feed.ts
@@ -6,9 +6,9 @@
  */
 import type { KeyValue } from "@drumpaddle/protocol";
 import { adopt, type AdoptResult, type Head, type InForce, judgeHead, type Snapshot } from "@drumpaddle/settings";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
 import { Directory } from "./directory.js";
-import type { Log } from "./log.js";
-import type { Metrics } from "./metrics.js";
 import type { SettingsStore } from "./settings-store.js";
 
 /** What the feed is made of. */
--- a/packages/host/src/store-follower.ts
+++ b/packages/host/src/store/store-follower.ts
@@ -17,8 +17,8 @@
 } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
 import type { Life } from "@drumpaddle/routes";
-import type { StorePeerMessage, StoreStamp, StoreState, StoreWord } from "./peer-messages.js";
-import { repeat } from "./repeat.js";
+import { repeat } from "../runtime/repeat.js";
+import type { StorePeerMessage, StoreStamp, StoreState, StoreWord } from "./store-words.js";
 
 /** A host's own part in hearing of the store. */
 export interface StoreFollower {
--- a/packages/host/src/watch-endpoints.ts
+++ b/packages/host/src/watch-endpoints.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import { fetchHosts, fetchLoad } from "@drumpaddle/protocol";
-import type { DeclaredEndpoint, Directory } from "./directory.js";
-import type { Host } from "./host.js";
-import type { Placement } from "./placement.js";
-import { plainModel } from "./plain.js";
-import { repeat } from "./repeat.js";
+import type { Host } from "./calls/host.js";
+import type { Placement } from "./endpoints/placement.js";
+import { plainModel } from "./endpoints/plain-model.js";
+import { repeat } from "./runtime/repeat.js";
+import type { DeclaredEndpoint, Directory } from "./store/directory.js";
 
 /** How long an answer about load may take, as a share of the time between two questions. */
 const TIMEOUT_SHARE = 2;
--- a/packages/host/test/answer.test.ts
+++ b/packages/host/test/answer.test.ts
@@ -2,8 +2,8 @@
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
-import { wholeReply } from "../src/answer.js";
-import type { Reply } from "../src/run.js";
+import { wholeReply } from "../src/calls/answer.js";
+import type { Reply } from "../src/calls/run.js";
 
 interface Whole {
     readonly choices: readonly { readonly message: { readonly content: string }; readonly finish_reason: string }[];
--- a/packages/host/test/deployment-feed.test.ts
+++ b/packages/host/test/deployment-feed.test.ts
@@ -5,9 +5,9 @@
 import test from "ava";
 import { Writable } from "node:stream";
 import { configOf, registrationOf } from "../../../platform/test/stand-in/stage.js";
-import { DeploymentFeed } from "../src/deployment-feed.js";
-import { createLog } from "../src/log.js";
-import { Metrics } from "../src/metrics.js";
+import { createLog } from "../src/runtime/log.js";
+import { Metrics } from "../src/runtime/metrics.js";
+import { DeploymentFeed } from "../src/store/deployment-feed.js";
 
 interface RunningFeed {
     readonly feed: DeploymentFeed;
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -1,7 +1,7 @@
 import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { EndpointConnections, type Exchange } from "../src/endpoint-connections.js";
+import { EndpointConnections, type Exchange } from "../src/endpoints/endpoint-connections.js";
 
 interface Endpoint {
     readonly address: string;
--- a/packages/host/test/endpoint-ends.test.ts
+++ b/packages/host/test/endpoint-ends.test.ts
@@ -1,7 +1,7 @@
 import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { EndpointConnections } from "../src/endpoint-connections.js";
+import { EndpointConnections } from "../src/endpoints/endpoint-connections.js";
 
 /** How an answer's end is told, and how its connection ends. */
 interface Ending {
--- a/packages/host/test/judge-answer.test.ts
+++ b/packages/host/test/judge-answer.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { mayFollow, type SentBefore } from "../src/judge-answer.js";
+import { mayFollow, type SentBefore } from "../src/calls/judge-answer.js";
 
 function sentBefore(lastEvent: string, idsRiseByOne: boolean): SentBefore {
     return { pieces: 2, lastEvent, framed: true, idsRiseByOne };
--- a/packages/host/test/late-deployment.test.ts
+++ b/packages/host/test/late-deployment.test.ts
@@ -5,9 +5,9 @@
 import { Agent, buildConnector } from "undici";
 import { configOf, until } from "../../../platform/test/stand-in/stage.js";
 import { StandInStore } from "../../../platform/test/stand-in/store.js";
-import { DeploymentFeed } from "../src/deployment-feed.js";
-import { createLog } from "../src/log.js";
-import { Metrics } from "../src/metrics.js";
+import { createLog } from "../src/runtime/log.js";
+import { Metrics } from "../src/runtime/metrics.js";
+import { DeploymentFeed } from "../src/store/deployment-feed.js";
 
 /** Limit of a call to the store in these tests. */
 const CALL_MS = 150;
--- a/packages/host/test/main.test.ts
+++ b/packages/host/test/main.test.ts
@@ -4,7 +4,7 @@
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { handleSignals } from "../src/signals.js";
+import { handleSignals } from "../src/runtime/signals.js";
 
 const PROGRAM = ["--import=tsx", "--conditions=drumpaddle-source", "packages/host/src/main.ts"];
 const MOST_MS = 30_000;
--- a/packages/host/test/odd-registrations.test.ts
+++ b/packages/host/test/odd-registrations.test.ts
@@ -6,9 +6,9 @@
 import { PassThrough } from "node:stream";
 import { configOf, registrationOf, until } from "../../../platform/test/stand-in/stage.js";
 import { StandInStore } from "../../../platform/test/stand-in/store.js";
-import { DeploymentFeed } from "../src/deployment-feed.js";
-import { createLog } from "../src/log.js";
-import { Metrics } from "../src/metrics.js";
+import { createLog } from "../src/runtime/log.js";
+import { Metrics } from "../src/runtime/metrics.js";
+import { DeploymentFeed } from "../src/store/deployment-feed.js";
 
 /** What is done to the registration of one of a few endpoints. */
 interface Write {
--- a/packages/host/test/quarantine-sharing.test.ts
+++ b/packages/host/test/quarantine-sharing.test.ts
@@ -1,8 +1,8 @@
 import type { QuarantineNews } from "@drumpaddle/hall";
 import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
-import type { QuarantinePeerMessage } from "../src/peer-messages.js";
-import { QuarantineSharing } from "../src/quarantine-sharing.js";
+import type { QuarantinePeerMessage } from "../src/peers/peer-messages.js";
+import { QuarantineSharing } from "../src/peers/quarantine-sharing.js";
 
 const NOTHING: QuarantineNews = { endings: [], trials: [] };
 const NEWS: QuarantineNews = {
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -1,11 +1,11 @@
 import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
 import { Writable } from "node:stream";
-import { EndingWatch, type WatchedEndpoint } from "../src/ending-watch.js";
-import type { LifeSign } from "../src/life-probe.js";
-import { createLog } from "../src/log.js";
-import { Metrics } from "../src/metrics.js";
-import { RequestGuard } from "../src/request-guard.js";
+import { EndingWatch, type WatchedEndpoint } from "../src/endpoints/ending-watch.js";
+import type { LifeSign } from "../src/endpoints/life-probe.js";
+import { RequestGuard } from "../src/endpoints/request-guard.js";
+import { createLog } from "../src/runtime/log.js";
+import { Metrics } from "../src/runtime/metrics.js";
 
 interface Guarded {
     readonly guard: RequestGuard;
--- a/packages/host/test/run.test.ts
+++ b/packages/host/test/run.test.ts
@@ -1,8 +1,8 @@
 import type { Job, JobOutcome } from "@drumpaddle/policy";
 import { createClock } from "@drumpaddle/protocol";
 import test from "ava";
-import type { Placement } from "../src/placement.js";
-import { type AttemptSink, Run, type RunEnd } from "../src/run.js";
+import { type AttemptSink, Run, type RunEnd } from "../src/calls/run.js";
+import type { Placement } from "../src/endpoints/placement.js";
 
 const JOB: Job = {
     id: "r",
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer } from "node:net";
-import { SilenceWatch } from "../src/silence-watch.js";
+import { SilenceWatch } from "../src/calls/silence-watch.js";
 
 interface Watched {
     readonly watch: SilenceWatch;
--- a/packages/host/test/word-sharing.test.ts
+++ b/packages/host/test/word-sharing.test.ts
@@ -1,8 +1,8 @@
 import type { EndpointWord } from "@drumpaddle/hall";
 import { createClock } from "@drumpaddle/protocol";
 import test, { type ExecutionContext } from "ava";
-import type { WordPeerMessage } from "../src/peer-messages.js";
-import { WordSharing } from "../src/word-sharing.js";
+import type { WordPeerMessage } from "../src/peers/peer-messages.js";
+import { WordSharing } from "../src/peers/word-sharing.js";
 
 const KNOWN: readonly EndpointWord[] = [{ endpoint: "e1", leaves: false, limit: { perS: 2.3, agoMs: 40 } }];
 const NEWS: readonly EndpointWord[] = [{ endpoint: "e2", leaves: true }];
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -9,7 +9,7 @@
 const CARRY = "packages/policy/test/carry.test.ts";
 const LIVES = "platform/test/lives.test.ts";
 const ROUTES = "packages/routes/test/routes.test.ts";
-const ATTEMPT = "packages/host/src/forward-attempt.ts";
+const ATTEMPT = "packages/host/src/calls/forward-attempt.ts";
 const ENDPOINT = "packages/policy/src/endpoint.ts";
 const COLD_SOURCE = "packages/policy/src/cold.ts";
 const COLD = "packages/policy/test/cold.test.ts";
@@ -43,7 +43,7 @@
     },
     {
         promise: "what a peer tells of evacuations counts",
-        file: "packages/host/src/deployment-feed.ts",
+        file: "packages/host/src/store/deployment-feed.ts",
         find: "adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now())",
         replace: "adoptEndpoints(this.registry, entries, [], this.deps.clock.now())",
         tests: [EVACUATION],
@@ -106,7 +106,7 @@
     },
     {
         promise: "lives: a registration that cannot be read names none to use",
-        file: "packages/host/src/registrations.ts",
+        file: "packages/host/src/store/registrations.ts",
         find: 'return { kind: "unreadable", id };',
         replace: "return undefined;",
         tests: [LIVES],
@@ -127,14 +127,14 @@
     },
     {
         promise: "limits: a host that starts hears of them before it is ready",
-        file: "packages/host/src/word-sharing.ts",
+        file: "packages/host/src/peers/word-sharing.ts",
         find: "return this.asking.isReady;",
         replace: "return true;",
         tests: ["packages/host/test/word-sharing.test.ts"],
     },
     {
         promise: "limits: hosts tell each other",
-        file: "packages/host/src/word-sharing.ts",
+        file: "packages/host/src/peers/word-sharing.ts",
         find: "if (words.length > 0) this.send(this.someOthers(most), words, false);",
         replace: "void [most, words];",
         tests: [LIMITS],
@@ -169,21 +169,21 @@
     },
     {
         promise: "limits: one that is over binds nobody",
-        file: "packages/host/src/endpoint-words.ts",
+        file: "packages/host/src/endpoints/endpoint-words.ts",
         find: "if (!known && said.limitPerS === undefined) return false;",
         replace: "if (said.limitPerS === undefined) return false;",
         tests: [LIMITS],
     },
     {
         promise: "says it leaves: nothing new goes there",
-        file: "packages/host/src/endpoint-words.ts",
+        file: "packages/host/src/endpoints/endpoint-words.ts",
         find: 'for (const placement of this.deps.placements) placement.setLeaving(endpoint, "answer", true);',
         replace: "",
         tests: [LEAVING],
     },
     {
         promise: "says it leaves: hosts tell each other",
-        file: "packages/host/src/endpoint-words.ts",
+        file: "packages/host/src/endpoints/endpoint-words.ts",
         find: 'const isLeavingNews = leaves && this.takeLeaving(endpoint, "peer");',
         replace: "const isLeavingNews = false;",
         tests: [LEAVING],
@@ -218,7 +218,7 @@
     },
     {
         promise: "rest: only a refusal asks for it",
-        file: "packages/host/src/endpoint-words.ts",
+        file: "packages/host/src/endpoints/endpoint-words.ts",
         find: "if (status === REFUSED && head.notRun) this.hearRest(endpoint, head);",
         replace: "this.hearRest(endpoint, head);",
         tests: [REST],
@@ -232,14 +232,14 @@
     },
     {
         promise: "lives: one that may have begun is taken for cold",
-        file: "packages/host/src/life-doubts.ts",
+        file: "packages/host/src/endpoints/life-doubts.ts",
         find: "placement.doubt(incarnation, DOUBT_MS);",
         replace: "",
         tests: [COLD_AGAIN],
     },
     {
         promise: "lives: one that lives on is used in full",
-        file: "packages/host/src/life-doubts.ts",
+        file: "packages/host/src/endpoints/life-doubts.ts",
         find: 'if (sign.kind === "lives" && sign.saysBorn) placement.doubt(incarnation, undefined);',
         replace: "",
         tests: [COLD_AGAIN],
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -30,8 +30,8 @@
 const CLOCK = "packages/protocol/src/clock.ts";
 const QUARANTINE = "packages/hall/test/quarantine.test.ts";
 const VERDICT = "packages/hall/src/verdict.ts";
-const GUARD = "packages/host/src/request-guard.ts";
-const ATTEMPT = "packages/host/src/forward-attempt.ts";
+const GUARD = "packages/host/src/endpoints/request-guard.ts";
+const ATTEMPT = "packages/host/src/calls/forward-attempt.ts";
 const STEP = "packages/request/src/step.ts";
 const ENDPOINT = "packages/policy/src/endpoint.ts";
 const PROOF = "packages/request/src/proof.ts";
@@ -89,7 +89,7 @@
     },
     {
         promise: "a key is claimed once over all hosts",
-        file: "packages/host/src/claims.ts",
+        file: "packages/host/src/calls/claims.ts",
         find: "conditions: [{ key, modRevision: 0 }],",
         replace: "conditions: [],",
         tests: [PLAIN],
@@ -138,7 +138,7 @@
     },
     {
         promise: "an edit is one edit",
-        file: "packages/host/src/settings-store.ts",
+        file: "packages/host/src/store/settings-store.ts",
         find: 'if (done.value !== undefined) return { kind: "accepted", version: done.value, snapshot: undefined };',
         replace: "",
         tests: [SPREAD],
@@ -187,14 +187,14 @@
     },
     {
         promise: "a cut answer without a length does not look whole",
-        file: "packages/host/src/forward-reply.ts",
+        file: "packages/host/src/calls/forward-reply.ts",
         find: "out.useChunkedEncodingByDefault = framed;",
         replace: "",
         tests: [GATEWAY],
     },
     {
         promise: "nor does one that was reset",
-        file: "packages/host/src/endpoint-connections.ts",
+        file: "packages/host/src/endpoints/endpoint-connections.ts",
         find: "sink.onEnd(!connection.failed);",
         replace: "sink.onEnd(true);",
         tests: [CONNECTIONS],
@@ -215,7 +215,7 @@
     },
     {
         promise: "a deployment never goes back",
-        file: "packages/host/src/deployment-feed.ts",
+        file: "packages/host/src/store/deployment-feed.ts",
         find: "if (known !== undefined && version <= known) {",
         replace: "if (known !== undefined && version === known) {",
         tests: [GATEWAY],
@@ -250,7 +250,7 @@
     },
     {
         promise: "soak: a refusal as not run is true",
-        file: "packages/host/src/forward-reply.ts",
+        file: "packages/host/src/calls/forward-reply.ts",
         find: 'return ran !== "no" && NOT_RUN_STATUSES.has(status) ? BAD_GATEWAY : status;',
         replace: 'return ran === "yes" ? BAD_GATEWAY : 503;',
         tests: [SOAK],
@@ -320,7 +320,7 @@
     },
     {
         promise: "quarantine: nothing is begun after three endings",
-        file: "packages/host/src/run.ts",
+        file: "packages/host/src/calls/run.ts",
         find: `if (withheld) return this.event({ kind: "withheld", ...withheld });`,
         replace: "",
         tests: [FATAL],
@@ -334,7 +334,7 @@
     },
     {
         promise: "quarantine: a host that starts asks before it is ready",
-        file: "packages/host/src/quarantine-sharing.ts",
+        file: "packages/host/src/peers/quarantine-sharing.ts",
         find: "return this.answered || ",
         replace: "return true || ",
         tests: ["packages/host/test/quarantine-sharing.test.ts"],
@@ -348,14 +348,14 @@
     },
     {
         promise: "quarantine: an endpoint that lives on is no evidence",
-        file: "packages/host/src/ending-watch.ts",
+        file: "packages/host/src/endpoints/ending-watch.ts",
         find: "if (compareLives(life, { id, born }) !== LifeOrder.Later) return this.giveUp(incarnation);",
         replace: "",
         tests: [FATAL],
     },
     {
         promise: "quarantine: a planned end is no evidence",
-        file: "packages/host/src/ending-watch.ts",
+        file: "packages/host/src/endpoints/ending-watch.ts",
         find: "if (this.deps.isLeaving(incarnation)) return this.deps.onNotEnded([run]);",
         replace: "",
         tests: [FATAL],
@@ -411,14 +411,14 @@
     },
     {
         promise: "suspended: nothing is served by what was known before",
-        file: "packages/host/src/forward.ts",
+        file: "packages/host/src/calls/forward.ts",
         find: "if (!table || deps.isStale())",
         replace: "if (!table)",
         tests: [SUSPENDED],
     },
     {
         promise: "suspended: a host that is cut off serves again",
-        file: "packages/host/src/deployment-feed.ts",
+        file: "packages/host/src/store/deployment-feed.ts",
         find: "this.deps.clock.now() - wokeAt < STALE_MOST_MS",
         replace: "wokeAt > 0",
         tests: [SUSPENDED],
@@ -432,7 +432,7 @@
     },
     {
         promise: "half a request reaches no endpoint",
-        file: "packages/host/src/request-body.ts",
+        file: "packages/host/src/calls/request-body.ts",
         find: "else chunks.push(chunk);",
         replace: 'else end({ kind: "whole", bytes: chunk });',
         tests: [GATEWAY],
