--- a/packages/host/src/calls/forward-job.ts
+++ b/packages/host/src/calls/forward-job.ts
@@ -30,10 +30,18 @@
     return rank === 1 ? "normal" : "batch";
 }
 
+/** How long a caller still has a use for a first event: as long as it stays and as the call may be held. */
+function usefulMsOf({ route, head }: ForwardCall): number {
+    const stays = Math.min(route.patienceMs ?? Infinity, route.timeoutMs, head.deadlineMs ?? Infinity);
+    return Math.max(route.objectiveMs, stays);
+}
+
 function policyOf(call: ForwardCall): JobPolicy {
     const { route } = call;
     return {
         priority: priorityOf(rankOf(call)),
+        rank: rankOf(call),
+        weight: 1,
         quantile: ADMISSION_QUANTILE,
         gapTargetMs: route.gapMs ?? ANY_GAP_MS,
         objectiveMs: Math.max(1, route.objectiveMs),
@@ -41,6 +49,7 @@
         weightStall: 1,
         weightPrefix: 0,
         maxWaitMs: route.objectiveMs,
+        usefulMs: usefulMsOf(call),
         queueLimit: QUEUE_LIMIT,
         // All hosts share one budget, which is kept apart.
         retryShare: 0,
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -8,6 +8,7 @@
     type Job,
     type JobPolicy,
     type LimitRefusal,
+    type Priority,
     quantileLength,
     reserve,
     settle,
@@ -48,10 +49,15 @@
     readonly chat: boolean;
 }
 
+/** Rank of a class of priority among requests that wait. */
+const RANK = { live: 0, normal: 1, batch: 2 } as const satisfies Record<Priority, number>;
+
 /** Settings as decisions use them. */
 export function policyOf(settings: Settings): JobPolicy {
     return {
         priority: settings.priority,
+        rank: RANK[settings.priority],
+        weight: 1,
         quantile: settings["admission-quantile"],
         gapTargetMs: settings["gap-target"],
         objectiveMs: FIRST_TOKEN_MS,
@@ -59,6 +65,7 @@
         weightStall: settings["weight-stall"],
         weightPrefix: settings["weight-prefix"],
         maxWaitMs: settings["max-wait"],
+        usefulMs: settings["max-wait"],
         queueLimit: settings["queue-limit"],
         retryShare: settings["retry-share"],
     };
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -13,6 +13,10 @@
 /** The part of the settings that decisions use, pinned for the whole request. Times are milliseconds. */
 export interface JobPolicy {
     readonly priority: Priority;
+    /** Its place among requests that wait: 0 goes first. */
+    readonly rank: number;
+    /** Part of a model's room that its workspace may hold, relative to the others, while requests of several wait. */
+    readonly weight: number;
     /** Chance that admitted work fits the engine's memory over the horizon. */
     readonly quantile: number;
     readonly gapTargetMs: number;
@@ -23,6 +27,8 @@
     readonly weightPrefix: number;
     /** Time until its first token, from arrival, beyond which it is not worth waiting. */
     readonly maxWaitMs: number;
+    /** Time until its first token, from arrival, up to which its caller still has a use for it; not below `maxWaitMs`. */
+    readonly usefulMs: number;
     readonly queueLimit: number;
     readonly retryShare: number;
 }
--- a/packages/policy/test/job.ts
+++ b/packages/policy/test/job.ts
@@ -14,6 +14,9 @@
     weightStall: 1,
     weightPrefix: 0,
     maxWaitMs: 1_500,
+    usefulMs: 1_500,
+    rank: 1,
+    weight: 1,
     queueLimit: 50,
     retryShare: 0,
 };
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -43,6 +43,9 @@
     weightStall: 1,
     weightPrefix: 0.5,
     maxWaitMs: 10_000,
+    usefulMs: 10_000,
+    rank: 1,
+    weight: 1,
     queueLimit: 5,
     retryShare: 0.1,
 };
--- a/packages/routes/src/deployment.ts
+++ b/packages/routes/src/deployment.ts
@@ -39,6 +39,8 @@
     readonly objectiveMs: number;
     /** Longest pause between two events that still keeps a stream in time; undefined for other kinds. */
     readonly gapMs: number | undefined;
+    /** Silence after which a stream's caller leaves; undefined for other kinds. */
+    readonly patienceMs: number | undefined;
     /** Rank of the route's calls: 0 goes first. */
     readonly rank: number;
     /** Endpoints that one call may be sent to at most. */
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -29,6 +29,7 @@
         timeoutMs: 1_000,
         objectiveMs: 100,
         gapMs: undefined,
+        patienceMs: undefined,
         rank: 1,
         attempts: 1,
         isPublic: false,
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -45,6 +45,9 @@
     objectiveMs: 1_900,
     weightPrefix: 0.5,
     maxWaitMs: 20_000,
+    usefulMs: 20_000,
+    rank: 1,
+    weight: 1,
     queueLimit: 2_000,
     retryShare: 0.1,
 } as const;
