What has not run is told as such: 503 with a time to come back

Cause: a call whose tries found no connection ended with EndpointLost, and toApiError answered 502 whatever `ran` said; a deadline that passed before anything was sent was answered 504. Ruled out: a code of its own for "lost before it left" (operators' tables and logs already tell the two apart by `ran`), and turning every status of a not-run failure into 503 (a quarantined request must stay 501, which invites no other try). Change: 502 and 504 become 503 where `ran` is no; both failures carry 250 ms to come back, as other hosts may reach the endpoints.

--- a/packages/host/src/calls/answer.ts
+++ b/packages/host/src/calls/answer.ts
@@ -42,10 +42,26 @@
     [FailCode.OnTrial]: 503,
 };
 
-/** A request's failure as an error for its caller. */
+/** Statuses by which a caller must take its request for one that may have run. */
+const MAY_HAVE_RUN: ReadonlySet<number> = new Set([502, 504]);
+const UNAVAILABLE = 503;
+
+function statusOf({ code, ran }: RequestError): number {
+    const status = STATUS[code];
+    return ran === "no" && MAY_HAVE_RUN.has(status) ? UNAVAILABLE : status;
+}
+
+/**
+ * A request's failure as an error for its caller.
+ *
+ * @example
+ * ```ts
+ * toApiError(notRun("endpoint_lost", "connect timeout", 250)).status; // 503
+ * ```
+ */
 export function toApiError(err: RequestError): ApiError {
     return {
-        status: STATUS[err.code],
+        status: statusOf(err),
         code: err.code,
         message: err.detail,
         ran: err.ran,
--- /dev/null
+++ b/packages/host/test/not-run.test.ts
@@ -0,0 +1,26 @@
+import { FailCode, failure, notRun, type RequestError } from "@drumpaddle/request";
+import test from "ava";
+import { errorHeaders, toApiError } from "../src/calls/answer.js";
+
+/** Callers and proxies take these for calls that may have run, and do not send them again. */
+const MAY_HAVE_RUN_STATUSES = [502, 504];
+const SOON_MS = 250;
+
+for (const code of Object.values(FailCode)) {
+    test(`${code}: what has not run is never answered as if it may have run`, t => {
+        const { status } = toApiError(notRun(code, "nothing was sent", SOON_MS));
+        t.false(MAY_HAVE_RUN_STATUSES.includes(status), `${status}`);
+    });
+}
+
+for (const code of [FailCode.EndpointLost, FailCode.DeadlinePassed]) {
+    test(`${code}: 503 and a time to come back where nothing ran, else no such promise`, t => {
+        const apart = toApiError(notRun(code, "nothing was sent", SOON_MS));
+        t.is(apart.status, 503);
+        t.like(errorHeaders(apart), { "retry-after": "1", "x-should-retry": "true", "x-ran": "no" });
+        const unknown: RequestError = failure(undefined, false, code, "it broke", SOON_MS);
+        const told = toApiError(unknown);
+        t.true(MAY_HAVE_RUN_STATUSES.includes(told.status), `${told.status}`);
+        t.like(errorHeaders(told), { "x-should-retry": "false", "x-ran": "unknown" });
+    });
+}
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -112,7 +112,8 @@
         isCurrent(state, attempt) ? stay({ ...state, attempt: { ...state.attempt!, backUp: endpoint } }) : stay(state),
     withheld: (state, { code, detail, retryAfterMs }) => fail(state, code, detail, cancelCurrent(state), retryAfterMs),
     callerGone: state => fail(state, FailCode.CallerGone, "the caller left", cancelCurrent(state)),
-    deadline: state => fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state)),
+    deadline: state =>
+        fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state), ELSEWHERE_RETRY_MS),
     stopping: state =>
         state.phase === Phase.Waiting
             ? fail(state, FailCode.Stopping, "this host is stopping", [], 0)
@@ -189,7 +190,7 @@
 
 /** An attempt whose connection never came up: another may be made, beyond those that the request is allowed. */
 function afterNeverSent(state: RequestState, detail: string): Step {
-    if (!canRetry(state)) return fail(state, FailCode.EndpointLost, detail, cancelCurrent(state));
+    if (!canRetry(state)) return fail(state, FailCode.EndpointLost, detail, cancelCurrent(state), ELSEWHERE_RETRY_MS);
     const { state: next, actions } = tryElsewhere(state, cancelCurrent(state));
     return {
         state: next,
@@ -207,6 +208,8 @@
     reclaimed: FailCode.EndpointLost,
 };
 
+/** What reached no endpoint from this host may come back so soon: other hosts may reach the endpoints. */
+const ELSEWHERE_RETRY_MS = 250;
 /** Attempts that may fail to connect beyond those that count. */
 const MOST_NEVER_SENT = 3;
 
--- /dev/null
+++ b/packages/request/test/not-run.test.ts
@@ -0,0 +1,62 @@
+import test from "ava";
+import {
+    createRequest,
+    type RequestAction,
+    type RequestCfg,
+    type RequestError,
+    type RequestEvent,
+    step,
+} from "../src/index.js";
+
+const CFG: RequestCfg = { id: "r", repeatable: false, streamed: true, maxAttempts: 1, maxResumes: 0, deadline: 1e9 };
+
+/** What the caller is told after these events; undefined where it is told no failure. */
+function failureAfter(events: readonly RequestEvent[]): RequestError | undefined {
+    let { state, actions } = createRequest(CFG);
+    const all: RequestAction[] = [...actions];
+    for (const event of events) {
+        ({ state, actions } = step(state, event));
+        all.push(...actions);
+    }
+    return all.flatMap(action => action.kind === "fail" ? [action.err] : [])[0];
+}
+
+/** A connection to this endpoint does not come up. */
+function unreachable(endpoint: string, number: number): readonly RequestEvent[] {
+    const attempt = `r.${number}`;
+    return [
+        { kind: "admitted", endpoint, backUp: undefined },
+        { kind: "lost", attempt, cause: "connect", detail: "connect timeout" },
+    ];
+}
+
+const SENT: readonly RequestEvent[] = [
+    { kind: "admitted", endpoint: "e1", backUp: undefined },
+    { kind: "sending", attempt: "r.1" },
+];
+
+test("a request that reached no endpoint is told as not run, with a time to come back", t => {
+    const err = failureAfter(["e1", "e2", "e3", "e4"].flatMap((endpoint, at) => unreachable(endpoint, at + 1)));
+    t.like(err, { ran: "no", code: "endpoint_lost", detail: "connect timeout" });
+    t.true(err!.retryAfterMs! > 0);
+});
+
+for (
+    const [where, events] of [
+        ["while it waits", []],
+        ["after a connection that did not come up", unreachable("e1", 1)],
+        ["before its first byte", SENT.slice(0, 1)],
+    ] as const
+) {
+    test(`a deadline that passes ${where} is told as not run, with a time to come back`, t => {
+        const err = failureAfter([...events, { kind: "deadline" }]);
+        t.like(err, { ran: "no", code: "deadline_passed" });
+        t.true(err!.retryAfterMs! > 0);
+    });
+}
+
+test("a deadline that passes once a byte may have left promises nothing", t => {
+    const err = failureAfter([...SENT, { kind: "deadline" }]);
+    t.like(err, { ran: "unknown", code: "deadline_passed" });
+    t.is(err!.retryAfterMs, undefined);
+});
