Hosts take shared work by what they can carry

Cause: owners of endpoints and watchers of the store were drawn among all hosts alike. Change: settings host.cores, host.core-share and host.link; the capacity that follows travels with the detector's news (optional: a host of older settings counts as one core) and weighs the rendezvous hash: -w/ln(h). Equal weights keep the present order exactly. Ruled out: capacity itself as the weight. Callers come to all hosts alike, so that a host of twice the capacity has more than twice as much left; the square is within a factor of two of capacity less two thirds of the weakest's, and needs no view of the others, which would move work with every weak host that comes or goes. Ruled out as well: a shape check that bounds the number. A wrong word of one host would cost the news of others in the same message; it is bounded where it is used.

--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -247,6 +247,8 @@
 interface HostStatus {
     readonly host: string;
     readonly hall: string;
+    /** What it can carry, in cores; absent where it does not say. */
+    readonly capacity?: number;
     readonly version: number;
     readonly since?: number;
     readonly open: number;
@@ -268,15 +270,16 @@
     const all = await statusOfAll(cfg);
     const newest = Math.max(0, ...all.map(({ status: s }) => s?.version ?? 0));
     const rows = all.map(({ url, status: s }) => {
-        if (!s) return [url, "", "", "", "", "", "no answer"];
+        if (!s) return [url, "", "", "", "", "", "", "no answer"];
         const since = s.since === undefined ? "" : new Date(s.since).toISOString();
         const note = s.stopping ? "stopping" : s.version < newest ? "behind" : "";
-        return [s.host, s.hall, String(s.version), since, String(s.open), String(s.waiting), note];
+        const capacity = s.capacity === undefined ? "not told" : String(s.capacity);
+        return [s.host, s.hall, capacity, String(s.version), since, String(s.open), String(s.waiting), note];
     });
     const exit = all.every(({ status: s }) => s?.version === newest) ? Exit.Done : Exit.Failed;
     return said(
         exit,
-        tableOf(["host", "hall", "version", "since", "open", "waiting", "note"], rows),
+        tableOf(["host", "hall", "capacity", "version", "since", "open", "waiting", "note"], rows),
         all.map(({ url, status: s }) => ({ url, ...s })),
     );
 }
--- a/packages/hall/src/following.ts
+++ b/packages/hall/src/following.ts
@@ -2,7 +2,7 @@
  * Which hosts of a hall watch the platform's store, and which follow those that do: a call to the store is paid for, and
  * its rate grows more slowly than the fleet.
  *
- * The first {@link WATCHERS} of a hall by rank watch and say at least every {@link WORD_EVERY_MS} how far they are and
+ * The first {@link WATCHERS} of a hall by rank, which follows what hosts can carry, watch and say at least every {@link WORD_EVERY_MS} how far they are and
  * whether the store answers them. One that is silent, or that the store does not answer, is passed over for
  * {@link OUT_MS}, and the next by rank takes its place, so that while the store is away the hall asks it in turn. Others
  * follow: by the watchers' words, and by what any peer last heard. A host that hears neither turns to the store itself,
@@ -17,7 +17,7 @@
  *
  * @module
  */
-import { rank, WATCHERS } from "./ownership.js";
+import { EQUAL, rank, WATCHERS, type Weights } from "./ownership.js";
 
 /** How often a watcher says where it stands. */
 export const WORD_EVERY_MS = 400;
@@ -128,6 +128,7 @@
  * Whether a host watches now, and whether others rely on it.
  *
  * @param hosts Live hosts of its hall, itself included unless it is leaving.
+ * @param weights By which they are ranked.
  *
  * @example
  * ```ts
@@ -139,11 +140,12 @@
     hosts: readonly string[],
     { hears, freshAt, seeking }: StoreHeard,
     now: number,
+    weights: Weights = EQUAL,
 ): FollowPlan {
     if (seeking && now - state.startedAt < JOIN_MS) return { state, reason: undefined, says: false };
     const deafAt = hears === false ? now : state.deafAt;
     const isDeaf = hears !== true && now - deafAt < OUT_MS;
-    const ranked = rank("store-watch", hosts);
+    const ranked = rank("store-watch", hosts, weights);
     const { expected, watchers } = pickWatchers(state, ranked, isDeaf, now);
     const place = watchers.indexOf(state.self);
     const isAlone = place < 0 && now - aloneSince(state, freshAt) > ALONE_MS + stagger(ranked.indexOf(state.self));
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -1,3 +1,4 @@
+export { capacityOf, type HostSize, type Rated, weightOf, weightsOf } from "./capacity.js";
 export {
     createDetector,
     type Detector,
@@ -66,11 +67,12 @@
     type Member,
     type MemberNews,
     type Membership,
+    ratedHosts,
     Status,
     SUSPECT_MS,
     unheardCandidates,
 } from "./membership.js";
-export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
+export { EQUAL, ownerOf, rank, WATCHERS, watches, type Weights } from "./ownership.js";
 export {
     allNews,
     type Asked,
@@ -98,6 +100,7 @@
     shareRound,
     type ShareState,
     type ShareStep,
+    withWeights,
 } from "./share.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
 export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
--- a/packages/hall/src/membership.ts
+++ b/packages/hall/src/membership.ts
@@ -23,6 +23,8 @@
     readonly address: string;
     /** Drawn at start: tells two lives of a host of one name apart. */
     readonly start: number;
+    /** What it can carry, in cores; absent where it does not tell. As told: {@link weightOf} bounds it. */
+    readonly capacity?: number;
 }
 
 /** What is believed of a host. */
@@ -157,6 +159,11 @@
     return (state.leaving ? names : [...names, state.self.name]).sort();
 }
 
+/** This host and the members of its scope that are relied on, as what they can carry is told of them. */
+export function ratedHosts(state: Membership, now: number): readonly HostInfo[] {
+    return [state.self, ...aliveMembers(state, now)];
+}
+
 /** What this host says of itself. */
 export function newsOfSelf({ self, incarnation, leaving }: Membership): MemberNews {
     return { ...self, incarnation, leaving, status: Status.Alive, forMs: 0 };
@@ -179,7 +186,8 @@
 export function newsOfMember(member: Member, now: number): MemberNews {
     const { name, hall, scope, address, start, incarnation, status, leaving, since } = member;
     const forMs = status === Status.Suspect ? Math.round(now - since) : 0;
-    return { name, hall, scope, address, start, incarnation, status, leaving, forMs };
+    const capacity = member.capacity === undefined ? {} : { capacity: member.capacity };
+    return { name, hall, scope, address, start, ...capacity, incarnation, status, leaving, forMs };
 }
 
 /**
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -34,11 +34,13 @@
     takeHeld,
     type Told,
 } from "./load-share.js";
-import { ownerOf, shardOf } from "./ownership.js";
+import { EQUAL, ownerOf, shardOf, type Weights } from "./ownership.js";
 
 /** What a host keeps of the hall's streams. */
 export interface ShareState {
     readonly self: string;
+    /** By which live hosts own endpoints. */
+    readonly weights: Weights;
     /** As an owner: what others told. */
     readonly account: Account;
     /** As a holder: what was told to owners. */
@@ -110,6 +112,7 @@
 export function createShare(self: string): ShareState {
     return {
         self,
+        weights: EQUAL,
         account: EMPTY_ACCOUNT,
         told: NOTHING_TOLD,
         toldOthers: new Map(),
@@ -120,6 +123,11 @@
     };
 }
 
+/** The state in which hosts own endpoints by these weights; those that are not live count for nothing. */
+export function withWeights(state: ShareState, weights: Weights): ShareState {
+    return { ...state, weights };
+}
+
 /**
  * The owner of an endpoint among live hosts. One host owns so many endpoints together that its advice is a choice.
  *
@@ -130,15 +138,21 @@
  * endpointOwner("e1", 31, ["k1-a", "k1-b"]);
  * ```
  */
-export function endpointOwner(endpoint: string, count: number, live: readonly string[]): string | undefined {
-    return ownerOf(`endpoints/${shardOf(endpoint, Math.ceil(count / ENDPOINTS_PER_OWNER))}`, live);
+export function endpointOwner(
+    endpoint: string,
+    count: number,
+    live: readonly string[],
+    weights: Weights = EQUAL,
+): string | undefined {
+    return ownerOf(`endpoints/${shardOf(endpoint, Math.ceil(count / ENDPOINTS_PER_OWNER))}`, live, weights);
 }
 
-function ownersOf(known: Owners, endpoints: readonly string[], live: readonly string[]): Owners {
-    const basis = `${live.join(",")};${endpoints.join(",")}`;
+function ownersOf(known: Owners, endpoints: readonly string[], live: readonly string[], weights: Weights): Owners {
+    const rated = live.map(host => weights.has(host) ? `${host}=${weights.get(host)}` : host);
+    const basis = `${rated.join(",")};${endpoints.join(",")}`;
     if (basis === known.basis) return known;
     const count = endpoints.length;
-    return { basis, of: new Map(endpoints.map(endpoint => [endpoint, endpointOwner(endpoint, count, live)])) };
+    return { basis, of: new Map(endpoints.map(endpoint => [endpoint, endpointOwner(endpoint, count, live, weights)])) };
 }
 
 /** The state in which owners that left a question unanswered are passed over for a while. */
@@ -180,7 +194,7 @@
     const state = passOverSilent(before, now);
     const views = endpoints.values();
     const holdings = views.map(view => ownHeld(view, now));
-    const owners = ownersOf(state.owners, views.map(view => view.cfg.id), answering(state, live));
+    const owners = ownersOf(state.owners, views.map(view => view.cfg.id), answering(state, live), state.weights);
     const { state: told, toSay } = planTelling(state.told, holdings, endpoint => owners.of.get(endpoint), now);
     const account = dropStale(takeHeld(state.account, state.self, toSay.get(state.self) ?? [], now), now);
     const held = [...toSay].filter(([owner]) => owner !== state.self)
@@ -278,7 +292,7 @@
 ): ShareStep {
     const state = passOverSilent(before, now);
     const { job, endpoint, question: { curve, ...rest } } = action;
-    const to = endpointOwner(endpoint, endpoints.values().length, answering(state, live));
+    const to = endpointOwner(endpoint, endpoints.values().length, answering(state, live), state.weights);
     if (to === undefined || to === state.self) return { state, send: [], events: [] };
     const message: ShareMessage = {
         kind: "question",
--- a/packages/hall/test/fleet.ts
+++ b/packages/hall/test/fleet.ts
@@ -27,6 +27,8 @@
     readonly name: string;
     readonly hall: string;
     readonly address: string;
+    /** What its next life tells of its capacity. */
+    capacity?: number;
     state: Detector;
     alive: boolean;
     /** It does nothing before this time; what comes meanwhile waits. */
@@ -42,6 +44,8 @@
     readonly seed?: number;
     /** Share of messages that are lost. */
     readonly loss?: number;
+    /** What hosts tell of their capacity, by their place in the list; nothing where it is not given. */
+    readonly capacity?: (at: number) => number | undefined;
     /** Whether a link carries messages; all do where it is not given. */
     readonly passes?: (from: SimHost, to: SimHost) => boolean;
 }
@@ -57,6 +61,10 @@
     };
 }
 
+function told(capacity: number | undefined): { readonly capacity?: number } {
+    return capacity === undefined ? {} : { capacity };
+}
+
 /** Hosts and the time that they live in. */
 export class Fleet extends VirtualClock {
     readonly hosts: SimHost[];
@@ -74,6 +82,7 @@
             name: `h${at % cfg.halls}-${String(Math.floor(at / cfg.halls)).padStart(3, "0")}`,
             hall: `h${at % cfg.halls}`,
             address: `10.0.${at % cfg.halls}.${Math.floor(at / cfg.halls)}:7200`,
+            ...told(cfg.capacity?.(at)),
         }));
         const seeds = names.slice(0, 3).map(({ address }) => address);
         this.hosts = names.map(info => ({
@@ -88,9 +97,10 @@
         for (const host of this.hosts) this.at(Math.floor(this.random() * 300), () => this.round(host, host.state));
     }
 
-    private newborn(info: { name: string; hall: string; address: string }, seeds: readonly string[]): Detector {
+    private newborn(info: Pick<SimHost, "name" | "hall" | "address" | "capacity">, seeds: readonly string[]): Detector {
         const start = Math.floor(this.random() * 2 ** 31);
-        return createDetector({ ...info, scope: "all", start }, seeds);
+        const { name, hall, address, capacity } = info;
+        return createDetector({ name, hall, address, ...told(capacity), scope: "all", start }, seeds);
     }
 
     /** Runs now, or when the host goes on. */
--- a/packages/hall/test/store-hall.ts
+++ b/packages/hall/test/store-hall.ts
@@ -11,6 +11,7 @@
     hearWatcher,
     planFollowing,
     type WatchReason,
+    type Weights,
     WORD_EVERY_MS,
 } from "../src/index.js";
 import { seeded } from "./fleet.js";
@@ -47,7 +48,7 @@
     revision = 1;
     private readonly random: () => number;
 
-    constructor(count: number, seed = 1) {
+    constructor(count: number, seed = 1, private readonly weights?: Weights) {
         super();
         this.random = seeded(seed);
         this.hosts = Array.from({ length: count }, (_, at) => ({
@@ -106,6 +107,7 @@
             names,
             { hears, freshAt, seeking: true },
             this.now,
+            this.weights,
         );
         host.following = state;
         const began = host.reason === undefined && reason !== undefined;
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -121,9 +121,12 @@
     const servers = { callers: createCallers(host, tls), operators: createOperators(host, tls) };
     const callersUrl = await listen(servers.callers, cfg["callers.listen"], tls !== undefined);
     const operatorsUrl = await listen(servers.operators, cfg["operators.listen"], tls !== undefined);
+    const { capacity } = host.peers;
+    metrics.capacity.set(capacity ?? 0);
     log.info({
         host: cfg["host.name"],
         hall: cfg["host.hall"],
+        capacity,
         callers: callersUrl,
         operators: operatorsUrl,
         tls: tls !== undefined,
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -274,7 +274,9 @@
         cfg["metrics.listen"] === undefined ? undefined : listen(collectors, cfg["metrics.listen"]),
     ]);
     feed.start();
-    log.info({ host: cfg["host.name"], hall: cfg["host.hall"], callers: cfg["callers.listen"] }, "listening");
+    const { capacity } = peers;
+    metrics.capacity.set(capacity ?? 0);
+    log.info({ host: cfg["host.name"], hall: cfg["host.hall"], capacity, callers: cfg["callers.listen"] }, "listening");
     const kill = async (): Promise<void> => {
         own.abort();
         callers.server.closeAllConnections();
--- a/packages/host/src/operators/operators.ts
+++ b/packages/host/src/operators/operators.ts
@@ -178,6 +178,7 @@
     return {
         host: host.cfg["host.name"],
         hall: host.cfg["host.hall"],
+        capacity: host.peers?.capacity,
         version: inForce?.snapshot.head.version ?? 0,
         since: inForce?.since,
         stopping: host.runs.stopping,
--- /dev/null
+++ b/packages/host/src/peers/owned-log.ts
@@ -0,0 +1,27 @@
+/**
+ * Tells operators when a host begins or ceases to own endpoints: who owns them advises all others where their requests go.
+ *
+ * @module
+ */
+import type { SchedulerEvent } from "@drumpaddle/policy";
+import type { Log } from "../runtime/log.js";
+import type { Metrics } from "../runtime/metrics.js";
+
+/** What a host owned when it was last looked at. */
+export class OwnedLog {
+    private owned = 0;
+
+    constructor(private readonly log: Log, private readonly metrics: Pick<Metrics, "ownedEndpoints">) {}
+
+    /** Takes in what a round has found this host to own. */
+    see(events: readonly SchedulerEvent[]): void {
+        const owns = events.find(event => event.kind === "owns");
+        if (!owns) return;
+        const { length: owned } = owns.endpoints;
+        this.metrics.ownedEndpoints.set(owned);
+        const before = this.owned;
+        this.owned = owned;
+        // How many there are changes with every endpoint that comes or goes.
+        if ((owned > 0) !== (before > 0)) this.log.info({ owned, before }, "endpoints_owned");
+    }
+}
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -24,6 +24,8 @@
     scope: Type.String(),
     address: Type.String(),
     start: Type.Number(),
+    // Any number: one host's wrong word must not cost the news of others that travels with it.
+    capacity: Type.Optional(Type.Number()),
     incarnation: Type.Integer({ minimum: 0 }),
     status: Type.Union([Type.Literal("alive"), Type.Literal("suspect"), Type.Literal("dead")]),
     leaving: Type.Boolean(),
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -6,6 +6,7 @@
  */
 import {
     aliveMembers,
+    capacityOf,
     createDetector,
     createShare,
     type Detector,
@@ -22,6 +23,7 @@
     liveInHall,
     type Membership,
     type QuarantineNews,
+    ratedHosts,
     receive,
     shareAsk,
     shareHear,
@@ -34,6 +36,9 @@
     tick,
     unheardCandidates,
     watches,
+    type Weights,
+    weightsOf,
+    withWeights,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
 import { type Clock, type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
@@ -49,6 +54,7 @@
 import type { Spread } from "../store/spread.js";
 import { type StoreFollower, StoreSharing } from "../store/store-follower.js";
 import type { StorePeerMessage } from "../store/store-words.js";
+import { OwnedLog } from "./owned-log.js";
 import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
 import { QuarantineSharing } from "./quarantine-sharing.js";
 import { WordSharing } from "./word-sharing.js";
@@ -88,6 +94,7 @@
     private readonly sharing: StoreSharing | undefined;
     private readonly quarantine: QuarantineSharing | undefined;
     private readonly words: WordSharing | undefined;
+    private readonly ownedLog: OwnedLog;
     /** The live hosts that the log last told of. */
     private logged: readonly string[] = [];
     /** The version that a peer was asked for last, and when. */
@@ -96,14 +103,18 @@
     private constructor(private readonly host: PeersDeps, private readonly mesh: PeerMesh, seeds: readonly string[]) {
         const { "host.name": name, "host.hall": hall, "peers.scope": scope = hall } = host.cfg;
         this.share = createShare(name);
+        this.ownedLog = new OwnedLog(host.log, host.metrics);
         const start = randomInt(STARTS);
-        this.detector = createDetector({ name, hall, scope, address: mesh.at, start }, seeds);
+        const capacity = ownCapacity(host.cfg);
+        const told = capacity === undefined ? {} : { capacity };
+        this.detector = createDetector({ name, hall, scope, address: mesh.at, start, ...told }, seeds);
         this.sharing = host.follower && new StoreSharing({
             name,
             clock: host.clock,
             signal: host.signal,
             follower: host.follower,
             inHall: () => liveInHall(this.membership, this.host.clock.now()),
+            weights: () => this.weights,
             live: () => this.live,
             seeking: () => unheardCandidates(this.membership).length > 0,
             send: (names, message) => this.sendAll(names, message),
@@ -176,11 +187,21 @@
         return this.mesh.at;
     }
 
+    /** What this host can carry, in cores; undefined where its settings do not say. */
+    get capacity(): number | undefined {
+        return this.membership.self.capacity;
+    }
+
     /** Names of the live hosts of this hall, in order. */
     get live(): readonly string[] {
         return liveHosts(this.membership, this.host.clock.now());
     }
 
+    /** By what hosts can carry. */
+    private get weights(): Weights {
+        return weightsOf(ratedHosts(this.membership, this.host.clock.now()));
+    }
+
     /** Addresses that the platform's host list names. */
     setListed(addresses: readonly string[]): void {
         const membership = listHosts(this.membership, [...addresses, ...this.host.cfg["peers.seeds"]]);
@@ -189,7 +210,8 @@
 
     /** Whether this host asks an endpoint for its load, as its owner. */
     owns(endpoint: string): boolean {
-        return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
+        const owner = endpointOwner(endpoint, this.endpoints.values().length, this.live, this.share.weights);
+        return owner === this.host.cfg["host.name"];
     }
 
     /** Whether this host has heard what its peers know of endpoints and of requests that end them, as far as one can tell. */
@@ -245,7 +267,7 @@
         const { live } = this;
         metrics.liveHosts.set(live.length);
         this.logChanges(live);
-        if (!follower) spread.setWatching(watches(cfg["host.name"], live));
+        if (!follower) spread.setWatching(watches(cfg["host.name"], live, this.weights));
     }
 
     private carryOut({ state, send }: DetectorStep): void {
@@ -363,7 +385,10 @@
         const { live } = this;
         const unheard = unheardCandidates(this.membership).length;
         this.host.plain.tell([hostsEvent(this.host.cfg["host.name"], live, unheard)]);
-        this.follow(shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs, unheard));
+        this.share = withWeights(this.share, this.weights);
+        const step = shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs, unheard);
+        this.ownedLog.see(step.events);
+        this.follow(step);
     }
 
     private sendTo(name: string, message: PeerMessage): void {
@@ -378,8 +403,14 @@
             name: member.name,
             hall: member.hall,
             address: member.address,
+            capacity: member.capacity,
             alive: isAlive(member, now),
             leaving: member.leaving,
         }));
     }
 }
+
+/** What this host can carry, as its settings say; undefined where they do not. */
+function ownCapacity(cfg: HostCfg): number | undefined {
+    return capacityOf({ cores: cfg["host.cores"], share: cfg["host.core-share"], linkMbps: cfg["host.link"] });
+}
--- a/packages/host/src/runtime/config.ts
+++ b/packages/host/src/runtime/config.ts
@@ -22,6 +22,14 @@
 const KEYS = {
     "host.name": { type: text(NAME, "a name"), doc: "This host's name, unique among hosts." },
     "host.hall": { type: text(NAME, "a name"), doc: "The hall that this host stands in." },
+    "host.cores": {
+        type: ratio(0, 1_000),
+        optional: true,
+        doc: "Cores of this machine, in units of the fleet's usual one. Hosts take shared work by what they can carry; one that "
+            + "does not say counts as one core.",
+    },
+    "host.core-share": { type: ratio(0, 1), fallback: "1", doc: "Share of the cores that this process may use." },
+    "host.link": { type: ratio(0, 1_000_000), optional: true, doc: "Bandwidth of this machine's link, in Mbit/s." },
     "callers.interface": {
         type: choice(["completions", "forward"]),
         fallback: "completions",
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -108,6 +108,14 @@
         "drumpaddle_live_hosts",
         "Hosts of the scope that this one relies on, itself included.",
     );
+    readonly capacity = this.gauge(
+        "drumpaddle_capacity_cores",
+        "What this host tells others that it can carry; 0 where it does not say.",
+    );
+    readonly ownedEndpoints = this.gauge(
+        "drumpaddle_owned_endpoints",
+        "Endpoints of which this host advises others where requests go.",
+    );
     readonly evacuated = this.gauge(
         "drumpaddle_evacuated_halls",
         "Halls that take nothing new by the operator's order.",
--- a/packages/host/src/store/store-follower.ts
+++ b/packages/host/src/store/store-follower.ts
@@ -13,6 +13,7 @@
     planFollowing,
     type StoreHeard,
     type WatchReason,
+    type Weights,
     WORD_EVERY_MS,
 } from "@drumpaddle/hall";
 import type { Clock } from "@drumpaddle/protocol";
@@ -57,6 +58,8 @@
     readonly follower: StoreFollower;
     /** Live hosts of this hall, itself included. */
     inHall(): readonly string[];
+    /** By which hosts are ranked. */
+    weights(): Weights;
     /** Whether hosts are looked for that were not heard of yet. */
     seeking(): boolean;
     /** Live hosts of the scope, itself included. */
@@ -92,7 +95,7 @@
     private look(): FollowPlan {
         const { deps } = this;
         const heard = { ...deps.follower.heard(), seeking: deps.seeking() };
-        const plan = planFollowing(this.following, deps.inHall(), heard, this.deps.clock.now());
+        const plan = planFollowing(this.following, deps.inHall(), heard, deps.clock.now(), deps.weights());
         this.following = plan.state;
         return plan;
     }
--- /dev/null
+++ b/packages/host/test/peer-messages.test.ts
@@ -0,0 +1,31 @@
+import test from "ava";
+import { isPeerMessage } from "../src/peers/peer-messages.js";
+
+function gossipOf(capacity: unknown): { readonly kind: string } {
+    const news = {
+        name: "k1-a",
+        hall: "k1",
+        scope: "r1",
+        address: "10.0.0.1:7080",
+        start: 7,
+        incarnation: 0,
+        status: "alive",
+        leaving: false,
+        forMs: 0,
+    };
+    return { kind: "gossip", news: [capacity === undefined ? news : { ...news, capacity }] } as never;
+}
+
+for (const capacity of [undefined, 0.324, 16, 0, -4, 1e300]) {
+    test(`news of hosts is taken with a capacity of ${capacity}`, t => {
+        t.true(isPeerMessage(gossipOf(capacity)));
+    });
+}
+
+const NO_NUMBERS = { "a text": "2", "null": null, "an object": {}, "not a number": NaN, "infinite": Infinity };
+
+for (const [what, capacity] of Object.entries(NO_NUMBERS)) {
+    test(`news of hosts is refused with a capacity that is ${what}`, t => {
+        t.false(isPeerMessage(gossipOf(capacity)));
+    });
+}
