Hosts of a hall find out together which other halls they cannot reach

Cause: each host learnt by itself, worker by worker, that another hall was out of reach; `cutHalls` needs two endpoints of one service, and plain services have one a hall. A call that was sent there lost 500 ms, once for each host and again as each breaker lapsed. Change: a host takes note of whom it hears of other halls (messages of peers, connections that come up, answers), and tells the hosts of its own hall of connections that failed. An endpoint that failed is in doubt until anything of its hall is heard; a hall is in doubt once nothing of it was heard for a second and two endpoints have failed since, one where the detector has given up more than half of its hosts. Calls, streams and copies go to what is not in doubt; what is in doubt is tried where nothing else is left, or before a request would be refused for room. When a hall is heard again, its unreachable endpoints may be tried at once. Ruled out: "no host is relied on" alone (a hall whose hosts died keeps its endpoints; and it takes five seconds for all of 30 hosts to be given up, two for half of them); silence without a failed connection; one failed endpoint for a hall whose hosts are heard; words that go round between all halls (what one hall cannot reach another may); leaving hosts of doubted halls out as owners (three owners at a time would pass what cold endpoints bear).

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -89,6 +89,20 @@
     type Verdict,
     verdictOf,
 } from "./quarantine.js";
+export {
+    type DoubtedHall,
+    type Doubts,
+    doubtsOf,
+    type HallHosts,
+    type HallMembers,
+    hearHall,
+    loseEndpoint,
+    LOST_VALID_MS,
+    NOTHING_FOUND,
+    otherHalls,
+    QUIET_MS,
+    type Reach,
+} from "./reach.js";
 export {
     type Addressed,
     createShare,
--- a/packages/hall/test/fleet.ts
+++ b/packages/hall/test/fleet.ts
@@ -71,6 +71,8 @@
     /** Whether bytes are counted, as JSON: about twice what is sent. */
     counts = false;
     passes: (from: SimHost, to: SimHost) => boolean;
+    /** Told of each message that a host takes in. */
+    onMessage: (host: SimHost, from: SimHost) => void = () => undefined;
     private readonly random: () => number;
     private readonly byAddress: Map<string, SimHost>;
 
@@ -135,7 +137,9 @@
         const delay = from.hall === target.hall ? NEAR_MS : FAR_MS;
         this.at(this.now + delay, () =>
             this.whenAwake(target, () => {
-                if (target.alive) this.follow(target, receive(target.state, from.address, message, this.env()));
+                if (!target.alive) return;
+                this.onMessage(target, from);
+                this.follow(target, receive(target.state, from.address, message, this.env()));
             }));
     }
 
--- /dev/null
+++ b/packages/hall/test/reach.test.ts
@@ -0,0 +1,136 @@
+import test from "ava";
+import {
+    doubtsOf,
+    type HallMembers,
+    hearHall,
+    loseEndpoint,
+    LOST_VALID_MS,
+    NOTHING_FOUND,
+    otherHalls,
+    QUIET_MS,
+    type Reach,
+} from "../src/index.js";
+import { Fleet } from "./fleet.js";
+
+const NOW = 100_000;
+const HALL: HallMembers = { hall: "k2", hosts: 30, relied: 30, endpoints: 11 };
+
+/** What a host has found out: endpoints that failed so long ago, and when the hall was last heard. */
+function found(lostAgo: Readonly<Record<string, number>>, heardAgo: number, hall = "k2"): Reach {
+    const heard = hearHall(NOTHING_FOUND, hall, NOW - heardAgo);
+    return Object.entries(lostAgo).reduce(
+        (reach, [endpoint, ago]) => loseEndpoint(reach, endpoint, hall, NOW - ago, NOW).state,
+        heard,
+    );
+}
+
+function halls(reach: Reach, members: readonly HallMembers[], now = NOW): readonly string[] {
+    return doubtsOf(reach, members, now).halls.map(({ hall }) => hall);
+}
+
+interface Case {
+    readonly lostAgo: Readonly<Record<string, number>>;
+    readonly heardAgo: number;
+    readonly members?: Partial<HallMembers>;
+    readonly isInDoubt: boolean;
+}
+
+const LONG_SILENT = 2 * QUIET_MS;
+
+const CASES: Readonly<Record<string, Case>> = {
+    "two endpoints failed and silence": { lostAgo: { a: 10, b: 20 }, heardAgo: LONG_SILENT, isInDoubt: true },
+    "two failed, but something was heard a moment ago": {
+        lostAgo: { a: 10, b: 20 },
+        heardAgo: QUIET_MS - 1,
+        isInDoubt: false,
+    },
+    "two failed before something was heard": {
+        lostAgo: { a: LONG_SILENT + 10, b: LONG_SILENT + 20 },
+        heardAgo: LONG_SILENT,
+        isInDoubt: false,
+    },
+    "one of several failed": { lostAgo: { a: 10 }, heardAgo: LONG_SILENT, isInDoubt: false },
+    "the only one failed": { lostAgo: { a: 10 }, heardAgo: LONG_SILENT, members: { endpoints: 1 }, isInDoubt: true },
+    "one failed and less than half of the hosts are relied on": {
+        lostAgo: { a: 10 },
+        heardAgo: LONG_SILENT,
+        members: { relied: 14 },
+        isInDoubt: true,
+    },
+    "one failed and half of the hosts are relied on": {
+        lostAgo: { a: 10 },
+        heardAgo: LONG_SILENT,
+        members: { relied: 15 },
+        isInDoubt: false,
+    },
+    "no host is relied on, and none failed": {
+        lostAgo: {},
+        heardAgo: LONG_SILENT,
+        members: { relied: 0 },
+        isInDoubt: false,
+    },
+    "two failed in a hall without hosts": {
+        lostAgo: { a: 10, b: 20 },
+        heardAgo: LONG_SILENT,
+        members: { hosts: 0, relied: 0 },
+        isInDoubt: false,
+    },
+};
+
+for (const [name, { lostAgo, heardAgo, members = {}, isInDoubt }] of Object.entries(CASES)) {
+    test(`${name}: the hall is ${isInDoubt ? "" : "not "}in doubt`, t => {
+        t.deepEqual(halls(found(lostAgo, heardAgo), [{ ...HALL, ...members }]), isInDoubt ? ["k2"] : []);
+    });
+}
+
+test("a doubt ends with the first thing that is heard, and else with time", t => {
+    const reach = found({ a: 10, b: 20 }, LONG_SILENT);
+    t.is(halls(reach, [HALL]).length, 1);
+    t.is(halls(hearHall(reach, "k2", NOW), [HALL], NOW + LONG_SILENT).length, 0);
+    t.is(halls(reach, [HALL], NOW + LOST_VALID_MS).length, 0);
+});
+
+test("an endpoint that failed is in doubt until anything of its hall is heard, or for a while", t => {
+    const reach = found({ a: 10 }, 20);
+    t.deepEqual(doubtsOf(reach, [HALL], NOW), { halls: [], endpoints: ["a"] });
+    t.deepEqual(doubtsOf(hearHall(reach, "k2", NOW), [HALL], NOW).endpoints, []);
+    t.deepEqual(doubtsOf(reach, [HALL], NOW + LOST_VALID_MS).endpoints, []);
+    t.deepEqual(doubtsOf(reach, [{ ...HALL, hosts: 0 }], NOW).endpoints, [], "nobody there would end the doubt");
+});
+
+test("another hall's silence and failures say nothing of this one", t => {
+    const reach = hearHall(found({ a: 10, b: 20 }, LONG_SILENT, "k3"), "k2", NOW - 10);
+    t.deepEqual(halls(reach, [HALL, { ...HALL, hall: "k3" }]), ["k3"]);
+});
+
+test("a failure is news once while it is fresh, and not where it is older than what was heard or too old", t => {
+    const reach = found({ a: 10 }, LONG_SILENT);
+    const isNews = (endpoint: string, ago: number): boolean =>
+        loseEndpoint(reach, endpoint, "k2", NOW - ago, NOW).isNews;
+    t.false(isNews("a", 0));
+    t.false(isNews("a", 900));
+    t.true(isNews("b", 900));
+    t.false(isNews("b", LONG_SILENT + 1));
+    t.true(loseEndpoint(reach, "a", "k2", NOW + 2_000, NOW + 2_000).isNews);
+    t.false(loseEndpoint(NOTHING_FOUND, "b", "k2", NOW - LOST_VALID_MS, NOW).isNews);
+});
+
+test("what fails again and again is kept once, and what has not failed lately is forgotten", t => {
+    let reach = NOTHING_FOUND;
+    for (let at = 0; at < 100; at++) reach = loseEndpoint(reach, `e${at % 7}`, "k2", at * 300, at * 300).state;
+    t.is(reach.lost.size, 7);
+    t.deepEqual([...loseEndpoint(reach, "e1", "k2", 1e6, 1e6).state.lost.keys()], ["e1"]);
+});
+
+test("hosts of other halls are counted as the detector knows them: dead ones, and not those that have left", t => {
+    const fleet = new Fleet({ hosts: 12, halls: 3 });
+    fleet.run(2_500);
+    const [observer] = fleet.hosts;
+    const counts = () => otherHalls(observer!.state.membership, fleet.now).toSorted((a, b) => a.hall < b.hall ? -1 : 1);
+    t.deepEqual(counts(), [{ hall: "h1", hosts: 4, relied: 4 }, { hall: "h2", hosts: 4, relied: 4 }]);
+    for (const host of fleet.hosts) if (host.hall === "h1") fleet.kill(host);
+    const [leaving] = fleet.hosts.filter(({ hall }) => hall === "h2");
+    fleet.leave(leaving!);
+    fleet.run(4_000);
+    t.deepEqual(counts(), [{ hall: "h1", hosts: 4, relied: 0 }, { hall: "h2", hosts: 3, relied: 3 }]);
+});
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -37,6 +37,16 @@
     destroy(): void;
 }
 
+/** Told what becomes of connections to an address. */
+export interface ConnectionSigns {
+    /** A connection came up, or an answer began. */
+    readonly onAnswered?: (address: string) => void;
+    /** No connection came up. */
+    readonly onUnreachable?: (address: string) => void;
+    /** An endpoint ended a connection at rest before the time for which it said it would keep it. */
+    readonly onEndedAtRest?: (address: string) => void;
+}
+
 /** Time for a connection to come up: the networks of a region answer within milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 /** A connection that rested longer is not used again: endpoints may have forgotten it. */
@@ -72,12 +82,11 @@
     private readonly idle = new Map<string, Connection[]>();
     private readonly all = new Set<Connection>();
 
-    /** @param onEndedAtRest Told when an endpoint ends a connection at rest before the time for which it said it would keep it. */
     constructor(
         signal: AbortSignal,
         private readonly clock: Clock,
         private readonly onOpened: () => void,
-        private readonly onEndedAtRest: (address: string) => void = () => undefined,
+        private readonly signs: ConnectionSigns = {},
     ) {
         signal.addEventListener("abort", () => {
             for (const { client } of this.all) void client.destroy();
@@ -114,7 +123,10 @@
                 connection.readOn = () => controller.resume();
                 sink.onSending();
             },
-            onResponseStart: (controller, status) => sink.onHead(status, textOf(controller.rawHeaders)),
+            onResponseStart: (controller, status) => {
+                this.signs.onAnswered?.(address);
+                sink.onHead(status, textOf(controller.rawHeaders));
+            },
             onResponseData: (_controller, chunk) => sink.onData(chunk),
             onResponseEnd: () => {
                 state.done = true;
@@ -175,20 +187,27 @@
                 pipelining: 1,
                 connect: (options, callback) =>
                     connectNotingEnds(options, (...result) => {
-                        if (result[1]) this.onOpened();
+                        if (result[1]) this.opened(address);
+                        // A call that was given up says nothing of the way.
+                        else if (!connection.client.destroyed) this.signs.onUnreachable?.(address);
                         callback(...result);
                     }),
             }),
         };
         connection.client.on("disconnect", () => {
             const isAtRest = this.idle.get(address)?.includes(connection) === true;
-            if (isAtRest && this.clock.now() < connection.keptUntil) this.onEndedAtRest(address);
+            if (isAtRest && this.clock.now() < connection.keptUntil) this.signs.onEndedAtRest?.(address);
             this.drop(address, connection);
         });
         this.all.add(connection);
         return connection;
     }
 
+    private opened(address: string): void {
+        this.onOpened();
+        this.signs.onAnswered?.(address);
+    }
+
     private rest(address: string, connection: Connection, keepMs: number | undefined): void {
         const restMs = Math.min(LONGEST_REST_MS, (keepMs ?? Infinity) - REST_MARGIN_MS);
         if (restMs <= 0 || connection.failed || !this.all.has(connection)) return this.drop(address, connection);
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -127,8 +127,12 @@
         signal,
         clock,
         () => metrics.countConnection(),
-        address => {
-            for (const endpoint of endpointsAt(address, known)) doubts.raise(endpoint);
+        {
+            onAnswered: address => peers.reach.answered(address),
+            onUnreachable: address => peers.reach.failed(address),
+            onEndedAtRest: address => {
+                for (const endpoint of endpointsAt(address, known)) doubts.raise(endpoint);
+            },
         },
     );
     const guard: RequestGuard = new RequestGuard({
@@ -241,6 +245,7 @@
     });
     feed.onEndpoints(registry => {
         known = registry;
+        peers.reach.setEndpoints([...registry.endpoints.values()].map(({ entry }) => entry));
         declare();
         endings.take(registry);
         endLives(registry, { lives, connections, engines, plain, log });
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -163,6 +163,7 @@
     quarantineAsk: Type.Object({}),
     said: Type.Object({ words: Type.Array(WordShape, { maxItems: MOST_TOLD }), isAll: Type.Boolean() }),
     saidAsk: Type.Object({}),
+    unreached: Type.Object({ endpoint: Name, agoMs: Age }),
 } as const;
 
 /** Compiled once: messages come by the hundred each second. */
@@ -188,8 +189,16 @@
     | StorePeerMessage
     | QuarantinePeerMessage
     | WordPeerMessage
+    | ReachPeerMessage
     | ShareMessage;
 
+/** Told within a hall: no connection to an endpoint of another hall came up. */
+export interface ReachPeerMessage {
+    readonly kind: "unreached";
+    readonly endpoint: string;
+    readonly agoMs: number;
+}
+
 /** Messages by which hosts share what endpoints say of themselves. */
 export type WordPeerMessage =
     /** `isAll`: the answer to a question for all that the sender knows. */
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -22,6 +22,7 @@
     liveHosts,
     liveInHall,
     type Membership,
+    otherHalls,
     type QuarantineNews,
     ratedHosts,
     receive,
@@ -57,6 +58,7 @@
 import { OwnedLog } from "./owned-log.js";
 import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
 import { QuarantineSharing } from "./quarantine-sharing.js";
+import { ReachSharing } from "./reach-sharing.js";
 import { WordSharing } from "./word-sharing.js";
 
 type Handlers = {
@@ -94,6 +96,8 @@
     private readonly sharing: StoreSharing | undefined;
     private readonly quarantine: QuarantineSharing | undefined;
     private readonly words: WordSharing | undefined;
+    /** Which other halls can be reached. */
+    readonly reach: ReachSharing;
     private readonly ownedLog: OwnedLog;
     /** The live hosts that the log last told of. */
     private logged: readonly string[] = [];
@@ -119,6 +123,19 @@
             seeking: () => unheardCandidates(this.membership).length > 0,
             send: (names, message) => this.sendAll(names, message),
         });
+        this.reach = new ReachSharing({
+            name,
+            hall,
+            clock: host.clock,
+            log: host.log,
+            metrics: host.metrics,
+            inHall: () => liveInHall(this.membership, this.host.clock.now()),
+            otherHalls: () => otherHalls(this.membership, this.host.clock.now()),
+            send: (names, message) => this.sendAll(names, message),
+            tell: event => {
+                for (const placement of [host.engines, host.plain]) placement.tell([event]);
+            },
+        });
         const { guard } = host;
         this.quarantine = guard && new QuarantineSharing({
             name,
@@ -267,6 +284,7 @@
         const { live } = this;
         metrics.liveHosts.set(live.length);
         this.logChanges(live);
+        this.reach.look();
         if (!follower) spread.setWatching(watches(cfg["host.name"], live, this.weights));
     }
 
@@ -299,6 +317,8 @@
             this.host.log.warn({ peer: from.name, message: message.kind }, "peer_message_refused");
             return;
         }
+        const hall = this.membership.members.get(from.name)?.hall;
+        if (hall !== undefined) this.reach.heardHost(hall);
         const handler = this.handlers[message.kind] as (
             from: PeerName,
             message: FrameMessage,
@@ -331,6 +351,7 @@
         quarantineAsk: (from, message) => this.quarantine?.receive(from.name, message),
         said: (from, message) => this.words?.receive(from.name, message),
         saidAsk: (from, message) => this.words?.receive(from.name, message),
+        unreached: (_from, message) => this.reach.receive(message),
     };
 
     private hearDetector(from: PeerName, message: DetectorMessage & Progress): void {
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -120,6 +120,10 @@
         "drumpaddle_evacuated_halls",
         "Halls that take nothing new by the operator's order.",
     );
+    readonly doubtedHalls = this.gauge(
+        "drumpaddle_halls_in_doubt",
+        "Other halls that this host can probably not reach.",
+    );
     readonly limited = this.gauge(
         "drumpaddle_limited_endpoints",
         "Endpoints that name a limit of requests a second.",
--- /dev/null
+++ b/packages/host/test/cut-fleet.ts
@@ -0,0 +1,250 @@
+/**
+ * Hosts of three halls that forward plain calls, one of which is cut off for a while: what their calls meet, with what the hosts
+ * find out together and without. The failure detector, the decisions and what hosts of a hall tell each other are those that run;
+ * links, endpoints and callers are played.
+ *
+ * @module
+ */
+import { liveInHall, otherHalls } from "@drumpaddle/hall";
+import {
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
+    type EndpointCfg,
+    type SchedulerEvent,
+    type SchedulerState,
+} from "@drumpaddle/policy";
+import { Fleet, seeded, type SimHost } from "../../hall/test/fleet.js";
+import { makeJob } from "../../policy/test/job.js";
+import type { ReachPeerMessage } from "../src/peers/peer-messages.js";
+import { ReachSharing } from "../src/peers/reach-sharing.js";
+
+/** How a fleet is set up and what befalls it. */
+export interface Cut {
+    readonly hosts: number;
+    readonly seed: number;
+    /** Whether hosts find out together which halls they can reach. */
+    readonly isShared: boolean;
+    /** For how long the first hall is cut off from the others. */
+    readonly cutMs: number;
+    /** How a connection across the cut ends: after the time for it, or at once. */
+    readonly how: "silent" | "refused";
+    /** Halls whose application takes nothing new, so that its calls go to other halls. */
+    readonly closed?: readonly string[];
+    /** Share of the engines that die as the cut begins. */
+    readonly crashed?: number;
+}
+
+/** What became of the calls. */
+export interface CutDay {
+    /** Connections that failed, by the time since the cut began at which they were tried. */
+    readonly failed: readonly number[];
+    /** Calls that were answered within their time, those that were not, and those answered after one failed connection at least. */
+    readonly served: number;
+    readonly lost: number;
+    readonly delayed: number;
+    /** For how long hosts held a hall in doubt in all, in host-seconds. */
+    readonly doubtS: number;
+}
+
+const HALLS = 3;
+const CUT_HALL = "h0";
+/** Calls a second at each host: of the application with one endpoint a hall, and of engines with ten. */
+const APP_PER_S = 1;
+const ENGINE_PER_S = 0.4;
+const ENGINES_PER_HALL = 10;
+const WORK_MS = 43;
+const CONNECT_MS = 500;
+const REFUSED_MS = 3;
+const MESSAGE_MS = 1;
+const BEAT_MS = 250;
+const CALL_MS = 1_500;
+/** Connections that one call may try in vain. */
+const MOST_NEVER_SENT = 4;
+const CALM_MS = 3_000;
+const AFTER_MS = 3_000;
+const STEP_MS = 5;
+const DRAWN_APART = 1_000;
+
+interface CallingHost {
+    readonly sim: SimHost;
+    readonly reach: ReachSharing;
+    state: SchedulerState;
+    doubted: number;
+}
+
+interface Call {
+    readonly id: string;
+    readonly model: string;
+    readonly endsAt: number;
+    readonly avoid: readonly string[];
+}
+
+const NO_LOG = { info: () => undefined } as never;
+const NO_METRICS = { doubtedHalls: { set: () => undefined } } as never;
+
+/** Plays one cut. */
+export function playCut(cut: Cut): CutDay {
+    return new CutFleet(cut).play();
+}
+
+class CutFleet {
+    private readonly fleet: Fleet;
+    private readonly random: () => number;
+    /** Of its own, so that calls are the same whatever hosts tell each other. */
+    private readonly drawn: () => number;
+    private readonly hosts: readonly CallingHost[];
+    private readonly byName: ReadonlyMap<string, CallingHost>;
+    private readonly hallOf: ReadonlyMap<string, string>;
+    private readonly dead = new Set<string>();
+    private readonly failed: number[] = [];
+    private served = 0;
+    private lost = 0;
+    private delayed = 0;
+    private doubtMs = 0;
+    private calls = 0;
+    private isCut = false;
+
+    constructor(private readonly cut: Cut) {
+        this.random = seeded(cut.seed);
+        this.drawn = seeded(cut.seed + DRAWN_APART);
+        this.fleet = new Fleet({ hosts: cut.hosts, halls: HALLS, seed: cut.seed });
+        this.fleet.passes = (from, to) => this.passes(from.hall, to.hall);
+        const endpoints = endpointsOf(cut.closed ?? []);
+        this.hallOf = new Map(endpoints.map(({ id, hall }) => [id, hall]));
+        this.hosts = this.fleet.hosts.map(sim => this.startHost(sim, endpoints));
+        this.byName = new Map(this.hosts.map(host => [host.sim.name, host]));
+        this.fleet.onMessage = (to, from) => this.byName.get(to.name)!.reach.heardHost(from.hall);
+    }
+
+    private startHost(sim: SimHost, endpoints: readonly EndpointCfg[]): CallingHost {
+        const variant = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
+        const begun = createScheduler(variant, 1 + Math.floor(this.random() * 1e6), { hall: sim.hall });
+        const reach = new ReachSharing({
+            name: sim.name,
+            hall: sim.hall,
+            clock: { now: () => this.fleet.now, onWake: () => undefined } as never,
+            log: NO_LOG,
+            metrics: NO_METRICS,
+            inHall: () => liveInHall(sim.state.membership, this.fleet.now),
+            otherHalls: () => otherHalls(sim.state.membership, this.fleet.now),
+            send: (names, message) => this.tell(names, message),
+            tell: event => this.doubt(host, event),
+            random: this.drawn,
+        });
+        const host: CallingHost = {
+            sim,
+            reach,
+            doubted: 0,
+            state: decide(begun, { kind: "endpoints", endpoints }, 0).state,
+        };
+        reach.setEndpoints(endpoints.map(({ id, hall }) => ({ incarnation: id, address: id, hall })));
+        return host;
+    }
+
+    private doubt(host: CallingHost, event: SchedulerEvent): void {
+        if (event.kind === "reach") host.doubted = event.doubted.halls.length;
+        if (this.cut.isShared) host.state = decide(host.state, event, this.fleet.now).state;
+    }
+
+    private tell(names: readonly string[], message: ReachPeerMessage): void {
+        this.after(MESSAGE_MS, () => {
+            for (const name of names) this.byName.get(name)!.reach.receive(message);
+        });
+    }
+
+    private after(ms: number, run: () => void): void {
+        this.fleet.at(this.fleet.now + Math.max(1, Math.round(ms)), run);
+    }
+
+    private passes(from: string, to: string): boolean {
+        return !this.isCut || (from === CUT_HALL) === (to === CUT_HALL);
+    }
+
+    play(): CutDay {
+        for (const host of this.hosts) this.beat(host);
+        this.fleet.run(CALM_MS);
+        this.isCut = this.cut.cutMs > 0;
+        for (const id of this.hallOf.keys()) {
+            if (id.includes("engine") && this.random() < (this.cut.crashed ?? 0)) this.dead.add(id);
+        }
+        const from = this.fleet.now;
+        const runMs = this.cut.cutMs + AFTER_MS;
+        for (let at = 0; at < runMs; at += STEP_MS) {
+            if (at >= this.cut.cutMs) this.isCut = false;
+            for (const host of this.hosts) this.step(host, from);
+            this.fleet.run(STEP_MS);
+        }
+        this.fleet.run(CALL_MS);
+        const { failed, served, lost, delayed } = this;
+        return { failed, served, lost, delayed, doubtS: this.doubtMs / 1_000 };
+    }
+
+    private beat(host: CallingHost): void {
+        host.reach.look();
+        this.after(BEAT_MS, () => this.beat(host));
+    }
+
+    /** Calls come to a host, as many as a step has in the mean. */
+    private step(host: CallingHost, from: number): void {
+        this.doubtMs += host.doubted * STEP_MS;
+        for (const [model, perS] of [["app", APP_PER_S], ["engine", ENGINE_PER_S]] as const) {
+            if (this.random() >= perS * STEP_MS / 1_000) continue;
+            this.calls += 1;
+            const id = `c${this.calls}`;
+            this.send(host, { id, model, endsAt: this.fleet.now + CALL_MS, avoid: [] }, from);
+        }
+    }
+
+    private send(host: CallingHost, call: Call, from: number): void {
+        const job = makeJob(call.id, { group: { workspace: "w", service: call.model, model: call.model } });
+        const arrived = { kind: "arrive", job, avoid: call.avoid, retry: false } as const;
+        const { state, actions } = decide(host.state, arrived, this.fleet.now);
+        host.state = state;
+        const [dispatched] = actions.flatMap(action => action.kind === "dispatch" ? [action.endpoint] : []);
+        if (dispatched === undefined) this.lost += 1;
+        else this.connect(host, call, dispatched, from);
+    }
+
+    private connect(host: CallingHost, call: Call, endpoint: string, from: number): void {
+        const startedAt = this.fleet.now;
+        const isThere = this.passes(host.sim.hall, this.hallOf.get(endpoint)!) && !this.dead.has(endpoint);
+        if (isThere) {
+            this.after(WORK_MS, () => this.answered(host, call, endpoint));
+            return;
+        }
+        this.failed.push(startedAt - from);
+        this.after(this.cut.how === "silent" ? CONNECT_MS : REFUSED_MS, () => {
+            this.end(host, call, "unreachable");
+            host.reach.failed(endpoint);
+            const avoid = [...call.avoid, endpoint];
+            const isOver = this.fleet.now >= call.endsAt || avoid.length >= MOST_NEVER_SENT;
+            if (isOver) this.lost += 1;
+            else this.send(host, { ...call, avoid }, from);
+        });
+    }
+
+    private answered(host: CallingHost, call: Call, endpoint: string): void {
+        this.end(host, call, "whole");
+        host.reach.answered(endpoint);
+        this.served += 1;
+        if (call.avoid.length > 0) this.delayed += 1;
+    }
+
+    private end(host: CallingHost, { id }: Call, outcome: "whole" | "unreachable"): void {
+        host.state = decide(host.state, { kind: "ended", job: id, outcome, produced: 1 }, this.fleet.now).state;
+    }
+}
+
+function endpointsOf(closed: readonly string[]): readonly EndpointCfg[] {
+    const halls = Array.from({ length: HALLS }, (_, at) => `h${at}`);
+    return halls.flatMap(hall => [
+        { id: `${hall}-app`, hall, models: closed.includes(hall) ? [] : ["app"], memoryTokens: 1 },
+        ...Array.from({ length: ENGINES_PER_HALL }, (_, at) => ({
+            id: `${hall}-engine-${at}`,
+            hall,
+            models: ["engine"],
+            memoryTokens: 1,
+        })),
+    ]);
+}
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -181,7 +181,7 @@
             own.signal,
             createClock(),
             () => undefined,
-            address => void early.push(address),
+            { onEndedAtRest: address => void early.push(address) },
         );
         const { address, sockets } = await deafEndpoint(t, socket => {
             socket.resume();
@@ -197,3 +197,35 @@
         t.deepEqual(early, isEarly ? [address] : []);
     });
 }
+
+/** What a host is told of the ways to addresses. */
+function signsOf(t: ExecutionContext): { readonly connections: EndpointConnections; readonly told: readonly string[] } {
+    const own = new AbortController();
+    t.teardown(() => own.abort());
+    const told: string[] = [];
+    const connections = new EndpointConnections(own.signal, createClock(), () => undefined, {
+        onAnswered: address => void told.push(`answered ${address}`),
+        onUnreachable: address => void told.push(`unreachable ${address}`),
+    });
+    return { connections, told };
+}
+
+test("that a connection came up and that an answer began is told, also on a connection that is used again", async t => {
+    const { connections, told } = signsOf(t);
+    const { address } = await deafEndpoint(t, socket => {
+        socket.resume();
+        socket.on("data", () => socket.write(WHOLE));
+    });
+    for (let times = 0; times < 2; times++) {
+        const call = send(connections, address);
+        await call.ended;
+        call.exchange.release(5_000);
+    }
+    t.deepEqual(told, [1, 2, 3].map(() => `answered ${address}`));
+});
+
+test("that no connection came up is told", async t => {
+    const { connections, told } = signsOf(t);
+    await send(connections, "127.0.0.1:1").ended;
+    t.deepEqual(told, ["unreachable 127.0.0.1:1"]);
+});
--- a/packages/policy/src/breaker.ts
+++ b/packages/policy/src/breaker.ts
@@ -60,3 +60,8 @@
 export function onUnused(breaker: Breaker): Breaker {
     return breaker.probing ? { ...breaker, probing: false } : breaker;
 }
+
+/** The breaker after the way to an endpoint that could not be reached is there again: one request may find out at once. */
+export function onWayBack(breaker: Breaker, now: number): Breaker {
+    return breaker.unreachable ? { ...breaker, openUntil: Math.min(breaker.openUntil, now), probing: false } : breaker;
+}
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -64,7 +64,9 @@
 /**
  * Endpoints that may be given a request at all: they run the model, stand where the request may go, take new work and are
  * not ejected. Where more than half of a model's endpoints are ejected, ejection is ignored: the fault is then hardly
- * theirs.
+ * theirs. Those that can probably not be reached are left out while there are others.
+ *
+ * @param far Whether endpoints of halls in doubt are among them all the same.
  *
  * @example
  * ```ts
@@ -76,13 +78,16 @@
     wanted: Pick<Demand, "model" | "halls">,
     avoid: readonly string[],
     now: number,
+    far = false,
 ): readonly EndpointView[] {
     const serving = [...views].filter(view => serves(view, wanted));
     // What cannot be reached stays out, however many they are: a hall may be cut off from the others.
     const cut = cutHalls(serving, now);
     const reachable = serving.filter(view => !isUnreachable(view, now));
     const uncut = reachable.filter(view => !cut.has(view.cfg.hall));
-    const known = [uncut, reachable, serving].find(views => views.length > 0) ?? [];
+    const near = uncut.filter(view => !view.isInDoubt);
+    const choices = far ? [reachable, serving] : [near, uncut, reachable, serving];
+    const known = choices.find(views => views.length > 0) ?? [];
     const closed = known.filter(view => mayUse(view.breaker, now));
     const kept = closed.length >= known.length * (1 - MOST_EJECTED_SHARE) ? closed : known;
     const fresh = kept.filter(view => !avoid.includes(view.cfg.id));
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -104,6 +104,8 @@
     readonly toldAt: number | undefined;
     readonly pace: PaceFit;
     readonly breaker: Breaker;
+    /** Whether it can probably not be reached from here: it is tried where nothing else is left. */
+    readonly isInDoubt: boolean;
     readonly latelyEnded: readonly LatelyEnded[];
     /** Prompt starts that the endpoint has probably cached, the latest use last. */
     readonly prefixes: ReadonlyMap<string, number>;
@@ -138,6 +140,7 @@
         toldAt: undefined,
         pace: createPace(),
         breaker: CLOSED,
+        isInDoubt: false,
         latelyEnded: [],
         prefixes: new Map(),
         said: undefined,
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -20,13 +20,17 @@
 /** Room comes as streams end and prompts are read: an owner that had none is asked again after this. */
 const ASK_AGAIN_MS = 50;
 
-/** Gives a request to the best endpoint that has room; undefined where none has. */
-export function place(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
+/**
+ * Gives a request to the best endpoint that has room; undefined where none has.
+ *
+ * @param far Whether endpoints of halls in doubt are tried as well.
+ */
+export function place(state: SchedulerState, waiting: Waiting, now: number, far = false): Decision | undefined {
     const { job, noRoomAt } = waiting;
     if (noRoomAt !== undefined && now - noRoomAt < ASK_AGAIN_MS) return undefined;
     const survival = lengthsOf(state, job);
     const wanted = wantedOf(job, survival, now - waiting.since);
-    const views = usable(state.endpoints.values(), wanted.demand, waiting.avoid, now);
+    const views = usable(state.endpoints.values(), wanted.demand, waiting.avoid, now, far);
     const candidates = views.filter(view => maySend(state, view, now))
         .map(view => assess(view, wanted, state, now))
         .filter(candidate => candidate !== undefined);
@@ -59,6 +63,12 @@
     return { state: { ...next, asked }, actions: [{ kind: "ask", job: job.id, endpoint: id, question }] };
 }
 
+/** Gives a request that would be refused for room to an endpoint of a hall in doubt, which may be reached after all. */
+export function placeFar(state: SchedulerState, waiting: Waiting, now: number): Decision | undefined {
+    const isAnyInDoubt = state.endpoints.values().some(view => view.isInDoubt);
+    return isAnyInDoubt ? place(state, waiting, now, true) : undefined;
+}
+
 /** The state after a request was sent to an endpoint by this host's own decision. */
 export function letIntoPlaced(state: SchedulerState, endpoint: string, now: number): SchedulerState {
     return { ...state, letIn: withLetIn(state.letIn, state.endpoints.get(endpoint), now) };
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -113,6 +113,12 @@
     | { readonly kind: "doubt"; readonly endpoint: string; readonly until: number | undefined }
     /** No connection to an endpoint came up, other than for a request that was dispatched to it. */
     | { readonly kind: "unreachable"; readonly endpoint: string }
+    /** What can probably not be reached from here, all of it: halls, and single endpoints; and halls that were heard again. */
+    | {
+        readonly kind: "reach";
+        readonly doubted: { readonly halls: readonly string[]; readonly endpoints: readonly string[] };
+        readonly back: readonly string[];
+    }
     /** An endpoint has begun a later life: what it held is gone. Its streams are told to have ended by themselves. */
     | { readonly kind: "lifeOver"; readonly endpoint: string }
     /** The copy of a request could not be made. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { onResult, onUnreachable } from "./breaker.js";
+import { onResult, onUnreachable, onWayBack } from "./breaker.js";
 import { dropBackup, evacuate } from "./carry.js";
 import { BACKUP_ROOM_SHARE, EVACUATION_ROOM_SHARE } from "./choose.js";
 import { mayGoOnAt } from "./cold.js";
@@ -148,6 +148,16 @@
         state: withView(state, endpoint, view => ({ ...view, breaker: onUnreachable(view.breaker, now) })),
         actions: [],
     }),
+    reach: (state, { doubted, back }, now) => {
+        const endpoints = EndpointTable.of(
+            state.endpoints.values().map(view => ({
+                ...view,
+                isInDoubt: doubted.halls.includes(view.cfg.hall) || doubted.endpoints.includes(view.cfg.id),
+                breaker: back.includes(view.cfg.hall) ? onWayBack(view.breaker, now) : view.breaker,
+            })),
+        );
+        return drain({ ...state, endpoints }, now);
+    },
     copyLost: (state, { job }) => ({ state: dropBackup(state, job), actions: [] }),
     lifeOver: (state, { endpoint }) => {
         const held = [...state.endpoints.get(endpoint)?.backups.keys() ?? []];
--- a/packages/policy/src/waiting.ts
+++ b/packages/policy/src/waiting.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { place } from "./place.js";
+import { place, placeFar } from "./place.js";
 import { onStart, urgency, type Waiting } from "./queue.js";
 import { isInTime, isServed, refuse, refuseForRoom, refuseUnserved } from "./refusal.js";
 import { countRequest, earnRetry, spendRetry, takeRepeat } from "./retry-budget.js";
@@ -42,9 +42,10 @@
         if (placed) return placed;
     }
     const position = state.waiting.length + 1;
-    if (position > job.policy.queueLimit) return refuseForRoom(paid, waiting, "queueFull", position, now);
-    if (!isInTime(paid, waiting, position, now)) {
-        return refuseForRoom(paid, waiting, "waitTooLong", position, now);
+    const isFull = position > job.policy.queueLimit;
+    if (isFull || !isInTime(paid, waiting, position, now)) {
+        const reason = isFull ? "queueFull" : "waitTooLong";
+        return placeFar(paid, waiting, now) ?? refuseForRoom(paid, waiting, reason, position, now);
     }
     return drain({ ...paid, waiting: [...state.waiting, waiting] }, now);
 }
@@ -59,7 +60,7 @@
         const { job } = waiting;
         const position = kept.length + 1;
         if (!isInTime(state, waiting, position, now)) {
-            const ended = refuseForRoom(next, waiting, "waitTooLong", position, now);
+            const ended = placeFar(next, waiting, now) ?? refuseForRoom(next, waiting, "waitTooLong", position, now);
             next = ended.state;
             actions.push(...ended.actions);
         }
