--- a/packages/host/src/calls/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -34,6 +34,8 @@
     readonly bodyMs: number;
     /** Whether each call is logged. */
     readonly logCalls: boolean;
+    /** Whether this host has descriptors left for one more call. */
+    hasDescriptors(): boolean;
     /** Whether this host was suspended and has heard nothing since. */
     isStale(): boolean;
     /** What is declared now; undefined until it was learnt. */
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -21,6 +21,8 @@
 
 /** When callers of a host that knows no deployment yet are asked to come back. */
 const NOT_READY_RETRY_MS = 500;
+/** Callers of a host without descriptors find another host, or come back when calls of this one have ended. */
+const FULL_RETRY_MS = 500;
 /** A stopping host's callers find another host at once. */
 const STOPPING_RETRY_MS = 0;
 const OWN = {
@@ -31,6 +33,13 @@
         ran: "no",
         retryAfterMs: NOT_READY_RETRY_MS,
     },
+    full: {
+        status: 503,
+        code: FailCode.Overloaded,
+        message: "this host has no descriptors left for another call",
+        ran: "no",
+        retryAfterMs: FULL_RETRY_MS,
+    },
     stopping: {
         status: 503,
         code: FailCode.Stopping,
@@ -54,6 +63,8 @@
         return refuse(deps, out, undefined, err);
     }
     const head = read.value;
+    // Its connection is closed as well, which makes room.
+    if (!deps.hasDescriptors()) return refuse(deps, out, head.id, OWN.full, true);
     const table = deps.table();
     if (!table || deps.isStale()) return refuse(deps, out, head.id, OWN.notReady);
     const { limits } = table.deployment;
@@ -91,12 +102,18 @@
     writeRefusal(out, deps.wire, { callId: head.id, err, close: deps.runs.stopping });
 }
 
-function refuse(deps: Forwarding, out: ServerResponse, callId: string | undefined, err: ApiError): void {
+function refuse(
+    deps: Forwarding,
+    out: ServerResponse,
+    callId: string | undefined,
+    err: ApiError,
+    close = deps.runs.stopping,
+): void {
     deps.metrics.countOutcome("refused", err.ran);
     if (deps.logCalls) {
         deps.log.info({ req: callId, status: err.status, outcome: err.code, ran: err.ran }, "call_refused");
     }
-    writeRefusal(out, deps.wire, { callId, err, close: deps.runs.stopping });
+    writeRefusal(out, deps.wire, { callId, err, close });
 }
 
 function start(deps: Forwarding, call: ForwardCall, body: Buffer | undefined): void {
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -17,7 +17,7 @@
 } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { Copies } from "./calls/copies.js";
 import type { Forwarding } from "./calls/forward-call.js";
 import { applyLimits, createForwardServer } from "./calls/forward-server.js";
@@ -37,6 +37,7 @@
 import { allowSecrets, serveQuarantine } from "./operators/quarantine-api.js";
 import { Peers } from "./peers/peers.js";
 import type { HostCfg } from "./runtime/config.js";
+import { Descriptors } from "./runtime/descriptors.js";
 import type { Log } from "./runtime/log.js";
 import { Metrics } from "./runtime/metrics.js";
 import { repeat } from "./runtime/repeat.js";
@@ -173,6 +174,13 @@
         tell: news => peers.tellWords(news),
     });
     let endsAt: number | undefined;
+    let callersOpen = 0;
+    const descriptors = new Descriptors({
+        most: cfg["host.descriptors"],
+        log,
+        open: () => ({ callers: callersOpen, endpoints: connections.size, peers: peers.connections }),
+        free: () => connections.forgetAll(),
+    });
     const deps: Forwarding = {
         wire: platformWire,
         clock,
@@ -190,6 +198,7 @@
         bodyMs: cfg["callers.body-timeout"],
         logCalls: cfg["log.requests"],
         endsAt: () => endsAt,
+        hasDescriptors: () => descriptors.hasRoom(),
         isStale: () => feed.isStale,
         table: () => feed.table,
         endpoint: incarnation => feed.endpoint(incarnation),
@@ -209,6 +218,10 @@
         signal,
         onCall: (req, target, out) => forward(deps, req, target, out),
     });
+    callers.server.on("connection", (socket: Socket) => {
+        callersOpen += 1;
+        socket.once("close", () => callersOpen -= 1);
+    });
     const peers: Peers = await Peers.start({
         cfg,
         clock,
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -209,6 +209,11 @@
         return this.membership.self.capacity;
     }
 
+    /** Open connections to peers. */
+    get connections(): number {
+        return this.mesh.size;
+    }
+
     /** Names of the live hosts of this hall, in order. */
     get live(): readonly string[] {
         return liveHosts(this.membership, this.host.clock.now());
--- a/packages/host/src/runtime/config.ts
+++ b/packages/host/src/runtime/config.ts
@@ -30,6 +30,11 @@
     },
     "host.core-share": { type: ratio(0, 1), fallback: "1", doc: "Share of the cores that this process may use." },
     "host.link": { type: ratio(0, 1_000_000), optional: true, doc: "Bandwidth of this machine's link, in Mbit/s." },
+    "host.descriptors": {
+        type: count(0, 100_000_000),
+        optional: true,
+        doc: "Descriptors that this process may have; before they run out, calls are refused as not run.",
+    },
     "callers.interface": {
         type: choice(["completions", "forward"]),
         fallback: "completions",
--- /dev/null
+++ b/packages/host/test/descriptors.test.ts
@@ -0,0 +1,41 @@
+import test from "ava";
+import { Descriptors, hasDescriptors, type OpenSockets } from "../src/runtime/descriptors.js";
+
+const MOST = 4_100;
+const NONE: OpenSockets = { callers: 0, endpoints: 0, peers: 0 };
+
+test("a host refuses while it still has descriptors to answer, and not before they are nearly used up", t => {
+    let callers = 0;
+    while (hasDescriptors(MOST, { ...NONE, callers, endpoints: callers, peers: 90 })) callers += 1;
+    const used = 2 * callers + 90;
+    t.true(used + 200 < MOST, "files keep 200");
+    t.true(used > 0.9 * MOST);
+});
+
+test("a host that does not know how many it may have refuses nothing, and one that may have too few refuses all", t => {
+    t.true(hasDescriptors(undefined, { callers: 1e6, endpoints: 1e6, peers: 1e6 }));
+    t.false(hasDescriptors(0, NONE));
+});
+
+test("connections at rest are closed before anything is refused; a line tells when it begins and when it is over", t => {
+    let open: OpenSockets = { callers: 2_000, endpoints: 1_800, peers: 60 };
+    let freed = 0;
+    const log: string[] = [];
+    const descriptors = new Descriptors({
+        most: MOST,
+        log: { warn: (_fields: object, event: string) => void log.push(event) } as never,
+        open: () => open,
+        free: () => {
+            freed += 1;
+            if (open.endpoints === 1_800) open = { ...open, endpoints: 1_000 };
+        },
+    });
+    t.true(descriptors.hasRoom());
+    t.is(freed, 1);
+    open = { ...open, callers: 3_000 };
+    t.false(descriptors.hasRoom());
+    t.false(descriptors.hasRoom());
+    open = NONE;
+    t.true(descriptors.hasRoom());
+    t.deepEqual(log, ["descriptors_short", "descriptors_again"]);
+});
--- a/packages/protocol/src/peer-mesh.ts
+++ b/packages/protocol/src/peer-mesh.ts
@@ -102,6 +102,11 @@
         return this.address;
     }
 
+    /** Open connections, in both directions. */
+    get size(): number {
+        return this.sockets.size;
+    }
+
     /** Sends to an address. Nothing is promised: what cannot be sent soon is dropped. */
     send(address: string, message: FrameMessage): void {
         this.sendAll([address], message);
