--- a/packages/hall/src/capacity.ts
+++ b/packages/hall/src/capacity.ts
@@ -62,8 +62,8 @@
  * ```
  */
 export function weightOf(capacity: number | undefined): number {
-    if (!isSensible(capacity)) return USUAL_CORES;
-    return Math.min(LARGEST_CORES, Math.max(LEAST_CORES, capacity)) ** 2;
+    const cores = isSensible(capacity) ? capacity : USUAL_CORES;
+    return Math.min(LARGEST_CORES, Math.max(LEAST_CORES, cores)) ** 2;
 }
 
 /**
--- a/packages/standins/src/host-mutations.ts
+++ b/packages/standins/src/host-mutations.ts
@@ -39,15 +39,15 @@
     {
         promise: "uneven hosts: a wrong capacity draws no more than the largest host's part",
         file: CAPACITY_SOURCE,
-        find: "Math.min(LARGEST_CORES, Math.max(LEAST_CORES, capacity))",
-        replace: "capacity",
+        find: "Math.min(LARGEST_CORES, Math.max(LEAST_CORES, cores))",
+        replace: "cores",
         tests: [OWNERSHIP],
     },
     {
         promise: "uneven hosts: a capacity of nothing counts as none told",
         file: CAPACITY_SOURCE,
-        find: "if (!isSensible(capacity)) return USUAL_CORES;",
-        replace: "if (capacity === undefined) return USUAL_CORES;",
+        find: "isSensible(capacity) ? capacity : USUAL_CORES",
+        replace: "capacity ?? USUAL_CORES",
         tests: [OWNERSHIP],
     },
     {
