A hall whose doubt has lapsed is tried at once as well when it is heard again

Cause: what had been in doubt was compared with the look before only. Now a hall that was in doubt is remembered until it is heard. Ruled out: trying a hall's endpoints at once whenever it is heard after any failure; an endpoint that has died by itself would be tried again after each message of its hall.

--- a/packages/host/src/peers/reach-sharing.ts
+++ b/packages/host/src/peers/reach-sharing.ts
@@ -9,6 +9,7 @@
     type Doubts,
     doubtsOf,
     type HallHosts,
+    type HallMembers,
     hearHall,
     loseEndpoint,
     NOTHING_FOUND,
@@ -58,6 +59,8 @@
     private byAddress: ReadonlyMap<string, PlacedEndpoint> = new Map();
     private byName: ReadonlyMap<string, PlacedEndpoint> = new Map();
     private doubts: Doubts = NO_DOUBTS;
+    /** Halls that were in doubt and have not been heard since. */
+    private readonly unheard = new Set<string>();
 
     constructor(private readonly deps: ReachSharingDeps) {}
 
@@ -93,33 +96,41 @@
 
     /** Looks anew what is in doubt: silence becomes a doubt as time passes, and time ends one. */
     look(): void {
+        this.lookAfter([]);
+    }
+
+    /** @param back Halls that were in doubt and have just been heard. */
+    private lookAfter(back: readonly string[]): void {
         const { clock, log, metrics } = this.deps;
-        const halls = this.deps.otherHalls().map(members => ({
-            ...members,
-            endpoints: this.endpointsIn(members.hall),
-        }));
         const before = this.doubts;
-        const found = doubtsOf(this.reach, halls, clock.now());
+        const found = doubtsOf(this.reach, this.otherHalls(), clock.now());
         this.doubts = found;
-        if (found.endpoints.length + before.endpoints.length === 0) return;
+        if (found.endpoints.length + before.endpoints.length + back.length === 0) return;
         metrics.doubtedHalls.set(found.halls.length);
-        for (const item of found.halls) if (!holds(before, item.hall)) this.logDoubt(item);
-        const over = before.halls.map(({ hall }) => hall).filter(hall => !holds(found, hall));
-        const back = over.filter(hall => this.isHeard(hall));
-        for (const hall of over) log.info({ hall, heard: back.includes(hall) }, "hall_no_longer_in_doubt");
+        for (const item of found.halls) {
+            if (!holds(before, item.hall)) this.logDoubt(item);
+            this.unheard.add(item.hall);
+        }
+        const over = before.halls.filter(({ hall }) => !holds(found, hall));
+        for (const { hall } of over) log.info({ hall, heard: back.includes(hall) }, "hall_no_longer_in_doubt");
         // Told again while it lasts, for endpoints that are declared meanwhile.
         const doubted = { halls: found.halls.map(({ hall }) => hall), endpoints: found.endpoints };
         this.deps.tell({ kind: "reach", doubted, back });
     }
 
+    private otherHalls(): readonly HallMembers[] {
+        return this.deps.otherHalls().map(members => ({ ...members, endpoints: this.endpointsIn(members.hall) }));
+    }
+
     private endpointsIn(hall: string): number {
         return [...this.byName.values()].filter(endpoint => endpoint.hall === hall).length;
     }
 
     private heard(hall: string): void {
-        const hadLost = !this.isHeard(hall);
+        const hadLost = [...this.reach.lost.values()].some(lost => lost.hall === hall);
         this.reach = hearHall(this.reach, hall, this.deps.clock.now());
-        if (hadLost) this.look();
+        const isBack = this.unheard.delete(hall);
+        if (hadLost || isBack) this.lookAfter(isBack ? [hall] : []);
     }
 
     private lose(endpoint: PlacedEndpoint, agoMs: number): void {
@@ -138,11 +149,6 @@
         this.deps.send(someOf(others, FANOUT, this.deps.random), message);
     }
 
-    /** Whether nothing has failed there since the hall was last heard. */
-    private isHeard(hall: string): boolean {
-        return ![...this.reach.lost.values()].some(lost => lost.hall === hall);
-    }
-
     private logDoubt({ hall, lost, hasHosts, silentMs }: DoubtedHall): void {
         const silent = Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
         this.deps.log.info(
--- a/packages/host/test/reach-sharing.test.ts
+++ b/packages/host/test/reach-sharing.test.ts
@@ -103,6 +103,19 @@
     sharing.look();
     t.deepEqual(reachOf(events.at(-1)), { kind: "reach", doubted: { halls: [], endpoints: [] }, back: [] });
     t.deepEqual(log.at(-1), ["hall_no_longer_in_doubt", { hall: "k2", heard: false }]);
+    sharing.heardHost("k2");
+    t.deepEqual(reachOf(events.at(-1)).back, ["k2"], "what could not be reached may be tried at once, also then");
+    const told = events.length;
+    sharing.heardHost("k2");
+    t.is(events.length, told, "once");
+});
+
+test("a hall that was heard after one endpoint failed is not told as back: that endpoint may have died by itself", t => {
+    const { sharing, events, pass } = stageOf();
+    pass(300);
+    sharing.failed(ADDRESS["a"]!);
+    sharing.heardHost("k2");
+    t.deepEqual(reachOf(events.at(-1)), { kind: "reach", doubted: { halls: [], endpoints: [] }, back: [] });
 });
 
 test("the own hall, unknown endpoints and a look without news change nothing", t => {
