--- a/packages/host/src/runtime/descriptors.ts
+++ b/packages/host/src/runtime/descriptors.ts
@@ -31,7 +31,12 @@
  * ```
  */
 export function hasDescriptors(most: number | undefined, { callers, endpoints, peers }: OpenSockets): boolean {
-    return most === undefined || callers + endpoints + peers + A_CALL <= most - FILES - CONTROL;
+    return most === undefined || callers + endpoints + peers + A_CALL <= socketsOf(most);
+}
+
+/** Descriptors that are left for sockets of callers, endpoints and peers. */
+function socketsOf(most: number): number {
+    return most - FILES - CONTROL;
 }
 
 /** What looking after descriptors needs. */
@@ -44,6 +49,9 @@
     readonly free: () => void;
 }
 
+/** They are short until this share of those for sockets is free again, so that a host at its bound does not write lines without end. */
+const FREE_SHARE = 0.05;
+
 /** Looks after a host's descriptors, with a line when they become short and when they are not any more. */
 export class Descriptors {
     private isShort = false;
@@ -52,14 +60,17 @@
 
     /** Whether there is room for one more call, after what rests was closed where that is needed. */
     hasRoom(): boolean {
-        const { most, log, open, free } = this.deps;
+        const { most, open, free } = this.deps;
         if (!hasDescriptors(most, open())) free();
         const sockets = open();
-        const isShort = !hasDescriptors(most, sockets);
-        if (isShort !== this.isShort) {
-            log.warn({ most, ...sockets }, isShort ? "descriptors_short" : "descriptors_again");
-        }
+        const hasRoom = hasDescriptors(most, sockets);
+        const isOver = most === undefined || hasDescriptors(most - FREE_SHARE * socketsOf(most), sockets);
+        if (this.isShort ? isOver : !hasRoom) this.change(!hasRoom, sockets);
+        return hasRoom;
+    }
+
+    private change(isShort: boolean, sockets: OpenSockets): void {
         this.isShort = isShort;
-        return !isShort;
+        this.deps.log.warn({ most: this.deps.most, ...sockets }, isShort ? "descriptors_short" : "descriptors_again");
     }
 }
--- a/packages/host/test/descriptors.test.ts
+++ b/packages/host/test/descriptors.test.ts
@@ -35,6 +35,11 @@
     open = { ...open, callers: 3_000 };
     t.false(descriptors.hasRoom());
     t.false(descriptors.hasRoom());
+    for (let callers = 2_700; callers < 2_900; callers += 10) {
+        open = { ...open, callers };
+        descriptors.hasRoom();
+    }
+    t.deepEqual(log, ["descriptors_short"], "at the bound there is no line for each call");
     open = NONE;
     t.true(descriptors.hasRoom());
     t.deepEqual(log, ["descriptors_short", "descriptors_again"]);
