--- a/packages/cli/src/endpoints.ts
+++ b/packages/cli/src/endpoints.ts
@@ -1,5 +1,6 @@
 /**
- * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit or want rest.
+ * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit or want rest, and
+ * which the host can probably not reach.
  *
  * @module
  */
@@ -17,6 +18,8 @@
     readonly limitPerS?: number;
     /** How much longer it wants nothing from this host, in milliseconds. */
     readonly restsForMs: number;
+    /** Whether the host can probably not reach it; absent where it is of a version that does not tell. */
+    readonly inDoubt?: boolean;
     readonly running: number;
 }
 
@@ -27,7 +30,7 @@
     if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
     const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
     const rows = endpoints.map((
-        { endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, restsForMs, running },
+        { endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, restsForMs, inDoubt, running },
     ) => [
         endpoint,
         hall,
@@ -35,8 +38,9 @@
         coldForMs > 0 ? `cold for ${coldForMs} ms` : "warm",
         limitPerS === undefined ? "none" : `${limitPerS} a second`,
         restsForMs > 0 ? `for ${restsForMs} ms` : "no",
+        inDoubt === true ? "in doubt" : "yes",
         String(running),
     ]);
-    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "rests", "running here"], rows);
+    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "rests", "reached", "running here"], rows);
     return { exit: Exit.Done, text, data: endpoints };
 }
--- a/packages/host/src/operators/endpoints-api.ts
+++ b/packages/host/src/operators/endpoints-api.ts
@@ -1,6 +1,6 @@
 /**
  * What operators may ask of the endpoints that a gateway knows: which of them take new work, which halls are evacuated, and
- * which endpoints are cold and for how long, and which name a limit.
+ * which endpoints are cold and for how long, which name a limit, and which can probably not be reached.
  *
  * @module
  */
@@ -21,6 +21,8 @@
     readonly limitPerS?: number | undefined;
     /** How much longer it wants nothing from this host, in milliseconds; 0 where it does not rest. */
     readonly restsForMs: number;
+    /** Whether this host can probably not reach it: it is tried where nothing else is left. */
+    readonly inDoubt: boolean;
     /** Calls of this host that run there. */
     readonly running: number;
 }
@@ -43,6 +45,7 @@
         coldForMs: isCold(view, now) ? Math.round(coldUntil(view) - now) : 0,
         limitPerS: view.said?.limitPerS,
         restsForMs: isResting(view, now) ? Math.round(view.restUntil! - now) : 0,
+        inDoubt: view.isInDoubt,
         running: view.streams.size,
     };
 }
