--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -1,3 +1,4 @@
+export { capacityOf, type HostSize, type Rated, weightOf, weightsOf } from "./capacity.js";
 export {
     createDetector,
     type Detector,
@@ -66,11 +67,12 @@
     type Member,
     type MemberNews,
     type Membership,
+    ratedHosts,
     Status,
     SUSPECT_MS,
     unheardCandidates,
 } from "./membership.js";
-export { ownerOf, rank, WATCHERS, watches } from "./ownership.js";
+export { EQUAL, ownerOf, rank, WATCHERS, watches, type Weights } from "./ownership.js";
 export {
     allNews,
     type Asked,
@@ -87,6 +89,20 @@
     type Verdict,
     verdictOf,
 } from "./quarantine.js";
+export {
+    type DoubtedHall,
+    type Doubts,
+    doubtsOf,
+    type HallHosts,
+    type HallMembers,
+    hearHall,
+    loseEndpoint,
+    LOST_VALID_MS,
+    NOTHING_FOUND,
+    otherHalls,
+    QUIET_MS,
+    type Reach,
+} from "./reach.js";
 export {
     type Addressed,
     createShare,
@@ -98,6 +114,7 @@
     shareRound,
     type ShareState,
     type ShareStep,
+    withWeights,
 } from "./share.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
 export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -6,6 +6,7 @@
  */
 import {
     aliveMembers,
+    capacityOf,
     createDetector,
     createShare,
     type Detector,
@@ -21,7 +22,9 @@
     liveHosts,
     liveInHall,
     type Membership,
+    otherHalls,
     type QuarantineNews,
+    ratedHosts,
     receive,
     shareAsk,
     shareHear,
@@ -34,6 +37,9 @@
     tick,
     unheardCandidates,
     watches,
+    type Weights,
+    weightsOf,
+    withWeights,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
 import { type Clock, type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
@@ -49,8 +55,10 @@
 import type { Spread } from "../store/spread.js";
 import { type StoreFollower, StoreSharing } from "../store/store-follower.js";
 import type { StorePeerMessage } from "../store/store-words.js";
+import { OwnedLog } from "./owned-log.js";
 import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
 import { QuarantineSharing } from "./quarantine-sharing.js";
+import { ReachSharing } from "./reach-sharing.js";
 import { WordSharing } from "./word-sharing.js";
 
 type Handlers = {
@@ -88,6 +96,9 @@
     private readonly sharing: StoreSharing | undefined;
     private readonly quarantine: QuarantineSharing | undefined;
     private readonly words: WordSharing | undefined;
+    /** Which other halls can be reached. */
+    readonly reach: ReachSharing;
+    private readonly ownedLog: OwnedLog;
     /** The live hosts that the log last told of. */
     private logged: readonly string[] = [];
     /** The version that a peer was asked for last, and when. */
@@ -96,18 +107,35 @@
     private constructor(private readonly host: PeersDeps, private readonly mesh: PeerMesh, seeds: readonly string[]) {
         const { "host.name": name, "host.hall": hall, "peers.scope": scope = hall } = host.cfg;
         this.share = createShare(name);
+        this.ownedLog = new OwnedLog(host.log, host.metrics);
         const start = randomInt(STARTS);
-        this.detector = createDetector({ name, hall, scope, address: mesh.at, start }, seeds);
+        const capacity = ownCapacity(host.cfg);
+        const told = capacity === undefined ? {} : { capacity };
+        this.detector = createDetector({ name, hall, scope, address: mesh.at, start, ...told }, seeds);
         this.sharing = host.follower && new StoreSharing({
             name,
             clock: host.clock,
             signal: host.signal,
             follower: host.follower,
             inHall: () => liveInHall(this.membership, this.host.clock.now()),
+            weights: () => this.weights,
             live: () => this.live,
             seeking: () => unheardCandidates(this.membership).length > 0,
             send: (names, message) => this.sendAll(names, message),
         });
+        this.reach = new ReachSharing({
+            name,
+            hall,
+            clock: host.clock,
+            log: host.log,
+            metrics: host.metrics,
+            inHall: () => liveInHall(this.membership, this.host.clock.now()),
+            otherHalls: () => otherHalls(this.membership, this.host.clock.now()),
+            send: (names, message) => this.sendAll(names, message),
+            tell: event => {
+                for (const placement of [host.engines, host.plain]) placement.tell([event]);
+            },
+        });
         const { guard } = host;
         this.quarantine = guard && new QuarantineSharing({
             name,
@@ -176,11 +204,26 @@
         return this.mesh.at;
     }
 
+    /** What this host can carry, in cores; undefined where its settings do not say. */
+    get capacity(): number | undefined {
+        return this.membership.self.capacity;
+    }
+
+    /** Open connections to peers. */
+    get connections(): number {
+        return this.mesh.size;
+    }
+
     /** Names of the live hosts of this hall, in order. */
     get live(): readonly string[] {
         return liveHosts(this.membership, this.host.clock.now());
     }
 
+    /** By what hosts can carry. */
+    private get weights(): Weights {
+        return weightsOf(ratedHosts(this.membership, this.host.clock.now()));
+    }
+
     /** Addresses that the platform's host list names. */
     setListed(addresses: readonly string[]): void {
         const membership = listHosts(this.membership, [...addresses, ...this.host.cfg["peers.seeds"]]);
@@ -189,7 +232,8 @@
 
     /** Whether this host asks an endpoint for its load, as its owner. */
     owns(endpoint: string): boolean {
-        return endpointOwner(endpoint, this.endpoints.values().length, this.live) === this.host.cfg["host.name"];
+        const owner = endpointOwner(endpoint, this.endpoints.values().length, this.live, this.share.weights);
+        return owner === this.host.cfg["host.name"];
     }
 
     /** Whether this host has heard what its peers know of endpoints and of requests that end them, as far as one can tell. */
@@ -245,7 +289,8 @@
         const { live } = this;
         metrics.liveHosts.set(live.length);
         this.logChanges(live);
-        if (!follower) spread.setWatching(watches(cfg["host.name"], live));
+        this.reach.look();
+        if (!follower) spread.setWatching(watches(cfg["host.name"], live, this.weights));
     }
 
     private carryOut({ state, send }: DetectorStep): void {
@@ -277,6 +322,8 @@
             this.host.log.warn({ peer: from.name, message: message.kind }, "peer_message_refused");
             return;
         }
+        const hall = this.membership.members.get(from.name)?.hall;
+        if (hall !== undefined) this.reach.heardHost(hall);
         const handler = this.handlers[message.kind] as (
             from: PeerName,
             message: FrameMessage,
@@ -309,6 +356,7 @@
         quarantineAsk: (from, message) => this.quarantine?.receive(from.name, message),
         said: (from, message) => this.words?.receive(from.name, message),
         saidAsk: (from, message) => this.words?.receive(from.name, message),
+        unreached: (_from, message) => this.reach.receive(message),
     };
 
     private hearDetector(from: PeerName, message: DetectorMessage & Progress): void {
@@ -363,7 +411,10 @@
         const { live } = this;
         const unheard = unheardCandidates(this.membership).length;
         this.host.plain.tell([hostsEvent(this.host.cfg["host.name"], live, unheard)]);
-        this.follow(shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs, unheard));
+        this.share = withWeights(this.share, this.weights);
+        const step = shareRound(this.share, this.endpoints, live, this.host.clock.now(), othersEveryMs, unheard);
+        this.ownedLog.see(step.events);
+        this.follow(step);
     }
 
     private sendTo(name: string, message: PeerMessage): void {
@@ -378,8 +429,14 @@
             name: member.name,
             hall: member.hall,
             address: member.address,
+            capacity: member.capacity,
             alive: isAlive(member, now),
             leaving: member.leaving,
         }));
     }
 }
+
+/** What this host can carry, as its settings say; undefined where they do not. */
+function ownCapacity(cfg: HostCfg): number | undefined {
+    return capacityOf({ cores: cfg["host.cores"], share: cfg["host.core-share"], linkMbps: cfg["host.link"] });
+}
