Owners join what streams show of endpoints' speeds, and choose by who would be late

Cause: each host fitted an endpoint's pace by its own streams, one in seven seconds, and told nobody; long reviews ran on slow endpoints and paused beyond their target. First cut: samples told with held, one estimate an endpoint, a pooled table of pauses, lateness in the score.

--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -10,7 +10,16 @@
  *
  * @module
  */
-import { addCurve, type Curve, type Others, zeroCurve } from "@drumpaddle/policy";
+import {
+    addCurve,
+    type Curve,
+    NOTHING_SHOWN,
+    type Others,
+    type Shown,
+    shownSince,
+    type ToldSpeed,
+    zeroCurve,
+} from "@drumpaddle/policy";
 
 /** What one host holds on one endpoint. */
 export interface Held {
@@ -24,6 +33,10 @@
     readonly mean: readonly number[];
     /** Its standard deviation, in the same units. */
     readonly deviation: readonly number[];
+    /** Told to owners: what its streams showed of the endpoint's speed since it was last told; absent where that is nothing. */
+    readonly shown?: Shown;
+    /** Told by owners: what all streams showed of it; absent where they showed nothing. */
+    readonly speed?: ToldSpeed;
 }
 
 /** What an owner has been told, by endpoint and host, with what it granted since. */
@@ -46,7 +59,14 @@
 
 /** What a host has told owners, so that it says only what is new. */
 export interface Told {
-    readonly last: ReadonlyMap<string, { readonly owner: string; readonly held: Held; readonly at: number }>;
+    readonly last: ReadonlyMap<string, ToldHeld>;
+}
+
+interface ToldHeld {
+    readonly owner: string;
+    /** With all that was shown until then. */
+    readonly held: Held;
+    readonly at: number;
 }
 
 /** What a host held counts for this long after it was last said. */
@@ -106,6 +126,8 @@
 /**
  * Which of a host's holdings are worth saying now, by owner.
  *
+ * @param holdings What it holds, with all that was ever shown; only what is new of that is said.
+ *
  * @example
  * ```ts
  * const { state, toSay } = planTelling(told, holdings, endpoint => ownerOf(`endpoint/${endpoint}`, live), now);
@@ -121,17 +143,21 @@
     const toSay = new Map<string, Held[]>();
     for (const held of holdings) {
         const owner = ownerOf(held.endpoint);
-        if (owner === undefined || !worthSaying(last.get(held.endpoint), held, owner, now)) continue;
+        const before = last.get(held.endpoint);
+        const shown = shownSince(held.shown ?? NOTHING_SHOWN, before?.held.shown ?? NOTHING_SHOWN);
+        if (owner === undefined || !shown && !worthSaying(before, held, owner, now)) continue;
         last.set(held.endpoint, { owner, held, at: now });
+        const { shown: _all, ...rest } = held;
+        const said = shown ? { ...rest, shown } : rest;
         const list = toSay.get(owner);
-        if (list) list.push(held);
-        else toSay.set(owner, [held]);
+        if (list) list.push(said);
+        else toSay.set(owner, [said]);
     }
     return { state: { last }, toSay };
 }
 
 function worthSaying(
-    last: { readonly owner: string; readonly held: Held; readonly at: number } | undefined,
+    last: ToldHeld | undefined,
     held: Held,
     owner: string,
     now: number,
@@ -144,9 +170,16 @@
 /** Whether a host's holdings differ from those that were said last by enough to say them again. */
 export function isNews(last: Held, held: Held): boolean {
     if (held.streams !== last.streams || held.unread !== last.unread || held.stalled !== last.stalled) return true;
+    if (isOtherSpeed(last.speed, held.speed)) return true;
     return held.mean.some((mean, at) => Math.abs(mean - last.mean[at]!) > CHANGE_SHARE * Math.max(1, last.mean[at]!));
 }
 
+/** Whether a speed was not known yet, or lies outside of what was said with its uncertainty. */
+function isOtherSpeed(last: ToldSpeed | undefined, speed: ToldSpeed | undefined): boolean {
+    if (!last || !speed) return last !== speed;
+    return (speed.value - last.value) ** 2 * last.weight > 1;
+}
+
 /** Copies of streams hold memory without being streams. */
 function holdsAny({ streams, mean }: Held): boolean {
     return streams > 0 || mean[0]! > 0;
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -15,6 +15,8 @@
     type SchedulerEvent,
     type SchedulerState,
     stalledStreams,
+    toldSpeedOf,
+    unreadAt,
     unreadTokens,
 } from "@drumpaddle/policy";
 import {
@@ -91,7 +93,13 @@
     /** Asked of an owner: where is a request to go? `stream` is what it will hold. */
     | { readonly kind: "question"; readonly job: string; readonly stream: Held } & Omit<Question, "curve">
     /** An owner's word; no endpoint where none has room. */
-    | { readonly kind: "answer"; readonly job: string; readonly endpoint?: string; readonly standby?: string };
+    | {
+        readonly kind: "answer";
+        readonly job: string;
+        readonly endpoint?: string;
+        readonly standby?: string;
+        readonly unread?: number;
+    };
 
 /** A message with the host that it goes to. */
 export interface Addressed {
@@ -217,12 +225,13 @@
 
 /** What this host holds on an endpoint. */
 function ownHeld(view: EndpointView, now: number): Held {
-    return heldOf(view.cfg.id, {
+    const held = heldOf(view.cfg.id, {
         streams: view.streams.size,
         unread: unreadTokens(view),
         stalled: stalledStreams(view, now),
         curve: view.curve,
     });
+    return { ...held, shown: view.shown };
 }
 
 /** As an owner, tells every live host what is new of what the others hold. */
@@ -237,7 +246,7 @@
     const toldOthers = new Map<string, ToldOthers>();
     const send = live.flatMap((to): readonly Addressed[] => {
         if (to === state.self || owned.length === 0) return [];
-        const known = owned.map(endpoint => sentOthers(state.account, endpoint, to));
+        const known = owned.map(endpoint => sentOthers(state.account, endpoints.get(endpoint), endpoint, to, now));
         const { told, message } = planOthers(state.toldOthers.get(to), known, { owned, leaving }, now);
         toldOthers.set(to, told);
         return message ? [{ to, message }] : [];
@@ -264,8 +273,15 @@
     return { told: { held, basis, at: now }, message: { kind: "others", others, owned, leaving } };
 }
 
-function sentOthers(account: Account, endpoint: string, host: string): Held {
-    return heldOf(endpoint, othersFor(account, endpoint, host));
+function sentOthers(
+    account: Account,
+    view: EndpointView | undefined,
+    endpoint: string,
+    host: string,
+    now: number,
+): Held {
+    const speed = view && toldSpeedOf(view.speed, now);
+    return { ...heldOf(endpoint, othersFor(account, endpoint, host)), ...(speed ? { speed } : {}) };
 }
 
 /** The question to an endpoint's owner that the host's decisions ask for; none where no owner is alive. */
@@ -301,7 +317,10 @@
 const HANDLERS: { readonly [K in ShareMessage["kind"]]: Handler<K> } = {
     held: (state, from, { held }, _scheduler, now) => {
         const account = takeHeld(state.account, from, held, now);
-        const events = held.map(({ endpoint }) => othersEvent(account, endpoint, state.self));
+        const events = held.flatMap(({ endpoint, shown }): readonly SchedulerEvent[] => [
+            othersEvent(account, endpoint, state.self),
+            ...(shown ? [{ kind: "shown", endpoint, shown } as const] : []),
+        ]);
         return { state: { ...state, account }, send: [], events };
     },
     others: (state, _from, { others, owned, leaving }) => ({
@@ -312,6 +331,7 @@
                 kind: "others",
                 endpoint: held.endpoint,
                 others: othersOf(held),
+                speed: held.speed,
             })),
             ...owned.map((endpoint): SchedulerEvent => ({
                 kind: "leaving",
@@ -336,6 +356,7 @@
             job,
             ...(endpoint === undefined ? {} : { endpoint }),
             ...(standby === undefined ? {} : { standby }),
+            ...unreadOf(scheduler, endpoint),
         };
         return {
             state: { ...state, account },
@@ -346,13 +367,19 @@
             ],
         };
     },
-    answer: (state, _from, { job, endpoint, standby }) => {
+    answer: (state, _from, { job, endpoint, standby, unread }) => {
         const open = new Map(state.open);
         open.delete(job);
-        return { state: { ...state, open }, send: [], events: [{ kind: "answer", job, endpoint, standby }] };
+        return { state: { ...state, open }, send: [], events: [{ kind: "answer", job, endpoint, standby, unread }] };
     },
 };
 
+/** What is unread at an endpoint before a request that is sent there, for an answer. */
+function unreadOf({ endpoints }: SchedulerState, endpoint: string | undefined): { readonly unread?: number } {
+    const view = endpoint === undefined ? undefined : endpoints.get(endpoint);
+    return view ? { unread: unreadAt(view) } : {};
+}
+
 function othersEvent(account: Account, endpoint: string, self: string): SchedulerEvent {
     return { kind: "others", endpoint, others: othersFor(account, endpoint, self) };
 }
--- a/packages/hall/test/hall.test.ts
+++ b/packages/hall/test/hall.test.ts
@@ -104,6 +104,7 @@
             prefixTokens: 0,
             gapTargetMs: 60_000,
             objectiveMs: 1_800,
+            expectedPieces: 100,
             leftMs: 1_800,
             weightTail: 1,
             weightStall: 1,
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -48,6 +48,17 @@
     for: Type.Optional(Type.String()),
     ...Progress,
 });
+const Sum = Type.Number({ minimum: 0 });
+const ShownShape = Type.Object({
+    firsts: Sum,
+    unread: Sum,
+    firstMs: Sum,
+    stretches: Sum,
+    pieces: Sum,
+    gapMs: Sum,
+    longestMs: Sum,
+});
+const ToldSpeedShape = Type.Object({ value: Type.Number(), weight: Sum, ageMs: Sum });
 const HeldShape = Type.Object({
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
@@ -55,6 +66,8 @@
     stalled: Type.Integer({ minimum: 0 }),
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
+    shown: Type.Optional(ShownShape),
+    speed: Type.Optional(ToldSpeedShape),
 });
 const Revision = Type.Integer({ minimum: 0 });
 const Change = Type.Object({
@@ -122,6 +135,7 @@
             gapTargetMs: Type.Number(),
             objectiveMs: Type.Number({ exclusiveMinimum: 0 }),
             leftMs: Type.Number(),
+            expectedPieces: Type.Number({ minimum: 0 }),
             weightTail: Type.Number(),
             weightStall: Type.Number(),
             weightPrefix: Type.Number(),
@@ -137,6 +151,7 @@
         job: Type.String(),
         endpoint: Type.Optional(Type.String()),
         standby: Type.Optional(Type.String()),
+        unread: Type.Optional(Type.Number({ minimum: 0 })),
     }),
     storeWord: Type.Object({
         revision: Revision,
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -17,9 +17,11 @@
 } from "./endpoint.js";
 import { beginsInTime } from "./forecast.js";
 import type { Variant } from "./job.js";
+import { outlookAt } from "./lateness.js";
 import { isLimited } from "./limit.js";
 import { batchWithin } from "./pace.js";
 import { readingMs, type ReadingRate } from "./reading.js";
+import { poolOf, type SpeedPools } from "./speeds.js";
 
 /** A wait for prompts to be read of this share of a request's objective counts as much as full memory. */
 const WAIT_SCALE = 0.5;
@@ -31,6 +33,8 @@
 const AWAY_CALLS = 0.5;
 /** What an engine costs in the score where streams wait too long for their first token: above all else but no room at all. */
 const STALLED_COST = 3;
+/** What a request that is certain to be late costs: as much as the fullest endpoint against an empty one. */
+const LATE_COST = 2;
 /** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
 const MEMORY_RESERVE = 0.03;
 /** A new or returning endpoint takes this many streams at once, and more as it proves itself. */
@@ -46,6 +50,8 @@
     readonly score: number;
     /** Whether so much of it is planned that other hosts' choices of this moment matter. */
     readonly crowded: boolean;
+    /** Chance that the request would be late there; 0 where the endpoints are not known to differ. */
+    readonly lateness: number;
 }
 
 /** What is the same for every endpoint, whatever the request. */
@@ -56,6 +62,7 @@
     /** Hall that endpoints are preferred of; none where it is absent. */
     readonly hall?: string | undefined;
     readonly readingRate: ReadingRate;
+    readonly speeds: SpeedPools;
 }
 
 /** From this share of its bounds on, an endpoint counts as crowded. */
@@ -209,27 +216,33 @@
  * ```
  */
 export function assess(view: EndpointView, wanted: Wanted, around: Around, now: number): Candidate | undefined {
-    const { demand } = wanted;
-    const { variant, hall, readingRate } = around;
+    const { demand, curve, z } = wanted;
+    const { variant, hall, readingRate, speeds } = around;
     const { promptTokens, weightTail, weightStall, weightPrefix } = demand;
     if (variant.admission === "none") {
         const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_CALLS : 0;
-        return { id: view.cfg.id, score: streamCount(view) + away, crowded: false };
+        return { id: view.cfg.id, score: streamCount(view) + away, crowded: false, lateness: 0 };
     }
     const fit = fitOf(view, wanted, around, now);
     if (!fit) return undefined;
-    if (variant.forecast && !beginsInTime(view, promptTokens, demand.leftMs, readingRate)) return undefined;
+    const outlook = outlookAt(view, demand, poolOf(speeds, view), now);
+    const firstMs = outlook?.firstMs ?? readingMs(readingRate, unreadAt(view) + promptTokens);
+    if (variant.forecast && !beginsInTime(view, firstMs, demand.leftMs)) return undefined;
     const { streams, streamLimit: limit, peak, room } = fit;
     const cached = variant.prefix && view.prefixes.has(demand.prefix)
         ? demand.prefixTokens / Math.max(1, promptTokens)
         : 0;
     const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
-    const wait = readingMs(readingRate, unreadAt(view)) / (WAIT_SCALE * demand.objectiveMs);
+    const waitMs = outlook?.waitMs ?? readingMs(readingRate, unreadAt(view));
+    const wait = waitMs / (WAIT_SCALE * demand.objectiveMs);
+    // What it takes of the room of a fast endpoint, others have to find at a slower one.
+    const ownShare = peakOf([curve], z) / room;
     const stalled = stalledStreams(view, now) + view.others.stalled > 0 ? STALLED_COST : 0;
     const score = stalled + wait + away
         + weightTail * streams / Math.min(limit, RAMP_FULL)
         + weightStall * peak / room
-        - weightPrefix * cached;
+        - weightPrefix * cached
+        + (outlook ? LATE_COST * outlook.lateness - outlook.slowness * ownShare : 0);
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
-    return { id: view.cfg.id, score, crowded };
+    return { id: view.cfg.id, score, crowded, lateness: outlook?.lateness ?? 0 };
 }
--- a/packages/policy/src/demand.ts
+++ b/packages/policy/src/demand.ts
@@ -5,7 +5,7 @@
  */
 import { probit } from "simple-statistics";
 import { type Curve, streamCurve } from "./curve.js";
-import type { Survival } from "./estimate.js";
+import { meanLength, type Survival } from "./estimate.js";
 import type { Job } from "./job.js";
 
 /** What a request asks of an endpoint; hosts tell it to owners. */
@@ -18,6 +18,8 @@
     readonly objectiveMs: number;
     /** Time that its first token has left, in milliseconds. */
     readonly leftMs: number;
+    /** Pieces that its stream will probably have. */
+    readonly expectedPieces: number;
     readonly weightTail: number;
     readonly weightStall: number;
     readonly weightPrefix: number;
@@ -35,8 +37,9 @@
 
 /** What a request asks of an endpoint. */
 export function demandOf(
-    { group, promptTokens, prefix, prefixTokens, policy, halls }: Job,
-    waitedMs: number,
+    { group, promptTokens, prefix, prefixTokens, policy, halls, tokensPerPiece = 1 }: Job,
+    survival: Survival,
+    waitedMs = 0,
 ): Demand {
     const { gapTargetMs, objectiveMs, maxWaitMs, weightTail, weightStall, weightPrefix } = policy;
     return {
@@ -47,6 +50,7 @@
         gapTargetMs,
         objectiveMs,
         leftMs: maxWaitMs - waitedMs,
+        expectedPieces: meanLength(survival) / tokensPerPiece,
         weightTail,
         weightStall,
         weightPrefix,
@@ -64,5 +68,5 @@
  */
 export function wantedOf(job: Job, survival: Survival, waitedMs = 0): Wanted {
     const curve = streamCurve(survival, job.promptTokens, 0);
-    return { demand: demandOf(job, waitedMs), curve, z: probit(job.policy.quantile) };
+    return { demand: demandOf(job, survival, waitedMs), curve, z: probit(job.policy.quantile) };
 }
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -66,7 +66,7 @@
     const found = runningOf(state, job);
     if (!found || !alwaysAsksOwners(state) || state.owned.size > 0) return undefined;
     const { from, running } = found;
-    const views = usable(state.endpoints.values(), demandOf(running.job, 0), [from], now);
+    const views = usable(state.endpoints.values(), demandOf(running.job, running.survival), [from], now);
     const question = {
         ...wantedOf(running.job, running.survival),
         curve: running.curve,
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -9,6 +9,8 @@
 import type { Survival } from "./estimate.js";
 import type { Job } from "./job.js";
 import { createPace, type PaceFit } from "./pace.js";
+import { NOTHING_SHOWN, type Shown } from "./shown.js";
+import { type Speed, UNKNOWN_SPEED } from "./speed.js";
 
 /**
  * Sources that may say that an endpoint is leaving; each takes back only its own word. `endpoint`: it said so when it was asked;
@@ -45,6 +47,8 @@
     /** Prompt tokens that were unread at the endpoint when it was sent there, its own included. */
     readonly unreadThen: number;
     readonly started: boolean;
+    /** Whether it has just gone on from a copy: the pause until then says nothing of its endpoint. */
+    readonly wasMoved?: boolean;
     readonly curve: Curve;
 }
 
@@ -103,6 +107,10 @@
     /** When its owner last told what others hold; `undefined` before that. */
     readonly toldAt: number | undefined;
     readonly pace: PaceFit;
+    /** How slow it is by what all hosts' streams showed, as far as this host knows. */
+    readonly speed: Speed;
+    /** What this host's own streams have shown of its speed. */
+    readonly shown: Shown;
     readonly breaker: Breaker;
     readonly latelyEnded: readonly LatelyEnded[];
     /** Prompt starts that the endpoint has probably cached, the latest use last. */
@@ -137,6 +145,8 @@
         others: NO_OTHERS,
         toldAt: undefined,
         pace: createPace(),
+        speed: UNKNOWN_SPEED,
+        shown: NOTHING_SHOWN,
         breaker: CLOSED,
         latelyEnded: [],
         prefixes: new Map(),
@@ -175,14 +185,22 @@
 /**
  * The endpoint after a request was given to it.
  *
+ * @param unread Prompt tokens that were unread there before; what this host knows of it where it was not told.
+ *
  * @example
  * ```ts
  * addStream(view, job, lengths, now).streams.size;
  * ```
  */
-export function addStream(view: EndpointView, job: Job, survival: Survival, now: number): EndpointView {
+export function addStream(
+    view: EndpointView,
+    job: Job,
+    survival: Survival,
+    now: number,
+    unread = unreadAt(view),
+): EndpointView {
     const curve = streamCurve(survival, job.promptTokens, 0);
-    const unreadThen = unreadAt(view) + job.promptTokens;
+    const unreadThen = unread + job.promptTokens;
     const running: Running = { job, survival, produced: 0, dispatchedAt: now, unreadThen, started: false, curve };
     return {
         ...view,
@@ -222,7 +240,7 @@
     if (!running) return view;
     const backups = new Map(view.backups);
     backups.delete(id);
-    return { ...view, backups, streams: new Map(view.streams).set(id, running) };
+    return { ...view, backups, streams: new Map(view.streams).set(id, { ...running, wasMoved: true }) };
 }
 
 /** The endpoint after one of its streams, or one that it keeps a copy of, went on to `produced` tokens. */
@@ -231,7 +249,7 @@
     const running = view[held].get(id);
     if (!running) return view;
     const curve = streamCurve(survival, running.job.promptTokens + produced, produced);
-    const next: Running = { ...running, produced, survival, curve, started: true };
+    const next: Running = { ...running, produced, survival, curve, started: true, wasMoved: false };
     return {
         ...view,
         [held]: new Map(view[held]).set(id, next),
--- a/packages/policy/src/estimate.ts
+++ b/packages/policy/src/estimate.ts
@@ -158,6 +158,30 @@
     return Math.exp(logSurvivalAt(survival, to) - logSurvivalAt(survival, from));
 }
 
+/**
+ * The mean length of outputs, in tokens.
+ *
+ * @example
+ * ```ts
+ * meanLength(survivalOf(estimates, group, 4096)); // 380
+ * ```
+ */
+export function meanLength(survival: Survival): number {
+    let mean = 0;
+    let from = 0;
+    let reached = 1;
+    for (const edge of [...EDGES.slice(1), EDGES.at(-1)! * 2]) {
+        const to = Math.min(edge, survival.maxTokens);
+        // Just below the caller's bound: at it, none goes on.
+        const next = Math.exp(logSurvivalAt(survival, to));
+        mean += (to - from) * (reached + next) / 2;
+        if (to === survival.maxTokens) break;
+        from = to;
+        reached = next;
+    }
+    return mean;
+}
+
 /**
  * The length that a given share of outputs does not pass, given that `from` tokens were reached.
  *
--- a/packages/policy/src/forecast.ts
+++ b/packages/policy/src/forecast.ts
@@ -6,7 +6,6 @@
  */
 import { type EndpointView, unreadAt } from "./endpoint.js";
 import type { DrainRate } from "./queue.js";
-import { readingMs, type ReadingRate } from "./reading.js";
 
 /** Starts of waiting requests that lie further back say nothing about the room of now, in milliseconds. */
 const DRAIN_VALID_MS = 10_000;
@@ -15,16 +14,16 @@
  * Whether a request that is sent to an endpoint now begins in time. Where nothing else is to be read it cannot begin
  * sooner anywhere, and is taken for in time.
  *
+ * @param firstMs Expected time until its prompt and all before it are read.
  * @param leftMs Time that its first token has left.
  *
  * @example
  * ```ts
- * beginsInTime(view, 3_000, 1_500, state.readingRate);
+ * beginsInTime(view, readingMs(state.readingRate, unreadAt(view) + 3_000), 1_500);
  * ```
  */
-export function beginsInTime(view: EndpointView, promptTokens: number, leftMs: number, rate: ReadingRate): boolean {
-    const unread = unreadAt(view);
-    return unread === 0 || readingMs(rate, unread + promptTokens) <= leftMs;
+export function beginsInTime(view: EndpointView, firstMs: number, leftMs: number): boolean {
+    return unreadAt(view) === 0 || firstMs <= leftMs;
 }
 
 /**
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -25,6 +25,7 @@
     takeReport,
     takesNew,
     TOLD_VALID_MS,
+    unreadAt,
     unreadTokens,
 } from "./endpoint.js";
 export {
@@ -34,6 +35,7 @@
     type Estimates,
     type Group,
     knownLength,
+    meanLength,
     observe,
     quantileLength,
     type Survival,
@@ -55,6 +57,7 @@
     type WorkspaceLimits,
 } from "./limits.js";
 export { batchWithin, createPace, observePace, type PaceFit, type PaceLine, paceLine } from "./pace.js";
+export { NO_PAUSES, observePauses, pauseChance, type PauseTable } from "./pause-risk.js";
 export type { Advice, Question } from "./question.js";
 export { createReadingRate, observeReading, readingMs, type ReadingRate } from "./reading.js";
 export {
@@ -79,3 +82,27 @@
     type SchedulerState,
 } from "./scheduler-state.js";
 export { canGoOn, decide, isProgressDue, PROGRESS_EVERY } from "./scheduler.js";
+export { addShown, NOTHING_SHOWN, type Sample, samplesOf, type Shown, shownSince } from "./shown.js";
+export {
+    comparePool,
+    EMPTY_POOL,
+    expectedFirstMs,
+    expectedGapMs,
+    observePool,
+    residualOf,
+    type Slowness,
+    slownessNow,
+    slownessOf,
+    type SpeedPool,
+} from "./speed-pool.js";
+export {
+    estimateOf,
+    observeSpeed,
+    type Speed,
+    speedAge,
+    takeToldSpeed,
+    type ToldSpeed,
+    toldSpeedOf,
+    UNKNOWN_SPEED,
+} from "./speed.js";
+export { kindOf, type KnownSpeed, knownSpeed, poolOf, type SpeedPools } from "./speeds.js";
--- a/packages/policy/src/owner-answers.ts
+++ b/packages/policy/src/owner-answers.ts
@@ -17,7 +17,7 @@
 /** An owner's word: the request goes where it says, or goes back to those that wait. */
 export function answered(
     state: SchedulerState,
-    { job, endpoint, standby }: Extract<SchedulerEvent, { kind: "answer" }>,
+    { job, endpoint, standby, unread }: Extract<SchedulerEvent, { kind: "answer" }>,
     now: number,
 ): Decision {
     if (state.askedStandby.has(job)) return standbyAnswered(state, job, standby);
@@ -34,7 +34,7 @@
     }
     const survival = lengthsOf(back, waiting.job);
     const moved = withView(back, endpoint, known => ({
-        ...addStream(known, waiting.job, survival, now),
+        ...addStream(known, waiting.job, survival, now, unread),
         breaker: onUse(known.breaker),
     }));
     const placed = { ...moved, placed: setIn(moved.placed, job, endpoint) };
--- a/packages/policy/src/pace.ts
+++ b/packages/policy/src/pace.ts
@@ -48,6 +48,12 @@
     return fit;
 }
 
+/** A fit of one sample, without anything assumed of the base. */
+export function paceOf(batch: number, gap: number): PaceFit {
+    const nothing = { weight: 0, sumBatch: 0, sumGap: 0, sumBatchSquared: 0, sumBatchGap: 0, margin: START_MARGIN_MS };
+    return addSample(nothing, batch, gap, 1, 1);
+}
+
 function addSample(fit: PaceFit, batch: number, gap: number, weight: number, decay: number): PaceFit {
     return {
         weight: fit.weight * decay + weight,
--- a/packages/policy/src/running.ts
+++ b/packages/policy/src/running.ts
@@ -6,12 +6,14 @@
 import { type Breaker, onResult, onUnreachable, onUnused } from "./breaker.js";
 import { dropBackup } from "./carry.js";
 import { lengthsOf, without } from "./dispatch.js";
-import { moveStream, removeStream, streamCount } from "./endpoint.js";
+import { moveStream, removeStream, type Running, streamCount } from "./endpoint.js";
 import { observe } from "./estimate.js";
 import { observePace } from "./pace.js";
 import { observeReading } from "./reading.js";
 import { type JobOutcome, type SchedulerEvent, type SchedulerState, withView } from "./scheduler-state.js";
 import { deleteIn, getIn } from "./shard-map.js";
+import type { Sample } from "./shown.js";
+import { showOwn } from "./speeds.js";
 
 /** The state after a stream went on. */
 export function progress(
@@ -35,12 +37,27 @@
             standby,
             view => moveStream(view, event.job, event.produced, survival),
         );
-    return withView(kept, id, view => ({
+    const sample = sampleOf(running, event, now);
+    const shown = sample ? showOwn(kept, id, sample, now) : kept;
+    return withView(shown, id, view => ({
         ...moveStream(view, event.job, event.produced, survival),
         pace: running.started ? observePace(view.pace, streamCount(view), event.meanGapMs, event.maxGapMs) : view.pace,
     }));
 }
 
+/** What a stream's progress shows of its endpoint's speed; undefined where it shows nothing. */
+function sampleOf(
+    running: Running,
+    { produced, meanGapMs, maxGapMs }: Extract<SchedulerEvent, { kind: "progress" }>,
+    now: number,
+): Sample | undefined {
+    const { job, started, wasMoved = false, unreadThen, dispatchedAt } = running;
+    if (!started) return { kind: "first", unread: unreadThen, ms: now - dispatchedAt };
+    if (wasMoved) return undefined;
+    const pieces = (produced - running.produced) / (job.tokensPerPiece ?? 1);
+    return { kind: "stretch", pieces, meanGapMs, longestMs: maxGapMs };
+}
+
 /** The state after a request ended at its endpoint. */
 export function ended(
     before: SchedulerState,
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -15,6 +15,9 @@
 import type { Remembered } from "./remembered.js";
 import { createRetryBudget, type FleetBudget, type RetryBudget } from "./retry-budget.js";
 import { emptyMap, type ShardMap } from "./shard-map.js";
+import type { Shown } from "./shown.js";
+import type { ToldSpeed } from "./speed.js";
+import type { SpeedPools } from "./speeds.js";
 
 /** All that one host knows for its decisions. */
 export interface SchedulerState extends SendBounds {
@@ -33,6 +36,7 @@
     readonly hall: string | undefined;
     readonly drain: DrainRate | undefined;
     readonly readingRate: ReadingRate;
+    readonly speeds: SpeedPools;
     readonly returns: Returns;
     /** Endpoint of each running request. */
     readonly placed: ShardMap<string>;
@@ -88,9 +92,18 @@
         readonly job: string;
         readonly endpoint: string | undefined;
         readonly standby: string | undefined;
+        /** Prompt tokens that are unread at the endpoint by the owner's account. */
+        readonly unread?: number | undefined;
     }
-    /** What other hosts hold on an endpoint, as told by its owner. */
-    | { readonly kind: "others"; readonly endpoint: string; readonly others: Others }
+    /** What other hosts hold on an endpoint, as told by its owner, and what it knows of its speed. */
+    | {
+        readonly kind: "others";
+        readonly endpoint: string;
+        readonly others: Others;
+        readonly speed?: ToldSpeed | undefined;
+    }
+    /** Told to this host as an owner: what another host's streams showed of an endpoint's speed since it last told. */
+    | { readonly kind: "shown"; readonly endpoint: string; readonly shown: Shown }
     | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
     /** A stream went on: tokens so far, and mean and largest gap since the last such event, in milliseconds. */
     | {
@@ -190,6 +203,7 @@
         retries: createRetryBudget(),
         drain: undefined,
         readingRate: createReadingRate(),
+        speeds: new Map(),
         returns: NO_RETURNS,
         placed: emptyMap(),
         backedUp: emptyMap(),
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -41,6 +41,7 @@
     withView,
 } from "./scheduler-state.js";
 import { deleteIn, getIn, setIn } from "./shard-map.js";
+import { takeShown, takeTold } from "./speeds.js";
 import { arrive, drain } from "./waiting.js";
 
 /** An owner that has not answered by then is not waited for: the host decides by what it knows. */
@@ -125,8 +126,11 @@
         return { state: { ...state, owned: new Set(endpoints), ownedSince }, actions: [] };
     },
     answer: answered,
-    others: (state, { endpoint, others }, now) =>
-        drain(withView(state, endpoint, view => takeOthers(view, others, now)), now),
+    others: (state, { endpoint, others, speed }, now) => {
+        const taken = withView(state, endpoint, view => takeOthers(view, others, now));
+        return drain(speed ? takeTold(taken, endpoint, speed, now) : taken, now);
+    },
+    shown: (state, { endpoint, shown }, now) => ({ state: takeShown(state, endpoint, shown, now), actions: [] }),
     arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
     // Room that grows while streams run is found at the next tick: a search on each progress would cost far more.
     progress: (state, event, now) => ({ state: progress(state, event, now), actions: [] }),
--- /dev/null
+++ b/packages/policy/src/speed-pool.ts
@@ -0,0 +1,272 @@
+/**
+ * What the endpoints of one kind have in common: how long the mean endpoint takes, how far samples scatter, and how far the
+ * endpoints differ from each other beyond that.
+ *
+ * An endpoint's own estimate is drawn towards the mean of its kind by as much as it is uncertain (empirical Bayes); whether the
+ * endpoints differ at all is tested as for studies that are pooled (Cochran 1954, DerSimonian and Laird 1986). Where they do not,
+ * all count as alike.
+ *
+ * @module
+ */
+import { observePace, type PaceFit, paceLine, paceOf } from "./pace.js";
+import { NO_PAUSES, observePauses, type PauseTable } from "./pause-risk.js";
+import type { Sample } from "./shown.js";
+import { type Estimate, estimateOf, lastSeen, type Speed } from "./speed.js";
+
+/** Of 500 samples back, a sample still weighs a third. */
+const DECAY = 0.998;
+/** Until enough was seen, a sample is taken to be off by half, with the strength of so many samples. */
+const PRIOR_VARIANCE = 0.25;
+const PRIOR_SAMPLES = 4;
+/** A sample counts as no further off than so many deviations: one host's wild samples must not decide. */
+const MOST_DEVIATIONS = 2;
+/** Endpoints that are alike look uneven less than once in 700 tests. */
+const SURE_DEVIATIONS = 3;
+/** Spells of slowness last for some hundred milliseconds; what was seen of one is forgotten so fast, in milliseconds. */
+const FORGET_MS = 300;
+
+/** A decayed sum and its weight. */
+interface Decayed {
+    readonly weight: number;
+    readonly sum: number;
+}
+
+/** What is known of all endpoints of a kind. */
+export interface SpeedPool {
+    /** Mean logarithms: of a first token's time per unread token, and of a gap against the line over the batch. */
+    readonly levels: { readonly [K in Sample["kind"]]: Decayed };
+    /** Squared deviations of samples from their endpoint's mean. */
+    readonly noise: { readonly [K in Sample["kind"]]: Decayed };
+    /** How far a deviation goes on to the next sample: products of neighbours against squares. */
+    readonly lasting: Decayed;
+    /** Gaps of the mean endpoint over its batch; undefined before any. */
+    readonly pace: PaceFit | undefined;
+    readonly pauses: PauseTable;
+    /** Weighted mean of the endpoints' estimates. */
+    readonly mean: number;
+    /** Variance between endpoints beyond that of samples; 0 where they may well be alike. */
+    readonly variance: number;
+}
+
+/** An endpoint's slowness against the mean of its kind. */
+export interface Slowness {
+    /** Natural logarithm of its time for the same work; 0 where it is not known to differ. */
+    readonly log: number;
+    /** Standard deviation of that. */
+    readonly deviation: number;
+}
+
+const NOTHING: Decayed = { weight: 0, sum: 0 };
+const UNKNOWN_NOISE: Decayed = { weight: PRIOR_SAMPLES, sum: PRIOR_SAMPLES * PRIOR_VARIANCE };
+
+/** Endpoints of which nothing was seen. */
+export const EMPTY_POOL: SpeedPool = {
+    levels: { first: NOTHING, stretch: NOTHING },
+    noise: { first: UNKNOWN_NOISE, stretch: UNKNOWN_NOISE },
+    lasting: NOTHING,
+    pace: undefined,
+    pauses: NO_PAUSES,
+    mean: 0,
+    variance: 0,
+};
+
+const ALIKE: Slowness = { log: 0, deviation: 0 };
+
+function add({ weight, sum }: Decayed, value: number): Decayed {
+    return { weight: weight * DECAY + 1, sum: sum * DECAY + value };
+}
+
+function meanOf({ weight, sum }: Decayed): number {
+    return weight > 0 ? sum / weight : 0;
+}
+
+/** Variance of a sample of an endpoint, on the logarithmic scale. */
+export function noiseOf(pool: SpeedPool, kind: Sample["kind"]): number {
+    return meanOf(pool.noise[kind]);
+}
+
+/**
+ * How slow an endpoint is against the mean of its kind, drawn towards it by as much as it is uncertain.
+ *
+ * @example
+ * ```ts
+ * Math.exp(slownessOf(pool, view.speed, now).log); // 1.67 where it takes two thirds longer
+ * ```
+ */
+export function slownessOf({ mean, variance }: SpeedPool, speed: Speed, now: number): Slowness {
+    if (variance === 0) return ALIKE;
+    const known = estimateOf(speed, now);
+    const share = known.weight * variance / (known.weight * variance + 1);
+    return { log: share * (known.mean - mean), deviation: Math.sqrt(variance * (1 - share)) };
+}
+
+/** The same for this moment: a spell of slowness that was just seen goes on for a while. */
+export function slownessNow(pool: SpeedPool, speed: Speed, now: number): Slowness {
+    const lasting = slownessOf(pool, speed, now);
+    const seen = lastSeen(speed);
+    if (pool.variance === 0 || !seen) return lasting;
+    const goesOn = persistence(pool) * Math.exp(-Math.max(0, now - seen.at) / FORGET_MS);
+    return { ...lasting, log: lasting.log + goesOn * (seen.mean - estimateOf(speed, now).mean) };
+}
+
+function persistence({ lasting }: SpeedPool): number {
+    return Math.min(1, Math.max(0, meanOf(lasting)));
+}
+
+/** The gap that is expected of an endpoint's streams, in milliseconds; undefined before any was seen. */
+export function expectedGapMs({ pace }: SpeedPool, slowness: Slowness, batch: number): number | undefined {
+    if (!pace) return undefined;
+    const { base, perStream } = paceLine(pace);
+    return (base + perStream * batch) * Math.exp(slowness.log);
+}
+
+/** The time that an endpoint is expected to take for unread tokens, in milliseconds; undefined before any was seen. */
+export function expectedFirstMs(
+    { levels: { first } }: SpeedPool,
+    slowness: Slowness,
+    unread: number,
+): number | undefined {
+    return first.weight > 0 ? unread * Math.exp(meanOf(first) + slowness.log) : undefined;
+}
+
+/** A sample against what is expected of the mean endpoint. */
+interface Residual {
+    /** Natural logarithm of the time seen against the expected one, bounded. */
+    readonly value: number;
+    /** What it deviates from its endpoint's mean. */
+    readonly deviation: number;
+    /** One over its variance. */
+    readonly weight: number;
+}
+
+/** What a sample of an endpoint says; undefined where it says nothing. */
+export function residualOf(
+    pool: SpeedPool,
+    speed: Speed,
+    batch: number,
+    sample: Sample,
+    now: number,
+): Residual | undefined {
+    const seen = logOf(pool, batch, sample);
+    if (seen === undefined) return undefined;
+    const known = estimateOf(speed, now);
+    const noise = noiseOf(pool, sample.kind);
+    const centre = known.weight > 0 ? known.mean : pool.mean;
+    const around = known.weight > 0 ? 1 / known.weight : Math.max(noise, pool.variance);
+    const most = MOST_DEVIATIONS * Math.sqrt(noise + around);
+    const deviation = Math.min(most, Math.max(-most, seen - meanOf(pool.levels[sample.kind]) - centre));
+    return { value: centre + deviation, deviation, weight: 1 / noise };
+}
+
+/** A sample's time on the logarithmic scale: per unread token, or against the line over the batch. */
+function logOf({ pace, levels }: SpeedPool, batch: number, sample: Sample): number | undefined {
+    if (sample.kind === "first") {
+        if (!(sample.unread > 0) || !(sample.ms > 0)) return undefined;
+        const log = Math.log(sample.ms / sample.unread);
+        return levels.first.weight > 0 ? log : undefined;
+    }
+    if (!(sample.meanGapMs > 0) || !pace) return undefined;
+    const { base, perStream } = paceLine(pace);
+    return Math.log(sample.meanGapMs / (base + perStream * batch));
+}
+
+/**
+ * The pool after a sample of an endpoint; the first one of a kind sets its level.
+ *
+ * @param speed What is known of the endpoint, before the sample.
+ * @param batch Streams that run there.
+ */
+export function observePool(pool: SpeedPool, speed: Speed, batch: number, sample: Sample, now: number): SpeedPool {
+    const residual = residualOf(pool, speed, batch, sample, now);
+    if (!residual) return firstOfKind(pool, batch, sample);
+    const { kind } = sample;
+    const slowness = slownessOf(pool, speed, now);
+    const level = meanOf(pool.levels[kind]);
+    const plain = level + residual.value - slowness.log;
+    return {
+        ...pool,
+        levels: { ...pool.levels, [kind]: add(pool.levels[kind], plain) },
+        noise: { ...pool.noise, [kind]: addNoise(pool, speed, kind, residual, now) },
+        lasting: addLasting(pool.lasting, speed, residual, now),
+        ...(sample.kind === "stretch" ? addStretch(pool, slowness, batch, sample, plain) : {}),
+    };
+}
+
+function firstOfKind(pool: SpeedPool, batch: number, sample: Sample): SpeedPool {
+    if (sample.kind === "first") {
+        if (!(sample.unread > 0) || !(sample.ms > 0)) return pool;
+        const level = add(NOTHING, Math.log(sample.ms / sample.unread));
+        return { ...pool, levels: { ...pool.levels, first: level } };
+    }
+    if (!(sample.meanGapMs > 0) || pool.pace) return pool;
+    return { ...pool, pace: paceOf(batch, sample.meanGapMs) };
+}
+
+/** A deviation from a mean of few samples is larger than that from the true mean. */
+function addNoise(pool: SpeedPool, speed: Speed, kind: Sample["kind"], { deviation }: Residual, now: number): Decayed {
+    const { weight } = estimateOf(speed, now);
+    const noise = pool.noise[kind];
+    if (weight === 0) return noise;
+    const samples = weight * meanOf(noise);
+    return add(noise, deviation * deviation * samples / (samples + 1));
+}
+
+function addLasting(lasting: Decayed, { moment }: Speed, { deviation }: Residual, now: number): Decayed {
+    if (!moment || now - moment.at >= FORGET_MS) return lasting;
+    return {
+        weight: lasting.weight * DECAY + (deviation * deviation + moment.last * moment.last) / 2,
+        sum: lasting.sum * DECAY + deviation * moment.last,
+    };
+}
+
+/** The line and the pauses after a stretch. `plain` is its gap's logarithm against the line, as of the mean endpoint. */
+function addStretch(
+    pool: SpeedPool,
+    slowness: Slowness,
+    batch: number,
+    { pieces, longestMs }: Extract<Sample, { kind: "stretch" }>,
+    plain: number,
+): Pick<SpeedPool, "pace" | "pauses"> {
+    const pace = pool.pace!;
+    const { base, perStream } = paceLine(pace);
+    const gapMs = (base + perStream * batch) * Math.exp(plain);
+    const expectedMs = expectedGapMs(pool, slowness, batch)!;
+    return {
+        pace: observePace(pace, batch, gapMs, longestMs),
+        pauses: observePauses(pool.pauses, pieces, longestMs / expectedMs),
+    };
+}
+
+/**
+ * The pool after its endpoints' estimates were compared.
+ *
+ * @example
+ * ```ts
+ * comparePool(pool, views.map(view => estimateOf(view.speed, now))).variance; // 0 where they may well be alike
+ * ```
+ */
+export function comparePool(pool: SpeedPool, estimates: readonly Estimate[]): SpeedPool {
+    const known = estimates.filter(({ weight }) => weight > 0);
+    const sum = known.reduce((total, { weight }) => total + weight, 0);
+    if (known.length < 2) return { ...pool, variance: 0 };
+    const mean = known.reduce((total, estimate) => total + estimate.weight * estimate.mean, 0) / sum;
+    const squares = known.reduce((total, estimate) => total + estimate.weight * (estimate.mean - mean) ** 2, 0);
+    const byChance = known.length - 1;
+    const isSure = squares > byChance + SURE_DEVIATIONS * Math.sqrt(2 * byChance);
+    if (!isSure) return { ...pool, mean, variance: 0 };
+    const scale = sum - known.reduce((total, { weight }) => total + weight * weight, 0) / sum;
+    const variance = (squares - byChance) / scale;
+    return { ...pool, mean: betweenMean(known, variance), variance };
+}
+
+/** The mean of endpoints that differ: one that was seen often counts for little more than another. */
+function betweenMean(known: readonly Estimate[], variance: number): number {
+    let sum = 0;
+    let total = 0;
+    for (const { mean, weight } of known) {
+        const share = 1 / (variance + 1 / weight);
+        sum += share * mean;
+        total += share;
+    }
+    return sum / total;
+}
--- /dev/null
+++ b/packages/policy/src/speed.ts
@@ -0,0 +1,135 @@
+/**
+ * How slow one endpoint is by what its streams showed: a weighted mean on a logarithmic scale, and what was seen last.
+ *
+ * Samples that lie close together share what slowed the endpoint for that moment. They count as one, the best of them, or
+ * a busy moment would pass for certainty.
+ *
+ * @module
+ */
+
+/** Samples of this time are taken as one, in milliseconds: streams of an endpoint are slowed together for about as long. */
+const TOGETHER_MS = 600;
+/** What was seen so long ago weighs a third, in milliseconds: about as long as a long stream runs. */
+const LASTS_MS = 10_000;
+
+/** Samples that are taken as one. Weights are one over the variance of a sample. */
+interface Moment {
+    readonly since: number;
+    /** When the last of them came. */
+    readonly at: number;
+    readonly weight: number;
+    readonly sum: number;
+    /** Weight of the best of them, which is what they weigh together. */
+    readonly best: number;
+    /** Deviation of the last one from what was expected. */
+    readonly last: number;
+}
+
+/** What is known of an endpoint's speed. Values are natural logarithms of its time for the same work against others'. */
+export interface Speed {
+    /** Decayed sums over moments that are past, as of `at`. */
+    readonly weight: number;
+    readonly sum: number;
+    readonly at: number;
+    /** The moment that is being seen; undefined before any sample. */
+    readonly moment: Moment | undefined;
+}
+
+/** An estimate: the mean of what was seen, and its weight, one over its variance; 0 where nothing was seen. */
+export interface Estimate {
+    readonly mean: number;
+    readonly weight: number;
+}
+
+/** What an owner tells of an endpoint's speed. */
+export interface ToldSpeed {
+    /** Natural logarithm of its time for the same work against others'. */
+    readonly value: number;
+    /** One over the variance of the value, when it was seen. */
+    readonly weight: number;
+    readonly ageMs: number;
+}
+
+/** Nothing seen. */
+export const UNKNOWN_SPEED: Speed = { weight: 0, sum: 0, at: 0, moment: undefined };
+
+/** No endpoint is taken for more than so many times as slow, or as fast, as others by what a host tells. */
+const MOST_TOLD = Math.log(32);
+/** Nor is it taken for better known than by so many samples of a deviation of a tenth. */
+const MOST_WEIGHT = 10_000;
+
+/**
+ * The speed after a sample.
+ *
+ * @param value Natural logarithm of the time that was seen against the one expected of the mean endpoint.
+ * @param weight One over the variance of such a sample.
+ *
+ * @example
+ * ```ts
+ * estimateOf(observeSpeed(UNKNOWN_SPEED, Math.log(2), 4, 0, now), now).mean; // 0.69
+ * ```
+ */
+export function observeSpeed(speed: Speed, value: number, weight: number, last: number, now: number): Speed {
+    const { moment } = speed;
+    if (moment && now - moment.since < TOGETHER_MS) {
+        const next: Moment = {
+            since: moment.since,
+            at: now,
+            weight: moment.weight + weight,
+            sum: moment.sum + weight * value,
+            best: Math.max(moment.best, weight),
+            last,
+        };
+        return { ...speed, moment: next };
+    }
+    const past = pastOf(speed, now);
+    return { ...past, moment: { since: now, at: now, weight, sum: weight * value, best: weight, last } };
+}
+
+/** Sums with the moment that is being seen closed. */
+function pastOf(speed: Speed, now: number): Omit<Speed, "moment"> {
+    const { moment } = speed;
+    const kept = Math.exp(-Math.max(0, now - speed.at) / LASTS_MS);
+    const added = moment ? moment.best * Math.exp(-Math.max(0, now - moment.at) / LASTS_MS) : 0;
+    const mean = moment ? moment.sum / moment.weight : 0;
+    return { weight: speed.weight * kept + added, sum: speed.sum * kept + added * mean, at: now };
+}
+
+/** The mean of what was seen of an endpoint, and how much it weighs by now. */
+export function estimateOf(speed: Speed, now: number): Estimate {
+    const { weight, sum } = pastOf(speed, now);
+    return { mean: weight > 0 ? sum / weight : 0, weight };
+}
+
+/** The mean of the moment that was seen last, and when that was; undefined before any sample. */
+export function lastSeen({ moment }: Speed): { readonly mean: number; readonly at: number } | undefined {
+    return moment && { mean: moment.sum / moment.weight, at: moment.at };
+}
+
+/** What an owner tells of an endpoint's speed; undefined where nothing was seen. */
+export function toldSpeedOf(speed: Speed, now: number): ToldSpeed | undefined {
+    const ageMs = speedAge(speed, now);
+    if (ageMs === undefined) return undefined;
+    const { mean, weight } = estimateOf(speed, now - ageMs);
+    return { value: mean, weight, ageMs };
+}
+
+/**
+ * The speed that an owner told. What is told is bounded, as any host may err.
+ *
+ * @example
+ * ```ts
+ * takeToldSpeed({ value: 0.5, weight: 40, ageMs: 200 }, now);
+ * ```
+ */
+export function takeToldSpeed({ value, weight, ageMs }: ToldSpeed, now: number): Speed {
+    const mean = Math.min(MOST_TOLD, Math.max(-MOST_TOLD, value));
+    const known = Math.min(MOST_WEIGHT, Math.max(0, weight));
+    return { weight: known, sum: known * mean, at: now - Math.max(0, ageMs), moment: undefined };
+}
+
+/** Time since an endpoint's speed was last seen, in milliseconds; undefined where it never was. */
+export function speedAge({ weight, at, moment }: Speed, now: number): number | undefined {
+    if (moment) return now - moment.at;
+    return weight > 0 ? now - at : undefined;
+}
--- /dev/null
+++ b/packages/policy/src/speeds.ts
@@ -0,0 +1,104 @@
+/**
+ * Takes in what streams show of endpoints' speeds: own streams as they run, those of other hosts as they are told, and what an
+ * endpoint's owner makes of all.
+ *
+ * @module
+ */
+import { type EndpointView, streamCount } from "./endpoint.js";
+import { type SchedulerState, withView } from "./scheduler-state.js";
+import { addShown, type Sample, samplesOf, type Shown } from "./shown.js";
+import {
+    comparePool,
+    EMPTY_POOL,
+    observePool,
+    residualOf,
+    type Slowness,
+    slownessOf,
+    type SpeedPool,
+} from "./speed-pool.js";
+import { estimateOf, observeSpeed, speedAge, takeToldSpeed, type ToldSpeed } from "./speed.js";
+
+/** What is known of endpoints' speeds, by the kind of endpoint. */
+export type SpeedPools = ReadonlyMap<string, SpeedPool>;
+
+/** Endpoints of a kind run the same models, and are compared with each other. */
+export function kindOf({ cfg }: EndpointView): string {
+    return cfg.models.join(" ");
+}
+
+/** What is known of the endpoints of this one's kind. */
+export function poolOf(pools: SpeedPools, view: EndpointView): SpeedPool {
+    return pools.get(kindOf(view)) ?? EMPTY_POOL;
+}
+
+/** The state after an own stream showed something; it is told to the endpoint's owner as well. */
+export function showOwn(state: SchedulerState, endpoint: string, sample: Sample, now: number): SchedulerState {
+    const shown = withView(state, endpoint, view => ({ ...view, shown: addShown(view.shown, sample) }));
+    return take(shown, endpoint, [sample], state.hosts <= 1 || state.owned.has(endpoint), now);
+}
+
+/** The state after another host told, as to its owner, what its streams showed of an endpoint. */
+export function takeShown(state: SchedulerState, endpoint: string, shown: Shown, now: number): SchedulerState {
+    return take(state, endpoint, samplesOf(shown), true, now);
+}
+
+/** The state after an owner told what it knows of an endpoint's speed. */
+export function takeTold(state: SchedulerState, endpoint: string, told: ToldSpeed, now: number): SchedulerState {
+    if (state.owned.has(endpoint)) return state;
+    return compare(withView(state, endpoint, view => ({ ...view, speed: takeToldSpeed(told, now) })), endpoint, now);
+}
+
+/** @param judges Whether this host estimates the endpoint's speed; else it hears of it from the owner. */
+function take(
+    state: SchedulerState,
+    endpoint: string,
+    samples: readonly Sample[],
+    judges: boolean,
+    now: number,
+): SchedulerState {
+    const view = state.endpoints.get(endpoint);
+    // What is declared no more is of no kind.
+    if (!view || view.cfg.models.length === 0) return state;
+    const batch = streamCount(view);
+    let { speed } = view;
+    let pool = poolOf(state.speeds, view);
+    for (const sample of samples) {
+        const residual = residualOf(pool, speed, batch, sample, now);
+        pool = observePool(pool, speed, batch, sample, now);
+        if (!residual || !judges) continue;
+        speed = observeSpeed(speed, residual.value, residual.weight, residual.deviation, now);
+    }
+    const speeds = new Map(state.speeds).set(kindOf(view), pool);
+    const next = withView({ ...state, speeds }, endpoint, known => ({ ...known, speed }));
+    return judges ? compare(next, endpoint, now) : next;
+}
+
+/** The state after the endpoints of one's kind were compared. */
+function compare(state: SchedulerState, endpoint: string, now: number): SchedulerState {
+    const view = state.endpoints.get(endpoint);
+    if (!view) return state;
+    const kind = kindOf(view);
+    const estimates = state.endpoints.values()
+        .filter(other => kindOf(other) === kind)
+        .map(({ speed }) => estimateOf(speed, now));
+    const pool = comparePool(poolOf(state.speeds, view), estimates);
+    return { ...state, speeds: new Map(state.speeds).set(kind, pool) };
+}
+
+/** What is known of an endpoint's speed, for those who look after it. */
+export interface KnownSpeed extends Slowness {
+    /** Time since its streams last showed something, in milliseconds; undefined where they never did. */
+    readonly ageMs: number | undefined;
+}
+
+/**
+ * What is known of an endpoint's speed against the mean of its kind.
+ *
+ * @example
+ * ```ts
+ * Math.exp(knownSpeed(state, view, now).log); // 0.6 where it takes six tenths of the time
+ * ```
+ */
+export function knownSpeed({ speeds }: Pick<SchedulerState, "speeds">, view: EndpointView, now: number): KnownSpeed {
+    return { ...slownessOf(poolOf(speeds, view), view.speed, now), ageMs: speedAge(view.speed, now) };
+}
