The chance of a late first token or pause decides, as the mean over how slow an endpoint may be

Conclusion: a short request on a fast endpoint is gone sooner and disturbs nobody there; on a slow one its prompt makes the streams beside it pause.

--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -216,7 +216,7 @@
  * ```
  */
 export function assess(view: EndpointView, wanted: Wanted, around: Around, now: number): Candidate | undefined {
-    const { demand, curve, z } = wanted;
+    const { demand } = wanted;
     const { variant, hall, readingRate, speeds } = around;
     const { promptTokens, weightTail, weightStall, weightPrefix } = demand;
     if (variant.admission === "none") {
@@ -233,16 +233,16 @@
         ? demand.prefixTokens / Math.max(1, promptTokens)
         : 0;
     const away = hall !== undefined && hall !== view.cfg.hall ? AWAY_COST : 0;
-    const waitMs = outlook?.waitMs ?? readingMs(readingRate, unreadAt(view));
+    // Where endpoints are alike, its own prompt takes as long at each.
+    const waitMs = outlook?.firstMs ?? readingMs(readingRate, unreadAt(view));
+    const lateness = outlook?.lateness ?? 0;
     const wait = waitMs / (WAIT_SCALE * demand.objectiveMs);
-    // What it takes of the room of a fast endpoint, others have to find at a slower one.
-    const ownShare = peakOf([curve], z) / room;
     const stalled = stalledStreams(view, now) + view.others.stalled > 0 ? STALLED_COST : 0;
     const score = stalled + wait + away
         + weightTail * streams / Math.min(limit, RAMP_FULL)
         + weightStall * peak / room
         - weightPrefix * cached
-        + (outlook ? LATE_COST * outlook.lateness - outlook.slowness * ownShare : 0);
+        + LATE_COST * lateness;
     const crowded = peak > CROWDED_SHARE * room || streams > CROWDED_SHARE * limit;
-    return { id: view.cfg.id, score, crowded, lateness: outlook?.lateness ?? 0 };
+    return { id: view.cfg.id, score, crowded, lateness };
 }
--- a/packages/policy/src/lateness.ts
+++ b/packages/policy/src/lateness.ts
@@ -11,12 +11,8 @@
 
 /** What is expected of a request at an endpoint. */
 export interface Outlook {
-    /** Natural logarithm of the endpoint's time for the same work against the mean of its kind. */
-    readonly slowness: number;
-    /** Expected time until its prompt and all before it are read, in milliseconds. */
+    /** Median time until its prompt and all before it are read, in milliseconds. */
     readonly firstMs: number;
-    /** Expected time until what is unread there now is read, in milliseconds. */
-    readonly waitMs: number;
     /** Chance that its first token comes too late or a pause is too long. */
     readonly lateness: number;
 }
@@ -32,13 +28,11 @@
 export function outlookAt(view: EndpointView, demand: Demand, pool: SpeedPool, now: number): Outlook | undefined {
     if (pool.variance === 0) return undefined;
     const current = slownessNow(pool, view.speed, now);
-    const unread = unreadAt(view);
-    const firstMs = expectedFirstMs(pool, current, unread + demand.promptTokens);
-    const waitMs = expectedFirstMs(pool, current, unread);
-    if (firstMs === undefined || waitMs === undefined) return undefined;
+    const firstMs = expectedFirstMs(pool, current.log, unreadAt(view) + demand.promptTokens);
+    if (firstMs === undefined) return undefined;
     const deviation = Math.sqrt(noiseOf(pool, "first") + current.deviation ** 2);
-    const inTime = chanceWithin(demand.leftMs, firstMs, deviation) * (1 - pauseLateness(view, demand, pool, now));
-    return { slowness: slownessOf(pool, view.speed, now).log, firstMs, waitMs, lateness: 1 - inTime };
+    const begins = chanceWithin(demand.leftMs, firstMs, deviation);
+    return { firstMs, lateness: 1 - begins * (1 - pauseLateness(view, demand, pool, now)) };
 }
 
 /** The chance that something that takes `expectedMs` at the median is over within a time. */
@@ -48,9 +42,26 @@
     return cumulativeStdNormalProbability(Math.log(leftMs / expectedMs) / deviation);
 }
 
-/** The chance that a stream pauses for too long at an endpoint. */
-function pauseLateness(view: EndpointView, demand: Demand, pool: SpeedPool, now: number): number {
-    const { gapTargetMs, expectedPieces } = demand;
-    const gapMs = expectedGapMs(pool, slownessOf(pool, view.speed, now), streamCount(view) + 1);
-    return gapMs === undefined ? 0 : pauseChance(pool.pauses, gapTargetMs / gapMs, expectedPieces);
+/** Three points whose weighted mean is that of a normal distribution (Gauss and Hermite). */
+const POINTS = [
+    { deviations: -Math.sqrt(3), share: 1 / 6 },
+    { deviations: 0, share: 2 / 3 },
+    { deviations: Math.sqrt(3), share: 1 / 6 },
+] as const;
+
+/** The chance that a stream pauses for too long, as the mean over how slow the endpoint may be. */
+function pauseLateness(
+    view: EndpointView,
+    { gapTargetMs, expectedPieces }: Demand,
+    pool: SpeedPool,
+    now: number,
+): number {
+    const { log, deviation } = slownessOf(pool, view.speed, now);
+    let chance = 0;
+    for (const { deviations, share } of POINTS) {
+        const gapMs = expectedGapMs(pool, log + deviations * deviation, streamCount(view) + 1);
+        if (gapMs === undefined) return 0;
+        chance += share * pauseChance(pool.pauses, gapTargetMs / gapMs, expectedPieces);
+    }
+    return chance;
 }
--- a/packages/policy/src/pause-risk.ts
+++ b/packages/policy/src/pause-risk.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+/** Width of a bucket, as a natural logarithm: an expected gap must be known as well as that. */
+export const BUCKET_LOG = Math.LN2 / 4;
 /** Buckets a doubling of the ratio of a pause to the expected gap, and doublings in all: from 1 to 64 times. */
 const BUCKETS_PER_DOUBLING = 4;
 const DOUBLINGS = 6;
@@ -52,11 +54,15 @@
  */
 export function pauseChance({ pieces, reached }: PauseTable, ratio: number, ahead: number): number {
     if (pieces <= 0 || ahead <= 0) return 0;
+    // One pause of a stretch is counted, the longest: pauses come in groups, when an endpoint is slow for a while.
+    return -Math.expm1(-reachedAt(reached, ratio) / pieces * ahead);
+}
+
+/** Stretches whose longest pause was at least so many times the expected gap. */
+function reachedAt(reached: Float64Array, ratio: number): number {
     const place = BUCKETS_PER_DOUBLING * Math.log2(Math.max(1, ratio));
     const low = Math.floor(place);
     if (low >= BUCKETS) return 0;
     const above = reached[low + 1] ?? 0;
-    const count = reached[low]! + (place - low) * (above - reached[low]!);
-    // One pause of a stretch is counted, the longest: pauses come in groups, when an endpoint is slow for a while.
-    return -Math.expm1(-count / pieces * ahead);
+    return reached[low]! + (place - low) * (above - reached[low]!);
 }
--- a/packages/policy/src/shown.ts
+++ b/packages/policy/src/shown.ts
@@ -92,7 +92,9 @@
 }
 
 /** Told sums as samples: one of each kind at most, whatever a host claims to have seen. */
-export function samplesOf({ firsts, unread, firstMs, stretches, pieces, gapMs, longestMs }: Shown): readonly Sample[] {
+export function samplesOf(
+    { firsts, unread, firstMs, stretches, pieces, gapMs, longestMs }: Shown,
+): readonly Sample[] {
     const samples: Sample[] = [];
     if (firsts > 0) samples.push({ kind: "first", unread: unread / firsts, ms: firstMs / firsts });
     if (stretches > 0) {
--- a/packages/policy/src/speed-pool.ts
+++ b/packages/policy/src/speed-pool.ts
@@ -9,8 +9,8 @@
  * @module
  */
 import { observePace, type PaceFit, paceLine, paceOf } from "./pace.js";
-import { NO_PAUSES, observePauses, type PauseTable } from "./pause-risk.js";
-import type { Sample } from "./shown.js";
+import { BUCKET_LOG, NO_PAUSES, observePauses, type PauseTable } from "./pause-risk.js";
+import type { Sample, StretchShown } from "./shown.js";
 import { type Estimate, estimateOf, lastSeen, type Speed } from "./speed.js";
 
 /** Of 500 samples back, a sample still weighs a third. */
@@ -46,6 +46,8 @@
     readonly mean: number;
     /** Variance between endpoints beyond that of samples; 0 where they may well be alike. */
     readonly variance: number;
+    /** When the endpoints were last compared. */
+    readonly comparedAt: number;
 }
 
 /** An endpoint's slowness against the mean of its kind. */
@@ -68,6 +70,7 @@
     pauses: NO_PAUSES,
     mean: 0,
     variance: 0,
+    comparedAt: -Infinity,
 };
 
 const ALIKE: Slowness = { log: 0, deviation: 0 };
@@ -113,20 +116,28 @@
     return Math.min(1, Math.max(0, meanOf(lasting)));
 }
 
-/** The gap that is expected of an endpoint's streams, in milliseconds; undefined before any was seen. */
-export function expectedGapMs({ pace }: SpeedPool, slowness: Slowness, batch: number): number | undefined {
+/**
+ * The gap that is expected of an endpoint's streams, in milliseconds; undefined before any was seen.
+ *
+ * @param log The endpoint's slowness, as a natural logarithm.
+ */
+export function expectedGapMs({ pace }: SpeedPool, log: number, batch: number): number | undefined {
     if (!pace) return undefined;
     const { base, perStream } = paceLine(pace);
-    return (base + perStream * batch) * Math.exp(slowness.log);
+    return (base + perStream * batch) * Math.exp(log);
 }
 
-/** The time that an endpoint is expected to take for unread tokens, in milliseconds; undefined before any was seen. */
+/**
+ * The time that an endpoint is expected to take for unread tokens, in milliseconds; undefined before any was seen.
+ *
+ * @param log The endpoint's slowness, as a natural logarithm.
+ */
 export function expectedFirstMs(
     { levels: { first } }: SpeedPool,
-    slowness: Slowness,
+    log: number,
     unread: number,
 ): number | undefined {
-    return first.weight > 0 ? unread * Math.exp(meanOf(first) + slowness.log) : undefined;
+    return first.weight > 0 ? unread * Math.exp(meanOf(first) + log) : undefined;
 }
 
 /** A sample against what is expected of the mean endpoint. */
@@ -188,7 +199,8 @@
         levels: { ...pool.levels, [kind]: add(pool.levels[kind], plain) },
         noise: { ...pool.noise, [kind]: addNoise(pool, speed, kind, residual, now) },
         lasting: addLasting(pool.lasting, speed, residual, now),
-        ...(sample.kind === "stretch" ? addStretch(pool, slowness, batch, sample, plain) : {}),
+        ...(sample.kind === "stretch" ? addGap(pool, batch, sample, plain) : {}),
+        pauses: addPauses(pool, estimateOf(speed, now), batch, sample),
     };
 }
 
@@ -219,22 +231,25 @@
     };
 }
 
-/** The line and the pauses after a stretch. `plain` is its gap's logarithm against the line, as of the mean endpoint. */
-function addStretch(
-    pool: SpeedPool,
-    slowness: Slowness,
+/** The line after a stretch. `plain` is its gap's logarithm against the line, as of the mean endpoint. */
+function addGap(
+    { pace }: SpeedPool,
     batch: number,
-    { pieces, longestMs }: Extract<Sample, { kind: "stretch" }>,
+    { longestMs }: StretchShown,
     plain: number,
-): Pick<SpeedPool, "pace" | "pauses"> {
-    const pace = pool.pace!;
+): Partial<SpeedPool> {
+    if (!pace) return {};
     const { base, perStream } = paceLine(pace);
     const gapMs = (base + perStream * batch) * Math.exp(plain);
-    const expectedMs = expectedGapMs(pool, slowness, batch)!;
-    return {
-        pace: observePace(pace, batch, gapMs, longestMs),
-        pauses: observePauses(pool.pauses, pieces, longestMs / expectedMs),
-    };
+    return { pace: observePace(pace, batch, gapMs, longestMs) };
+}
+
+/** The pauses after a sample of an endpoint whose own gap is well known; what else is seen has no measure. */
+function addPauses(pool: SpeedPool, { mean, weight }: Estimate, batch: number, sample: Sample): PauseTable {
+    const { pauses } = pool;
+    if (sample.kind === "first" || weight * BUCKET_LOG ** 2 < 1) return pauses;
+    const gapMs = expectedGapMs(pool, mean - pool.mean, batch);
+    return gapMs === undefined ? pauses : observePauses(pauses, sample.pieces, sample.longestMs / gapMs);
 }
 
 /**
--- a/packages/policy/src/speeds.ts
+++ b/packages/policy/src/speeds.ts
@@ -21,6 +21,9 @@
 /** What is known of endpoints' speeds, by the kind of endpoint. */
 export type SpeedPools = ReadonlyMap<string, SpeedPool>;
 
+/** Endpoints are compared this often at most, in milliseconds: rarer than samples come to an owner of many. */
+const COMPARE_MS = 100;
+
 /** Endpoints of a kind run the same models, and are compared with each other. */
 export function kindOf({ cfg }: EndpointView): string {
     return cfg.models.join(" ");
@@ -73,15 +76,17 @@
     return judges ? compare(next, endpoint, now) : next;
 }
 
-/** The state after the endpoints of one's kind were compared. */
+/** The state after the endpoints of one's kind were compared, unless they just were. */
 function compare(state: SchedulerState, endpoint: string, now: number): SchedulerState {
     const view = state.endpoints.get(endpoint);
     if (!view) return state;
     const kind = kindOf(view);
+    const known = poolOf(state.speeds, view);
+    if (now - known.comparedAt < COMPARE_MS) return state;
     const estimates = state.endpoints.values()
         .filter(other => kindOf(other) === kind)
         .map(({ speed }) => estimateOf(speed, now));
-    const pool = comparePool(poolOf(state.speeds, view), estimates);
+    const pool = { ...comparePool(known, estimates), comparedAt: now };
     return { ...state, speeds: new Map(state.speeds).set(kind, pool) };
 }
 
