Speeds: robust samples, one count a host and moment; lateness weighs as much as a full endpoint

Cause: a bounded sample's square was taken for the scatter, so that the bound and the scatter shrank together; a host that told wild samples four times a second moved an endpoint by 0.3 (logarithm; two speeds lie 0.5 apart). Now the bounded squares are scaled (Huber's second proposal), the scatter has a floor, and a host counts once in a moment. Ruled out: a part of its own for spells.

--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -319,7 +319,7 @@
         const account = takeHeld(state.account, from, held, now);
         const events = held.flatMap(({ endpoint, shown }): readonly SchedulerEvent[] => [
             othersEvent(account, endpoint, state.self),
-            ...(shown ? [{ kind: "shown", endpoint, shown } as const] : []),
+            ...(shown ? [{ kind: "shown", host: from, endpoint, shown } as const] : []),
         ]);
         return { state: { ...state, account }, send: [], events };
     },
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -33,8 +33,8 @@
 const AWAY_CALLS = 0.5;
 /** What an engine costs in the score where streams wait too long for their first token: above all else but no room at all. */
 const STALLED_COST = 3;
-/** What a request that is certain to be late costs: as much as the fullest endpoint against an empty one. */
-const LATE_COST = 2;
+/** What a request that is certain to be late costs in the score: as much as an endpoint's whole memory. */
+const LATE_COST = 1;
 /** Share of an engine's memory that is never planned with: its own watermark and rounding to blocks. */
 const MEMORY_RESERVE = 0.03;
 /** A new or returning endpoint takes this many streams at once, and more as it proves itself. */
@@ -225,7 +225,7 @@
     }
     const fit = fitOf(view, wanted, around, now);
     if (!fit) return undefined;
-    const outlook = outlookAt(view, demand, poolOf(speeds, view), now);
+    const outlook = variant.speeds ? outlookAt(view, demand, poolOf(speeds, view), now) : undefined;
     const firstMs = outlook?.firstMs ?? readingMs(readingRate, unreadAt(view) + promptTokens);
     if (variant.forecast && !beginsInTime(view, firstMs, demand.leftMs)) return undefined;
     const { streams, streamLimit: limit, peak, room } = fit;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -91,13 +91,14 @@
     observePool,
     residualOf,
     type Slowness,
-    slownessNow,
     slownessOf,
     type SpeedPool,
 } from "./speed-pool.js";
 export {
+    type Estimate,
     estimateOf,
     observeSpeed,
+    type Residual,
     type Speed,
     speedAge,
     takeToldSpeed,
--- a/packages/policy/src/job.ts
+++ b/packages/policy/src/job.ts
@@ -81,6 +81,8 @@
     /** Whether streams that ask for it are backed up at a second endpoint, where there is room. */
     readonly backups: boolean;
     readonly priorities: boolean;
+    /** Whether endpoints that are known to be slower or faster than their kind are told apart. */
+    readonly speeds: boolean;
     /** Whether lengths are known ahead (measurement only). */
     readonly oracle: boolean;
 }
@@ -98,5 +100,6 @@
     forecast: false,
     backups: false,
     priorities: true,
+    speeds: true,
     oracle: false,
 };
--- a/packages/policy/src/lateness.ts
+++ b/packages/policy/src/lateness.ts
@@ -7,7 +7,7 @@
 import type { Demand } from "./demand.js";
 import { type EndpointView, streamCount, unreadAt } from "./endpoint.js";
 import { pauseChance } from "./pause-risk.js";
-import { expectedFirstMs, expectedGapMs, noiseOf, slownessNow, slownessOf, type SpeedPool } from "./speed-pool.js";
+import { expectedFirstMs, expectedGapMs, noiseOf, type Slowness, slownessOf, type SpeedPool } from "./speed-pool.js";
 
 /** What is expected of a request at an endpoint. */
 export interface Outlook {
@@ -27,12 +27,12 @@
  */
 export function outlookAt(view: EndpointView, demand: Demand, pool: SpeedPool, now: number): Outlook | undefined {
     if (pool.variance === 0) return undefined;
-    const current = slownessNow(pool, view.speed, now);
-    const firstMs = expectedFirstMs(pool, current.log, unreadAt(view) + demand.promptTokens);
+    const slowness = slownessOf(pool, view.speed, now);
+    const firstMs = expectedFirstMs(pool, slowness.log, unreadAt(view) + demand.promptTokens);
     if (firstMs === undefined) return undefined;
-    const deviation = Math.sqrt(noiseOf(pool, "first") + current.deviation ** 2);
+    const deviation = Math.sqrt(noiseOf(pool, "first") + slowness.deviation ** 2);
     const begins = chanceWithin(demand.leftMs, firstMs, deviation);
-    return { firstMs, lateness: 1 - begins * (1 - pauseLateness(view, demand, pool, now)) };
+    return { firstMs, lateness: 1 - begins * (1 - pauseLateness(view, demand, pool, slowness)) };
 }
 
 /** The chance that something that takes `expectedMs` at the median is over within a time. */
@@ -54,9 +54,8 @@
     view: EndpointView,
     { gapTargetMs, expectedPieces }: Demand,
     pool: SpeedPool,
-    now: number,
+    { log, deviation }: Slowness,
 ): number {
-    const { log, deviation } = slownessOf(pool, view.speed, now);
     let chance = 0;
     for (const { deviations, share } of POINTS) {
         const gapMs = expectedGapMs(pool, log + deviations * deviation, streamCount(view) + 1);
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -103,7 +103,7 @@
         readonly speed?: ToldSpeed | undefined;
     }
     /** Told to this host as an owner: what another host's streams showed of an endpoint's speed since it last told. */
-    | { readonly kind: "shown"; readonly endpoint: string; readonly shown: Shown }
+    | { readonly kind: "shown"; readonly host: string; readonly endpoint: string; readonly shown: Shown }
     | { readonly kind: "arrive"; readonly job: Job; readonly avoid: readonly string[]; readonly retry: boolean }
     /** A stream went on: tokens so far, and mean and largest gap since the last such event, in milliseconds. */
     | {
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -130,7 +130,10 @@
         const taken = withView(state, endpoint, view => takeOthers(view, others, now));
         return drain(speed ? takeTold(taken, endpoint, speed, now) : taken, now);
     },
-    shown: (state, { endpoint, shown }, now) => ({ state: takeShown(state, endpoint, shown, now), actions: [] }),
+    shown: (state, { host, endpoint, shown }, now) => ({
+        state: takeShown(state, host, endpoint, shown, now),
+        actions: [],
+    }),
     arrive: (state, { job, avoid, retry }, now) => arrive(state, { job, avoid, retry, since: now }, now),
     // Room that grows while streams run is found at the next tick: a search on each progress would cost far more.
     progress: (state, event, now) => ({ state: progress(state, event, now), actions: [] }),
--- a/packages/policy/src/speed-pool.ts
+++ b/packages/policy/src/speed-pool.ts
@@ -11,19 +11,22 @@
 import { observePace, type PaceFit, paceLine, paceOf } from "./pace.js";
 import { BUCKET_LOG, NO_PAUSES, observePauses, type PauseTable } from "./pause-risk.js";
 import type { Sample, StretchShown } from "./shown.js";
-import { type Estimate, estimateOf, lastSeen, type Speed } from "./speed.js";
+import { type Estimate, estimateOf, type Residual, type Speed } from "./speed.js";
 
 /** Of 500 samples back, a sample still weighs a third. */
 const DECAY = 0.998;
 /** Until enough was seen, a sample is taken to be off by half, with the strength of so many samples. */
 const PRIOR_VARIANCE = 0.25;
 const PRIOR_SAMPLES = 4;
-/** A sample counts as no further off than so many deviations: one host's wild samples must not decide. */
-const MOST_DEVIATIONS = 2;
+/** A sample counts as no further off than so many deviations: wild ones must not decide (Huber 1964, for normal samples). */
+const MOST_DEVIATIONS = 1.345;
+/** Mean square of normal deviates that are so bounded: without it the bound would shrink with the scatter that it leaves. */
+const BOUNDED_SQUARE = 0.71;
 /** Endpoints that are alike look uneven less than once in 700 tests. */
 const SURE_DEVIATIONS = 3;
-/** Spells of slowness last for some hundred milliseconds; what was seen of one is forgotten so fast, in milliseconds. */
-const FORGET_MS = 300;
+
+/** Finer than pauses are told apart an endpoint need not be known; and one whose samples hardly scatter may still change. */
+const LEAST_VARIANCE = BUCKET_LOG ** 2;
 
 /** A decayed sum and its weight. */
 interface Decayed {
@@ -37,8 +40,6 @@
     readonly levels: { readonly [K in Sample["kind"]]: Decayed };
     /** Squared deviations of samples from their endpoint's mean. */
     readonly noise: { readonly [K in Sample["kind"]]: Decayed };
-    /** How far a deviation goes on to the next sample: products of neighbours against squares. */
-    readonly lasting: Decayed;
     /** Gaps of the mean endpoint over its batch; undefined before any. */
     readonly pace: PaceFit | undefined;
     readonly pauses: PauseTable;
@@ -65,7 +66,6 @@
 export const EMPTY_POOL: SpeedPool = {
     levels: { first: NOTHING, stretch: NOTHING },
     noise: { first: UNKNOWN_NOISE, stretch: UNKNOWN_NOISE },
-    lasting: NOTHING,
     pace: undefined,
     pauses: NO_PAUSES,
     mean: 0,
@@ -85,7 +85,7 @@
 
 /** Variance of a sample of an endpoint, on the logarithmic scale. */
 export function noiseOf(pool: SpeedPool, kind: Sample["kind"]): number {
-    return meanOf(pool.noise[kind]);
+    return Math.max(LEAST_VARIANCE, meanOf(pool.noise[kind]));
 }
 
 /**
@@ -99,23 +99,11 @@
 export function slownessOf({ mean, variance }: SpeedPool, speed: Speed, now: number): Slowness {
     if (variance === 0) return ALIKE;
     const known = estimateOf(speed, now);
+    if (known.weight === 0) return { log: 0, deviation: Math.sqrt(variance) };
     const share = known.weight * variance / (known.weight * variance + 1);
     return { log: share * (known.mean - mean), deviation: Math.sqrt(variance * (1 - share)) };
 }
 
-/** The same for this moment: a spell of slowness that was just seen goes on for a while. */
-export function slownessNow(pool: SpeedPool, speed: Speed, now: number): Slowness {
-    const lasting = slownessOf(pool, speed, now);
-    const seen = lastSeen(speed);
-    if (pool.variance === 0 || !seen) return lasting;
-    const goesOn = persistence(pool) * Math.exp(-Math.max(0, now - seen.at) / FORGET_MS);
-    return { ...lasting, log: lasting.log + goesOn * (seen.mean - estimateOf(speed, now).mean) };
-}
-
-function persistence({ lasting }: SpeedPool): number {
-    return Math.min(1, Math.max(0, meanOf(lasting)));
-}
-
 /**
  * The gap that is expected of an endpoint's streams, in milliseconds; undefined before any was seen.
  *
@@ -140,16 +128,6 @@
     return first.weight > 0 ? unread * Math.exp(meanOf(first) + log) : undefined;
 }
 
-/** A sample against what is expected of the mean endpoint. */
-interface Residual {
-    /** Natural logarithm of the time seen against the expected one, bounded. */
-    readonly value: number;
-    /** What it deviates from its endpoint's mean. */
-    readonly deviation: number;
-    /** One over its variance. */
-    readonly weight: number;
-}
-
 /** What a sample of an endpoint says; undefined where it says nothing. */
 export function residualOf(
     pool: SpeedPool,
@@ -198,7 +176,6 @@
         ...pool,
         levels: { ...pool.levels, [kind]: add(pool.levels[kind], plain) },
         noise: { ...pool.noise, [kind]: addNoise(pool, speed, kind, residual, now) },
-        lasting: addLasting(pool.lasting, speed, residual, now),
         ...(sample.kind === "stretch" ? addGap(pool, batch, sample, plain) : {}),
         pauses: addPauses(pool, estimateOf(speed, now), batch, sample),
     };
@@ -219,16 +196,8 @@
     const { weight } = estimateOf(speed, now);
     const noise = pool.noise[kind];
     if (weight === 0) return noise;
-    const samples = weight * meanOf(noise);
-    return add(noise, deviation * deviation * samples / (samples + 1));
-}
-
-function addLasting(lasting: Decayed, { moment }: Speed, { deviation }: Residual, now: number): Decayed {
-    if (!moment || now - moment.at >= FORGET_MS) return lasting;
-    return {
-        weight: lasting.weight * DECAY + (deviation * deviation + moment.last * moment.last) / 2,
-        sum: lasting.sum * DECAY + deviation * moment.last,
-    };
+    const samples = weight * noiseOf(pool, kind);
+    return add(noise, deviation * deviation / BOUNDED_SQUARE * samples / (samples + 1));
 }
 
 /** The line after a stretch. `plain` is its gap's logarithm against the line, as of the mean endpoint. */
--- a/packages/policy/src/speed.ts
+++ b/packages/policy/src/speed.ts
@@ -1,8 +1,8 @@
 /**
- * How slow one endpoint is by what its streams showed: a weighted mean on a logarithmic scale, and what was seen last.
+ * How slow one endpoint is by what its streams showed: a weighted mean on a logarithmic scale.
  *
  * Samples that lie close together share what slowed the endpoint for that moment. They count as one, the best of them, or
- * a busy moment would pass for certainty.
+ * a busy moment would pass for certainty; and each host counts once among them, or one that errs often would decide.
  *
  * @module
  */
@@ -12,17 +12,21 @@
 /** What was seen so long ago weighs a third, in milliseconds: about as long as a long stream runs. */
 const LASTS_MS = 10_000;
 
+/** Samples of one host. */
+interface Weighted {
+    readonly count: number;
+    readonly sum: number;
+    /** Weight of the best of them, which is what they weigh together. */
+    readonly best: number;
+}
+
 /** Samples that are taken as one. Weights are one over the variance of a sample. */
 interface Moment {
     readonly since: number;
     /** When the last of them came. */
     readonly at: number;
-    readonly weight: number;
-    readonly sum: number;
-    /** Weight of the best of them, which is what they weigh together. */
-    readonly best: number;
-    /** Deviation of the last one from what was expected. */
-    readonly last: number;
+    /** What each host's samples came to. */
+    readonly hosts: ReadonlyMap<string, Weighted>;
 }
 
 /** What is known of an endpoint's speed. Values are natural logarithms of its time for the same work against others'. */
@@ -35,6 +39,16 @@
     readonly moment: Moment | undefined;
 }
 
+/** What one sample says. */
+export interface Residual {
+    /** Natural logarithm of the time that was seen against the one expected of the mean endpoint, bounded. */
+    readonly value: number;
+    /** What it deviates from its endpoint's mean. */
+    readonly deviation: number;
+    /** One over the variance of such a sample. */
+    readonly weight: number;
+}
+
 /** An estimate: the mean of what was seen, and its weight, one over its variance; 0 where nothing was seen. */
 export interface Estimate {
     readonly mean: number;
@@ -61,37 +75,49 @@
 /**
  * The speed after a sample.
  *
- * @param value Natural logarithm of the time that was seen against the one expected of the mean endpoint.
- * @param weight One over the variance of such a sample.
+ * @param host The host that saw it.
  *
  * @example
  * ```ts
- * estimateOf(observeSpeed(UNKNOWN_SPEED, Math.log(2), 4, 0, now), now).mean; // 0.69
+ * const residual = { value: Math.log(2), weight: 4, deviation: 0 };
+ * estimateOf(observeSpeed(UNKNOWN_SPEED, residual, "k1-a", now), now).mean; // 0.69
  * ```
  */
-export function observeSpeed(speed: Speed, value: number, weight: number, last: number, now: number): Speed {
+export function observeSpeed(speed: Speed, residual: Residual, host: string, now: number): Speed {
     const { moment } = speed;
     if (moment && now - moment.since < TOGETHER_MS) {
-        const next: Moment = {
-            since: moment.since,
-            at: now,
-            weight: moment.weight + weight,
-            sum: moment.sum + weight * value,
-            best: Math.max(moment.best, weight),
-            last,
-        };
-        return { ...speed, moment: next };
+        return { ...speed, moment: addTo(moment, residual, host, now) };
+    }
+    const fresh = { since: now, at: now, hosts: new Map() };
+    return { ...pastOf(speed, now), moment: addTo(fresh, residual, host, now) };
+}
+
+function addTo(moment: Moment, { value, weight }: Residual, host: string, now: number): Moment {
+    const { count, sum, best } = moment.hosts.get(host) ?? { count: 0, sum: 0, best: 0 };
+    const added = { count: count + 1, sum: sum + value, best: Math.max(best, weight) };
+    return { ...moment, at: now, hosts: new Map(moment.hosts).set(host, added) };
+}
+
+/** The mean over the hosts of a moment, each by its best sample, and what they weigh together. */
+function momentOf({ hosts }: Moment): Estimate {
+    let weights = 0;
+    let sum = 0;
+    let weight = 0;
+    for (const host of hosts.values()) {
+        weights += host.best;
+        sum += host.best * host.sum / host.count;
+        weight = Math.max(weight, host.best);
     }
-    const past = pastOf(speed, now);
-    return { ...past, moment: { since: now, at: now, weight, sum: weight * value, best: weight, last } };
+    return { mean: sum / weights, weight };
 }
 
 /** Sums with the moment that is being seen closed. */
 function pastOf(speed: Speed, now: number): Omit<Speed, "moment"> {
     const { moment } = speed;
     const kept = Math.exp(-Math.max(0, now - speed.at) / LASTS_MS);
-    const added = moment ? moment.best * Math.exp(-Math.max(0, now - moment.at) / LASTS_MS) : 0;
-    const mean = moment ? moment.sum / moment.weight : 0;
+    if (!moment) return { weight: speed.weight * kept, sum: speed.sum * kept, at: now };
+    const { mean, weight } = momentOf(moment);
+    const added = weight * Math.exp(-Math.max(0, now - moment.at) / LASTS_MS);
     return { weight: speed.weight * kept + added, sum: speed.sum * kept + added * mean, at: now };
 }
 
@@ -101,11 +127,6 @@
     return { mean: weight > 0 ? sum / weight : 0, weight };
 }
 
-/** The mean of the moment that was seen last, and when that was; undefined before any sample. */
-export function lastSeen({ moment }: Speed): { readonly mean: number; readonly at: number } | undefined {
-    return moment && { mean: moment.sum / moment.weight, at: moment.at };
-}
-
 /** What an owner tells of an endpoint's speed; undefined where nothing was seen. */
 export function toldSpeedOf(speed: Speed, now: number): ToldSpeed | undefined {
     const ageMs = speedAge(speed, now);
--- a/packages/policy/src/speeds.ts
+++ b/packages/policy/src/speeds.ts
@@ -21,6 +21,8 @@
 /** What is known of endpoints' speeds, by the kind of endpoint. */
 export type SpeedPools = ReadonlyMap<string, SpeedPool>;
 
+/** This host among those that show something of an endpoint. */
+const OWN = "";
 /** Endpoints are compared this often at most, in milliseconds: rarer than samples come to an owner of many. */
 const COMPARE_MS = 100;
 
@@ -36,13 +38,20 @@
 
 /** The state after an own stream showed something; it is told to the endpoint's owner as well. */
 export function showOwn(state: SchedulerState, endpoint: string, sample: Sample, now: number): SchedulerState {
+    const judges = state.hosts <= 1 || state.owned.has(endpoint);
     const shown = withView(state, endpoint, view => ({ ...view, shown: addShown(view.shown, sample) }));
-    return take(shown, endpoint, [sample], state.hosts <= 1 || state.owned.has(endpoint), now);
+    return take(shown, endpoint, [sample], judges ? OWN : undefined, now);
 }
 
 /** The state after another host told, as to its owner, what its streams showed of an endpoint. */
-export function takeShown(state: SchedulerState, endpoint: string, shown: Shown, now: number): SchedulerState {
-    return take(state, endpoint, samplesOf(shown), true, now);
+export function takeShown(
+    state: SchedulerState,
+    host: string,
+    endpoint: string,
+    shown: Shown,
+    now: number,
+): SchedulerState {
+    return take(state, endpoint, samplesOf(shown), host, now);
 }
 
 /** The state after an owner told what it knows of an endpoint's speed. */
@@ -51,12 +60,12 @@
     return compare(withView(state, endpoint, view => ({ ...view, speed: takeToldSpeed(told, now) })), endpoint, now);
 }
 
-/** @param judges Whether this host estimates the endpoint's speed; else it hears of it from the owner. */
+/** @param host The host that saw the samples; undefined where this one does not estimate the speed, but hears of it from the owner. */
 function take(
     state: SchedulerState,
     endpoint: string,
     samples: readonly Sample[],
-    judges: boolean,
+    host: string | undefined,
     now: number,
 ): SchedulerState {
     const view = state.endpoints.get(endpoint);
@@ -68,12 +77,12 @@
     for (const sample of samples) {
         const residual = residualOf(pool, speed, batch, sample, now);
         pool = observePool(pool, speed, batch, sample, now);
-        if (!residual || !judges) continue;
-        speed = observeSpeed(speed, residual.value, residual.weight, residual.deviation, now);
+        if (!residual || host === undefined) continue;
+        speed = observeSpeed(speed, residual, host, now);
     }
     const speeds = new Map(state.speeds).set(kindOf(view), pool);
     const next = withView({ ...state, speeds }, endpoint, known => ({ ...known, speed }));
-    return judges ? compare(next, endpoint, now) : next;
+    return host !== undefined ? compare(next, endpoint, now) : next;
 }
 
 /** The state after the endpoints of one's kind were compared, unless they just were. */
--- /dev/null
+++ b/packages/policy/test/speed.test.ts
@@ -0,0 +1,234 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+    addShown,
+    comparePool,
+    EMPTY_POOL,
+    type Estimate,
+    estimateOf,
+    NO_PAUSES,
+    NOTHING_SHOWN,
+    observePauses,
+    observePool,
+    observeSpeed,
+    pauseChance,
+    type Residual,
+    residualOf,
+    type Sample,
+    samplesOf,
+    shownSince,
+    slownessOf,
+    type Speed,
+    type SpeedPool,
+    takeToldSpeed,
+    toldSpeedOf,
+    UNKNOWN_SPEED,
+} from "../src/index.js";
+
+/** Times of the mean endpoint. */
+const GAP_MS = 40;
+const MS_PER_TOKEN = 0.15;
+const BATCH = 6;
+/** Scatter of samples, as a natural logarithm. */
+const SCATTER = 0.25;
+
+/** Normal deviates of a seed (Box and Muller 1958). */
+function normal(seed: number): () => number {
+    let state = seed >>> 0;
+    const uniform = (): number => {
+        state = Math.imul(state ^ state >>> 15, 0x2c1b3c6d) + 0x9e3779b9 >>> 0;
+        return (Math.imul(state ^ state >>> 12, 0x297a2d39) >>> 0) / 2 ** 32;
+    };
+    return () => Math.sqrt(-2 * Math.log(1 - uniform())) * Math.cos(2 * Math.PI * uniform());
+}
+
+function stretch(slowness: number, deviate = 0): Sample {
+    const meanGapMs = GAP_MS * slowness * Math.exp(SCATTER * deviate);
+    return { kind: "stretch", pieces: 16, meanGapMs, longestMs: 2 * meanGapMs };
+}
+
+function first(slowness: number, deviate = 0): Sample {
+    return { kind: "first", unread: 3_000, ms: 3_000 * MS_PER_TOKEN * slowness * Math.exp(SCATTER * deviate) };
+}
+
+function seen(value: number): Residual {
+    return { value, weight: 16, deviation: 0 };
+}
+
+/** Endpoints that are watched by one owner. */
+class Watched {
+    pool: SpeedPool = EMPTY_POOL;
+    readonly speeds: Speed[];
+
+    constructor(readonly slowness: readonly number[]) {
+        this.speeds = slowness.map(() => UNKNOWN_SPEED);
+    }
+
+    see(at: number, sample: Sample, now: number, host = "a"): void {
+        const speed = this.speeds[at]!;
+        const residual = residualOf(this.pool, speed, BATCH, sample, now);
+        this.pool = observePool(this.pool, speed, BATCH, sample, now);
+        if (!residual) return;
+        this.speeds[at] = observeSpeed(speed, residual, host, now);
+    }
+
+    /** Two samples a second of each endpoint. */
+    watch(forMs: number, random: () => number, from = 0): void {
+        for (let now = from; now < from + forMs; now += 500) {
+            for (const [at, slowness] of this.slowness.entries()) {
+                const make = now % 1_000 === 0 ? first : stretch;
+                this.see(at, make(slowness, random()), now + at);
+            }
+        }
+        this.pool = comparePool(this.pool, this.estimates(from + forMs));
+    }
+
+    estimates(now: number): readonly Estimate[] {
+        return this.speeds.map(speed => estimateOf(speed, now));
+    }
+
+    /** Slowness as it is known, as a factor. */
+    known(at: number, now: number): number {
+        return Math.exp(slownessOf(this.pool, this.speeds[at]!, now).log);
+    }
+}
+
+const THREE_SPEEDS = Array.from({ length: 31 }, (_, at) => [1 / 0.6, 1, 1 / 1.6][at % 3]!);
+
+test("endpoints of three speeds are told apart after three seconds of two samples each", t => {
+    const watched = new Watched(THREE_SPEEDS);
+    watched.watch(3_000, normal(1));
+    const known = THREE_SPEEDS.map((_, at) => watched.known(at, 3_000));
+    const ofKind = (kind: number): readonly number[] => known.filter((_, at) => at % 3 === kind);
+    t.true(Math.min(...ofKind(0)) > Math.max(...ofKind(2)), "no slow one passes for a fast one");
+    // Halfway to the next speed an endpoint would be taken for one of another kind.
+    const mean = (kind: number): number => ofKind(kind).reduce((sum, value) => sum + value, 0) / ofKind(kind).length;
+    t.true(mean(0) / mean(1) > Math.sqrt(1 / 0.6));
+    t.true(mean(1) / mean(2) > Math.sqrt(1.6));
+});
+
+test("endpoints that are alike count as alike, however samples scatter", t => {
+    let uneven = 0;
+    for (let seed = 1; seed <= 200; seed++) {
+        const watched = new Watched(Array.from({ length: 31 }, () => 1));
+        watched.watch(3_000, normal(seed));
+        if (watched.pool.variance > 0) uneven += 1;
+        else t.true(watched.speeds.every(speed => slownessOf(watched.pool, speed, 3_000).log === 0));
+    }
+    t.true(uneven <= 2, `${uneven} of 200`);
+});
+
+test("a new endpoint counts as the mean of its kind, and is known within its first second", t => {
+    const watched = new Watched([...THREE_SPEEDS, 1 / 0.6]);
+    const random = normal(2);
+    for (let now = 0; now < 5_000; now += 500) {
+        for (const at of THREE_SPEEDS.keys()) watched.see(at, stretch(THREE_SPEEDS[at]!, random()), now + at);
+    }
+    watched.pool = comparePool(watched.pool, watched.estimates(5_000));
+    const fresh = slownessOf(watched.pool, watched.speeds[31]!, 5_000);
+    t.is(fresh.log, 0);
+    watched.see(31, first(1 / 0.6, random()), 5_400);
+    watched.see(31, stretch(1 / 0.6, random()), 5_900);
+    const known = slownessOf(watched.pool, watched.speeds[31]!, 6_000);
+    t.true(known.deviation < fresh.deviation);
+    t.true(known.log > Math.log(1 / 0.6) / 2, String(known.log));
+});
+
+test("samples of one moment count as one", t => {
+    const residual = { value: 0.5, weight: 16, deviation: 0.5 };
+    const one = observeSpeed(UNKNOWN_SPEED, residual, "a", 0);
+    let many = one;
+    for (let now = 10; now < 500; now += 10) many = observeSpeed(many, residual, `host ${now % 4}`, now);
+    t.is(estimateOf(many, 500).mean, 0.5);
+    t.true(estimateOf(many, 500).weight <= 16);
+    const later = observeSpeed(one, residual, "a", 1_000);
+    t.true(estimateOf(later, 1_000).weight > 24);
+});
+
+test("what was seen long ago weighs little against what is seen now", t => {
+    let speed = UNKNOWN_SPEED;
+    for (let now = 0; now < 10_000; now += 1_000) speed = observeSpeed(speed, seen(1), "a", now);
+    for (let now = 40_000; now < 43_000; now += 1_000) speed = observeSpeed(speed, seen(-1), "a", now);
+    t.true(estimateOf(speed, 43_000).mean < -0.7);
+});
+
+test("a spell of slowness is no lasting one", t => {
+    const watched = new Watched(THREE_SPEEDS);
+    watched.watch(10_000, normal(3));
+    const before = watched.known(1, 10_000);
+    // As long as spells last, of which an endpoint has one in some seconds.
+    for (let now = 10_000; now < 10_600; now += 100) watched.see(1, stretch(2.5), now);
+    t.true(watched.known(1, 10_600) / before < 1.25, "halfway to the next speed");
+});
+
+test("an endpoint that has become slower for good is found to be so", t => {
+    const slowness = [...THREE_SPEEDS];
+    const watched = new Watched(slowness);
+    const random = normal(5);
+    watched.watch(30_000, random);
+    slowness[2] = 1 / 0.6;
+    watched.watch(60_000, random, 30_000);
+    t.true(watched.known(2, 90_000) > watched.known(1, 90_000));
+});
+
+test("one host's wild samples do not move an endpoint to another speed", t => {
+    for (const factor of [1e6, 1e-6, Infinity, -1, NaN]) {
+        const watched = new Watched(THREE_SPEEDS);
+        const random = normal(4);
+        for (let now = 0; now < 10_000; now += 250) {
+            for (const [at, slowness] of THREE_SPEEDS.entries()) {
+                watched.see(at, stretch(slowness, random()), now + at, `host ${now % 1_000}`);
+            }
+            if (now > 2_000) watched.see(1, stretch(factor), now + 100, "liar");
+        }
+        watched.pool = comparePool(watched.pool, watched.estimates(10_000));
+        const known = Math.log(watched.known(1, 10_000));
+        // A step between two speeds is half a logarithm.
+        t.true(Math.abs(known) < 0.25, `${factor}: ${known}`);
+        t.true(watched.known(0, 10_000) > watched.known(2, 10_000) * 1.6);
+    }
+});
+
+test("what is told of an endpoint's speed comes across, and is bounded", t => {
+    let speed = UNKNOWN_SPEED;
+    t.is(toldSpeedOf(speed, 0), undefined);
+    for (let now = 0; now < 5_000; now += 1_000) speed = observeSpeed(speed, seen(0.5), "a", now);
+    const taken = takeToldSpeed(toldSpeedOf(speed, 6_000)!, 100_000);
+    const [own, told] = [estimateOf(speed, 6_000), estimateOf(taken, 100_000)];
+    t.true(Math.abs(own.mean - told.mean) < 1e-9 && Math.abs(own.weight - told.weight) < 1e-9);
+    const wild = estimateOf(takeToldSpeed({ value: 1e9, weight: 1e12, ageMs: 0 }, 0), 0);
+    t.true(wild.mean < 4 && wild.weight <= 10_000);
+});
+
+test("only what is new is told, as one sample of each kind", t => {
+    const told = addShown(addShown(NOTHING_SHOWN, first(1)), stretch(1));
+    t.is(shownSince(told, told), undefined);
+    const next = addShown(addShown(told, stretch(2)), stretch(4));
+    const since = shownSince(next, told)!;
+    t.is(since.firsts, 0);
+    t.is(since.stretches, 2);
+    const [sample, ...more] = samplesOf(since);
+    t.deepEqual(more, []);
+    t.deepEqual(sample, { kind: "stretch", pieces: 16, meanGapMs: 3 * GAP_MS, longestMs: 6 * GAP_MS });
+    // An endpoint that was declared anew begins to count anew.
+    t.is(shownSince(addShown(NOTHING_SHOWN, first(1)), next)?.firsts, 1);
+});
+
+test("the chance of a pause is what was seen, and never less for longer streams or closer targets", t => {
+    let table = NO_PAUSES;
+    t.is(pauseChance(table, 1, 1_000), 0);
+    for (let at = 0; at < 400; at++) table = observePauses(table, 16, at % 8 === 0 ? 4.1 : 2.1);
+    const seen = pauseChance(table, 4, 16);
+    t.true(Math.abs(seen - 1 / 8) < 0.03, String(seen));
+    t.is(pauseChance(table, 8, 16), 0);
+    const ratio = fc.double({ min: 0, max: 100, noNaN: true });
+    const pieces = fc.double({ min: 0, max: 1_000, noNaN: true });
+    fc.assert(fc.property(ratio, ratio, pieces, pieces, (a, b, few, many) => {
+        const [near, far] = [Math.min(a, b), Math.max(a, b)];
+        const [short, long] = [Math.min(few, many), Math.max(few, many)];
+        const chance = pauseChance(table, near, long);
+        return chance >= 0 && chance <= 1
+            && chance + 1e-12 >= pauseChance(table, far, long)
+            && chance + 1e-12 >= pauseChance(table, near, short);
+    }));
+});
--- a/packages/standins/src/variants.ts
+++ b/packages/standins/src/variants.ts
@@ -17,6 +17,7 @@
     backups: false,
     askAlways: false,
     priorities: false,
+    speeds: false,
     oracle: false,
 } as const;
 
@@ -31,6 +32,7 @@
     "no-prefix": { ...DEFAULT_VARIANT, prefix: false },
     "no-lag-correction": { ...DEFAULT_VARIANT, lagCorrection: false },
     "no-priorities": { ...DEFAULT_VARIANT, priorities: false },
+    "no-speeds": { ...DEFAULT_VARIANT, speeds: false },
     "two-choices": { ...DEFAULT_VARIANT, choice: "twoChoices" },
     "no-ask": { ...DEFAULT_VARIANT, ask: false },
     "reports-only": { ...DEFAULT_VARIANT, share: "reports" },
