--- a/packages/policy/src/speed.ts
+++ b/packages/policy/src/speed.ts
@@ -9,8 +9,10 @@
 
 /** Samples of this time are taken as one, in milliseconds: streams of an endpoint are slowed together for about as long. */
 const TOGETHER_MS = 600;
-/** What was seen so long ago weighs a third, in milliseconds: about as long as a long stream runs. */
-const LASTS_MS = 10_000;
+/** Of so many moments back, one still weighs a third: some ten seconds of a busy endpoint, as long as a long stream runs. */
+const LASTING_MOMENTS = 16;
+/** What was seen so long ago weighs a third whatever came since, in milliseconds: endpoints warm up, are moved and throttled. */
+const LASTS_MS = 120_000;
 
 /** Samples of one host. */
 interface Weighted {
@@ -118,7 +120,8 @@
     if (!moment) return { weight: speed.weight * kept, sum: speed.sum * kept, at: now };
     const { mean, weight } = momentOf(moment);
     const added = weight * Math.exp(-Math.max(0, now - moment.at) / LASTS_MS);
-    return { weight: speed.weight * kept + added, sum: speed.sum * kept + added * mean, at: now };
+    const past = kept * Math.exp(-1 / LASTING_MOMENTS);
+    return { weight: speed.weight * past + added, sum: speed.sum * past + added * mean, at: now };
 }
 
 /** The mean of what was seen of an endpoint, and how much it weighs by now. */
--- /dev/null
+++ b/packages/policy/test/uneven-choice.test.ts
@@ -0,0 +1,155 @@
+/**
+ * Choices between endpoints that one host knows to differ, on streams that it ran there.
+ */
+import test from "ava";
+import {
+    assess,
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
+    type Job,
+    type SchedulerAction,
+    type SchedulerEvent,
+    type SchedulerState,
+    survivalOf,
+    type Variant,
+    wantedOf,
+} from "../src/index.js";
+import { makeJob } from "./job.js";
+
+const NAMES = ["slow-1", "fast-1", "slow-2", "fast-2", "slow-3", "fast-3"];
+const TARGET_MS = 180;
+const PIECE_TOKENS = 4;
+/** A prompt is read in as many gaps. */
+const READ_GAPS = 10;
+
+/** A host alone. A slow endpoint takes twice the time of a fast one, and pauses for three and a half gaps now and then. */
+class Host {
+    state: SchedulerState;
+    now = 0;
+
+    constructor(readonly slowGapMs: number, variant: Partial<Variant> = {}) {
+        this.state = createScheduler({ ...DEFAULT_VARIANT, prefix: false, forecast: true, ...variant }, 1);
+        const endpoints = NAMES.map(id => ({ id, hall: "h", models: ["m"], memoryTokens: 30_000 }));
+        this.tell({ kind: "endpoints", endpoints });
+    }
+
+    tell(event: SchedulerEvent): readonly SchedulerAction[] {
+        const { state, actions } = decide(this.state, event, this.now);
+        this.state = state;
+        return actions;
+    }
+
+    gapOf(endpoint: string): number {
+        return endpoint.startsWith("slow") ? this.slowGapMs : 35;
+    }
+
+    /** Where a request is sent, or what else becomes of it. */
+    send(job: Job): string {
+        const [action] = this.tell({ kind: "arrive", job, avoid: [], retry: false });
+        return action?.kind === "dispatch" ? action.endpoint : action?.kind ?? "waits";
+    }
+
+    /** A sent request's prompt is read: its first piece comes. */
+    begin(job: Job, endpoint: string): void {
+        this.now += READ_GAPS * this.gapOf(endpoint);
+        this.tell({ kind: "progress", job: job.id, produced: PIECE_TOKENS, meanGapMs: 0, maxGapMs: 0 });
+    }
+
+    /** A begun stream goes on for a stretch of pieces; pauses come in every third one. */
+    goOn(job: Job, endpoint: string, stretch: number): void {
+        const meanGapMs = this.gapOf(endpoint);
+        const maxGapMs = meanGapMs * (stretch % 3 === 0 ? 3.5 : 1.5);
+        const produced = PIECE_TOKENS * (1 + 16 * stretch);
+        this.tell({ kind: "progress", job: job.id, produced, meanGapMs, maxGapMs });
+    }
+
+    /** Streams that run one after the other, and show what each endpoint is. */
+    learn(rounds: number): void {
+        for (let round = 0; round < rounds; round++) {
+            for (const at of NAMES.keys()) {
+                const job = long(`learn ${round}/${at}`);
+                const endpoint = this.send(job);
+                this.begin(job, endpoint);
+                for (const stretch of [1, 2, 3]) {
+                    this.now += 200;
+                    this.goOn(job, endpoint, stretch);
+                }
+                this.tell({ kind: "ended", job: job.id, outcome: "whole", produced: 800 });
+            }
+        }
+    }
+
+    lateness(job: Job): ReadonlyMap<string, number | undefined> {
+        const wanted = wantedOf(job, survivalOf(this.state.estimates, job.group, job.maxTokens));
+        const views = this.state.endpoints.values();
+        return new Map(views.map(view => [view.cfg.id, assess(view, wanted, this.state, this.now)?.lateness]));
+    }
+
+    /** An endpoint's memory, as far as others hold it. */
+    hold(endpoint: string, tokens: number): void {
+        const curve = { mean: new Float64Array(9).fill(tokens), variance: new Float64Array(9) };
+        this.tell({ kind: "others", endpoint, others: { streams: 4, unread: 0, stalled: 0, curve } });
+    }
+}
+
+/** A stream of some hundred pieces. */
+function long(id: string, policy: Partial<Job["policy"]> = {}): Job {
+    const group = { workspace: "w", service: "reviews", model: "m" };
+    const job = { group, promptTokens: 3_000, maxTokens: 1_000, tokensPerPiece: PIECE_TOKENS };
+    return makeJob(id, job, { gapTargetMs: TARGET_MS, objectiveMs: 1_800, maxWaitMs: 1_800, ...policy });
+}
+
+test("long streams go to fast endpoints while these have room", t => {
+    const host = new Host(70);
+    host.learn(6);
+    const sent = Array.from({ length: 9 }, (_, at) => {
+        const job = long(`r${at}`);
+        const endpoint = host.send(job);
+        host.begin(job, endpoint);
+        return endpoint;
+    });
+    t.true(sent.every(endpoint => endpoint.startsWith("fast")), sent.join(" "));
+});
+
+test("what can be in time nowhere goes where it is least late, and is not refused", t => {
+    const host = new Host(400);
+    host.learn(6);
+    for (const name of NAMES.filter(name => name.startsWith("fast"))) host.hold(name, 30_000);
+    const lateness = host.lateness(long("r"));
+    for (const [id, chance] of lateness) {
+        if (id.startsWith("fast")) t.is(chance, undefined, "it has no room");
+        else t.true(chance! > 0.5, String(chance));
+    }
+    t.regex(host.send(long("r")), /^slow/);
+});
+
+test("no endpoint stands idle while requests wait", t => {
+    const host = new Host(400);
+    host.learn(6);
+    const sent = Array.from({ length: 60 }, (_, at) => host.send(long(`r${at}`, { queueLimit: 100 })));
+    t.true(sent.some(where => where === "waits"));
+    const idle = host.state.endpoints.values().filter(({ streams }) => streams.size === 0);
+    t.deepEqual(idle.map(({ cfg }) => cfg.id), []);
+});
+
+test("a stream is expected to be late the more the longer it is, and not where its target is wide", t => {
+    const host = new Host(70);
+    host.learn(6);
+    const slow = (job: Job): number => host.lateness(job).get("slow-1")!;
+    const short = makeJob("h", { promptTokens: 3_000, maxTokens: 12, tokensPerPiece: PIECE_TOKENS }, {
+        gapTargetMs: TARGET_MS,
+        maxWaitMs: 1_800,
+    });
+    t.true(slow(long("r")) > slow(short) + 0.1);
+    t.true(slow(long("r")) > slow(long("w", { gapTargetMs: 60_000 })) + 0.1);
+});
+
+test("where endpoints are alike every decision is what it is without their speeds", t => {
+    const [aware, unaware] = [new Host(35), new Host(35, { speeds: false })];
+    for (const host of [aware, unaware]) host.learn(6);
+    for (let at = 0; at < 40; at++) {
+        for (const host of [aware, unaware]) host.now += 150;
+        t.is(aware.send(long(`r${at}`)), unaware.send(long(`r${at}`)));
+    }
+});
