--- a/packages/hall/test/load-fleet.ts
+++ b/packages/hall/test/load-fleet.ts
@@ -24,6 +24,7 @@
     createShare,
     shareAsk,
     shareHear,
+    type ShareMessage,
     shareRound,
     type ShareState,
     type ShareStep,
@@ -68,6 +69,10 @@
     readonly comeBack?: boolean;
     /** Whether a message between two hosts is lost at a time. */
     readonly isLost?: (from: string, to: string, now: number) => boolean;
+    /** What comes of a message that is sent; nothing where it is lost. */
+    readonly arrives?: (from: string, message: ShareMessage) => ShareMessage | undefined;
+    /** Hosts know each other for so long before the load comes. */
+    readonly calmMs?: number;
     readonly variant?: Partial<Variant>;
 }
 
@@ -165,7 +170,8 @@
     private readonly random: () => number;
     private readonly queue: Timed[] = [];
     private order = 0;
-    private now = -CALM_MS;
+    private now: number;
+    private readonly calmMs: number;
     private readonly hosts: readonly HostSim[];
     private readonly byName: ReadonlyMap<string, HostSim>;
     private readonly engines = new Map<string, EngineSim>();
@@ -176,6 +182,8 @@
 
     constructor(private readonly load: Load) {
         this.random = seeded(load.seed);
+        this.calmMs = load.calmMs ?? CALM_MS;
+        this.now = -this.calmMs;
         const variant = {
             ...DEFAULT_VARIANT,
             prefix: false,
@@ -198,9 +206,9 @@
             const firstMs = TELL_OWNERS_MS * at / this.hosts.length;
             this.later(firstMs, () => this.round(host));
         }
-        for (const kind of this.load.kinds) this.later(CALM_MS + this.wait(kind), () => this.come(kind));
+        for (const kind of this.load.kinds) this.later(this.calmMs + this.wait(kind), () => this.come(kind));
         const { leaves } = this.load;
-        if (leaves) this.later(CALM_MS + leaves.everyMs, () => this.leave(leaves));
+        if (leaves) this.later(this.calmMs + leaves.everyMs, () => this.leave(leaves));
         const endsAt = this.load.runMs + MOST_AWAY_MS;
         for (let next = this.pop(); next && next.at < endsAt; next = this.pop()) {
             this.now = next.at;
@@ -290,10 +298,10 @@
     private deliver(from: HostSim, { to, message }: Addressed): void {
         const peer = this.byName.get(to);
         if (!peer || this.load.isLost?.(from.name, to, this.now)) return;
-        this.later(
-            MESSAGE_MS,
-            () => this.follow(peer, shareHear(peer.share, from.name, message, peer.state, this.now)),
-        );
+        const { arrives } = this.load;
+        const said = arrives ? arrives(from.name, message) : message;
+        if (!said) return;
+        this.later(MESSAGE_MS, () => this.follow(peer, shareHear(peer.share, from.name, said, peer.state, this.now)));
     }
 
     private tell(host: HostSim, event: SchedulerEvent): void {
