--- a/packages/cli/src/endpoints.ts
+++ b/packages/cli/src/endpoints.ts
@@ -1,5 +1,6 @@
 /**
- * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit or want rest.
+ * The endpoints that a host knows: which take new work, which stand in evacuated halls, which are cold, which name a limit or want rest, and how
+ * slow each is.
  *
  * @module
  */
@@ -18,17 +19,25 @@
     /** How much longer it wants nothing from this host, in milliseconds. */
     readonly restsForMs: number;
     readonly running: number;
+    /** Its time for the same work against the mean of its kind, as a factor. */
+    readonly slowness: number;
+    /** Relative standard error of that; 0 where all may be alike. */
+    readonly slownessError: number;
+    /** Time since streams last showed something of it, in milliseconds; absent where none did. */
+    readonly slownessAgeMs?: number;
 }
 
-/** Lists endpoints by what a host knows. */
-export async function listEndpoints(client: ClientCfg): Promise<Outcome> {
-    const result = await call(client, "GET", "/endpoints");
-    if (result.kind !== "answer") return said(Exit.Failed, result.detail);
-    if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
-    const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
-    const rows = endpoints.map((
-        { endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, restsForMs, running },
-    ) => [
+/** How slow an endpoint is, how certainly, and since when that is known. */
+function speedText({ slowness, slownessError, slownessAgeMs }: ListedEndpoint): string {
+    if (slownessAgeMs === undefined) return "not seen";
+    const error = Math.round(100 * slownessError);
+    const seen = slownessAgeMs < 1_000 ? "now" : `${Math.round(slownessAgeMs / 1_000)} s ago`;
+    return `${slowness} times, within ${error} %, seen ${seen}`;
+}
+
+function rowOf(listed: ListedEndpoint): readonly string[] {
+    const { endpoint, hall, takesNew, hallEvacuated, coldForMs, limitPerS, restsForMs, running } = listed;
+    return [
         endpoint,
         hall,
         hallEvacuated ? "hall evacuated" : takesNew ? "open" : "leaving",
@@ -36,7 +45,19 @@
         limitPerS === undefined ? "none" : `${limitPerS} a second`,
         restsForMs > 0 ? `for ${restsForMs} ms` : "no",
         String(running),
-    ]);
-    const text = tableOf(["endpoint", "hall", "new work", "warmth", "limit", "rests", "running here"], rows);
+        speedText(listed),
+    ];
+}
+
+/** Lists endpoints by what a host knows. */
+export async function listEndpoints(client: ClientCfg): Promise<Outcome> {
+    const result = await call(client, "GET", "/endpoints");
+    if (result.kind !== "answer") return said(Exit.Failed, result.detail);
+    if (result.status !== 200) return said(Exit.Failed, messageOf(result.body));
+    const endpoints = result.body["endpoints"] as readonly ListedEndpoint[];
+    const text = tableOf(
+        ["endpoint", "hall", "new work", "warmth", "limit", "rests", "running here", "time for its work"],
+        endpoints.map(rowOf),
+    );
     return { exit: Exit.Done, text, data: endpoints };
 }
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -147,8 +147,7 @@
         const shown = shownSince(held.shown ?? NOTHING_SHOWN, before?.held.shown ?? NOTHING_SHOWN);
         if (owner === undefined || !shown && !worthSaying(before, held, owner, now)) continue;
         last.set(held.endpoint, { owner, held, at: now });
-        const { shown: _all, ...rest } = held;
-        const said = shown ? { ...rest, shown } : rest;
+        const said = withShown(held, shown);
         const list = toSay.get(owner);
         if (list) list.push(said);
         else toSay.set(owner, [said]);
@@ -156,6 +155,11 @@
     return { state: { last }, toSay };
 }
 
+/** Holdings with what is new of what was shown, in place of all of it. */
+function withShown({ endpoint, streams, unread, stalled, mean, deviation }: Held, shown: Shown | undefined): Held {
+    return { endpoint, streams, unread, stalled, mean, deviation, ...(shown ? { shown } : {}) };
+}
+
 function worthSaying(
     last: ToldHeld | undefined,
     held: Held,
--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -19,6 +19,8 @@
     attempt: string;
     /** Endpoint of the latest attempt; undefined where it is no longer registered. */
     endpoint: EndpointEntry | undefined;
+    /** How slow that endpoint was taken to be when the attempt began, as a factor of the mean of its kind. */
+    slowness: number | undefined;
     /** Endpoint that keeps the copy: its registration may be gone by the time that it is needed. */
     standby: EndpointEntry | undefined;
     /** A copy that was made because the endpoint is leaving; goes before the one that grows with the generation. */
@@ -51,6 +53,7 @@
         deadline,
         attempt: "",
         endpoint: undefined,
+        slowness: undefined,
         standby: undefined,
         copy: undefined,
         lastEvent: undefined,
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -28,6 +28,7 @@
             progress.copy = undefined;
             progress.attempt = attempt;
             progress.endpoint = endpoint;
+            progress.slowness = deps.engines.slownessOf(incarnation);
             if (copy) deps.copies.end(head.id, true);
             progress.standby = backUp === undefined ? undefined : deps.endpoint(backUp);
             if (!endpoint) {
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -180,6 +180,7 @@
         fingerprint: end.err || end.failed ? fingerprint : undefined,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
+        slowness: progress.slowness,
         standby: progress.standby?.incarnation,
         standby_hall: progress.standby?.hall,
         copied_to: progress.copy?.standby.incarnation,
--- a/packages/host/src/endpoints/placement.ts
+++ b/packages/host/src/endpoints/placement.ts
@@ -13,6 +13,7 @@
     isResting,
     type Job,
     type JobOutcome,
+    knownSpeed,
     type LeavingSource,
     type LoadReport,
     maySend,
@@ -137,6 +138,13 @@
         return true;
     }
 
+    /** How slow an endpoint is taken to be, as a factor of the mean of its kind; undefined where it is not known to differ. */
+    slownessOf(endpoint: string): number | undefined {
+        const view = this.state.endpoints.get(endpoint);
+        const log = view ? knownSpeed(this.state, view, this.clock.now()).log : 0;
+        return log === 0 ? undefined : Number(Math.exp(log).toFixed(2));
+    }
+
     /** The copy of a request could not be made. */
     copyLost(job: string): void {
         this.handle({ kind: "copyLost", job });
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,6 +32,7 @@
 import { LifeSignals } from "./endpoints/life-signals.js";
 import { isLeaving, Placement } from "./endpoints/placement.js";
 import { RequestGuard } from "./endpoints/request-guard.js";
+import { watchSpeeds } from "./endpoints/speed-watch.js";
 import { watchStays } from "./endpoints/stay-watch.js";
 import { serveEndpoints } from "./operators/endpoints-api.js";
 import { allowSecrets, serveQuarantine } from "./operators/quarantine-api.js";
@@ -227,6 +228,7 @@
     });
     // Without a call a wake is noticed by the next of these.
     repeat(() => void clock.now(), () => LOOK_AT_CLOCK_MS, signal);
+    watchSpeeds({ clock, log, metrics, view: () => engines.view, signal });
     const operators = createProbes(() => feed.isReady && peers.isInformed && !runs.stopping, metrics);
     const allow = allowSecrets(cfg["peers.secrets"]);
     serveQuarantine(operators, guard, allow);
--- a/packages/host/src/operators/endpoints-api.ts
+++ b/packages/host/src/operators/endpoints-api.ts
@@ -1,10 +1,18 @@
 /**
  * What operators may ask of the endpoints that a gateway knows: which of them take new work, which halls are evacuated, and
- * which endpoints are cold and for how long, and which name a limit.
+ * which endpoints are cold and for how long, which name a limit, and how slow each is.
  *
  * @module
  */
-import { coldUntil, type EndpointView, isCold, isResting, takesNew } from "@drumpaddle/policy";
+import {
+    coldUntil,
+    type EndpointView,
+    isCold,
+    isResting,
+    knownSpeed,
+    type SchedulerState,
+    takesNew,
+} from "@drumpaddle/policy";
 import type { FastifyInstance } from "fastify";
 import type { Placement } from "../endpoints/placement.js";
 import type { Allow } from "./quarantine-api.js";
@@ -23,6 +31,12 @@
     readonly restsForMs: number;
     /** Calls of this host that run there. */
     readonly running: number;
+    /** Its time for the same work against the mean of its kind, as a factor; 1 where it is not known to differ. */
+    readonly slowness: number;
+    /** Relative standard error of that; 0 where all of its kind may be alike. */
+    readonly slownessError: number;
+    /** Time since streams last showed something of its speed, in milliseconds; absent where none did. */
+    readonly slownessAgeMs?: number | undefined;
 }
 
 /**
@@ -30,11 +44,12 @@
  *
  * @example
  * ```ts
- * listed(view, clock.now()).coldForMs;
+ * listed(view, placement.view, clock.now()).coldForMs;
  * ```
  */
-export function listed(view: EndpointView, now: number): ListedEndpoint {
+export function listed(view: EndpointView, state: SchedulerState, now: number): ListedEndpoint {
     const { id, hall, isEvacuated = false } = view.cfg;
+    const { log, deviation, ageMs } = knownSpeed(state, view, now);
     return {
         endpoint: id,
         hall,
@@ -44,6 +59,9 @@
         limitPerS: view.said?.limitPerS,
         restsForMs: isResting(view, now) ? Math.round(view.restUntil! - now) : 0,
         running: view.streams.size,
+        slowness: Number(Math.exp(log).toFixed(2)),
+        slownessError: Number(deviation.toFixed(2)),
+        slownessAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
     };
 }
 
@@ -56,7 +74,10 @@
 ): void {
     app.get("/endpoints", (req, reply) => {
         if (!allow(req, reply, "read")) return reply;
-        const views = placements.flatMap(({ view }) => view.endpoints.values());
-        return reply.send({ endpoints: views.map(view => listed(view, now())) });
+        const at = now();
+        const endpoints = placements.flatMap(({ view: state }) =>
+            state.endpoints.values().map(view => listed(view, state, at))
+        );
+        return reply.send({ endpoints });
     });
 }
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -116,6 +116,10 @@
         "drumpaddle_limited_endpoints",
         "Endpoints that name a limit of requests a second.",
     );
+    readonly speedSpread = this.gauge(
+        "drumpaddle_endpoint_speed_spread",
+        "How far endpoints of one kind differ in speed: standard deviation of the logarithm of their times, 0 where they may be alike.",
+    );
     readonly version = this.gauge("drumpaddle_settings_version", "Version of settings in force.");
 
     constructor() {
--- /dev/null
+++ b/packages/host/test/endpoint-speeds.test.ts
@@ -0,0 +1,78 @@
+/**
+ * What hosts tell each other and operators of endpoints' speeds.
+ */
+import {
+    createScheduler,
+    decide,
+    DEFAULT_VARIANT,
+    type SchedulerEvent,
+    type SchedulerState,
+    type Shown,
+} from "@drumpaddle/policy";
+import test from "ava";
+import { clearlyOff, spreadOf } from "../src/endpoints/speed-watch.js";
+import { listed } from "../src/operators/endpoints-api.js";
+import { isPeerMessage } from "../src/peers/peer-messages.js";
+
+const NAMES = ["e1", "e2", "e3", "e4"];
+const SHOWN: Shown = { firsts: 0, unread: 0, firstMs: 0, stretches: 1, pieces: 16, gapMs: 40, longestMs: 90 };
+
+/** An owner that was told of four endpoints for ten seconds, of which the first takes so many times as long. */
+function told(times: number): SchedulerState {
+    let state = createScheduler(DEFAULT_VARIANT, 1);
+    const tell = (event: SchedulerEvent, now: number): void => {
+        state = decide(state, event, now).state;
+    };
+    const endpoints = NAMES.map(id => ({ id, hall: "h", models: ["m"], memoryTokens: 30_000 }));
+    tell({ kind: "endpoints", endpoints }, 0);
+    tell({ kind: "owns", endpoints: NAMES }, 0);
+    for (let now = 0; now < 10_000; now += 1_000) {
+        for (const endpoint of NAMES) {
+            const gapMs = SHOWN.gapMs * (endpoint === "e1" ? times : 1);
+            tell({ kind: "shown", host: "k1", endpoint, shown: { ...SHOWN, gapMs } }, now);
+        }
+    }
+    return state;
+}
+
+test("an operator sees how slow an endpoint is, how certainly and since when", t => {
+    const state = told(2);
+    const [slow, plain] = NAMES.map(id => listed(state.endpoints.get(id)!, state, 10_000));
+    t.true(slow!.slowness > 1.4 * plain!.slowness, `${slow!.slowness} and ${plain!.slowness}`);
+    t.true(slow!.slownessError > 0 && slow!.slownessError < 0.2);
+    t.is(slow!.slownessAgeMs, 1_000);
+    t.true(spreadOf(state) > 0);
+    t.true(clearlyOff(state, 10_000).some(({ endpoint, speed }) => endpoint === "e1" && speed.log > 0));
+});
+
+test("endpoints that are alike are told as alike, and one that nothing was seen of as not seen", t => {
+    const state = told(1);
+    t.is(listed(state.endpoints.get("e1")!, state, 10_000).slowness, 1);
+    t.is(spreadOf(state), 0);
+    t.deepEqual(clearlyOff(state, 10_000), []);
+    const endpoints = [{ id: "e9", hall: "h", models: ["m"], memoryTokens: 30_000 }];
+    const fresh = decide(createScheduler(), { kind: "endpoints", endpoints }, 0).state;
+    t.is(listed(fresh.endpoints.get("e9")!, fresh, 0).slownessAgeMs, undefined);
+});
+
+test("words of speeds are taken in their shape only", t => {
+    const nine = Array.from({ length: 9 }, () => 0);
+    const held = { endpoint: "e1", streams: 0, unread: 0, stalled: 0, mean: nine, deviation: nine };
+    const heldOf = (more: object): boolean => {
+        const message = { kind: "held", held: [{ ...held, ...more }] };
+        return isPeerMessage(message);
+    };
+    t.true(heldOf({}), "a host that shows nothing");
+    t.true(heldOf({ shown: SHOWN }));
+    t.false(heldOf({ shown: { ...SHOWN, gapMs: -1 } }));
+    t.false(heldOf({ shown: { ...SHOWN, pieces: NaN } }));
+    t.false(heldOf({ shown: { firsts: 1 } }));
+    const speed = { value: 0.5, weight: 10, ageMs: 20 };
+    const othersOf = (told: object): boolean => {
+        const message = { kind: "others", others: [{ ...held, speed: told }], owned: [], leaving: [] };
+        return isPeerMessage(message);
+    };
+    t.true(othersOf(speed));
+    t.false(othersOf({ ...speed, weight: -1 }));
+    t.false(othersOf({ ...speed, value: "fast" }));
+});
