--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -21,7 +21,8 @@
 import { isLimited } from "./limit.js";
 import { batchWithin } from "./pace.js";
 import { readingMs, type ReadingRate } from "./reading.js";
-import { poolOf, type SpeedPools } from "./speeds.js";
+import type { SpeedPools } from "./speed-pool.js";
+import { poolOf } from "./speeds.js";
 
 /** A wait for prompts to be read of this share of a request's objective counts as much as full memory. */
 const WAIT_SCALE = 0.5;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -93,6 +93,7 @@
     type Slowness,
     slownessOf,
     type SpeedPool,
+    type SpeedPools,
 } from "./speed-pool.js";
 export {
     type Estimate,
@@ -106,4 +107,4 @@
     toldSpeedOf,
     UNKNOWN_SPEED,
 } from "./speed.js";
-export { kindOf, type KnownSpeed, knownSpeed, poolOf, type SpeedPools } from "./speeds.js";
+export { kindOf, type KnownSpeed, knownSpeed, poolOf } from "./speeds.js";
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -16,8 +16,8 @@
 import { createRetryBudget, type FleetBudget, type RetryBudget } from "./retry-budget.js";
 import { emptyMap, type ShardMap } from "./shard-map.js";
 import type { Shown } from "./shown.js";
+import type { SpeedPools } from "./speed-pool.js";
 import type { ToldSpeed } from "./speed.js";
-import type { SpeedPools } from "./speeds.js";
 
 /** All that one host knows for its decisions. */
 export interface SchedulerState extends SendBounds {
--- a/packages/policy/src/speed-pool.ts
+++ b/packages/policy/src/speed-pool.ts
@@ -51,6 +51,9 @@
     readonly comparedAt: number;
 }
 
+/** What is known of endpoints' speeds, by the kind of endpoint. */
+export type SpeedPools = ReadonlyMap<string, SpeedPool>;
+
 /** An endpoint's slowness against the mean of its kind. */
 export interface Slowness {
     /** Natural logarithm of its time for the same work; 0 where it is not known to differ. */
--- a/packages/policy/src/speeds.ts
+++ b/packages/policy/src/speeds.ts
@@ -15,12 +15,10 @@
     type Slowness,
     slownessOf,
     type SpeedPool,
+    type SpeedPools,
 } from "./speed-pool.js";
 import { estimateOf, observeSpeed, speedAge, takeToldSpeed, type ToldSpeed } from "./speed.js";
 
-/** What is known of endpoints' speeds, by the kind of endpoint. */
-export type SpeedPools = ReadonlyMap<string, SpeedPool>;
-
 /** This host among those that show something of an endpoint. */
 const OWN = "";
 /** Endpoints are compared this often at most, in milliseconds: rarer than samples come to an owner of many. */
