--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -8,6 +8,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { ENDPOINT_MUTATIONS } from "./endpoint-mutations.js";
 import type { Mutation } from "./mutation.js";
+import { SPEED_MUTATIONS } from "./speed-mutations.js";
 
 const FAULTS = "packages/standins/test/faults.test.ts";
 const ENGINES = "packages/standins/test/engine-faults.test.ts";
@@ -38,6 +39,7 @@
 
 const MUTATIONS: readonly Mutation[] = [
     ...ENDPOINT_MUTATIONS,
+    ...SPEED_MUTATIONS,
     {
         promise: "each token once",
         file: STEP,
--- /dev/null
+++ b/packages/standins/src/speed-mutations.ts
@@ -0,0 +1,111 @@
+/**
+ * Mutations of the promises on endpoints' speeds: what is known of them, what is told, and what is chosen by it.
+ *
+ * @module
+ */
+import type { Mutation } from "./mutation.js";
+
+const SPEED = "packages/policy/test/speed.test.ts";
+const CHOICE = "packages/policy/test/uneven-choice.test.ts";
+const WORDS = "packages/hall/test/speed-words.test.ts";
+const MESSAGES = "packages/host/test/endpoint-speeds.test.ts";
+const POOL_SOURCE = "packages/policy/src/speed-pool.ts";
+const SPEED_SOURCE = "packages/policy/src/speed.ts";
+const CHOOSE = "packages/policy/src/choose.ts";
+const LATENESS = "packages/policy/src/lateness.ts";
+const LOAD_SHARE = "packages/hall/src/load-share.ts";
+
+/** Broken one at a time by `npm run test:mutations`. */
+export const SPEED_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "endpoints that may be alike count as alike",
+        file: POOL_SOURCE,
+        find: "byChance + SURE_DEVIATIONS * Math.sqrt(2 * byChance)",
+        replace: "byChance",
+        tests: [SPEED],
+    },
+    {
+        promise: "and so does one that was hardly seen",
+        file: POOL_SOURCE,
+        find: "known.weight * variance / (known.weight * variance + 1)",
+        replace: "1",
+        tests: [SPEED],
+    },
+    {
+        promise: "one host's wild samples decide nothing",
+        file: POOL_SOURCE,
+        find: "Math.min(most, Math.max(-most, seen - meanOf(pool.levels[sample.kind]) - centre))",
+        replace: "seen - meanOf(pool.levels[sample.kind]) - centre",
+        tests: [SPEED],
+    },
+    {
+        promise: "samples of one moment count as one",
+        file: SPEED_SOURCE,
+        find: "now - moment.since < TOGETHER_MS",
+        replace: "now < moment.since",
+        tests: [SPEED],
+    },
+    {
+        promise: "what was seen long ago fades",
+        file: SPEED_SOURCE,
+        find: "weight: speed.weight * past + added, sum: speed.sum * past + added * mean",
+        replace: "weight: speed.weight + added, sum: speed.sum + added * mean",
+        tests: [SPEED],
+    },
+    {
+        promise: "what a host tells of a speed is bounded",
+        file: SPEED_SOURCE,
+        find: "Math.min(MOST_TOLD, Math.max(-MOST_TOLD, value))",
+        replace: "value",
+        tests: [SPEED],
+    },
+    {
+        promise: "long streams go where they are in time",
+        file: CHOOSE,
+        find: "        + LATE_COST * lateness;",
+        replace: ";",
+        tests: [CHOICE],
+    },
+    {
+        promise: "what can be in time nowhere is not refused for it",
+        file: CHOOSE,
+        find: "    const lateness = outlook?.lateness ?? 0;",
+        replace: "    const lateness = outlook?.lateness ?? 0;\n    if (lateness > 0.5) return undefined;",
+        tests: [CHOICE],
+    },
+    {
+        promise: "the more pieces, the likelier a pause",
+        file: LATENESS,
+        find: "gapTargetMs / gapMs, expectedPieces)",
+        replace: "gapTargetMs / gapMs, 1)",
+        tests: [CHOICE],
+    },
+    {
+        promise: "streams that ended between two rounds are told of",
+        file: LOAD_SHARE,
+        find: "!shown && !worthSaying",
+        replace: "!worthSaying",
+        tests: [WORDS],
+    },
+    {
+        promise: "only what is new is told",
+        file: LOAD_SHARE,
+        find: "before?.held.shown ?? NOTHING_SHOWN",
+        replace: "NOTHING_SHOWN",
+        tests: [WORDS],
+    },
+    {
+        promise: "owners tell what they know",
+        file: "packages/hall/src/share.ts",
+        find: "                speed: held.speed,\n",
+        replace: "",
+        tests: [WORDS],
+    },
+    {
+        promise: "words of another shape are not taken",
+        file: "packages/host/src/peers/peer-messages.ts",
+        find: "const Sum = Type.Number({ minimum: 0 });",
+        replace: "const Sum = Type.Number();",
+        tests: [MESSAGES],
+    },
+];
