--- a/packages/policy/src/running.ts
+++ b/packages/policy/src/running.ts
@@ -52,8 +52,8 @@
     now: number,
 ): Sample | undefined {
     const { job, started, wasMoved = false, unreadThen, dispatchedAt } = running;
-    if (!started) return { kind: "first", unread: unreadThen, ms: now - dispatchedAt };
     if (wasMoved) return undefined;
+    if (!started) return { kind: "first", unread: unreadThen, ms: now - dispatchedAt };
     const pieces = (produced - running.produced) / (job.tokensPerPiece ?? 1);
     return { kind: "stretch", pieces, meanGapMs, longestMs: maxGapMs };
 }
--- a/packages/policy/src/shown.ts
+++ b/packages/policy/src/shown.ts
@@ -91,7 +91,10 @@
     };
 }
 
-/** Told sums as samples: one of each kind at most, whatever a host claims to have seen. */
+/** Streams report their progress at least after so many pieces. */
+const MOST_PIECES = 64;
+
+/** Told sums as samples: one of each kind at most, and of no more pieces than there can be, whatever a host claims to have seen. */
 export function samplesOf(
     { firsts, unread, firstMs, stretches, pieces, gapMs, longestMs }: Shown,
 ): readonly Sample[] {
@@ -100,7 +103,7 @@
     if (stretches > 0) {
         samples.push({
             kind: "stretch",
-            pieces: pieces / stretches,
+            pieces: Math.min(MOST_PIECES, pieces / stretches),
             meanGapMs: gapMs / stretches,
             longestMs: longestMs / stretches,
         });
--- a/packages/policy/test/speed.test.ts
+++ b/packages/policy/test/speed.test.ts
@@ -210,6 +210,8 @@
     const [sample, ...more] = samplesOf(since);
     t.deepEqual(more, []);
     t.deepEqual(sample, { kind: "stretch", pieces: 16, meanGapMs: 3 * GAP_MS, longestMs: 6 * GAP_MS });
+    const [claimed] = samplesOf({ ...since, pieces: 1e9 });
+    t.true(claimed?.kind === "stretch" && claimed.pieces <= 64);
     // An endpoint that was declared anew begins to count anew.
     t.is(shownSince(addShown(NOTHING_SHOWN, first(1)), next)?.firsts, 1);
 });
--- a/packages/policy/test/uneven-choice.test.ts
+++ b/packages/policy/test/uneven-choice.test.ts
@@ -145,6 +145,21 @@
     t.true(slow(long("r")) > slow(long("w", { gapTargetMs: 60_000 })) + 0.1);
 });
 
+test("the pause in which a stream goes on from its copy is not held against the endpoint that it goes on at", t => {
+    const host = new Host(70, { backups: true });
+    const job = { ...long("r"), backUp: true };
+    const [sent] = host.tell({ kind: "arrive", job, avoid: [], retry: false });
+    const { endpoint, backUp } = sent as Extract<SchedulerAction, { kind: "dispatch" }>;
+    host.begin(job, endpoint);
+    host.goOn(job, endpoint, 1);
+    host.tell({ kind: "continue", job: job.id, failed: true });
+    const shown = (): number => host.state.endpoints.get(backUp!)!.shown.stretches;
+    host.goOn(job, backUp!, 2);
+    t.is(shown(), 0);
+    host.goOn(job, backUp!, 3);
+    t.is(shown(), 1);
+});
+
 test("where endpoints are alike every decision is what it is without their speeds", t => {
     const [aware, unaware] = [new Host(35), new Host(35, { speeds: false })];
     for (const host of [aware, unaware]) host.learn(6);
--- a/packages/standins/src/speed-mutations.ts
+++ b/packages/standins/src/speed-mutations.ts
@@ -80,6 +80,13 @@
         replace: "gapTargetMs / gapMs, 1)",
         tests: [CHOICE],
     },
+    {
+        promise: "the pause of going on is held against no endpoint",
+        file: "packages/policy/src/running.ts",
+        find: "    if (wasMoved) return undefined;\n",
+        replace: "",
+        tests: [CHOICE],
+    },
     {
         promise: "streams that ended between two rounds are told of",
         file: LOAD_SHARE,
