--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -44,6 +44,7 @@
     type Held,
     HELD_VALID_MS,
     heldOf,
+    type Holding,
     NOTHING_TOLD,
     othersFor,
     planTelling,
@@ -99,6 +100,15 @@
     type ShareState,
     type ShareStep,
 } from "./share.js";
+export {
+    SHOWN_WORDS,
+    shownOf,
+    type ShownWords,
+    shownWords,
+    speedOf,
+    type SpeedWords,
+    speedWords,
+} from "./speed-words.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
 export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
 export { type EndpointWord, type LimitWord, saidOf, wordOf, wordsToTell } from "./words.js";
--- a/packages/hall/src/load-share.ts
+++ b/packages/hall/src/load-share.ts
@@ -17,9 +17,9 @@
     type Others,
     type Shown,
     shownSince,
-    type ToldSpeed,
     zeroCurve,
 } from "@drumpaddle/policy";
+import { type ShownWords, shownWords, speedOf, type SpeedWords } from "./speed-words.js";
 
 /** What one host holds on one endpoint. */
 export interface Held {
@@ -34,9 +34,14 @@
     /** Its standard deviation, in the same units. */
     readonly deviation: readonly number[];
     /** Told to owners: what its streams showed of the endpoint's speed since it was last told; absent where that is nothing. */
-    readonly shown?: Shown;
+    readonly shown?: ShownWords;
     /** Told by owners: what all streams showed of it; absent where they showed nothing. */
-    readonly speed?: ToldSpeed;
+    readonly speed?: SpeedWords;
+}
+
+/** What one host holds on one endpoint, with all that its streams ever showed of its speed. */
+export interface Holding extends Held {
+    readonly allShown?: Shown;
 }
 
 /** What an owner has been told, by endpoint and host, with what it granted since. */
@@ -64,8 +69,7 @@
 
 interface ToldHeld {
     readonly owner: string;
-    /** With all that was shown until then. */
-    readonly held: Held;
+    readonly held: Holding;
     readonly at: number;
 }
 
@@ -126,8 +130,6 @@
 /**
  * Which of a host's holdings are worth saying now, by owner.
  *
- * @param holdings What it holds, with all that was ever shown; only what is new of that is said.
- *
  * @example
  * ```ts
  * const { state, toSay } = planTelling(told, holdings, endpoint => ownerOf(`endpoint/${endpoint}`, live), now);
@@ -135,7 +137,7 @@
  */
 export function planTelling(
     told: Told,
-    holdings: readonly Held[],
+    holdings: readonly Holding[],
     ownerOf: (endpoint: string) => string | undefined,
     now: number,
 ): { readonly state: Told; readonly toSay: ReadonlyMap<string, readonly Held[]> } {
@@ -144,7 +146,7 @@
     for (const held of holdings) {
         const owner = ownerOf(held.endpoint);
         const before = last.get(held.endpoint);
-        const shown = shownSince(held.shown ?? NOTHING_SHOWN, before?.held.shown ?? NOTHING_SHOWN);
+        const shown = shownSince(held.allShown ?? NOTHING_SHOWN, before?.held.allShown ?? NOTHING_SHOWN);
         if (owner === undefined || !shown && !worthSaying(before, held, owner, now)) continue;
         last.set(held.endpoint, { owner, held, at: now });
         const said = withShown(held, shown);
@@ -155,9 +157,9 @@
     return { state: { last }, toSay };
 }
 
-/** Holdings with what is new of what was shown, in place of all of it. */
-function withShown({ endpoint, streams, unread, stalled, mean, deviation }: Held, shown: Shown | undefined): Held {
-    return { endpoint, streams, unread, stalled, mean, deviation, ...(shown ? { shown } : {}) };
+/** Holdings as they are sent: with what is new of what was shown, in place of all of it. */
+function withShown({ endpoint, streams, unread, stalled, mean, deviation }: Holding, shown: Shown | undefined): Held {
+    return { endpoint, streams, unread, stalled, mean, deviation, ...(shown ? { shown: shownWords(shown) } : {}) };
 }
 
 function worthSaying(
@@ -179,9 +181,10 @@
 }
 
 /** Whether a speed was not known yet, or lies outside of what was said with its uncertainty. */
-function isOtherSpeed(last: ToldSpeed | undefined, speed: ToldSpeed | undefined): boolean {
+function isOtherSpeed(last: SpeedWords | undefined, speed: SpeedWords | undefined): boolean {
     if (!last || !speed) return last !== speed;
-    return (speed.value - last.value) ** 2 * last.weight > 1;
+    const { value, weight } = speedOf(last);
+    return (speedOf(speed).value - value) ** 2 * weight > 1;
 }
 
 /** Copies of streams hold memory without being streams. */
--- a/packages/hall/src/share.ts
+++ b/packages/hall/src/share.ts
@@ -27,6 +27,7 @@
     type Grant,
     type Held,
     heldOf,
+    type Holding,
     isNews,
     NOTHING_TOLD,
     othersFor,
@@ -37,6 +38,7 @@
     type Told,
 } from "./load-share.js";
 import { ownerOf, shardOf } from "./ownership.js";
+import { shownOf, speedOf, speedWords } from "./speed-words.js";
 
 /** What a host keeps of the hall's streams. */
 export interface ShareState {
@@ -224,14 +226,14 @@
 }
 
 /** What this host holds on an endpoint. */
-function ownHeld(view: EndpointView, now: number): Held {
+function ownHeld(view: EndpointView, now: number): Holding {
     const held = heldOf(view.cfg.id, {
         streams: view.streams.size,
         unread: unreadTokens(view),
         stalled: stalledStreams(view, now),
         curve: view.curve,
     });
-    return { ...held, shown: view.shown };
+    return { ...held, allShown: view.shown };
 }
 
 /** As an owner, tells every live host what is new of what the others hold. */
@@ -281,7 +283,7 @@
     now: number,
 ): Held {
     const speed = view && toldSpeedOf(view.speed, now);
-    return { ...heldOf(endpoint, othersFor(account, endpoint, host)), ...(speed ? { speed } : {}) };
+    return { ...heldOf(endpoint, othersFor(account, endpoint, host)), ...(speed ? { speed: speedWords(speed) } : {}) };
 }
 
 /** The question to an endpoint's owner that the host's decisions ask for; none where no owner is alive. */
@@ -319,7 +321,7 @@
         const account = takeHeld(state.account, from, held, now);
         const events = held.flatMap(({ endpoint, shown }): readonly SchedulerEvent[] => [
             othersEvent(account, endpoint, state.self),
-            ...(shown ? [{ kind: "shown", host: from, endpoint, shown } as const] : []),
+            ...(shown ? [{ kind: "shown", host: from, endpoint, shown: shownOf(shown) } as const] : []),
         ]);
         return { state: { ...state, account }, send: [], events };
     },
@@ -331,7 +333,7 @@
                 kind: "others",
                 endpoint: held.endpoint,
                 others: othersOf(held),
-                speed: held.speed,
+                speed: held.speed && speedOf(held.speed),
             })),
             ...owned.map((endpoint): SchedulerEvent => ({
                 kind: "leaving",
--- a/packages/hall/test/speed-words.test.ts
+++ b/packages/hall/test/speed-words.test.ts
@@ -20,6 +20,11 @@
     shareRound,
     type ShareState,
     type ShareStep,
+    SHOWN_WORDS,
+    shownOf,
+    shownWords,
+    speedOf,
+    speedWords,
 } from "../src/index.js";
 
 const ENDPOINTS = ["e1", "e2", "e3", "e4"];
@@ -94,7 +99,7 @@
 
 function shownIn(messages: readonly ShareMessage[]): number {
     return messages.flatMap(message => message.kind === "held" ? message.held : [])
-        .reduce((sum, { shown }) => sum + (shown?.stretches ?? 0), 0);
+        .reduce((sum, { shown }) => sum + (shown ? shownOf(shown).stretches : 0), 0);
 }
 
 test("a stream that began and ended between two rounds is told to the owner, and only once", t => {
@@ -133,3 +138,23 @@
     for (const member of all) t.true(speedOf(member, "e1") > 1.4 * speedOf(member, "e2"), member.name);
     t.is(other.scheduler.endpoints.get("e1")!.shown.stretches, 0);
 });
+
+test("what is told of speeds is what was meant, but for a tenth of a millisecond", t => {
+    const shown = {
+        firsts: 2,
+        unread: 5_100,
+        firstMs: 812.34,
+        stretches: 3,
+        pieces: 48,
+        gapMs: 90.26,
+        longestMs: 301.11,
+    };
+    const words = shownWords(shown);
+    t.is(words.length, SHOWN_WORDS);
+    t.deepEqual(shownOf(words), { ...shown, firstMs: 812.3, gapMs: 90.3, longestMs: 301.1 });
+    t.deepEqual(speedOf(speedWords({ value: -0.4704, weight: 61.3, ageMs: 20.5 })), {
+        value: -0.47,
+        weight: 61,
+        ageMs: 21,
+    });
+});
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -11,6 +11,7 @@
     type SettingsAsk,
     type SettingsGive,
     type ShareMessage,
+    SHOWN_WORDS,
     type VersionNews,
 } from "@drumpaddle/hall";
 import type { FrameMessage } from "@drumpaddle/protocol";
@@ -49,16 +50,8 @@
     ...Progress,
 });
 const Sum = Type.Number({ minimum: 0 });
-const ShownShape = Type.Object({
-    firsts: Sum,
-    unread: Sum,
-    firstMs: Sum,
-    stretches: Sum,
-    pieces: Sum,
-    gapMs: Sum,
-    longestMs: Sum,
-});
-const ToldSpeedShape = Type.Object({ value: Type.Number(), weight: Sum, ageMs: Sum });
+const ShownShape = Type.Array(Sum, { minItems: SHOWN_WORDS, maxItems: SHOWN_WORDS });
+const SpeedShape = Type.Tuple([Type.Number(), Sum, Sum]);
 const HeldShape = Type.Object({
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
@@ -67,7 +60,7 @@
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     shown: Type.Optional(ShownShape),
-    speed: Type.Optional(ToldSpeedShape),
+    speed: Type.Optional(SpeedShape),
 });
 const Revision = Type.Integer({ minimum: 0 });
 const Change = Type.Object({
--- a/packages/host/test/endpoint-speeds.test.ts
+++ b/packages/host/test/endpoint-speeds.test.ts
@@ -1,6 +1,7 @@
 /**
  * What hosts tell each other and operators of endpoints' speeds.
  */
+import { shownWords, speedWords } from "@drumpaddle/hall";
 import {
     createScheduler,
     decide,
@@ -63,16 +64,17 @@
         return isPeerMessage(message);
     };
     t.true(heldOf({}), "a host that shows nothing");
-    t.true(heldOf({ shown: SHOWN }));
-    t.false(heldOf({ shown: { ...SHOWN, gapMs: -1 } }));
-    t.false(heldOf({ shown: { ...SHOWN, pieces: NaN } }));
-    t.false(heldOf({ shown: { firsts: 1 } }));
-    const speed = { value: 0.5, weight: 10, ageMs: 20 };
-    const othersOf = (told: object): boolean => {
+    const words = shownWords(SHOWN);
+    t.true(heldOf({ shown: words }));
+    t.false(heldOf({ shown: words.map(word => -word - 1) }));
+    t.false(heldOf({ shown: words.map(() => NaN) }));
+    t.false(heldOf({ shown: words.slice(1) }));
+    const speed = speedWords({ value: 0.5, weight: 10, ageMs: 20 });
+    const othersOf = (told: readonly unknown[]): boolean => {
         const message = { kind: "others", others: [{ ...held, speed: told }], owned: [], leaving: [] };
         return isPeerMessage(message);
     };
     t.true(othersOf(speed));
-    t.false(othersOf({ ...speed, weight: -1 }));
-    t.false(othersOf({ ...speed, value: "fast" }));
+    t.false(othersOf([500, -1, 20]));
+    t.false(othersOf(["fast", 10, 20]));
 });
--- a/packages/standins/src/speed-mutations.ts
+++ b/packages/standins/src/speed-mutations.ts
@@ -97,14 +97,14 @@
     {
         promise: "only what is new is told",
         file: LOAD_SHARE,
-        find: "before?.held.shown ?? NOTHING_SHOWN",
+        find: "before?.held.allShown ?? NOTHING_SHOWN",
         replace: "NOTHING_SHOWN",
         tests: [WORDS],
     },
     {
         promise: "owners tell what they know",
         file: "packages/hall/src/share.ts",
-        find: "                speed: held.speed,\n",
+        find: "                speed: held.speed && speedOf(held.speed),\n",
         replace: "",
         tests: [WORDS],
     },
