--- a/packages/policy/src/speed-pool.ts
+++ b/packages/policy/src/speed-pool.ts
@@ -22,7 +22,7 @@
 const MOST_DEVIATIONS = 1.345;
 /** Mean square of normal deviates that are so bounded: without it the bound would shrink with the scatter that it leaves. */
 const BOUNDED_SQUARE = 0.71;
-/** Endpoints that are alike look uneven less than once in 700 tests. */
+/** Deviations beyond what chance gives from which endpoints count as uneven: a fleet of alike ones is served as such. */
 const SURE_DEVIATIONS = 3;
 
 /** Finer than pauses are told apart an endpoint need not be known; and one whose samples hardly scatter may still change. */
