--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -11,6 +11,7 @@
     type SettingsAsk,
     type SettingsGive,
     type ShareMessage,
+    SHOWN_WORDS,
     type VersionNews,
 } from "@drumpaddle/hall";
 import type { FrameMessage } from "@drumpaddle/protocol";
@@ -50,6 +51,9 @@
     for: Type.Optional(Type.String()),
     ...Progress,
 });
+const Sum = Type.Number({ minimum: 0 });
+const ShownShape = Type.Array(Sum, { minItems: SHOWN_WORDS, maxItems: SHOWN_WORDS });
+const SpeedShape = Type.Tuple([Type.Number(), Sum, Sum]);
 const HeldShape = Type.Object({
     endpoint: Type.String(),
     streams: Type.Integer({ minimum: 0 }),
@@ -57,6 +61,8 @@
     stalled: Type.Integer({ minimum: 0 }),
     mean: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
     deviation: Type.Array(Type.Number(), { minItems: 9, maxItems: 9 }),
+    shown: Type.Optional(ShownShape),
+    speed: Type.Optional(SpeedShape),
 });
 const Revision = Type.Integer({ minimum: 0 });
 const Change = Type.Object({
@@ -124,6 +130,7 @@
             gapTargetMs: Type.Number(),
             objectiveMs: Type.Number({ exclusiveMinimum: 0 }),
             leftMs: Type.Number(),
+            expectedPieces: Type.Number({ minimum: 0 }),
             weightTail: Type.Number(),
             weightStall: Type.Number(),
             weightPrefix: Type.Number(),
@@ -139,6 +146,7 @@
         job: Type.String(),
         endpoint: Type.Optional(Type.String()),
         standby: Type.Optional(Type.String()),
+        unread: Type.Optional(Type.Number({ minimum: 0 })),
     }),
     storeWord: Type.Object({
         revision: Revision,
