A host accounts for what it holds for slow readers, and keeps it within a budget

Cause: what a host holds for callers, endpoints and peers was bounded an attempt (256 KB), a body (4 MB) and a link (16 MB), never a host, while hosts have 178 to 602 MB and are ended above them. An answer whose caller read nothing was held back at once, at 16 KB, so that its endpoint had to leave it unread and cut it off.

policy/memory-account decides: which bodies are taken in, how far an answer is read ahead (dynamic threshold), what may wait for a peer, what is given up. runtime/host-memory and call-memory carry it out; calls/caller-queue keeps what waits for a caller here in place of the connection's buffer, whose progress cannot be seen while one long write is under way. The endpoint is not blamed for an answer that it cut off as unread (LossCause "unread", FailCode caller_unread), nor the caller for an endpoint that leaves a body unread (unread_by=endpoint).

Ruled out: a fixed part for each call (of 600 calls each has 80 KB, of three as well); pausing all sources at a mark (quick readers pay); watching Node's handle for partial writes (private).

Off without host.memory: then sources are held back at 16 KB as before, and links cut at 16 MB.

--- a/packages/host/src/calls/answer.ts
+++ b/packages/host/src/calls/answer.ts
@@ -40,6 +40,9 @@
     // Neither a promise that invites another try (429, 503) nor the caller's mistake (4xx); client libraries try 500, 502 and 504 again.
     [FailCode.Quarantined]: 501,
     [FailCode.OnTrial]: 503,
+    [FailCode.MemoryFull]: 503,
+    [FailCode.CallerUnread]: 502,
+    [FailCode.EndpointUnread]: 504,
 };
 
 /** A request's failure as an error for its caller. */
--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -12,7 +12,8 @@
 
 /** What a call's attempts share. */
 export interface CallProgress {
-    readonly body: Buffer | undefined;
+    /** Undefined too once no attempt needs it any more. */
+    body: Buffer | undefined;
     /** When the call is given up, on the monotonic clock. */
     readonly deadline: number;
     /** Id of the latest attempt. */
@@ -31,6 +32,8 @@
     framed: boolean;
     /** The latest answer of an endpoint. */
     answered: { readonly status: number; readonly framed: boolean } | undefined;
+    /** What an endpoint had left unread of the body when its attempt was given up, and for how long; undefined where it read all. */
+    bodyUnread: { readonly bytes: number; readonly ms: number } | undefined;
     /** The latest whole failure of an endpoint; goes to the caller where no attempt after it is answered. */
     failedAnswer: AnswerPiece | undefined;
 }
@@ -57,6 +60,7 @@
         idsRiseByOne: undefined,
         framed: true,
         answered: undefined,
+        bodyUnread: undefined,
         failedAnswer: undefined,
     };
 }
--- a/packages/host/src/calls/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -13,12 +13,13 @@
     type SendHead,
     type WholeEvent,
 } from "@drumpaddle/protocol";
-import type { LossCause } from "@drumpaddle/request";
+import { FailCode, type LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { EndpointConnections, Exchange, ExchangeSink } from "../endpoints/endpoint-connections.js";
 import { isStream, judgeAnswer, mayFollow, MISDIRECTED, type SentBefore, type Verdict } from "./judge-answer.js";
 import type { AttemptSink } from "./run.js";
 import { type SilenceCfg, SilenceWatch } from "./silence-watch.js";
+import { UNREAD_MS, UnreadAnswer } from "./unread-answer.js";
 
 /** A part of an answer on its way to the caller. */
 export interface AnswerPiece {
@@ -46,8 +47,18 @@
     /** How a stream that falls silent is taken for lost; undefined where nothing is won by that. */
     readonly silence: SilenceCfg | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
-    /** Calls back when the caller takes more bytes, if it takes none now; returns whether it takes some now. */
-    readonly whenWritable: (resume: () => void) => boolean;
+    /** Calls back when more of the answer may be read, if it may not be now; returns whether it may be. */
+    readonly whenRoom: (resume: () => void) => boolean;
+    /** How much of the answer may be held until it is whole, in bytes. */
+    readonly holdLimit: () => number;
+    /** Told how much of the answer is held now, in bytes. */
+    readonly onHeld: (bytes: number) => void;
+    /** Told how to learn for how long the endpoint has left the body unread, in milliseconds; 0 where it has taken it all. */
+    readonly onBody: (unreadMs: () => number) => void;
+    /** Told, where the attempt is given up, what of the body its endpoint had not read for a while. */
+    readonly onBodyUnread: (bytes: number, ms: number) => void;
+    /** The time, in milliseconds. */
+    readonly now: () => number;
     /** Told of each answer's status and head, before anything of it is reported. */
     readonly onAnswered: (status: number, head: AnswerHead) => void;
     /** Told what the endpoint says of itself in an answer that is surely its own. */
@@ -92,7 +103,8 @@
     /** Whether the last event that was passed on carries data and no id. */
     private unnamed = false;
     private over = false;
-    private sent = false;
+    private sentAt: number | undefined;
+    private readonly unread: UnreadAnswer;
     private readonly silence: SilenceWatch | undefined;
 
     constructor(
@@ -101,6 +113,7 @@
         private readonly attempt: ForwardAttempt,
     ) {
         this.pieces = attempt.before?.pieces ?? 0;
+        this.unread = new UnreadAnswer(attempt.now);
         const { silence } = attempt;
         this.silence = silence && new SilenceWatch(silence, detail => this.lose("idle", detail));
     }
@@ -110,12 +123,13 @@
         signal.addEventListener("abort", () => this.cut(), { once: true });
         life.addEventListener("abort", this.onLifeOver, { once: true });
         const call = { method, path, headers: this.wire.writeSend(send), body };
+        this.attempt.onBody(() => this.bodyUnreadMs);
         this.exchange = this.connections.send(endpoint.address, call, this);
         if (this.over) this.exchange.destroy();
     }
 
     onSending(): void {
-        this.sent = true;
+        this.sentAt = this.attempt.now();
         this.attempt.sink.event({ kind: "sending", attempt: this.attempt.id });
     }
 
@@ -137,10 +151,12 @@
 
     onData(chunk: Buffer): void {
         if (this.over || this.verdict?.kind !== "take") return;
-        if (this.splitter) return this.passEvents(this.splitter.push(chunk));
+        if (this.splitter) return this.passEvents(this.splitter.push(chunk), this.splitter.unfinished.length);
         this.held.push(chunk);
         this.heldBytes += chunk.length;
-        if (this.heldBytes > HELD_BYTES || this.hasSent) this.passHeld();
+        // Where memory is short, an answer is passed on as it comes, and can then not be asked for elsewhere.
+        if (this.hasSent || this.heldBytes > Math.min(HELD_BYTES, this.attempt.holdLimit())) this.passHeld();
+        else this.attempt.onHeld(this.heldBytes);
     }
 
     onEnd(orderly: boolean): void {
@@ -165,7 +181,16 @@
 
     /** Before its first byte left nothing can have run, whatever the reason; after it that is unknown. */
     private breakOff(detail: string): void {
-        this.lose(this.sent ? "reset" : "connect", detail);
+        if (this.sentAt === undefined) this.lose("connect", detail);
+        else if (this.unread.mayBeCutOff) {
+            this.lose("unread", `${detail}, left unread for ${this.unread.ms} ms for its caller`);
+        }
+        else this.lose("reset", detail);
+    }
+
+    private get bodyUnreadMs(): number {
+        if (this.over || this.sentAt === undefined || !this.exchange?.unsentBytes) return 0;
+        return this.attempt.now() - this.sentAt;
     }
 
     private finish(): void {
@@ -194,8 +219,12 @@
         this.attempt.sink.event({ kind: "endpointRefused", attempt: this.attempt.id, detail });
     }
 
-    private passEvents(events: readonly WholeEvent[]): void {
+    private passEvents(events: readonly WholeEvent[], unfinishedBytes: number): void {
         this.silence?.heard();
+        this.attempt.onHeld(unfinishedBytes);
+        if (unfinishedBytes > this.attempt.holdLimit()) {
+            return this.lose("invalid", `an event of more than ${unfinishedBytes} bytes, which this host cannot hold`);
+        }
         for (const { bytes, id, hasData } of events) {
             if (!this.fits(id)) return this.lose("invalid", `event ${id} where the next one was to come`);
             this.unnamed = id === undefined && (hasData || this.unnamed);
@@ -230,6 +259,7 @@
     private takeHeld(): Buffer {
         const bytes = this.held.length === 1 ? this.held[0]! : Buffer.concat(this.held);
         this.held = [];
+        this.attempt.onHeld(0);
         return bytes;
     }
 
@@ -247,13 +277,15 @@
         return { status: this.status, headers: this.head?.passed ?? [], body, length, framed, event };
     }
 
-    /** Reads no further while the caller takes nothing. */
+    /** Reads no further where the caller is too far behind. */
     private holdBack(): void {
         const goOn = (): void => {
+            this.unread.readOn();
             this.silence?.resume();
             this.exchange?.resume();
         };
-        if (this.attempt.whenWritable(goOn)) return;
+        if (this.attempt.whenRoom(goOn)) return;
+        this.unread.holdBack();
         this.silence?.pause();
         this.exchange?.pause();
     }
@@ -273,17 +305,24 @@
     private lose(loss: LossCause, detail: string): void {
         // What went out last has no id, so no copy can be told where to go on.
         const cannotContinue = this.hasSent && (!this.splitter || this.unnamed);
-        const cause = cannotContinue ? "invalid" : loss;
-        this.over = true;
-        this.endWatches();
-        this.exchange?.destroy();
-        this.attempt.sink.event({ kind: "lost", attempt: this.attempt.id, cause, detail });
+        const { id, sink } = this.attempt;
+        this.abandon();
+        if (!cannotContinue) sink.event({ kind: "lost", attempt: id, cause: loss, detail });
+        else if (loss === "unread") sink.event({ kind: "givenUp", code: FailCode.CallerUnread, detail });
+        else sink.event({ kind: "lost", attempt: id, cause: "invalid", detail });
     }
 
     private cut(): void {
-        if (this.over) return;
+        if (!this.over) this.abandon();
+    }
+
+    private abandon(): void {
+        const unreadMs = this.bodyUnreadMs;
+        if (unreadMs >= UNREAD_MS) this.attempt.onBodyUnread(this.exchange!.unsentBytes, Math.round(unreadMs));
         this.over = true;
         this.endWatches();
+        this.held = [];
+        this.attempt.onHeld(0);
         this.exchange?.destroy();
     }
 }
--- a/packages/host/src/calls/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -11,6 +11,8 @@
 import type { LifeSignals } from "../endpoints/life-signals.js";
 import type { Placement } from "../endpoints/placement.js";
 import type { RequestGuard } from "../endpoints/request-guard.js";
+import type { CallMemory } from "../runtime/call-memory.js";
+import type { HostMemory } from "../runtime/host-memory.js";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import type { Copies } from "./copies.js";
@@ -27,6 +29,8 @@
     readonly plain: Placement;
     readonly runs: OpenRuns;
     readonly copies: Copies;
+    /** What this host holds for those that read slowly. */
+    readonly memory: HostMemory;
     /** Takes in what endpoints say of themselves. */
     readonly words: EndpointWords;
     readonly signal: AbortSignal;
@@ -67,5 +71,7 @@
     readonly workspace: WorkspaceCfg | undefined;
     readonly service: string;
     readonly engine: EngineCfg | undefined;
+    /** What it holds. */
+    readonly memory: CallMemory;
     readonly version: number;
 }
--- a/packages/host/src/calls/forward-reply.ts
+++ b/packages/host/src/calls/forward-reply.ts
@@ -7,6 +7,7 @@
 import type { Ran, RequestError } from "@drumpaddle/request";
 import type { ServerResponse } from "node:http";
 import { type ApiError, errorBody, toApiError } from "./answer.js";
+import type { CallerQueue } from "./caller-queue.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { Reply } from "./run.js";
 
@@ -64,6 +65,8 @@
 /** What a forwarded answer needs to reach its caller. */
 export interface ForwardReplyDeps {
     readonly out: ServerResponse;
+    /** What waits for the caller. */
+    readonly queue: CallerQueue;
     readonly wire: PlatformWire;
     readonly callId: string;
     /** Whether callers are asked to close their connection now. */
@@ -77,11 +80,11 @@
  *
  * @example
  * ```ts
- * const reply = forwardReply({ out: res, wire, callId, closing: () => false, failedAnswer: () => undefined });
+ * const reply = forwardReply({ out: res, queue, wire, callId, closing: () => false, failedAnswer: () => undefined });
  * ```
  */
 export function forwardReply(deps: ForwardReplyDeps): Reply<AnswerPiece> {
-    const { out, wire, callId, closing, failedAnswer } = deps;
+    const { out, queue, wire, callId, closing, failedAnswer } = deps;
     const begin = ({ status, headers, length, framed }: AnswerPiece): void => {
         if (out.headersSent) return;
         const framing = length === undefined ? [] : ["Content-Length", String(length)];
@@ -93,22 +96,25 @@
     };
     const pass = (piece: AnswerPiece): void => {
         begin(piece);
-        if (piece.body.length > 0) out.write(piece.body);
+        queue.write(piece.body);
     };
     return {
         forward: pass,
         drop: () => undefined,
         finish: last => {
             if (last) pass(last);
-            out.end();
+            queue.end();
         },
         fail: (err: RequestError) => {
             // Once the head is out, breaking the connection is the only sign that the answer is not whole.
-            if (out.headersSent) return breakAnswer(out);
+            if (out.headersSent) {
+                queue.drop();
+                return breakAnswer(out);
+            }
             const failed = failedAnswer();
             if (failed) {
                 pass(failed);
-                out.end();
+                queue.end();
                 return;
             }
             writeRefusal(out, wire, { callId, err: toApiError(err), close: closing() });
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import { HeldKind } from "@drumpaddle/policy";
 import type { AnswerHead } from "@drumpaddle/protocol";
-import type { ServerResponse } from "node:http";
 import { type CallProgress, continuationOf, knownStandby, recordProgress, sentBefore } from "./call-progress.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import type { ForwardCall, Forwarding } from "./forward-call.js";
@@ -20,13 +20,14 @@
     progress: CallProgress,
     fingerprint: string,
 ): AttemptRunner<AnswerPiece> {
-    const { head, out, route, workspace, target, req } = call;
+    const { head, route, workspace, target, req, memory } = call;
     return {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
             const endpoint = knownStandby(progress, incarnation) ?? deps.endpoint(incarnation);
             const copy = progress.copy?.standby.incarnation === incarnation ? progress.copy : undefined;
             progress.copy = undefined;
             progress.attempt = attempt;
+            progress.bodyUnread = undefined;
             progress.endpoint = endpoint;
             if (copy) deps.copies.end(head.id, true);
             progress.standby = backUp === undefined ? undefined : deps.endpoint(backUp);
@@ -74,7 +75,12 @@
                     endpoint,
                     signal,
                 }),
-                whenWritable: resume => whenWritable(out, resume),
+                whenRoom: resume => memory.whenRoom(resume),
+                holdLimit: () => memory.holdLimit,
+                onHeld: bytes => memory.hold(HeldKind.Answer, bytes + (progress.failedAnswer?.body.length ?? 0)),
+                onBody: unreadMs => memory.bodyStuckMs = unreadMs,
+                onBodyUnread: (bytes, ms) => progress.bodyUnread = { bytes, ms },
+                now: () => deps.clock.now(),
                 onAnswered: (status, answer) => {
                     progress.answered = { status, framed: answer.framed };
                     if (continueAt !== undefined) logContinuation(deps, head.id, incarnation, status, answer);
@@ -107,9 +113,3 @@
 ): void {
     deps.log.info({ req, endpoint, status, stream: isEventStream, framed, not_run: notRun }, "continuation_answered");
 }
-
-function whenWritable(out: ServerResponse, resume: () => void): boolean {
-    if (!out.writableNeedDrain) return true;
-    out.once("drain", resume);
-    return false;
-}
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { HeldKind } from "@drumpaddle/policy";
 import { FailCode, notRun } from "@drumpaddle/request";
 import { pickService, type Route, RouteKind } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -10,13 +11,15 @@
 import type { Outcome } from "../runtime/metrics.js";
 import { type ApiError, toApiError } from "./answer.js";
 import { beginCall, type CallProgress } from "./call-progress.js";
+import { CallerQueue } from "./caller-queue.js";
 import { fingerprintOf } from "./fingerprint.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { ForwardCall, Forwarding } from "./forward-call.js";
 import { hallsOf, jobOf } from "./forward-job.js";
+import { deliver, errorOf, MEMORY_RETRY_MS, unreadOf } from "./forward-memory.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import { runnerOf } from "./forward-runner.js";
-import { readBody } from "./request-body.js";
+import { lengthTold, readBody } from "./request-body.js";
 import { Run, type RunEnd } from "./run.js";
 
 /** When callers of a host that knows no deployment yet are asked to come back. */
@@ -42,6 +45,13 @@
     badKey: { status: 401, code: "invalid_api_key", message: "no valid key was given", ran: "no" },
     bodyTooLarge: { status: 413, code: "body_too_large", message: "the body is too large", ran: "no" },
     headTooLarge: { status: 431, code: "head_too_large", message: "the head is too large", ran: "no" },
+    memoryFull: {
+        status: 503,
+        code: FailCode.MemoryFull,
+        message: "this host has no memory left for the body",
+        ran: "no",
+        retryAfterMs: MEMORY_RETRY_MS,
+    },
     bodyTimeout: { status: 408, code: "body_timeout", message: "the body did not come in time", ran: "no" },
 } as const satisfies Record<string, ApiError>;
 
@@ -66,11 +76,26 @@
     if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const service = pickService(route.services, Math.random()) ?? "";
     const engine = table.service(service)?.engine;
-    const call = { at, req, out, target, head, route, workspace, service, engine, version: table.version };
-    void readBody(req, limits.bodyBytes, deps.bodyMs).then(body => {
+    const memory = deps.memory.open(head.id);
+    out.on("close", () => memory.close());
+    const call = { at, req, out, target, head, route, workspace, service, engine, version: table.version, memory };
+    takeBody(deps, call, limits.bodyBytes);
+}
+
+/** Reads the caller's body, if there is room for it, and starts the call. */
+function takeBody(deps: Forwarding, call: ForwardCall, mostBytes: number): void {
+    const { req, out, head, memory } = call;
+    const refuseFull = (): void => refuse(deps, out, head.id, OWN.memoryFull, { ...deps.memory.state });
+    const bytes = Math.min(lengthTold(req) ?? 0, mostBytes);
+    if (bytes > 0 && !memory.takeIn(bytes)) return refuseFull();
+    const taking = new AbortController();
+    memory.onGiveUp = () => taking.abort();
+    const takeIn = (more: number): boolean => memory.takeIn(more);
+    void readBody(req, { mostBytes, timeoutMs: deps.bodyMs, takeIn, signal: taking.signal }).then(body => {
         if (body.kind === "whole") start(deps, call, body.bytes);
         else if (body.kind === "tooLarge") refuse(deps, out, head.id, OWN.bodyTooLarge);
         else if (body.kind === "timeout") refuse(deps, out, head.id, OWN.bodyTimeout);
+        else if (body.kind === "noRoom") refuseFull();
         else deps.log.debug({ req: head.id }, "caller_left_before_its_body");
     });
 }
@@ -91,25 +116,33 @@
     writeRefusal(out, deps.wire, { callId: head.id, err, close: deps.runs.stopping });
 }
 
-function refuse(deps: Forwarding, out: ServerResponse, callId: string | undefined, err: ApiError): void {
+function refuse(
+    deps: Forwarding,
+    out: ServerResponse,
+    callId: string | undefined,
+    err: ApiError,
+    facts: object = {},
+): void {
     deps.metrics.countOutcome("refused", err.ran);
     if (deps.logCalls) {
-        deps.log.info({ req: callId, status: err.status, outcome: err.code, ran: err.ran }, "call_refused");
+        deps.log.info({ req: callId, status: err.status, outcome: err.code, ran: err.ran, ...facts }, "call_refused");
     }
     writeRefusal(out, deps.wire, { callId, err, close: deps.runs.stopping });
 }
 
 function start(deps: Forwarding, call: ForwardCall, body: Buffer | undefined): void {
-    const { at, out, head, route, engine } = call;
+    const { at, out, head, route, engine, memory } = call;
     if (out.destroyed) return;
     // The body took its time: the host may have been told to stop meanwhile.
     if (!canFinish(deps, route)) return refuse(deps, out, head.id, OWN.stopping);
     const holdMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const progress = beginCall(body, at + holdMs);
+    const queue = new CallerQueue(out, memory);
     const fingerprint = fingerprintOfCall(call, body);
     const withheld = deps.guard.withhold(fingerprint, { software: deps.softwareOf(call.service) });
     // What is not certain yet is asked again before the first attempt.
     if (withheld && !withheld.sureMs) return refuseWithheld(deps, call, fingerprint, withheld);
+    const onClose = (): void => run.event({ kind: "callerGone" });
     const run: Run<AnswerPiece> = new Run<AnswerPiece>({
         cfg: {
             id: head.id,
@@ -130,6 +163,7 @@
         },
         reply: forwardReply({
             out,
+            queue,
             wire: deps.wire,
             callId: head.id,
             closing: () => deps.runs.stopping,
@@ -138,14 +172,24 @@
         onGap: ms => deps.metrics.betweenTokens.record(ms),
         onDispatch: kind => deps.metrics.countDispatch(kind),
         onEnd: end => {
-            queueMicrotask(() => deps.runs.delete(run));
+            out.off("close", onClose);
+            queueMicrotask(() => {
+                deps.runs.delete(run);
+                deliver(deps.runs, call, queue);
+            });
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
             onEnd(deps, call, progress, end, fingerprint);
+            progress.body = undefined;
+            progress.failedAnswer = undefined;
+            memory.hold(HeldKind.Body, 0);
+            memory.hold(HeldKind.Answer, 0);
         },
     });
     deps.metrics.open.inc();
     if (run.ended) return;
+    memory.onGiveUp = givenUp => run.event({ kind: "givenUp", ...errorOf(givenUp) });
+    memory.onRead = () => run.readOn();
     deps.runs.add(run);
     if (engine?.canMove) {
         deps.copies.add(head.id, {
@@ -157,7 +201,7 @@
             },
         });
     }
-    out.on("close", () => run.event({ kind: "callerGone" }));
+    out.on("close", onClose);
 }
 
 function onEnd(
@@ -188,6 +232,7 @@
         framed: progress.answered?.framed,
         ran,
         detail: end.err?.detail,
+        ...unreadOf(call, progress),
         attempts: end.state.attempts,
         pieces: end.tokens,
         late: lateness(call, end),
--- a/packages/host/src/calls/run.ts
+++ b/packages/host/src/calls/run.ts
@@ -9,6 +9,7 @@
 import {
     createRequest,
     FailCode,
+    type LossCause,
     Phase,
     type RequestAction,
     type RequestCfg,
@@ -147,6 +148,11 @@
         else this.deadlineTimer = this.untilDeadline();
     }
 
+    /** Its answer is read on after it was held back for its caller: that pause was not its endpoint's. */
+    readOn(): void {
+        this.lastTokenAt = this.deps.clock.now();
+    }
+
     private untilDeadline(): NodeJS.Timeout {
         const leftMs = Math.max(0, this.deps.cfg.deadline - this.deps.clock.now());
         return setTimeout(() => this.event({ kind: "deadline" }), leftMs);
@@ -186,8 +192,7 @@
         },
         dispatch: action => this.dispatch(action, MOST_SURE_ASKS),
         admitCopy: ({ cause }) => {
-            // A reclaimed endpoint has not failed: nothing is held against it.
-            this.deps.placement.continueOn(this.deps.job.id, cause !== "reclaimed", this.whenPlaced());
+            this.deps.placement.continueOn(this.deps.job.id, !BLAMELESS.has(cause), this.whenPlaced());
         },
         resume: ({ attempt, endpoint, generation, from }) => {
             this.deps.onDispatch("resume");
@@ -310,6 +315,8 @@
         clearTimeout(this.retryTimer);
         // A whole answer's stream ends by itself in a moment, and its connection can be used again; only others are cut.
         if (err) this.connection?.abort();
+        // Nor is anything of it kept while its caller still reads.
+        this.connection = undefined;
         const { state, stallMs, firstTokenMs, longestGapMs } = this;
         this.deps.onEnd({
             state,
@@ -324,6 +331,9 @@
     }
 }
 
+/** Losses that are not held against the endpoint: it was reclaimed, or cut off what its caller did not read. */
+const BLAMELESS: ReadonlySet<LossCause> = new Set(["reclaimed", "unread"]);
+
 /** What a failure says of its endpoint, where it does not say that the endpoint failed. */
 const OUTCOME_OF: Partial<Record<FailCode, "cancelled" | "refused">> = {
     [FailCode.CallerGone]: "cancelled",
@@ -331,4 +341,6 @@
     [FailCode.EndpointRefused]: "refused",
     [FailCode.Quarantined]: "cancelled",
     [FailCode.OnTrial]: "cancelled",
+    [FailCode.MemoryFull]: "cancelled",
+    [FailCode.CallerUnread]: "cancelled",
 };
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Clock, RawHeaders } from "@drumpaddle/protocol";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import { noteEnds } from "./connector.js";
 
@@ -31,6 +32,8 @@
 export interface Exchange {
     pause(): void;
     resume(): void;
+    /** Bytes of the call that the endpoint has not taken yet, nor the system for it. */
+    readonly unsentBytes: number;
     /** Keeps the connection for another call, once the answer is whole. */
     release(keepMs: number | undefined): void;
     /** Closes the connection, whatever is on it. */
@@ -50,6 +53,8 @@
 
 interface Connection {
     readonly client: Client;
+    /** Undefined until the connection is up. */
+    socket: Socket | undefined;
     /** Whether its socket was reset or failed, as opposed to an orderly end. */
     failed: boolean;
     /** Whether its socket has ended: what is left of an answer is taken at once. */
@@ -131,6 +136,9 @@
                 if (!connection.ended) state.controller?.pause();
             },
             resume: () => state.controller?.resume(),
+            get unsentBytes() {
+                return connection.socket?.writableLength ?? 0;
+            },
             release: keepMs => this.rest(address, connection, keepMs),
             destroy: drop,
         };
@@ -166,6 +174,7 @@
             connection.readOn();
         });
         const connection: Connection = {
+            socket: undefined,
             failed: false,
             ended: false,
             usableUntil: 0,
@@ -175,7 +184,11 @@
                 pipelining: 1,
                 connect: (options, callback) =>
                     connectNotingEnds(options, (...result) => {
-                        if (result[1]) this.onOpened();
+                        const [, socket] = result;
+                        if (socket) {
+                            connection.socket = socket;
+                            this.onOpened();
+                        }
                         callback(...result);
                     }),
             }),
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -36,7 +36,8 @@
 import { serveEndpoints } from "./operators/endpoints-api.js";
 import { allowSecrets, serveQuarantine } from "./operators/quarantine-api.js";
 import { Peers } from "./peers/peers.js";
-import type { HostCfg } from "./runtime/config.js";
+import { budgetBytes, type HostCfg } from "./runtime/config.js";
+import { HostMemory } from "./runtime/host-memory.js";
 import type { Log } from "./runtime/log.js";
 import { Metrics } from "./runtime/metrics.js";
 import { repeat } from "./runtime/repeat.js";
@@ -113,6 +114,7 @@
     const options = { hall: cfg["host.hall"], retries };
     const engines = new Placement(signal, clock, ENGINE_VARIANT, seed, options);
     const plain = new Placement(signal, clock, PLAIN_VARIANT, seed, options);
+    const memory = new HostMemory({ budgetBytes: budgetBytes(cfg), clock, log, metrics });
     const copies = new Copies({
         clock,
         engines,
@@ -181,6 +183,7 @@
         plain,
         runs,
         copies,
+        memory,
         words,
         signal,
         bodyMs: cfg["callers.body-timeout"],
@@ -216,6 +219,7 @@
         follower: feed.follower,
         guard,
         words,
+        memory,
         signal,
     });
     clock.onWake(({ suspendedMs, jumpMs }) => {
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -43,6 +43,7 @@
 import type { Placement } from "../endpoints/placement.js";
 import type { RequestGuard } from "../endpoints/request-guard.js";
 import type { HostCfg } from "../runtime/config.js";
+import type { HostMemory } from "../runtime/host-memory.js";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import { repeat } from "../runtime/repeat.js";
@@ -73,6 +74,8 @@
     readonly guard?: Pick<RequestGuard, "all" | "digest" | "hear">;
     /** Where it is given, hosts share what endpoints say of themselves. */
     readonly words?: Pick<EndpointWords, "all" | "hear">;
+    /** Where it is given, what waits for peers is a part of its budget. */
+    readonly memory?: HostMemory;
     readonly signal: AbortSignal;
 }
 
@@ -141,7 +144,7 @@
 
     /** Starts to listen and to probe other hosts; ends with the host's signal. */
     static async start(host: PeersDeps): Promise<Peers> {
-        const { cfg, clock, log, metrics, signal } = host;
+        const { cfg, clock, log, metrics, memory, signal } = host;
         const listen = cfg["peers.listen"];
         const at = listen.lastIndexOf(":");
         const received: { peers?: Peers } = {};
@@ -154,8 +157,14 @@
             onError: (peer: string, err: PeerError) =>
                 log.debug({ peer, err: err.kind, detail: "detail" in err ? err.detail : undefined }, "peer_error"),
             onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
+            waiting: {
+                most: () => memory?.linkBytes(),
+                onChange: (link, bytes) => memory?.setLink(link, bytes),
+                onDrop: () => metrics.countDroppedForPeer(),
+            },
             signal,
         });
+        if (memory) memory.onCutLink = link => mesh.cutOff(link);
         const peers = new Peers(host, mesh, cfg["peers.seeds"]);
         received.peers = peers;
         peers.run();
--- a/packages/host/src/runtime/config.ts
+++ b/packages/host/src/runtime/config.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { budgetOf } from "@drumpaddle/policy";
 import { choice, count, duration, flag, list, NAME, ratio, text, type ValueType } from "@drumpaddle/settings";
 import { parse } from "ini";
 
@@ -22,6 +23,12 @@
 const KEYS = {
     "host.name": { type: text(NAME, "a name"), doc: "This host's name, unique among hosts." },
     "host.hall": { type: text(NAME, "a name"), doc: "The hall that this host stands in." },
+    "host.memory": {
+        type: ratio(0, 1_000_000),
+        fallback: "0",
+        doc: "Memory in MB above which the platform ends this process; what is held for slow readers is kept within a part of "
+            + "it. 0 where it is not known: then nothing is decided by it.",
+    },
     "callers.interface": {
         type: choice(["completions", "forward"]),
         fallback: "completions",
@@ -142,6 +149,14 @@
     & { readonly [K in Exclude<ConfigKey, Optional>]: ValueOf<K> }
     & { readonly [K in Optional]?: ValueOf<K> | undefined };
 
+const BYTES_PER_MB = 1_000_000;
+
+/** What the host may hold for slow readers, in bytes; undefined where its memory is not known. */
+export function budgetBytes(cfg: Pick<HostCfg, "host.memory">): number | undefined {
+    const memoryMb = cfg["host.memory"];
+    return memoryMb > 0 ? budgetOf(memoryMb * BYTES_PER_MB) : undefined;
+}
+
 /** What is wrong with the daemon's settings. */
 export type ConfigError =
     | { readonly kind: "unknownKey"; readonly source: string; readonly key: string }
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -90,6 +90,21 @@
         "answer",
     ]);
     private readonly connections = this.counter("drumpaddle_connections_total", "Connections opened to endpoints.", []);
+    private readonly givenUp = this.counter(
+        "drumpaddle_memory_given_up_total",
+        "Calls given up for the memory that they held, by whose reading they waited for.",
+        ["unread_by"],
+    );
+    private readonly memoryRefusals = this.counter(
+        "drumpaddle_memory_refused_total",
+        "Calls refused as there was no memory left for their bodies.",
+        [],
+    );
+    private readonly droppedForPeers = this.counter(
+        "drumpaddle_peer_messages_dropped_total",
+        "Messages to peers that read too slowly.",
+        [],
+    );
     private readonly peers = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", ["direction"]);
     private readonly endings = this.counter(
         "drumpaddle_endings_total",
@@ -174,6 +189,35 @@
         this.withheld.inc({ code });
     }
 
+    /** `unreadBy`: whose reading the call waited for, or `nobody`. */
+    countGivenUp(unreadBy: string): void {
+        this.givenUp.inc({ unread_by: unreadBy });
+    }
+
+    countMemoryRefusal(): void {
+        this.memoryRefusals.inc();
+    }
+
+    countDroppedForPeer(): void {
+        this.droppedForPeers.inc();
+    }
+
+    /** Tells what is held for others by kind, and the budget for it in bytes; undefined where there is none. */
+    watchHeld(held: () => Readonly<Record<string, number>>, budgetBytes: number | undefined): void {
+        new Gauge({
+            name: "drumpaddle_held_bytes",
+            help: "Bytes held for callers, endpoints and peers, by what they are.",
+            labelNames: ["kind"],
+            registers: [this.registry],
+            collect() {
+                for (const [kind, bytes] of Object.entries(held())) this.set({ kind }, bytes);
+            },
+        });
+        if (budgetBytes !== undefined) {
+            this.gauge("drumpaddle_held_budget_bytes", "Most that is held.").set(budgetBytes);
+        }
+    }
+
     countConnection(): void {
         this.connections.inc();
     }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -54,6 +54,22 @@
     type Settlement,
     type WorkspaceLimits,
 } from "./limits.js";
+export {
+    budgetOf,
+    createAccount,
+    firstToGiveUp,
+    type HeldBytes,
+    HeldKind,
+    holdMore,
+    isFull,
+    isOverBudget,
+    linkBytes,
+    mayTakeIn,
+    type MemoryAccount,
+    type MemoryHolder,
+    readAheadBytes,
+    totalHeld,
+} from "./memory-account.js";
 export { batchWithin, createPace, observePace, type PaceFit, type PaceLine, paceLine } from "./pace.js";
 export type { Advice, Question } from "./question.js";
 export { createReadingRate, observeReading, readingMs, type ReadingRate } from "./reading.js";
--- a/packages/protocol/src/peer-mesh.ts
+++ b/packages/protocol/src/peer-mesh.ts
@@ -35,10 +35,22 @@
     readonly onMessage: (from: PeerName, message: FrameMessage) => void;
     readonly onError: (peer: string, err: PeerError) => void;
     readonly onBytes: (direction: "in" | "out", bytes: number) => void;
+    /** Bounds what waits for peers; where it is not given, a fixed bound on each link ends it. */
+    readonly waiting?: WaitingBounds;
     readonly clock: Clock;
     readonly signal: AbortSignal;
 }
 
+/** Bounds on what waits for peers that read slowly. */
+export interface WaitingBounds {
+    /** How much may wait for one peer before what is sent to it is dropped, in bytes; undefined for the fixed bound. */
+    most(): number | undefined;
+    /** What waits on a link has changed. */
+    onChange(link: number, bytes: number): void;
+    /** A message was dropped. */
+    onDrop(): void;
+}
+
 interface Hello extends FrameMessage {
     readonly kind: "hello";
     readonly version: number;
@@ -53,6 +65,8 @@
 }
 
 interface Link {
+    /** Tells it from all others of this host, so that two to the same peer are two. */
+    readonly id: number;
     readonly socket: Socket;
     readonly nonce: Buffer;
     readonly dialled: string | undefined;
@@ -60,6 +74,8 @@
     /** Their proof was good. */
     trusted: boolean;
     readonly unsent: Buffer[];
+    /** What waits to be sent, as it was told last. */
+    waitingBytes: number;
 }
 
 const NONCE_BYTES = 16;
@@ -67,6 +83,8 @@
 const HELLO_TIMEOUT_MS = 2_000;
 /** A peer that reads nothing while this much waits is cut off; soft state is sent again anyway. */
 const MAX_WAITING_BYTES = 16_000_000;
+/** Messages that wait for a peer's proof. */
+const MAX_UNSENT = 64;
 const FIRST_REDIAL_MS = 100;
 const LONGEST_REDIAL_MS = 3_000;
 
@@ -74,10 +92,11 @@
 export class PeerMesh {
     private readonly links = new Map<string, Link>();
     private readonly server: Server;
-    private readonly sockets = new Set<Socket>();
+    private readonly adopted = new Map<number, Link>();
     /** When an address may be dialled again, and the pause after its next failure. */
     private readonly redial = new Map<string, { at: number; pauseMs: number }>();
     private address = "";
+    private opened = 0;
 
     private constructor(private readonly cfg: MeshCfg) {
         this.server = createServer(socket => this.adopt(socket, undefined));
@@ -130,16 +149,19 @@
     }
 
     private adopt(socket: Socket, dialled: string | undefined): Link {
+        this.opened += 1;
         const link: Link = {
+            id: this.opened,
             socket,
             nonce: randomBytes(NONCE_BYTES),
             dialled,
             peer: undefined,
             trusted: false,
             unsent: [],
+            waitingBytes: 0,
         };
         const reader = new FrameReader();
-        this.sockets.add(socket);
+        this.adopted.set(link.id, link);
         if (dialled !== undefined) this.links.set(dialled, link);
         socket.setNoDelay(true);
         const timer = setTimeout(() => link.trusted || socket.destroy(new Error("no proof in time")), HELLO_TIMEOUT_MS);
@@ -149,6 +171,7 @@
             for (const message of messages) if (!socket.destroyed) this.take(link, message);
             if (err) this.cut(link, { kind: "badFrame", detail: err.kind });
         });
+        socket.on("drain", () => this.noteWaiting(link, waitingFor(link)));
         let failure: string | undefined;
         socket.on("error", err => failure = err.message);
         socket.on("close", () => {
@@ -167,7 +190,8 @@
     }
 
     private forget(link: Link, failure: string | undefined): void {
-        this.sockets.delete(link.socket);
+        this.adopted.delete(link.id);
+        this.noteWaiting(link, 0);
         const address = link.peer?.address ?? link.dialled;
         if (address !== undefined && this.links.get(address) === link) this.links.delete(address);
         if (this.cfg.signal.aborted || link.dialled === undefined) return;
@@ -186,16 +210,36 @@
     }
 
     private write(link: Link, frame: Buffer, beforeTrust: boolean): void {
+        if (!beforeTrust && !this.mayWait(link)) return this.cfg.waiting?.onDrop();
         if (!beforeTrust && !link.trusted) {
-            if (link.unsent.length < 64) link.unsent.push(frame);
-            return;
+            if (link.unsent.length < MAX_UNSENT) link.unsent.push(frame);
+            return this.noteWaiting(link, waitingFor(link));
         }
         if (link.socket.writableLength > MAX_WAITING_BYTES) {
             this.cut(link, { kind: "slow", waitingBytes: link.socket.writableLength });
             return;
         }
         this.cfg.onBytes("out", frame.length);
-        link.socket.write(frame);
+        const taken = link.socket.write(frame);
+        if (!taken) this.noteWaiting(link, link.socket.writableLength);
+    }
+
+    /** Whether a message may wait behind what waits already; one alone may, whatever its size. */
+    private mayWait(link: Link): boolean {
+        const most = this.cfg.waiting?.most();
+        return most === undefined || link.waitingBytes === 0 || link.waitingBytes < most;
+    }
+
+    private noteWaiting(link: Link, bytes: number): void {
+        if (link.waitingBytes === bytes) return;
+        link.waitingBytes = bytes;
+        this.cfg.waiting?.onChange(link.id, bytes);
+    }
+
+    /** Ends a link, with all that waits on it. */
+    cutOff(id: number): void {
+        const link = this.adopted.get(id);
+        if (link) this.cut(link, { kind: "slow", waitingBytes: link.waitingBytes });
     }
 
     private take(link: Link, message: FrameMessage): void {
@@ -222,7 +266,9 @@
         link.trusted = true;
         this.redial.delete(peer.address);
         this.keepOne(link, peer);
-        for (const frame of link.unsent.splice(0)) this.write(link, frame, false);
+        const unsent = link.unsent.splice(0);
+        this.noteWaiting(link, 0);
+        for (const frame of unsent) this.write(link, frame, false);
     }
 
     /** Of two connections of a pair, the one that the host of the lesser name dialled stays for sending. */
@@ -247,11 +293,15 @@
     }
 
     private close(): void {
-        for (const socket of this.sockets) socket.destroy();
+        for (const { socket } of this.adopted.values()) socket.destroy();
         this.server.close();
     }
 }
 
+function waitingFor({ unsent }: Link): number {
+    return unsent.reduce((sum, frame) => sum + frame.length, 0);
+}
+
 function same(a: Uint8Array, b: unknown): boolean {
     return b instanceof Uint8Array && a.length === b.length && timingSafeEqual(a, b);
 }
--- a/packages/request/src/error.ts
+++ b/packages/request/src/error.ts
@@ -30,6 +30,12 @@
     Quarantined: "request_quarantined",
     /** It may have ended an endpoint, and runs at another one now. */
     OnTrial: "request_on_trial",
+    /** This host has no memory left for what the request holds. */
+    MemoryFull: "memory_full",
+    /** Its caller did not read its answer. */
+    CallerUnread: "caller_unread",
+    /** Its endpoint did not read its body. */
+    EndpointUnread: "endpoint_unread",
 } as const;
 /** One of {@link FailCode}. */
 export type FailCode = typeof FailCode[keyof typeof FailCode];
--- a/packages/request/src/state.ts
+++ b/packages/request/src/state.ts
@@ -82,7 +82,16 @@
 }
 
 /** Why a stream from an endpoint broke off. */
-export type LossCause = "connect" | "reset" | "idle" | "firstToken" | "invalid" | "resumeRefused" | "reclaimed";
+export type LossCause =
+    | "connect"
+    | "reset"
+    | "idle"
+    | "firstToken"
+    | "invalid"
+    | "resumeRefused"
+    | "reclaimed"
+    /** The endpoint cut off what was not read from it, as the caller did not read. */
+    | "unread";
 
 /** What can happen to a request. */
 export type RequestEvent =
@@ -124,6 +133,13 @@
         readonly detail: string;
         readonly retryAfterMs?: number | undefined;
     }
+    /** The host gives the request up for the memory that it holds. */
+    | {
+        readonly kind: "givenUp";
+        readonly code: FailCode;
+        readonly detail: string;
+        readonly retryAfterMs?: number | undefined;
+    }
     | { readonly kind: "callerGone" }
     | { readonly kind: "deadline" }
     /** The host was told to stop. */
--- a/packages/request/src/step.ts
+++ b/packages/request/src/step.ts
@@ -111,6 +111,7 @@
     copied: (state, { attempt, endpoint }) =>
         isCurrent(state, attempt) ? stay({ ...state, attempt: { ...state.attempt!, backUp: endpoint } }) : stay(state),
     withheld: (state, { code, detail, retryAfterMs }) => fail(state, code, detail, cancelCurrent(state), retryAfterMs),
+    givenUp: (state, { code, detail, retryAfterMs }) => fail(state, code, detail, cancelCurrent(state), retryAfterMs),
     callerGone: state => fail(state, FailCode.CallerGone, "the caller left", cancelCurrent(state)),
     deadline: state => fail(state, FailCode.DeadlinePassed, "the request's deadline passed", cancelCurrent(state)),
     stopping: state =>
@@ -176,7 +177,7 @@
 }
 
 /** Losses after which an endpoint that keeps a copy may let the generation go on. */
-const CONTINUABLE: ReadonlySet<LossCause> = new Set(["reset", "idle", "reclaimed"]);
+const CONTINUABLE: ReadonlySet<LossCause> = new Set(["reset", "idle", "reclaimed", "unread"]);
 
 /** The old attempt is cancelled first, so that the generation never goes on at two endpoints. */
 function continueFromCopy(state: RequestState, cause: LossCause, detail: string): Step {
@@ -205,6 +206,7 @@
     invalid: FailCode.EndpointInvalid,
     resumeRefused: FailCode.StreamIncomplete,
     reclaimed: FailCode.EndpointLost,
+    unread: FailCode.CallerUnread,
 };
 
 /** Attempts that may fail to connect beyond those that count. */
