--- a/packages/host/src/calls/unread-answer.ts
+++ b/packages/host/src/calls/unread-answer.ts
@@ -6,7 +6,7 @@
 
 /** Who reads nothing for this long is slow: endpoints bear it for seconds, so one that breaks off sooner has a reason of its own. */
 export const UNREAD_MS = 1_000;
-/** Time to read what lay unread, and to meet the end that came behind it. */
+/** Pauses that follow each other within this time are one spell: what lay unread is read in it, at the caller's pace. */
 const READ_ON_MS = 250;
 
 /**
@@ -20,34 +20,41 @@
  * ```
  */
 export class UnreadAnswer {
-    /** Since when the answer is or was last held back. */
+    /** Since when the answer is held back; undefined while it is read. */
     private heldBackAt: number | undefined;
-    /** When it was read on; undefined while it is held back. */
-    private readOnAt: number | undefined;
+    /** When it was read on last. */
+    private readOnAt = -Infinity;
+    /** The longest pause of this spell. */
+    private longestMs = 0;
 
     constructor(private readonly now: () => number) {}
 
     /** Nothing more is read, if anything was until now. */
     holdBack(): void {
-        const isHeldBack = this.heldBackAt !== undefined && this.readOnAt === undefined;
-        if (!isHeldBack) this.heldBackAt = this.now();
-        this.readOnAt = undefined;
+        if (this.heldBackAt !== undefined) return;
+        if (!this.wasReadJustNow) this.longestMs = 0;
+        this.heldBackAt = this.now();
     }
 
     readOn(): void {
+        this.longestMs = this.ms;
+        this.heldBackAt = undefined;
         this.readOnAt = this.now();
     }
 
-    /** How long it is or was last held back, in milliseconds. */
+    private get wasReadJustNow(): boolean {
+        return this.now() - this.readOnAt <= READ_ON_MS;
+    }
+
+    /** How long it was left unread in this spell, in milliseconds. */
     get ms(): number {
-        if (this.heldBackAt === undefined) return 0;
-        return Math.round((this.readOnAt ?? this.now()) - this.heldBackAt);
+        const pauseMs = this.heldBackAt === undefined ? 0 : this.now() - this.heldBackAt;
+        return Math.max(this.longestMs, Math.round(pauseMs));
     }
 
     /** Whether an end that shows now may be its endpoint's answer to being left unread. */
     get mayBeCutOff(): boolean {
-        const { readOnAt } = this;
-        const isRecent = readOnAt === undefined || this.now() - readOnAt <= READ_ON_MS;
-        return isRecent && this.ms >= UNREAD_MS;
+        const isOfSpell = this.heldBackAt !== undefined || this.wasReadJustNow;
+        return isOfSpell && this.ms >= UNREAD_MS;
     }
 }
