--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -62,5 +62,5 @@
     MAX_FRAME_BYTES,
     PEER_VERSION,
 } from "./peer-codec.js";
-export { type MeshCfg, type PeerError, PeerMesh, type PeerName } from "./peer-mesh.js";
+export { type MeshCfg, type PeerError, PeerMesh, type PeerName, type WaitingBounds } from "./peer-mesh.js";
 export { TimeLimitError, withinTime } from "./time-limit.js";
