The completions interface counts what it holds as the gateway does

Cause: streamReply wrote without looking at what the caller took, bodies of up to 100 MB were read before anything was asked, and answers that are gathered were bounded by nothing but the engine.

Bodies are refused before they are read where their length is told, streams wait in a CallerQueue and are read ahead of by the account, gathered answers are counted. The stall of a caller is now measured from when it last took something, so that reading ahead does not put it off. A plain service's answer keeps its pipe, which reads no further than its caller.

--- a/packages/host/src/calls/answer.ts
+++ b/packages/host/src/calls/answer.ts
@@ -7,6 +7,7 @@
 import type { Ran, RequestError } from "@drumpaddle/request";
 import { FailCode } from "@drumpaddle/request";
 import type { ServerResponse } from "node:http";
+import { type CallerQueue, PIECE_BYTES } from "./caller-queue.js";
 import type { Reply } from "./run.js";
 
 /** An error before a request is taken in. */
@@ -97,7 +98,11 @@
  * A reply that passes an engine's events on as they come. An error after the first event is an event of its own, and the
  * stream then ends without the closing mark.
  */
-export function streamReply(out: ServerResponse, headers: Readonly<Record<string, string>>): Reply<string> {
+export function streamReply(
+    out: ServerResponse,
+    queue: CallerQueue,
+    headers: Readonly<Record<string, string>>,
+): Reply<string> {
     let index = 0;
     const begin = (): void => {
         if (out.headersSent) return;
@@ -106,16 +111,24 @@
     return {
         forward: data => {
             begin();
-            out.write(`id: ${index++}\n${sse(data)}`);
+            queue.write(Buffer.from(`id: ${index++}\n${sse(data)}`));
         },
         drop: () => undefined,
         finish: last => {
             begin();
-            out.end(`${last === undefined ? "" : sse(last)}data: [DONE]\n\n`);
+            queue.write(Buffer.from(`${last === undefined ? "" : sse(last)}data: [DONE]\n\n`));
+            queue.end();
         },
         fail: err => {
-            if (!out.headersSent) writeError(out, toApiError(err), headers);
-            else out.end(sse(JSON.stringify(errorBody(toApiError(err)))));
+            if (!out.headersSent) return writeError(out, toApiError(err), headers);
+            // Behind all that it does not read, its caller would never come to read of the error.
+            if (err.code === FailCode.CallerUnread) {
+                queue.drop();
+                out.destroy();
+                return;
+            }
+            queue.write(Buffer.from(sse(JSON.stringify(errorBody(toApiError(err))))));
+            queue.end();
         },
     };
 }
@@ -132,20 +145,29 @@
     }[];
 }
 
-/** A reply that gathers an engine's events into one body. */
+/**
+ * A reply that gathers an engine's events into one body.
+ *
+ * @param onHeld Told how much of it is held until it is whole, in bytes.
+ */
 export function wholeReply(
     out: ServerResponse,
+    onHeld: (bytes: number) => void,
     headers: Readonly<Record<string, string>>,
     chat: boolean,
     promptTokens: number,
 ): Reply<string> {
     let texts: string[] = [];
+    let bytes = 0;
     // An engine may give its reason before its last event.
     let reason: string | undefined;
     const take = (data: string): Chunk => {
         const chunk = JSON.parse(data) as Chunk;
         const choice = chunk.choices?.[0];
-        texts.push(choice?.delta?.content ?? choice?.text ?? "");
+        const text = choice?.delta?.content ?? choice?.text ?? "";
+        texts.push(text);
+        bytes += text.length + PIECE_BYTES;
+        onHeld(bytes);
         reason = choice?.finish_reason ?? reason;
         return chunk;
     };
@@ -153,6 +175,8 @@
         forward: data => void take(data),
         drop: () => {
             texts = [];
+            bytes = 0;
+            onHeld(bytes);
             reason = undefined;
         },
         finish: (last, tokens) => {
--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -5,6 +5,7 @@
  */
 import type { Continuation } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Copy } from "./copies.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import { isNext, type SentBefore } from "./judge-answer.js";
@@ -137,3 +138,16 @@
     if (lastEvent !== undefined) progress.idsRiseByOne = idsRiseByOne && isNext(lastEvent, event);
     progress.lastEvent = event;
 }
+
+/**
+ * Whose reading a call waited for as it ended, and what had not been read.
+ *
+ * @example
+ * ```ts
+ * log.info({ req, ...unreadOf(memory, progress) }, "call_ended"); // unread_by=caller unread=81920
+ * ```
+ */
+export function unreadOf({ held: { unread } }: CallMemory, { bodyUnread }: CallProgress): object {
+    if (unread > 0) return { unread_by: "caller", unread };
+    return bodyUnread ? { unread_by: "endpoint", unread: bodyUnread.bytes, unread_ms: bodyUnread.ms } : {};
+}
--- a/packages/host/src/calls/caller-queue.ts
+++ b/packages/host/src/calls/caller-queue.ts
@@ -14,7 +14,7 @@
 >;
 
 /** What a piece costs beside its bytes: the objects of its buffer. */
-const PIECE_BYTES = 256;
+export const PIECE_BYTES = 256;
 /** Longer pieces are written in parts of this size, so that a slow caller's progress shows. */
 const PART_BYTES = 65_536;
 
--- a/packages/host/src/calls/callers.ts
+++ b/packages/host/src/calls/callers.ts
@@ -3,13 +3,18 @@
  *
  * @module
  */
+import { FailCode } from "@drumpaddle/request";
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, errorBody, errorHeaders, writeError } from "./answer.js";
 import { generate } from "./generate.js";
+import { MEMORY_RETRY_MS } from "./given-up.js";
 import type { Host } from "./host.js";
 import { servePlain } from "./plain.js";
+import { lengthTold } from "./request-body.js";
 
 /** Bodies above this are never read, whatever a workspace is allowed. */
 const LARGEST_BODY = 100_000_000;
@@ -32,6 +37,45 @@
     retryAfterMs: 1_000,
 };
 
+const MEMORY_FULL: ApiError = {
+    status: 503,
+    code: FailCode.MemoryFull,
+    message: "this host has no memory left for the body",
+    ran: "no",
+    retryAfterMs: MEMORY_RETRY_MS,
+};
+
+/** A body that outgrew the room for it as it came, in the shape in which Fastify passes errors on. */
+class NoRoomError extends Error {
+    readonly statusCode = MEMORY_FULL.status;
+}
+
+/** What each request holds, from its head on. */
+const memories = new WeakMap<IncomingMessage, CallMemory>();
+
+/** Counts what requests hold, and refuses bodies for which there is no room: before they are read where their length is told. */
+function countMemory(app: FastifyInstance, host: Host): void {
+    app.addHook("onRequest", (req, reply, done) => {
+        const memory = host.memory.open(req.id);
+        memories.set(req.raw, memory);
+        memory.onGiveUp = () => reply.raw.destroy();
+        reply.raw.on("close", () => memory.close());
+        const bytes = Math.min(lengthTold(req.raw) ?? 0, LARGEST_BODY);
+        if (bytes === 0 || memory.takeIn(bytes)) return done();
+        host.metrics.countOutcome(FailCode.MemoryFull, "no");
+        reply.hijack();
+        writeError(reply.raw, MEMORY_FULL, { "x-request-id": req.id });
+    });
+    app.addHook("preParsing", (req, _reply, payload, done) => {
+        if (lengthTold(req.raw) === undefined) {
+            payload.on("data", (chunk: Buffer) => {
+                if (!memories.get(req.raw)!.takeIn(chunk.length)) payload.emit("error", new NoRoomError());
+            });
+        }
+        done(null, payload);
+    });
+}
+
 /** Builds the callers' server; it does not listen yet. */
 export function createCallers(host: Host, tls: { cert: string; key: string } | undefined): FastifyInstance {
     const app = Fastify({
@@ -49,9 +93,14 @@
         },
         forceCloseConnections: "idle",
     });
+    countMemory(app, host);
     app.removeAllContentTypeParsers();
     app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
     app.setErrorHandler((err: Error & { statusCode?: number; code?: string }, req, reply) => {
+        if (err instanceof NoRoomError) {
+            host.metrics.countOutcome(FailCode.MemoryFull, "no");
+            return reply.code(err.statusCode).headers(errorHeaders(MEMORY_FULL)).send(errorBody(MEMORY_FULL));
+        }
         const status = err.statusCode ?? 500;
         const code = status === 413 ? "body_too_large" : status < 500 ? "bad_request" : "internal";
         if (status >= 500) {
@@ -84,7 +133,7 @@
     host: Host,
     req: FastifyRequest,
     reply: FastifyReply,
-): { directory: Directory; workspace: string } | undefined {
+): { directory: Directory; workspace: string; memory: CallMemory } | undefined {
     reply.hijack();
     const refuse = (err: ApiError): undefined => {
         host.metrics.countOutcome(err === UNAUTHORIZED ? "unauthorized" : "host_stopping", "no");
@@ -98,7 +147,7 @@
     if (!directory) return refuse(NOT_READY);
     const secret = /^Bearer (\S+)$/.exec(req.headers.authorization ?? "")?.[1];
     const workspace = secret === undefined ? undefined : directory.workspaceOf(secret, Date.now());
-    return workspace === undefined ? refuse(UNAUTHORIZED) : { directory, workspace };
+    return workspace === undefined ? refuse(UNAUTHORIZED) : { directory, workspace, memory: memories.get(req.raw)! };
 }
 
 function completion(host: Host, req: FastifyRequest, reply: FastifyReply, chat: boolean): void {
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -10,15 +10,15 @@
 import type { Withheld } from "../endpoints/request-guard.js";
 import type { Outcome } from "../runtime/metrics.js";
 import { type ApiError, toApiError } from "./answer.js";
-import { beginCall, type CallProgress } from "./call-progress.js";
+import { beginCall, type CallProgress, unreadOf } from "./call-progress.js";
 import { CallerQueue } from "./caller-queue.js";
 import { fingerprintOf } from "./fingerprint.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { ForwardCall, Forwarding } from "./forward-call.js";
 import { hallsOf, jobOf } from "./forward-job.js";
-import { deliver, errorOf, MEMORY_RETRY_MS, unreadOf } from "./forward-memory.js";
 import { forwardReply, writeRefusal } from "./forward-reply.js";
 import { runnerOf } from "./forward-runner.js";
+import { deliver, errorOf, MEMORY_RETRY_MS } from "./given-up.js";
 import { lengthTold, readBody } from "./request-body.js";
 import { Run, type RunEnd } from "./run.js";
 
@@ -175,7 +175,7 @@
             out.off("close", onClose);
             queueMicrotask(() => {
                 deps.runs.delete(run);
-                deliver(deps.runs, call, queue);
+                deliver(deps.runs, out, memory, queue);
             });
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
@@ -232,7 +232,7 @@
         framed: progress.answered?.framed,
         ran,
         detail: end.err?.detail,
-        ...unreadOf(call, progress),
+        ...unreadOf(call.memory, progress),
         attempts: end.state.attempts,
         pieces: end.tokens,
         late: lateness(call, end),
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -5,6 +5,7 @@
  */
 import { placeIn, shareOf } from "@drumpaddle/hall";
 import {
+    HeldKind,
     type Job,
     type JobPolicy,
     type LimitRefusal,
@@ -26,10 +27,13 @@
 import { FailCode } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { ServerResponse } from "node:http";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, streamReply, wholeReply, writeError } from "./answer.js";
+import { CallerQueue } from "./caller-queue.js";
 import { type EnginePiece, engineRunner } from "./engine-runner.js";
 import { fingerprintOf } from "./fingerprint.js";
+import { deliver, errorOf } from "./given-up.js";
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { Run, type RunEnd } from "./run.js";
@@ -46,6 +50,8 @@
     readonly bytes: number;
     readonly headers: NodeJS.Dict<string | string[]>;
     readonly out: ServerResponse;
+    /** What it holds. */
+    readonly memory: CallMemory;
     readonly chat: boolean;
 }
 
@@ -191,7 +197,15 @@
 ): void {
     const { out, directory, id, chat } = incoming;
     const headers = { "x-request-id": id, "x-settings-version": String(directory.version) };
-    const stall = createStallWatch(out, settings["caller-stall-timeout"], () => run.event({ kind: "callerGone" }));
+    const { memory } = incoming;
+    const queue = new CallerQueue(out, memory);
+    const onHeld = (bytes: number): void => memory.hold(HeldKind.Answer, bytes);
+    const stall = createStallWatch(
+        out,
+        memory,
+        settings["caller-stall-timeout"],
+        () => run.event({ kind: "callerGone" }),
+    );
     host.metrics.open.inc();
     const path = chat ? "/v1/chat/completions" : "/v1/completions";
     const urlOf = (endpoint: string): string | undefined =>
@@ -227,17 +241,26 @@
         placement: host.engines,
         runner: guardRunner(runner, host.guard, guarded, urlOf),
         withhold: attempt => host.guard.withhold(fingerprint, { attempt }),
-        reply: facts.stream ? streamReply(out, headers) : wholeReply(out, headers, chat, facts.promptTokens),
+        reply: facts.stream
+            ? streamReply(out, queue, headers)
+            : wholeReply(out, onHeld, headers, chat, facts.promptTokens),
         onGap: ms => host.metrics.betweenTokens.record(ms),
         onDispatch: kind => host.metrics.countDispatch(kind),
         onEnd: end => {
             stall.end();
-            queueMicrotask(() => host.runs.delete(run));
+            memory.hold(HeldKind.Body, 0);
+            memory.hold(HeldKind.Answer, 0);
+            queueMicrotask(() => {
+                host.runs.delete(run);
+                deliver(host.runs, out, memory, queue);
+            });
             settleRun(host, job, end);
         },
     });
     if (run.ended) return;
     host.runs.add(run);
+    memory.onGiveUp = givenUp => run.event({ kind: "givenUp", ...errorOf(givenUp) });
+    memory.onRead = () => run.readOn();
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
@@ -273,27 +296,38 @@
     }, "request_ended");
 }
 
-/** Back pressure from the caller: while it does not read, nothing is read for it; after too long it counts as gone. */
+/**
+ * Back pressure from the caller: where it is too far behind, nothing is read for it, and after it has taken nothing for too long
+ * it counts as gone.
+ */
 function createStallWatch(
     out: ServerResponse,
+    memory: CallMemory,
     limitMs: number,
     onStall: () => void,
 ): { ready: () => Promise<void> | undefined; end: () => void } {
     let timer: NodeJS.Timeout | undefined;
+    const look = (): void => {
+        timer = undefined;
+        const leftMs = limitMs - memory.callerStuckMs;
+        if (leftMs <= 0) onStall();
+        else watch(leftMs);
+    };
+    const watch = (ms: number): void => {
+        if (memory.held.unread > 0) timer ??= setTimeout(look, ms);
+    };
     return {
         ready: () => {
-            if (!out.writableNeedDrain) return undefined;
-            return new Promise(resolve => {
-                timer = setTimeout(onStall, limitMs);
-                const go = (): void => {
-                    clearTimeout(timer);
-                    out.off("drain", go);
-                    out.off("close", go);
-                    resolve();
-                };
-                out.on("drain", go);
-                out.on("close", go);
-            });
+            watch(limitMs);
+            let resume = (): void => undefined;
+            const reads = new Promise<void>(resolve => resume = resolve);
+            const go = (): void => {
+                out.off("close", go);
+                resume();
+            };
+            if (memory.whenRoom(go)) return undefined;
+            out.on("close", go);
+            return reads;
         },
         end: () => clearTimeout(timer),
     };
--- a/packages/host/src/calls/forward-memory.ts
+++ b/packages/host/src/calls/given-up.ts
@@ -1,13 +1,12 @@
 /**
- * What a forwarded call holds while others read slowly: how it is given up for that, and what is told of it.
+ * How a call is given up for what it holds, before and after it has ended.
  *
  * @module
  */
 import { FailCode, type NotRunError } from "@drumpaddle/request";
-import type { GivenUp, SlowReader } from "../runtime/call-memory.js";
-import type { CallProgress } from "./call-progress.js";
+import type { ServerResponse } from "node:http";
+import type { CallMemory, GivenUp, SlowReader } from "../runtime/call-memory.js";
 import type { CallerQueue } from "./caller-queue.js";
-import type { ForwardCall } from "./forward-call.js";
 import { breakAnswer } from "./forward-reply.js";
 import type { OpenRun, OpenRuns } from "./host.js";
 
@@ -18,7 +17,7 @@
 const DELIVERING = { event: () => undefined, woke: () => undefined } as const satisfies OpenRun;
 
 /** Keeps a call open until its caller has taken all of its answer, so that a stop cuts none. */
-export function deliver(runs: OpenRuns, { out, memory }: ForwardCall, queue: CallerQueue): void {
+export function deliver(runs: OpenRuns, out: ServerResponse, memory: CallMemory, queue: CallerQueue): void {
     const delivering: OpenRun = { ...DELIVERING };
     memory.onGiveUp = () => {
         queue.drop();
@@ -38,10 +37,3 @@
     caller: FailCode.CallerUnread,
     endpoint: FailCode.EndpointUnread,
 } as const satisfies Record<SlowReader, FailCode>;
-
-/** Whose reading a call waited for as it ended, and what had not been read. */
-export function unreadOf({ memory }: ForwardCall, { bodyUnread }: CallProgress): object {
-    const { unread } = memory.held;
-    if (unread > 0) return { unread_by: "caller", unread };
-    return bodyUnread ? { unread_by: "endpoint", unread: bodyUnread.bytes, unread_ms: bodyUnread.ms } : {};
-}
--- a/packages/host/src/calls/host.ts
+++ b/packages/host/src/calls/host.ts
@@ -10,6 +10,7 @@
 import type { RequestGuard } from "../endpoints/request-guard.js";
 import type { Peers } from "../peers/peers.js";
 import type { HostCfg } from "../runtime/config.js";
+import type { HostMemory } from "../runtime/host-memory.js";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import type { SettingsFeed } from "../store/settings-feed.js";
@@ -31,6 +32,8 @@
     readonly runs: OpenRuns;
     readonly limits: LimitBook;
     readonly claims: Claims;
+    /** What this host holds for those that read slowly. */
+    readonly memory: HostMemory;
     /** Keeps requests away that end the endpoints that run them. */
     readonly guard: RequestGuard;
     /** Set as soon as the host listens for its peers. */
--- a/packages/host/src/calls/plain.ts
+++ b/packages/host/src/calls/plain.ts
@@ -16,6 +16,7 @@
 import { TLSSocket } from "node:tls";
 import { type Dispatcher, request } from "undici";
 import { plainModel } from "../endpoints/plain-model.js";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, toApiError, writeError } from "./answer.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
@@ -23,6 +24,7 @@
 import { NO_BODY_STATUSES } from "./forward-attempt.js";
 import { breakAnswer } from "./forward-reply.js";
 import { limitError, limitsOf, policyOf } from "./generate.js";
+import { errorOf } from "./given-up.js";
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { type AttemptRunner, type AttemptSink, type Reply, Run } from "./run.js";
@@ -35,6 +37,8 @@
     readonly service: string;
     readonly req: FastifyRequest;
     readonly out: ServerResponse;
+    /** What it holds. */
+    readonly memory: CallMemory;
 }
 
 /** A piece of a plain answer: its head with its body, which is then passed through. */
@@ -289,6 +293,7 @@
     });
     if (run.ended) return;
     host.runs.add(run);
+    call.memory.onGiveUp = givenUp => run.event({ kind: "givenUp", ...errorOf(givenUp) });
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -20,7 +20,8 @@
 import { RequestGuard } from "./endpoints/request-guard.js";
 import { createOperators } from "./operators/operators.js";
 import { Peers } from "./peers/peers.js";
-import type { HostCfg } from "./runtime/config.js";
+import { budgetBytes, type HostCfg } from "./runtime/config.js";
+import { HostMemory } from "./runtime/host-memory.js";
 import type { Log } from "./runtime/log.js";
 import { Metrics } from "./runtime/metrics.js";
 import { SettingsFeed } from "./store/settings-feed.js";
@@ -104,6 +105,7 @@
         plain: new Placement(signal, clock, PLAIN_VARIANT),
         runs: new OpenRuns(),
         limits: new LimitBook(),
+        memory: new HostMemory({ budgetBytes: budgetBytes(cfg), clock, log, metrics }),
         guard,
         claims: new Claims(kv, cfg["platform.prefix"], signal),
         peers: undefined,
--- a/packages/host/src/runtime/call-memory.ts
+++ b/packages/host/src/runtime/call-memory.ts
@@ -105,6 +105,11 @@
         onReadOn();
     }
 
+    /** How long its caller has taken nothing of what waits for it, in milliseconds. */
+    get callerStuckMs(): number {
+        return this.unreadSince === undefined ? 0 : this.clock.now() - this.unreadSince;
+    }
+
     /** Whose reading the call waits for. */
     get unreadBy(): SlowReader | undefined {
         if (this.unreadSince !== undefined) return "caller";
@@ -114,8 +119,7 @@
     /** What it is weighed by. */
     get holder(): MemoryHolder {
         const { body, answer, unread } = this.held;
-        const callerMs = this.unreadSince === undefined ? 0 : this.clock.now() - this.unreadSince;
-        return { bytes: body + answer + unread, stuckMs: Math.max(callerMs, this.bodyStuckMs()) };
+        return { bytes: body + answer + unread, stuckMs: Math.max(this.callerStuckMs, this.bodyStuckMs()) };
     }
 
     /** Ends the call for what it holds. */
--- a/packages/host/test/answer.test.ts
+++ b/packages/host/test/answer.test.ts
@@ -11,7 +11,7 @@
 
 /** The body that a caller gets of a reply that was given these calls. */
 async function gathered(t: ExecutionContext, give: (reply: Reply<string>) => void): Promise<Whole> {
-    const server = createServer((_req, res: ServerResponse) => give(wholeReply(res, {}, true, 1)));
+    const server = createServer((_req, res: ServerResponse) => give(wholeReply(res, () => undefined, {}, true, 1)));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     t.teardown(() => {
         server.closeAllConnections();
