Mutations of the memory's promises, and a test of the completions interface under them

A body without a told length that was refused could emit a second error with nobody listening: its listener goes with the first one now. The line of listening tells the budget.

--- a/packages/host/src/calls/callers.ts
+++ b/packages/host/src/calls/callers.ts
@@ -67,11 +67,12 @@
         writeError(reply.raw, MEMORY_FULL, { "x-request-id": req.id });
     });
     app.addHook("preParsing", (req, _reply, payload, done) => {
-        if (lengthTold(req.raw) === undefined) {
-            payload.on("data", (chunk: Buffer) => {
-                if (!memories.get(req.raw)!.takeIn(chunk.length)) payload.emit("error", new NoRoomError());
-            });
-        }
+        const onData = (chunk: Buffer): void => {
+            if (memories.get(req.raw)!.takeIn(chunk.length)) return;
+            payload.off("data", onData);
+            payload.emit("error", new NoRoomError());
+        };
+        if (lengthTold(req.raw) === undefined) payload.on("data", onData);
         done(null, payload);
     });
 }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -278,7 +278,12 @@
         cfg["metrics.listen"] === undefined ? undefined : listen(collectors, cfg["metrics.listen"]),
     ]);
     feed.start();
-    log.info({ host: cfg["host.name"], hall: cfg["host.hall"], callers: cfg["callers.listen"] }, "listening");
+    log.info({
+        host: cfg["host.name"],
+        hall: cfg["host.hall"],
+        callers: cfg["callers.listen"],
+        held_budget: memory.state.budget,
+    }, "listening");
     const kill = async (): Promise<void> => {
         own.abort();
         callers.server.closeAllConnections();
--- /dev/null
+++ b/packages/standins/src/memory-mutations.ts
@@ -0,0 +1,177 @@
+/**
+ * Mutations of the promises on what a host holds for those that read slowly.
+ *
+ * @module
+ */
+import type { Mutation } from "./mutation.js";
+
+const ACCOUNT_SOURCE = "packages/policy/src/memory-account.ts";
+const ACCOUNT = "packages/policy/test/memory-account.test.ts";
+const SHELL_SOURCE = "packages/host/src/runtime/host-memory.ts";
+const CALL_SOURCE = "packages/host/src/runtime/call-memory.ts";
+const SHELL = "packages/host/test/host-memory.test.ts";
+const QUEUE = "packages/host/src/calls/caller-queue.ts";
+const ATTEMPT = "packages/host/src/calls/forward-attempt.ts";
+const FORWARD = "packages/host/src/calls/forward.ts";
+const MESH_SOURCE = "packages/protocol/src/peer-mesh.ts";
+const MESH = "packages/protocol/test/peer-mesh.test.ts";
+const READERS = "platform/test/slow-readers.test.ts";
+const COMPLETIONS = "packages/standins/test/memory.test.ts";
+
+/** Broken one at a time by `npm run test:mutations`. */
+export const MEMORY_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "memory: answers that are not read keep no bodies out",
+        file: ACCOUNT_SOURCE,
+        find: "const left = budgetBytes * ANSWERS_SHARE - held.answer - held.unread;",
+        replace: "const left = budgetBytes - held.answer - held.unread;",
+        tests: [ACCOUNT],
+    },
+    {
+        promise: "memory: an answer is read less far ahead as the budget fills",
+        file: ACCOUNT_SOURCE,
+        find: "Math.min(left, budgetBytes - totalHeld(account)));\n}\n\n/** How much may wait for one peer",
+        replace: "left);\n}\n\n/** How much may wait for one peer",
+        tests: [ACCOUNT],
+    },
+    {
+        promise: "memory: the last of it is kept for answers",
+        file: ACCOUNT_SOURCE,
+        find: "totalHeld(account) + bytes <= account.budgetBytes * BODIES_SHARE",
+        replace: "totalHeld(account) + bytes <= account.budgetBytes",
+        tests: [ACCOUNT],
+    },
+    {
+        promise: "memory: the slow one is given up before the large one",
+        file: ACCOUNT_SOURCE,
+        find: "const weight = bytes * (stuckMs + 1);",
+        replace: "const weight = bytes;",
+        tests: [ACCOUNT],
+    },
+    {
+        promise: "memory: something is given up at its end",
+        file: SHELL_SOURCE,
+        find: "else if (isOverBudget(this.account)) this.relieveSoon();",
+        replace: "",
+        tests: [SHELL, READERS],
+    },
+    {
+        promise: "memory: what waits for peers is given up before calls",
+        file: SHELL_SOURCE,
+        find: "const link = largest(this.links);",
+        replace: "const link = largest(new Map());",
+        tests: [SHELL],
+    },
+    {
+        promise: "memory: sources go on in room that others leave",
+        file: SHELL_SOURCE,
+        find: "if (bytes < 0) this.lookSoon();",
+        replace: "if (bytes < 0) return;",
+        tests: [SHELL],
+    },
+    {
+        promise: "memory: a call that has ended holds nothing",
+        file: CALL_SOURCE,
+        find: "for (const kind of Object.values(HeldKind)) this.hold(kind, 0);",
+        replace: "",
+        tests: [SHELL, READERS],
+    },
+    {
+        promise: "memory: a caller's progress counts",
+        file: CALL_SOURCE,
+        find: "if (took) this.readOn();",
+        replace: "",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: an answer waits here while its caller does not read",
+        file: CALL_SOURCE,
+        find: "return this.host.isBounded && this.held.unread + this.held.answer < this.host.readAhead();",
+        replace: "return false;",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: what waits for a caller is counted",
+        file: QUEUE,
+        find: "this.memory.setUnread(this.waitingBytes + inSocket, took);",
+        replace: "this.memory.setUnread(0, took);",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: an answer ends only behind all that waits",
+        file: QUEUE,
+        find: "if (this.waiting.length > 0) this.isEnding = true;",
+        replace: "if (this.waiting.length < 0) this.isEnding = true;",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: a body is refused before it is read",
+        file: FORWARD,
+        find: "if (bytes > 0 && !memory.takeIn(bytes)) return refuseFull();",
+        replace: "memory.takeIn(bytes);",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: a body of unknown length is taken in as far as there is room",
+        file: "packages/host/src/calls/request-body.ts",
+        find: 'else if (!isTold && !takeIn(chunk.length)) end({ kind: "noRoom" });',
+        replace: "",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: an endpoint is not blamed for what its caller left unread",
+        file: ATTEMPT,
+        find: "else if (this.unread.mayBeCutOff) {",
+        replace: "else if (this.over) {",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: nor has it failed",
+        file: "packages/host/src/calls/run.ts",
+        find: '[FailCode.CallerUnread]: "cancelled",',
+        replace: "",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: an endpoint that reads no body is named",
+        file: ATTEMPT,
+        find: "if (unreadMs >= UNREAD_MS) this.attempt.onBodyUnread",
+        replace: "if (unreadMs < 0) this.attempt.onBodyUnread",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: an endpoint that reads no body is a slow reader",
+        file: ATTEMPT,
+        find: "this.attempt.onBody(() => this.bodyUnreadMs);",
+        replace: "this.attempt.onBody(() => 0);",
+        tests: [READERS],
+    },
+    {
+        promise: "memory: what a peer does not read is dropped above the bound",
+        file: MESH_SOURCE,
+        find: "return most === undefined || link.waitingBytes === 0 || link.waitingBytes < most;",
+        replace: "return true;",
+        tests: [MESH],
+    },
+    {
+        promise: "memory: a message alone may wait, whatever its size",
+        file: MESH_SOURCE,
+        find: "most === undefined || link.waitingBytes === 0 || ",
+        replace: "most === undefined || ",
+        tests: [MESH],
+    },
+    {
+        promise: "memory: a completion's body is refused before it is read",
+        file: "packages/host/src/calls/callers.ts",
+        find: "if (bytes === 0 || memory.takeIn(bytes)) return done();",
+        replace: "if (memory.takeIn(0)) return done();",
+        tests: [COMPLETIONS],
+    },
+    {
+        promise: "memory: a completion's stream waits for its caller",
+        file: "packages/host/src/calls/answer.ts",
+        find: "queue.write(Buffer.from(`id: ${index++}\\n${sse(data)}`));",
+        replace: "out.write(Buffer.from(`id: ${index++}\\n${sse(data)}`));",
+        tests: [COMPLETIONS],
+    },
+];
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -7,6 +7,7 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { ENDPOINT_MUTATIONS } from "./endpoint-mutations.js";
+import { MEMORY_MUTATIONS } from "./memory-mutations.js";
 import type { Mutation } from "./mutation.js";
 
 const FAULTS = "packages/standins/test/faults.test.ts";
@@ -38,6 +39,7 @@
 
 const MUTATIONS: readonly Mutation[] = [
     ...ENDPOINT_MUTATIONS,
+    ...MEMORY_MUTATIONS,
     {
         promise: "each token once",
         file: STEP,
--- /dev/null
+++ b/packages/standins/test/memory.test.ts
@@ -0,0 +1,98 @@
+import test, { type ExecutionContext } from "ava";
+import { request } from "node:http";
+import { type Stage, startStage, waitUntil } from "../src/index.js";
+
+/** The least budget that a host may have: 1 MB, of which bodies get three quarters. */
+const MEMORY_MB = "82";
+const MODEL = "summary-8b";
+
+interface Answer {
+    readonly status: number;
+    readonly headers: NodeJS.Dict<string | string[]>;
+    readonly body: string;
+    readonly broken: boolean;
+}
+
+async function stageFor(t: ExecutionContext, memoryMb = MEMORY_MB): Promise<Stage> {
+    const stage = await startStage({
+        halls: ["k1"],
+        enginesPerHall: 1,
+        engine: { speed: 200 },
+        flags: { "host.memory": memoryMb },
+    });
+    t.teardown(() => stage.stop());
+    return stage;
+}
+
+/** Posts parts of a body; with a length told in the head, or without. Reads the answer when told to. */
+function post(
+    stage: Stage,
+    parts: readonly string[],
+    { length, readAfter = Promise.resolve() }: { readonly length?: number; readonly readAfter?: Promise<void> } = {},
+): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+        const headers = {
+            "authorization": `Bearer ${stage.keyOf("members")}`,
+            "content-type": "application/json",
+            ...(length === undefined ? {} : { "content-length": length }),
+        };
+        const req = request(`${stage.hosts[0]!.daemon.callersUrl}/v1/completions`, { method: "POST", headers });
+        req.on("error", reject);
+        req.on("response", res => {
+            let body = "";
+            res.on("error", () => undefined);
+            res.on("close", () => {
+                req.off("error", reject);
+                req.on("error", () => undefined);
+                resolve({ status: res.statusCode!, headers: res.headers, body, broken: !res.complete });
+            });
+            void readAfter.then(() => res.on("data", chunk => body += String(chunk)));
+        });
+        for (const part of parts) req.write(part);
+        // A body that is never sent whole: the answer comes before it.
+        if (length === undefined || parts.length > 0) req.end();
+        else req.flushHeaders();
+    });
+}
+
+test("a body for which there is no room is refused before it is read, as not run", async t => {
+    const stage = await stageFor(t);
+    const { status, headers, body } = await post(stage, [], { length: 800_000 });
+    t.is(status, 503);
+    t.is(headers["x-ran"], "no");
+    t.is(headers["retry-after"], "1");
+    t.is((JSON.parse(body) as { error: { code: string } }).error.code, "memory_full");
+});
+
+test("a body whose length is not told is refused when it outgrows the room for it", async t => {
+    const stage = await stageFor(t);
+    const { status, headers } = await post(stage, Array.from({ length: 20 }, () => "x".repeat(50_000)));
+    t.is(status, 503);
+    t.is(headers["x-ran"], "no");
+    t.is(stage.engines[0]!.server.tokensMade, 0);
+    await waitUntil(() => stage.hosts[0]!.daemon.host.memory.held.body === 0);
+});
+
+test("a caller that reads nothing for a while gets its stream whole, and is counted meanwhile", async t => {
+    const stage = await stageFor(t, "200");
+    let read = (): void => undefined;
+    const readAfter = new Promise<void>(resolve => read = resolve);
+    const body = JSON.stringify({
+        model: MODEL,
+        prompt: "hello",
+        max_tokens: 2_000,
+        stream: true,
+        x_output: 2_000,
+        // An event of this size fills what connections buffer within some hundred.
+        x_tag: "t".repeat(8_000),
+    });
+    const answer = post(stage, [body], { length: Buffer.byteLength(body), readAfter });
+    const { memory } = stage.hosts[0]!.daemon.host;
+    await waitUntil(() => memory.held.unread > 1_000_000);
+    read();
+    const { status, broken, body: text } = await answer;
+    t.like({ status, broken }, { status: 200, broken: false });
+    t.true(text.endsWith("data: [DONE]\n\n"));
+    t.is([...text.matchAll(/^id: \d+$/gm)].length, 2_000);
+    await waitUntil(() => memory.held.unread === 0);
+});
