--- a/packages/host/src/calls/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -72,6 +72,8 @@
 
 /** Answers up to this size are held until they are whole, so that a broken one can be tried elsewhere or refused. */
 const HELD_BYTES = 262_144;
+/** An event is passed on whole; one above this is taken in only where there is room for it. */
+const LARGEST_EVENT_BYTES = 1_000_000;
 /** An endpoint's answer with this status or above is its own failure. */
 const FAILED_STATUS = 500;
 /** Statuses whose answers never have a body. */
@@ -222,8 +224,8 @@
     private passEvents(events: readonly WholeEvent[], unfinishedBytes: number): void {
         this.silence?.heard();
         this.attempt.onHeld(unfinishedBytes);
-        if (unfinishedBytes > this.attempt.holdLimit()) {
-            return this.lose("invalid", `an event of more than ${unfinishedBytes} bytes, which this host cannot hold`);
+        if (unfinishedBytes > Math.max(LARGEST_EVENT_BYTES, this.attempt.holdLimit())) {
+            return this.lose("invalid", `an event of more than ${unfinishedBytes} bytes`);
         }
         for (const { bytes, id, hasData } of events) {
             if (!this.fits(id)) return this.lose("invalid", `event ${id} where the next one was to come`);
