--- a/packages/protocol/test/peer-mesh.test.ts
+++ b/packages/protocol/test/peer-mesh.test.ts
@@ -93,9 +93,9 @@
     t.deepEqual(errors, []);
 });
 
-test("a message above the bound goes to a peer for which nothing waits", async t => {
+test("a message goes to a peer for which nothing waits, also where nothing more may wait", async t => {
     let dropped = 0;
-    const { mesh } = await meshOf(t, { most: () => 1_000, onChange: () => undefined, onDrop: () => dropped += 1 });
+    const { mesh } = await meshOf(t, { most: () => 0, onChange: () => undefined, onDrop: () => dropped += 1 });
     const { socket, received } = await deafPeer(t, mesh);
     socket.resume();
     mesh.send(ADDRESS, { kind: "tree", text: TEXT } as FrameMessage);
--- a/packages/standins/test/memory.test.ts
+++ b/packages/standins/test/memory.test.ts
@@ -73,8 +73,8 @@
     await waitUntil(() => stage.hosts[0]!.daemon.host.memory.held.body === 0);
 });
 
-test("a caller that reads nothing for a while gets its stream whole, and is counted meanwhile", async t => {
-    const stage = await stageFor(t, "200");
+test("a caller that reads nothing for a while gets its stream whole, and is held within the budget meanwhile", async t => {
+    const stage = await stageFor(t, "110");
     let read = (): void => undefined;
     const readAfter = new Promise<void>(resolve => read = resolve);
     const body = JSON.stringify({
@@ -89,6 +89,10 @@
     const answer = post(stage, [body], { length: Buffer.byteLength(body), readAfter });
     const { memory } = stage.hosts[0]!.daemon.host;
     await waitUntil(() => memory.held.unread > 1_000_000);
+    // Long enough for all of it to come, were it not held back.
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    const { held, budget } = memory.state;
+    t.true(held <= budget!);
     read();
     const { status, broken, body: text } = await answer;
     t.like({ status, broken }, { status: 200, broken: false });
