Plain services and engines of the completions interface: read ahead, and not blamed for what was left unread

Cause: a plain service's answer went through a pipe, which reads no further than its caller, so that the endpoint had to bear each pause; an engine that cut off an unread stream counted as failed once its resumes were used up.

--- a/packages/host/src/calls/engine-runner.ts
+++ b/packages/host/src/calls/engine-runner.ts
@@ -6,6 +6,7 @@
 import { cancelStream, type EngineCall, type EngineEnd, openStream, type StreamLimits } from "@drumpaddle/protocol";
 import type { Dispatcher } from "undici";
 import type { AttemptRunner, AttemptSink } from "./run.js";
+import { UnreadAnswer } from "./unread-answer.js";
 
 /** One piece of an engine's answer: an event's data as it came. */
 export type EnginePiece = string;
@@ -20,6 +21,8 @@
     readonly limits: StreamLimits;
     /** A promise while the caller does not read. */
     readonly ready: () => Promise<void> | undefined;
+    /** The time, in milliseconds. */
+    readonly now: () => number;
 }
 
 const CANCEL_TIMEOUT_MS = 2_000;
@@ -84,11 +87,17 @@
     sink: AttemptSink<EnginePiece>,
     signal: AbortSignal,
 ): Promise<void> {
+    const unread = new UnreadAnswer(deps.now);
     const end = await openStream(
         call,
         {
             onEvent: event => sink.event(event, "data" in event ? event.data : undefined),
-            ready: deps.ready,
+            ready: () => {
+                const waiting = deps.ready();
+                if (!waiting) return undefined;
+                unread.holdBack();
+                return waiting.then(() => unread.readOn());
+            },
         },
         signal,
     );
@@ -98,7 +107,9 @@
         sink.event({ kind: "endpointRefused", attempt, detail: end.detail, retryAfterMs: end.retryAfterMs });
         return;
     }
-    sink.event({ kind: "lost", attempt, ...lossOf(end, resuming !== undefined) });
+    const loss = lossOf(end, resuming !== undefined);
+    const isCutOff = loss.cause === "reset" && unread.mayBeCutOff;
+    sink.event({ kind: "lost", attempt, ...loss, ...(isCutOff ? { cause: "unread" } : {}) });
 }
 
 function lossOf(
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -225,6 +225,7 @@
         bodyWith: priority => engineBody(body, priority),
         limits: { firstTokenMs: settings["first-token-timeout"], idleMs: settings["idle-timeout"] },
         ready: stall.ready,
+        now: () => host.clock.now(),
     });
     const guarded = { req: id, route: job.group.service, workspace: incoming.workspace, fingerprint };
     const run: Run<EnginePiece> = new Run<EnginePiece>({
--- a/packages/host/src/calls/plain.ts
+++ b/packages/host/src/calls/plain.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { type Job, reserve, settle } from "@drumpaddle/policy";
+import { HeldKind, type Job, reserve, settle } from "@drumpaddle/policy";
 import { errText, neverSent } from "@drumpaddle/protocol";
 import { FailCode, type Ran } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
@@ -19,12 +19,13 @@
 import type { CallMemory } from "../runtime/call-memory.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, toApiError, writeError } from "./answer.js";
+import { CallerQueue } from "./caller-queue.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./claims.js";
 import { fingerprintOf } from "./fingerprint.js";
 import { NO_BODY_STATUSES } from "./forward-attempt.js";
 import { breakAnswer } from "./forward-reply.js";
 import { limitError, limitsOf, policyOf } from "./generate.js";
-import { errorOf } from "./given-up.js";
+import { deliver, errorOf } from "./given-up.js";
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { type AttemptRunner, type AttemptSink, type Reply, Run } from "./run.js";
@@ -234,7 +235,8 @@
 function start(host: Host, plan: PlainPlan): void {
     const { call, job, settings, body, path, once } = plan;
     const { out, id } = call;
-    const reply = passThrough(out, id);
+    const queue = new CallerQueue(out, call.memory);
+    const reply = passThrough(call, queue);
     const fingerprint = fingerprintOf({
         method: call.req.method,
         host: "",
@@ -267,7 +269,11 @@
         onDispatch: kind => host.metrics.countDispatch(kind),
         onEnd: end => {
             const ran = end.err?.ran ?? "yes";
-            queueMicrotask(() => host.runs.delete(run));
+            call.memory.hold(HeldKind.Body, 0);
+            queueMicrotask(() => {
+                host.runs.delete(run);
+                deliver(host.runs, out, call.memory, queue);
+            });
             void settleClaim(host, plan, ran, end.err ? undefined : reply.recorded());
             host.limits.state = settle(
                 host.limits.state,
@@ -316,7 +322,10 @@
 }
 
 /** Passes an answer on as it comes, and keeps a small one for the record. */
-function passThrough(out: ServerResponse, id: string): Reply<PlainPiece> & { recorded(): Recorded | undefined } {
+function passThrough(
+    { out, id, memory }: PlainCall,
+    queue: CallerQueue,
+): Reply<PlainPiece> & { recorded(): Recorded | undefined } {
     let head: Omit<Recorded, "body"> | undefined;
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -335,13 +344,18 @@
             body.on("data", (chunk: Buffer) => {
                 bytes += chunk.length;
                 if (bytes <= MAX_RECORDED_BYTES) chunks.push(chunk);
+                queue.write(chunk);
+                if (!memory.whenRoom(() => body.resume())) body.pause();
             });
-            body.pipe(out, { end: false });
         },
         drop: () => undefined,
-        finish: () => out.end(),
+        finish: () => queue.end(),
         // Once the head has gone out, breaking the connection is the only honest sign that the body is not whole.
-        fail: err => out.headersSent ? breakOff(out) : writeError(out, toApiError(err), { "x-request-id": id }),
+        fail: err => {
+            if (!out.headersSent) return writeError(out, toApiError(err), { "x-request-id": id });
+            queue.drop();
+            breakOff(out);
+        },
         recorded: () =>
             head && bytes <= MAX_RECORDED_BYTES
                 ? { ...head, body: Buffer.concat(chunks).toString("base64") }
--- a/packages/standins/src/memory-mutations.ts
+++ b/packages/standins/src/memory-mutations.ts
@@ -174,4 +174,11 @@
         replace: "out.write(Buffer.from(`id: ${index++}\\n${sse(data)}`));",
         tests: [COMPLETIONS],
     },
+    {
+        promise: "memory: a plain service's answer waits for its caller",
+        file: "packages/host/src/calls/plain.ts",
+        find: "queue.write(chunk);",
+        replace: "out.write(chunk);",
+        tests: [COMPLETIONS],
+    },
 ];
--- a/packages/standins/src/plain-server.ts
+++ b/packages/standins/src/plain-server.ts
@@ -21,7 +21,12 @@
     /** An answer in gzip. */
     | "encoded"
     /** An answer that has no body by its status. */
-    | "noBody";
+    | "noBody"
+    /** An answer that is longer than what connections buffer. */
+    | "long";
+
+/** Length of a long answer. */
+export const LONG_BYTES = 12_000_000;
 
 const UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n";
 
@@ -31,6 +36,8 @@
     /** How often each call ran, by `METHOD /path#body`. */
     readonly ran = new Map<string, number>();
     private readonly app: FastifyInstance = Fastify({ forceCloseConnections: true });
+    /** Answers that were taken to their end. */
+    taken = 0;
     private readonly halfway: Socket[] = [];
     url = "";
 
@@ -68,6 +75,8 @@
                 return reply;
             }
             reply.header("content-type", "application/json");
+            reply.raw.on("finish", () => this.taken += 1);
+            if (fault === "long") return reply.send("x".repeat(LONG_BYTES));
             if (fault === "noBody") return reply.code(204).send();
             if (fault === "encoded") return reply.header("content-encoding", "gzip").send(gzipSync(answer));
             return reply.send(answer);
--- a/packages/standins/test/memory.test.ts
+++ b/packages/standins/test/memory.test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { request } from "node:http";
 import { type Stage, startStage, waitUntil } from "../src/index.js";
+import { LONG_BYTES } from "../src/plain-server.js";
 
 /** The least budget that a host may have: 1 MB, of which bodies get three quarters. */
 const MEMORY_MB = "82";
@@ -18,6 +19,7 @@
         halls: ["k1"],
         enginesPerHall: 1,
         engine: { speed: 200 },
+        tree: { "service/desk": {} },
         flags: { "host.memory": memoryMb },
     });
     t.teardown(() => stage.stop());
@@ -28,7 +30,11 @@
 function post(
     stage: Stage,
     parts: readonly string[],
-    { length, readAfter = Promise.resolve() }: { readonly length?: number; readonly readAfter?: Promise<void> } = {},
+    { length, readAfter = Promise.resolve(), path = "/v1/completions" }: {
+        readonly length?: number;
+        readonly readAfter?: Promise<void>;
+        readonly path?: string;
+    } = {},
 ): Promise<Answer> {
     return new Promise((resolve, reject) => {
         const headers = {
@@ -36,7 +42,7 @@
             "content-type": "application/json",
             ...(length === undefined ? {} : { "content-length": length }),
         };
-        const req = request(`${stage.hosts[0]!.daemon.callersUrl}/v1/completions`, { method: "POST", headers });
+        const req = request(`${stage.hosts[0]!.daemon.callersUrl}${path}`, { method: "POST", headers });
         req.on("error", reject);
         req.on("response", res => {
             let body = "";
@@ -100,3 +106,19 @@
     t.is([...text.matchAll(/^id: \d+$/gm)].length, 2_000);
     await waitUntil(() => memory.held.unread === 0);
 });
+
+test("a plain service's long answer is taken from it while its caller reads nothing, and is whole in the end", async t => {
+    const stage = await stageFor(t, "200");
+    const [service] = stage.plain;
+    service!.server.faults.push("long");
+    let read = (): void => undefined;
+    const readAfter = new Promise<void>(resolve => read = resolve);
+    const answer = post(stage, ["body"], { length: 4, readAfter, path: "/services/desk/holds" });
+    await waitUntil(() => service!.server.taken === 1);
+    const { memory } = stage.hosts[0]!.daemon.host;
+    t.true(memory.held.unread > 0);
+    read();
+    const { status, broken, body } = await answer;
+    t.like({ status, broken, length: body.length }, { status: 200, broken: false, length: LONG_BYTES });
+    await waitUntil(() => memory.held.unread === 0);
+});
