--- a/packages/host/src/calls/caller-queue.ts
+++ b/packages/host/src/calls/caller-queue.ts
@@ -23,6 +23,7 @@
     private waiting: Buffer[] = [];
     private waitingBytes = 0;
     private isEnding = false;
+    private hasEnded = false;
     private listens = false;
     private onFlushed: (() => void) | undefined;
 
@@ -49,7 +50,13 @@
     /** Ends the answer once all of it was taken. */
     end(): void {
         if (this.waiting.length > 0) this.isEnding = true;
-        else this.out.end();
+        else this.finish();
+    }
+
+    private finish(): void {
+        this.isEnding = false;
+        this.hasEnded = true;
+        this.out.end();
     }
 
     /** Calls back when nothing waits any more: at once, unless the caller is behind an answer that was to end. */
@@ -88,7 +95,8 @@
 
     /** Counts what waits, and listens for the caller to take some of it. */
     private note(took: boolean): void {
-        const inSocket = this.out.writableNeedDrain ? this.out.writableLength : 0;
+        // What an ended answer has left in the connection counts until that closes: nothing more is told of it.
+        const inSocket = this.out.writableNeedDrain || this.hasEnded ? this.out.writableLength : 0;
         this.memory.setUnread(this.waitingBytes + inSocket, took);
         if (this.listens || !this.out.writableNeedDrain) return;
         this.listens = true;
@@ -98,10 +106,7 @@
     private onDrain(): void {
         this.listens = false;
         this.pump();
-        if (this.waiting.length === 0 && this.isEnding) {
-            this.isEnding = false;
-            this.out.end();
-        }
+        if (this.waiting.length === 0 && this.isEnding) this.finish();
         this.note(true);
         if (this.waiting.length === 0) this.flushed();
     }
--- /dev/null
+++ b/packages/host/test/caller-queue.test.ts
@@ -0,0 +1,99 @@
+import { createClock } from "@drumpaddle/protocol";
+import test from "ava";
+import { EventEmitter } from "node:events";
+import { Writable } from "node:stream";
+import { CallerQueue, type QueueOut } from "../src/calls/caller-queue.js";
+import type { CallMemory } from "../src/runtime/call-memory.js";
+import { HostMemory } from "../src/runtime/host-memory.js";
+import { createLog } from "../src/runtime/log.js";
+import { Metrics } from "../src/runtime/metrics.js";
+
+/** A connection that takes what it is written only when told to. */
+class StuckOut extends EventEmitter {
+    destroyed = false;
+    writableNeedDrain = false;
+    writableLength = 0;
+    readonly written: Buffer[] = [];
+    ended = false;
+
+    write(bytes: Buffer): boolean {
+        this.written.push(bytes);
+        this.writableLength += bytes.length;
+        this.writableNeedDrain = true;
+        return false;
+    }
+
+    end(): void {
+        this.ended = true;
+        this.writableNeedDrain = false;
+    }
+
+    /** Its other side takes all that was written. */
+    take(): void {
+        this.writableLength = 0;
+        if (!this.writableNeedDrain) return;
+        this.writableNeedDrain = false;
+        this.emit("drain");
+    }
+}
+
+function queueTo(out: StuckOut): { readonly queue: CallerQueue; readonly memory: CallMemory } {
+    const log = createLog("info", new Writable({ write: (_chunk, _encoding, done) => done() }));
+    const host = new HostMemory({ budgetBytes: 50_000_000, clock: createClock(), log, metrics: new Metrics() });
+    const memory = host.open("c");
+    return { queue: new CallerQueue(out as unknown as QueueOut, memory), memory };
+}
+
+test("bytes come out in their order, each part only when the one before was taken, and then the end", t => {
+    const out = new StuckOut();
+    const { queue, memory } = queueTo(out);
+    const bytes = Buffer.from(Array.from({ length: 200_000 }, (_, at) => at % 251));
+    queue.write(bytes.subarray(0, 10));
+    queue.write(bytes.subarray(10));
+    queue.end();
+    t.true(memory.held.unread >= bytes.length);
+    let flushed = false;
+    queue.whenFlushed(() => flushed = true);
+    while (!flushed) {
+        const before = memory.held.unread;
+        out.take();
+        t.true(memory.held.unread < before);
+    }
+    t.true(out.ended);
+    t.deepEqual(Buffer.concat(out.written), bytes);
+});
+
+test("what an ended answer has left in its connection counts until that closes", t => {
+    const out = new StuckOut();
+    const { queue, memory } = queueTo(out);
+    for (let at = 0; at < 2; at++) queue.write(Buffer.alloc(50_000));
+    queue.end();
+    out.take();
+    t.true(out.ended);
+    t.is(memory.held.unread, 50_000);
+    out.emit("close");
+    t.is(memory.held.unread, 0);
+});
+
+test("a queue that is dropped writes nothing more", t => {
+    const out = new StuckOut();
+    const { queue, memory } = queueTo(out);
+    for (let at = 0; at < 3; at++) queue.write(Buffer.alloc(50_000));
+    queue.drop();
+    out.take();
+    t.is(out.written.length, 1);
+    t.false(out.ended);
+    t.is(memory.held.unread, 0);
+});
+
+test("bytes for a caller who takes them at once are not counted", t => {
+    const out = new StuckOut();
+    out.write = bytes => {
+        out.written.push(bytes);
+        return true;
+    };
+    const { queue, memory } = queueTo(out);
+    queue.write(Buffer.alloc(50_000));
+    t.is(memory.held.unread, 0);
+    t.is(out.written.length, 1);
+});
--- a/packages/standins/src/memory-mutations.ts
+++ b/packages/standins/src/memory-mutations.ts
@@ -104,6 +104,20 @@
         replace: "if (this.waiting.length < 0) this.isEnding = true;",
         tests: [READERS],
     },
+    {
+        promise: "memory: what an ended answer has left counts",
+        file: QUEUE,
+        find: "this.out.writableNeedDrain || this.hasEnded ?",
+        replace: "this.out.writableNeedDrain ?",
+        tests: ["packages/host/test/caller-queue.test.ts"],
+    },
+    {
+        promise: "memory: a stop waits for what its callers have still to read",
+        file: "packages/host/src/calls/given-up.ts",
+        find: "runs.add(delivering);",
+        replace: "",
+        tests: [READERS],
+    },
     {
         promise: "memory: a body is refused before it is read",
         file: FORWARD,
