--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -37,6 +37,7 @@
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { Run, type RunEnd } from "./run.js";
+import { createStallWatch } from "./stall-watch.js";
 
 /** The time to the first token that the service is designed for (docs/CAPACITY.md). */
 const FIRST_TOKEN_MS = 1_900;
@@ -296,40 +297,3 @@
         stall_ms: Math.round(end.stallMs),
     }, "request_ended");
 }
-
-/**
- * Back pressure from the caller: where it is too far behind, nothing is read for it, and after it has taken nothing for too long
- * it counts as gone.
- */
-function createStallWatch(
-    out: ServerResponse,
-    memory: CallMemory,
-    limitMs: number,
-    onStall: () => void,
-): { ready: () => Promise<void> | undefined; end: () => void } {
-    let timer: NodeJS.Timeout | undefined;
-    const look = (): void => {
-        timer = undefined;
-        const leftMs = limitMs - memory.callerStuckMs;
-        if (leftMs <= 0) onStall();
-        else watch(leftMs);
-    };
-    const watch = (ms: number): void => {
-        if (memory.held.unread > 0) timer ??= setTimeout(look, ms);
-    };
-    return {
-        ready: () => {
-            watch(limitMs);
-            let resume = (): void => undefined;
-            const reads = new Promise<void>(resolve => resume = resolve);
-            const go = (): void => {
-                out.off("close", go);
-                resume();
-            };
-            if (memory.whenRoom(go)) return undefined;
-            out.on("close", go);
-            return reads;
-        },
-        end: () => clearTimeout(timer),
-    };
-}
