The budget begins at 80 MB again, and is 6 MB at least

With 80 MB, a host of 178 MB has 49 MB; by what a held byte costs (1.1 to 1.6) it stays below its memory.

npx ava platform/test/slow-readers.test.ts packages/policy/test/memory-account.test.ts packages/standins/test/memory.test.ts: 33 passed.

--- a/packages/policy/src/memory-account.ts
+++ b/packages/policy/src/memory-account.ts
@@ -41,15 +41,15 @@
     readonly stuckMs: number;
 }
 
-/** What a host needs besides: the runtime, the program, what it knows of a fleet, and the garbage of calls that pass through. */
-const REST_BYTES = 100_000_000;
+/** What a host needs before it holds anything for a call: the runtime, the program, and what it knows of a fleet. */
+const REST_BYTES = 80_000_000;
 /**
  * The budget's part of what is left above that. The other half is for what no account sees: objects and garbage of calls, and the
  * system's buffers of each connection, in which what is not read yet waits.
  */
 const BUDGET_SHARE = 0.5;
-/** A host of any size can hold a few bodies. */
-const LEAST_BUDGET_BYTES = 1_000_000;
+/** A host of any size can take in a body of 4 MB: who is refused it would come back in vain. */
+const LEAST_BUDGET_BYTES = 6_000_000;
 /** Answers together may hold this part of the budget by reading ahead, so that readers who do not read keep no bodies out. */
 const ANSWERS_SHARE = 0.5;
 /** What waits for peers may hold this part: it is soft state, which is sent again. */
@@ -68,7 +68,7 @@
  *
  * @example
  * ```ts
- * budgetOf(200_000_000); // 50_000_000
+ * budgetOf(200_000_000); // 60_000_000
  * ```
  */
 export function budgetOf(memoryBytes: number): number {
@@ -102,7 +102,7 @@
  *
  * @example
  * ```ts
- * readAheadBytes(createAccount(50_000_000)); // 25_000_000
+ * readAheadBytes(createAccount(60_000_000)); // 30_000_000
  * ```
  */
 export function readAheadBytes(account: MemoryAccount): number {
