--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -5,6 +5,7 @@
  */
 import type { Continuation } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Copy } from "./copies.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import { isNext, type SentBefore } from "./judge-answer.js";
@@ -12,7 +13,8 @@
 
 /** What a call's attempts share. */
 export interface CallProgress {
-    readonly body: Buffer | undefined;
+    /** Undefined too once no attempt needs it any more. */
+    body: Buffer | undefined;
     /** When the call is given up, on the monotonic clock. */
     readonly deadline: number;
     /** Id of the latest attempt. */
@@ -33,6 +35,8 @@
     framed: boolean;
     /** The latest answer of an endpoint. */
     answered: { readonly status: number; readonly framed: boolean } | undefined;
+    /** What an endpoint had left unread of the body when its attempt was given up, and for how long; undefined where it read all. */
+    bodyUnread: { readonly bytes: number; readonly ms: number } | undefined;
     /** The latest whole failure of an endpoint; goes to the caller where no attempt after it is answered. */
     failedAnswer: AnswerPiece | undefined;
 }
@@ -60,6 +64,7 @@
         idsRiseByOne: undefined,
         framed: true,
         answered: undefined,
+        bodyUnread: undefined,
         failedAnswer: undefined,
     };
 }
@@ -136,3 +141,16 @@
     if (lastEvent !== undefined) progress.idsRiseByOne = idsRiseByOne && isNext(lastEvent, event);
     progress.lastEvent = event;
 }
+
+/**
+ * Whose reading a call waited for as it ended, and what had not been read.
+ *
+ * @example
+ * ```ts
+ * log.info({ req, ...unreadOf(memory, progress) }, "call_ended"); // unread_by=caller unread=81920
+ * ```
+ */
+export function unreadOf({ held: { unread } }: CallMemory, { bodyUnread }: CallProgress): object {
+    if (unread > 0) return { unread_by: "caller", unread };
+    return bodyUnread ? { unread_by: "endpoint", unread: bodyUnread.bytes, unread_ms: bodyUnread.ms } : {};
+}
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -5,6 +5,7 @@
  */
 import { placeIn, shareOf } from "@drumpaddle/hall";
 import {
+    HeldKind,
     type Job,
     type JobPolicy,
     type LimitRefusal,
@@ -26,13 +27,17 @@
 import { FailCode } from "@drumpaddle/request";
 import type { Settings } from "@drumpaddle/settings";
 import type { ServerResponse } from "node:http";
+import type { CallMemory } from "../runtime/call-memory.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, streamReply, wholeReply, writeError } from "./answer.js";
+import { CallerQueue } from "./caller-queue.js";
 import { type EnginePiece, engineRunner } from "./engine-runner.js";
 import { fingerprintOf } from "./fingerprint.js";
+import { deliver, errorOf } from "./given-up.js";
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { Run, type RunEnd } from "./run.js";
+import { createStallWatch } from "./stall-watch.js";
 
 /** The time to the first token that the service is designed for (docs/CAPACITY.md). */
 const FIRST_TOKEN_MS = 1_900;
@@ -46,6 +51,8 @@
     readonly bytes: number;
     readonly headers: NodeJS.Dict<string | string[]>;
     readonly out: ServerResponse;
+    /** What it holds. */
+    readonly memory: CallMemory;
     readonly chat: boolean;
 }
 
@@ -191,7 +198,15 @@
 ): void {
     const { out, directory, id, chat } = incoming;
     const headers = { "x-request-id": id, "x-settings-version": String(directory.version) };
-    const stall = createStallWatch(out, settings["caller-stall-timeout"], () => run.event({ kind: "callerGone" }));
+    const { memory } = incoming;
+    const queue = new CallerQueue(out, memory);
+    const onHeld = (bytes: number): void => memory.hold(HeldKind.Answer, bytes);
+    const stall = createStallWatch(
+        out,
+        memory,
+        settings["caller-stall-timeout"],
+        () => run.event({ kind: "callerGone" }),
+    );
     host.metrics.open.inc();
     const path = chat ? "/v1/chat/completions" : "/v1/completions";
     const urlOf = (endpoint: string): string | undefined =>
@@ -211,6 +226,7 @@
         bodyWith: priority => engineBody(body, priority),
         limits: { firstTokenMs: settings["first-token-timeout"], idleMs: settings["idle-timeout"] },
         ready: stall.ready,
+        now: () => host.clock.now(),
     });
     const guarded = { req: id, route: job.group.service, workspace: incoming.workspace, fingerprint };
     const run: Run<EnginePiece> = new Run<EnginePiece>({
@@ -227,17 +243,26 @@
         placement: host.engines,
         runner: guardRunner(runner, host.guard, guarded, urlOf),
         withhold: attempt => host.guard.withhold(fingerprint, { attempt }),
-        reply: facts.stream ? streamReply(out, headers) : wholeReply(out, headers, chat, facts.promptTokens),
+        reply: facts.stream
+            ? streamReply(out, queue, headers)
+            : wholeReply(out, onHeld, headers, chat, facts.promptTokens),
         onGap: ms => host.metrics.betweenTokens.record(ms),
         onDispatch: kind => host.metrics.countDispatch(kind),
         onEnd: end => {
             stall.end();
-            queueMicrotask(() => host.runs.delete(run));
+            memory.hold(HeldKind.Body, 0);
+            memory.hold(HeldKind.Answer, 0);
+            queueMicrotask(() => {
+                host.runs.delete(run);
+                deliver(host.runs, out, memory, queue);
+            });
             settleRun(host, job, end);
         },
     });
     if (run.ended) return;
     host.runs.add(run);
+    memory.onGiveUp = givenUp => run.event({ kind: "givenUp", ...errorOf(givenUp) });
+    memory.onRead = () => run.readOn();
     out.on("close", () => run.event({ kind: "callerGone" }));
 }
 
@@ -272,29 +297,3 @@
         stall_ms: Math.round(end.stallMs),
     }, "request_ended");
 }
-
-/** Back pressure from the caller: while it does not read, nothing is read for it; after too long it counts as gone. */
-function createStallWatch(
-    out: ServerResponse,
-    limitMs: number,
-    onStall: () => void,
-): { ready: () => Promise<void> | undefined; end: () => void } {
-    let timer: NodeJS.Timeout | undefined;
-    return {
-        ready: () => {
-            if (!out.writableNeedDrain) return undefined;
-            return new Promise(resolve => {
-                timer = setTimeout(onStall, limitMs);
-                const go = (): void => {
-                    clearTimeout(timer);
-                    out.off("drain", go);
-                    out.off("close", go);
-                    resolve();
-                };
-                out.on("drain", go);
-                out.on("close", go);
-            });
-        },
-        end: () => clearTimeout(timer),
-    };
-}
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -37,8 +37,9 @@
 import { serveEndpoints } from "./operators/endpoints-api.js";
 import { allowSecrets, serveQuarantine } from "./operators/quarantine-api.js";
 import { Peers } from "./peers/peers.js";
-import type { HostCfg } from "./runtime/config.js";
+import { budgetBytes, type HostCfg } from "./runtime/config.js";
 import { Descriptors } from "./runtime/descriptors.js";
+import { HostMemory } from "./runtime/host-memory.js";
 import type { Log } from "./runtime/log.js";
 import { Metrics } from "./runtime/metrics.js";
 import { repeat } from "./runtime/repeat.js";
@@ -115,6 +116,7 @@
     const options = { hall: cfg["host.hall"], retries };
     const engines = new Placement(signal, clock, ENGINE_VARIANT, seed, options);
     const plain = new Placement(signal, clock, PLAIN_VARIANT, seed, options);
+    const memory = new HostMemory({ budgetBytes: budgetBytes(cfg), clock, log, metrics });
     const copies = new Copies({
         clock,
         engines,
@@ -194,6 +196,7 @@
         plain,
         runs,
         copies,
+        memory,
         words,
         signal,
         bodyMs: cfg["callers.body-timeout"],
@@ -234,6 +237,7 @@
         follower: feed.follower,
         guard,
         words,
+        memory,
         signal,
     });
     clock.onWake(({ suspendedMs, jumpMs }) => {
@@ -296,7 +300,13 @@
     feed.start();
     const { capacity } = peers;
     metrics.capacity.set(capacity ?? 0);
-    log.info({ host: cfg["host.name"], hall: cfg["host.hall"], capacity, callers: cfg["callers.listen"] }, "listening");
+    log.info({
+        host: cfg["host.name"],
+        hall: cfg["host.hall"],
+        capacity,
+        callers: cfg["callers.listen"],
+        held_budget: memory.state.budget,
+    }, "listening");
     const kill = async (): Promise<void> => {
         own.abort();
         callers.server.closeAllConnections();
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -8,6 +8,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { ENDPOINT_MUTATIONS } from "./endpoint-mutations.js";
 import { HOST_MUTATIONS } from "./host-mutations.js";
+import { MEMORY_MUTATIONS } from "./memory-mutations.js";
 import type { Mutation } from "./mutation.js";
 import { SPEED_MUTATIONS } from "./speed-mutations.js";
 
@@ -42,6 +43,7 @@
     ...ENDPOINT_MUTATIONS,
     ...HOST_MUTATIONS,
     ...SPEED_MUTATIONS,
+    ...MEMORY_MUTATIONS,
     {
         promise: "each token once",
         file: STEP,
