--- a/packages/host/src/calls/late-copies.ts
+++ b/packages/host/src/calls/late-copies.ts
@@ -28,6 +28,7 @@
 const WINDOW_MS = 10 * 60_000;
 /** A host that has just started takes what it was told of for the rate of at least this time. */
 const LEAST_WINDOW_MS = 60_000;
+const MS_PER_S = 1_000;
 const LOOK_EVERY_MS = 200;
 /** A generation that found no room is tried again after this, as memory changes by the second. */
 const TRY_AGAIN_MS = 1_000;
@@ -86,11 +87,11 @@
     }
 
     private evidence(now: number): CopyEvidence {
-        const { engines, copies, endingsWithin } = this.deps;
+        const { engines, copies } = this.deps;
         const windowMs = Math.min(WINDOW_MS, Math.max(LEAST_WINDOW_MS, now - this.startedAt));
         const endpoints = Math.max(1, engines.view.endpoints.values().length);
         const { msPerToken, refreshMs } = copies.observed;
-        const lossesPerS = endingsWithin(windowMs) * 1_000 / (endpoints * windowMs);
+        const lossesPerS = this.deps.endingsWithin(windowMs) * MS_PER_S / (endpoints * windowMs);
         return { lossesPerS, msPerToken, refreshMs, refreshEveryMs: REFRESH_MS };
     }
 }
