Late copies are taken out again: they save no stream

Ruled out as the cause: copies that are slow (most whole ones took 0.2 to 0.4 s), that hold up others (preemptions 7 against 6).

--- a/packages/host/src/calls/copies.ts
+++ b/packages/host/src/calls/copies.ts
@@ -49,44 +49,17 @@
 /** Copies of one endpoint's generations go over its link one after another: the last of a dozen takes some seconds. */
 const COPY_TIMEOUT_MS = 5_000;
 /** A copy is brought up to date this often, so that little is left to read and it does not lapse. */
-export const REFRESH_MS = 800;
+const REFRESH_MS = 800;
 /** A copy that could not be made is tried again after this, elsewhere if room is there: notices leave two seconds or so. */
 const TRY_AGAIN_MS = 250;
 /** Time for an endpoint to take back a copy. */
 const DROP_TIMEOUT_MS = 1_000;
 
-/** Why a copy is made: its endpoint is leaving, or it runs on without one. */
-export type CopyReason = "notice" | "late";
-
-/** What copies took lately, in milliseconds; each the mean over some of them. */
-export interface CopyTimes {
-    /** A whole copy, its wait for the links included, and for each token of it. */
-    readonly copyMs: number;
-    readonly msPerToken: number;
-    /** A copy that is brought up to date. */
-    readonly refreshMs: number;
-}
-
-/** One copy that is being kept. */
-interface Copying {
-    readonly source: EndpointEntry;
-    readonly standby: EndpointEntry;
-    readonly why: CopyReason;
-    /** Told once whether the first order made a copy. */
-    readonly onFirst: ((made: boolean) => void) | undefined;
-}
-
-/** What is assumed before a copy was seen: a gigabit link, memory of some kilobytes a token. */
-const ASSUMED_TIMES: CopyTimes = { copyMs: 250, msPerToken: 0.1, refreshMs: 20 };
-/** Weight of the latest copy in the means. */
-const LATEST_WEIGHT = 0.2;
-
 /** The copies that one host has made. */
 export class Copies {
     private readonly calls = new Map<string, Copied>();
     private readonly made = new Map<string, Copy>();
     private readonly busy = new Set<string>();
-    private times = ASSUMED_TIMES;
 
     constructor(private readonly deps: CopiesDeps) {
         // That an endpoint cannot be reached, and that it can be again, is told by no event.
@@ -106,48 +79,27 @@
         if (copy && !used) void this.drop(copy);
     }
 
-    /** What copies took lately. */
-    get observed(): CopyTimes {
-        return this.times;
-    }
-
-    /** Whether a generation may be copied and is not being copied already. */
-    mayCopy(job: string): boolean {
-        return this.calls.has(job) && !this.busy.has(job);
-    }
-
-    /**
-     * Copies a generation that runs on, and keeps the copy up to date while it does.
-     *
-     * @returns Whether a copy was made, as soon as that is known.
-     */
-    copyLate(job: string): Promise<boolean> {
-        return new Promise(resolve => void this.copyAway(job, "late", resolve));
-    }
-
     /** Copies what runs on leaving endpoints and has no copy at one that stays and can be reached. */
     evacuate(): void {
         for (const job of jobsToEvacuate(this.deps.engines.view, this.deps.clock.now())) {
-            if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job, "notice");
+            if (this.calls.has(job) && !this.busy.has(job)) void this.copyAway(job);
         }
     }
 
-    private async copyAway(job: string, why: CopyReason, onFirst?: (made: boolean) => void): Promise<void> {
+    private async copyAway(job: string): Promise<void> {
         this.busy.add(job);
-        const { engines } = this.deps;
-        const plan = await (why === "late" ? engines.planLateCopy(job) : engines.planEvacuation(job));
+        const plan = await this.deps.engines.planEvacuation(job);
         const source = plan && this.deps.endpoint(plan.from);
         const standby = plan && this.deps.endpoint(plan.to);
-        if (plan && source && standby) await this.keepCopied(plan, { source, standby, why, onFirst });
-        else this.deps.log.info({ req: job, why, planned: plan !== undefined }, "generation_not_copied");
-        onFirst?.(false);
+        if (plan && source && standby) await this.keepCopied(plan, source, standby);
+        else this.deps.log.info({ req: job, planned: plan !== undefined }, "generation_not_copied");
         await pause(TRY_AGAIN_MS);
         this.busy.delete(job);
         if (this.calls.has(job) && !this.deps.signal.aborted) this.evacuate();
     }
 
     /** Makes the copy, and again and again while the generation still runs at its source. */
-    private async keepCopied({ job }: CopyAction, { source, standby, why, onFirst }: Copying): Promise<void> {
+    private async keepCopied({ job }: CopyAction, source: EndpointEntry, standby: EndpointEntry): Promise<void> {
         const { engines, wire, log, metrics } = this.deps;
         const call = wire.copyCall(job, standby.address);
         while (this.calls.has(job) && engines.view.endpoints.get(source.incarnation)?.streams.has(job)) {
@@ -159,34 +111,20 @@
             const from = source.incarnation;
             const to = standby.incarnation;
             if (answer.kind === "notMade") {
-                log.info({ req: job, why, from, to, ms, detail: answer.detail }, "generation_not_copied");
+                log.info({ req: job, from, to, ms, detail: answer.detail }, "generation_not_copied");
                 if (!this.made.has(job)) engines.copyLost(job);
                 return;
             }
-            log.info({ req: job, why, from, to, ms, copy: answer.copy }, "generation_copied");
-            this.observe(job, from, ms);
+            log.info({ req: job, from, to, ms, copy: answer.copy }, "generation_copied");
             const copy = { standby, source, name: answer.copy };
             const target = this.calls.get(job);
             if (!target) return void this.drop(copy);
             this.made.set(job, copy);
             target.onCopied(copy);
-            onFirst?.(true);
             await pause(REFRESH_MS);
         }
     }
 
-    private observe(job: string, source: string, ms: number): void {
-        const mean = (before: number, latest: number): number => before + LATEST_WEIGHT * (latest - before);
-        const { copyMs, msPerToken, refreshMs } = this.times;
-        const running = this.deps.engines.view.endpoints.get(source)?.streams.get(job);
-        if (this.made.has(job)) this.times = { ...this.times, refreshMs: mean(refreshMs, ms) };
-        else if (running) {
-            const tokens = running.job.promptTokens + running.produced;
-            const perToken = mean(msPerToken, ms / Math.max(1, tokens));
-            this.times = { ...this.times, copyMs: mean(copyMs, ms), msPerToken: perToken };
-        }
-    }
-
     /** Takes back a copy whose standby is no longer the one to go on with it. */
     private giveUp(job: string): void {
         const copy = this.made.get(job);
--- a/packages/host/src/calls/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -24,13 +24,11 @@
 /** When a stream is taken for lost; only where a copy is kept elsewhere. */
 export function silenceOf(
     deps: Forwarding,
-    { head, engine, route: { gapMs } }: ForwardCall,
+    { head, route: { gapMs } }: ForwardCall,
     endpoint: EndpointEntry,
     backUp: string | undefined,
 ): SilenceCfg | undefined {
-    // One that has no copy yet may be given one while it runs.
-    const mayHaveCopy = backUp !== undefined || engine?.canMove === true;
-    if (!mayHaveCopy || gapMs === undefined) return undefined;
+    if (backUp === undefined || gapMs === undefined) return undefined;
     const awake = (): number => deps.clock.awake();
     return {
         askMs: gapMs * ASK_SHARE,
--- a/packages/host/src/endpoints/placement.ts
+++ b/packages/host/src/endpoints/placement.ts
@@ -112,20 +112,9 @@
 
     /** Where a request whose endpoint is leaving is to be copied to; undefined where no endpoint has room. */
     planEvacuation(job: string): Promise<CopyAction | undefined> {
-        return this.planCopy({ kind: "evacuate", job });
-    }
-
-    /** Where a request that runs on without a copy is to be copied to; undefined where no endpoint has room to spare. */
-    planLateCopy(job: string): Promise<CopyAction | undefined> {
-        return this.planCopy({ kind: "copyLate", job });
-    }
-
-    private planCopy(
-        event: Extract<SchedulerEvent, { kind: "evacuate" | "copyLate" }>,
-    ): Promise<CopyAction | undefined> {
         return new Promise(resolve => {
-            this.evacuations.set(event.job, resolve);
-            this.handle(event);
+            this.evacuations.set(job, resolve);
+            this.handle({ kind: "evacuate", job });
         });
     }
 
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -109,12 +109,6 @@
         return allNews(this.state, this.deps.clock.now());
     }
 
-    /** Endings without notice that are known of the last so many milliseconds. */
-    endingsWithin(ms: number): number {
-        const since = this.deps.clock.now() - ms;
-        return [...this.state.endings.values()].filter(({ at }) => at >= since).length;
-    }
-
     /** What is quarantined or suspected, for operators. */
     list(): readonly ListedRequest[] {
         const charges = [...this.state.charges.values()].filter(({ endings }) => endings.length > 0);
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -23,7 +23,6 @@
 import { applyLimits, createForwardServer } from "./calls/forward-server.js";
 import { forward } from "./calls/forward.js";
 import { OpenRuns } from "./calls/host.js";
-import { LateCopies } from "./calls/late-copies.js";
 import { declareEndpoints } from "./endpoints/declare-endpoints.js";
 import { EndingWatch, type WatchedEndpoint } from "./endpoints/ending-watch.js";
 import { EndpointConnections } from "./endpoints/endpoint-connections.js";
@@ -143,7 +142,6 @@
             endings.broke(endpoint, run);
         },
     });
-    new LateCopies({ clock, engines, copies, log, metrics, signal, endingsWithin: ms => guard.endingsWithin(ms) });
     let known: Registry | undefined;
     const endings = new EndingWatch({
         clock,
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -86,11 +86,6 @@
     private readonly copies = this.counter("drumpaddle_copies_total", "Copies of running generations ordered.", [
         "result",
     ]);
-    private readonly lateCopies = this.counter(
-        "drumpaddle_late_copies_total",
-        "Generations without a copy that one was ordered for while they ran, by what became of it.",
-        ["result"],
-    );
     private readonly stays = this.counter("drumpaddle_stay_answers_total", "What engines said of leaving when asked.", [
         "answer",
     ]);
@@ -167,10 +162,6 @@
         this.copies.inc({ result });
     }
 
-    countLateCopy(result: "made" | "notMade"): void {
-        this.lateCopies.inc({ result });
-    }
-
     countStay(answer: string): void {
         this.stays.inc({ answer });
     }
--- a/packages/policy/src/carry.ts
+++ b/packages/policy/src/carry.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { chooseBackup, isUnreachable } from "./choose.js";
+import { chooseBackup, EVACUATION_ROOM_SHARE, isUnreachable } from "./choose.js";
 import { wantedOf } from "./demand.js";
 import { addBackup, type EndpointView, removeBackup, type Running, takesNew } from "./endpoint.js";
 import type { Job } from "./job.js";
@@ -88,16 +88,12 @@
     return from === undefined || !running ? undefined : { from, running };
 }
 
-/**
- * The state after a running request's copy was planned by what this host knows, and the copy to be made.
- *
- * @param roomShare Share of an endpoint's memory that may be planned with the copy.
- */
-export function evacuate(state: SchedulerState, job: string, roomShare: number, now: number): Decision {
+/** The state after a request's copy was planned by what this host knows, and the copy to be made. */
+export function evacuate(state: SchedulerState, job: string, now: number): Decision {
     const found = runningOf(state, job);
     if (!found) return { state, actions: [{ kind: "noCopy", job }] };
     const { from, running } = found;
-    const { state: next, standby } = backUp(dropBackup(state, job), running.job, from, now, roomShare);
+    const { state: next, standby } = backUp(dropBackup(state, job), running.job, from, now, EVACUATION_ROOM_SHARE);
     if (standby === undefined) return { state, actions: [{ kind: "noCopy", job }] };
     return { state: next, actions: [{ kind: "copy", job, from, to: standby }] };
 }
--- a/packages/policy/src/dispatch.ts
+++ b/packages/policy/src/dispatch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { backUp, backUpAt, evacuate, evacuateAt, runningOf } from "./carry.js";
-import { BACKUP_ROOM_SHARE, EVACUATION_ROOM_SHARE, usable } from "./choose.js";
+import { usable } from "./choose.js";
 import { demandOf, wantedOf } from "./demand.js";
 import type { EndpointView } from "./endpoint.js";
 import { knownLength, type Survival, survivalOf } from "./estimate.js";
@@ -85,7 +85,7 @@
 export function standbyAnswered(state: SchedulerState, job: string, standby: string | undefined): Decision {
     const { purpose } = state.askedStandby.get(job)!;
     const next = { ...state, askedStandby: without(state.askedStandby, job) };
-    if (purpose !== "continue") return evacuateAt(next, job, standby);
+    if (purpose === "evacuate") return evacuateAt(next, job, standby);
     const found = runningOf(next, job);
     if (!found) return { state: next, actions: [] };
     const kept = standby === undefined ? next : backUpAt(next, job, found.from, standby);
@@ -96,8 +96,7 @@
 export function decideStandbyAlone(state: SchedulerState, job: string, now: number): Decision {
     const { purpose } = state.askedStandby.get(job)!;
     const next = { ...state, askedStandby: without(state.askedStandby, job) };
-    if (purpose === "evacuate") return evacuate(next, job, EVACUATION_ROOM_SHARE, now);
-    if (purpose === "late") return evacuate(next, job, BACKUP_ROOM_SHARE, now);
+    if (purpose === "evacuate") return evacuate(next, job, now);
     const found = runningOf(next, job);
     return found ? dispatch(next, found.running.job, found.from, now) : { state: next, actions: [] };
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -42,7 +42,6 @@
 export { ALONE, type Fleet } from "./fleet.js";
 export { beginsInTime, nextReturn, NO_RETURNS, type Returns, roomIn } from "./forecast.js";
 export { DEFAULT_VARIANT, type Job, type JobPolicy, type Priority, PRIORITY_RANK, type Variant } from "./job.js";
-export { type CopyEvidence, type LateCopy, lateCopySpacingMs, type LatePlan, planLateCopy } from "./late-copies.js";
 export { mayLetIn, maySend } from "./let-in.js";
 export { isLimited, limitPart } from "./limit.js";
 export {
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -57,11 +57,8 @@
 
 /** A running request whose next standby an owner was asked for. */
 export interface AskedStandby {
-    /**
-     * `evacuate`: its endpoint is leaving. `late`: it runs on without a copy. `continue`: it goes on at another endpoint as
-     * soon as the standby is known.
-     */
-    readonly purpose: "evacuate" | "late" | "continue";
+    /** `evacuate`: its endpoint is leaving. `continue`: it goes on at another endpoint as soon as the standby is known. */
+    readonly purpose: "evacuate" | "continue";
     readonly at: number;
 }
 
@@ -108,8 +105,6 @@
     | { readonly kind: "continue"; readonly job: string; readonly failed: boolean }
     /** A request's endpoint is leaving: another is to take a copy, if there is room. */
     | { readonly kind: "evacuate"; readonly job: string }
-    /** A request runs on without a copy: an endpoint is to take one, if there is room to spare. */
-    | { readonly kind: "copyLate"; readonly job: string }
     /** An endpoint has said something of itself. */
     | { readonly kind: "said"; readonly endpoint: string; readonly said: Said }
     /** An endpoint wants nothing from this host until then. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -133,10 +133,7 @@
     ended: (state, { job, outcome, produced }, now) => drain(ended(state, job, outcome, produced, now), now),
     continue: (state, { job, failed }, now) => continueOn(state, job, failed, now),
     evacuate: (state, { job }, now) =>
-        askStandby(state, job, "evacuate", EVACUATION_ROOM_SHARE, now)
-            ?? evacuate(state, job, EVACUATION_ROOM_SHARE, now),
-    copyLate: (state, { job }, now) =>
-        askStandby(state, job, "late", BACKUP_ROOM_SHARE, now) ?? evacuate(state, job, BACKUP_ROOM_SHARE, now),
+        askStandby(state, job, "evacuate", EVACUATION_ROOM_SHARE, now) ?? evacuate(state, job, now),
     said: (state, { endpoint, said }, now) => ({
         state: withView(state, endpoint, view => takeSaid(view, said, now)),
         actions: [],
