The tests of connections at rest wait in slices, so that what has come is read

Cause: the process was held up for longer than the 50 ms, and Node runs timers before it reads. Shown: with the process held up for 120 ms just after the end, exactly three fail, the ends by the endpoint and the reset; ruled out that the connections do not notice: with the same delay all ten pass in three of three runs when the 50 ms are waited for in four slices, as calls' limits are (time-limit.ts). The time in which the process could read is the same 50 ms as before.

--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -68,6 +68,12 @@
 const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it";
 const WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const AFTER_DATA_MS = 50;
+const SLICES = 4;
+
+/** Waits for a time in which the process could read: Node runs timers first, so that of a delay of its own one slice counts at most. */
+async function awakeFor(ms: number): Promise<void> {
+    for (let slice = 0; slice < SLICES; slice++) await new Promise(resolve => setTimeout(resolve, ms / SLICES));
+}
 
 test("an answer without a length that ends with an orderly close ends orderly", async t => {
     const { connections } = connectionsOf(t);
@@ -125,11 +131,11 @@
     await answered();
     t.is(opened(), 1);
     sockets[0]!.write("bytes that belong to no call");
-    await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+    await awakeFor(AFTER_DATA_MS);
     await answered();
     t.is(opened(), 2);
     sockets[1]!.destroy();
-    await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+    await awakeFor(AFTER_DATA_MS);
     await answered();
     t.is(opened(), 3);
 });
@@ -192,7 +198,7 @@
         call.exchange.release(keepMs);
         t.is(connections.size, 1);
         end(sockets, connections, address);
-        await new Promise(resolve => setTimeout(resolve, AFTER_DATA_MS));
+        await awakeFor(AFTER_DATA_MS);
         t.is(connections.size, 0);
         t.deepEqual(early, isEarly ? [address] : []);
     });
