Hosts follow a store that came back from an older copy: positions of epoch and revision

What callers saw: 404 for a route 2.4 s after the store had acknowledged it, and requests at a worker that had said that it leaves, some seconds after the store had been away.

Cause: a host's place in what the store tells was a revision, taken for a number that only grows. The store came back from a copy at revision 38 while hosts stood at 42: they read it again, kept 42, and passed over all that was written at 39 to 42. Peers' words, stamps and whole states were compared in the same way.

Now a place is epoch (the store's own count of its returns) and revision, compared in that order, in the reads, the watches, the words of a hall's watchers, the stamps of probes and the answers between peers (PEER_VERSION 10). A watch or a list that runs into another epoch ends as restored and is read anew, also where the revision is past the one that it went on from. A newer deployment is asked for by itself, so that a host that starts on the copy has what its peers have.

The types of the registry have a module of their own.

--- a/packages/hall/src/following.ts
+++ b/packages/hall/src/following.ts
@@ -18,6 +18,7 @@
  * @module
  */
 import { EQUAL, rank, WATCHERS, type Weights } from "./ownership.js";
+import { isFurther, type StoreProgress } from "./store-position.js";
 
 /** How often a watcher says where it stands. */
 export const WORD_EVERY_MS = 400;
@@ -35,7 +36,7 @@
 /** A host that starts and looks for others knows its hall after this; it has read the store by then. */
 export const JOIN_MS = 1_000;
 /**
- * Who hears of a newer revision than its own asks for the rest after this, if the watcher's word has not come by then: a
+ * Who hears that a peer is further than it is asks for the rest after this, if the watcher's word has not come by then: a
  * whole state is 10 to 100 times as large as a word.
  */
 const BEHIND_MS = 300;
@@ -60,8 +61,8 @@
     readonly watchUntil: number;
     /** When the store last failed to answer this host. */
     readonly deafAt: number;
-    /** A revision that a peer is known to have and this host lacks, and since when that is known. */
-    readonly lacked: { readonly revision: number; readonly since: number } | undefined;
+    /** How far a peer is that knows what this host lacks, and since when that is known. */
+    readonly lacked: { readonly progress: StoreProgress; readonly since: number } | undefined;
 }
 
 /** What a host knows of the store when it looks whether to watch. */
@@ -109,18 +110,19 @@
  * The state after a peer said how far it is, and whether it is to be asked for what is missing here. What other peers lack as
  * well says nothing.
  *
- * @param theirs The store's revision that the peer is up to date with.
- * @param own That of this host.
+ * @param theirs How far the peer is with what the store tells.
+ * @param own How far this host is.
  */
-export function hearRevision(
+export function hearProgress(
     state: Following,
-    theirs: number,
-    own: number,
+    theirs: StoreProgress,
+    own: StoreProgress,
     now: number,
 ): { readonly state: Following; readonly asks: boolean } {
-    const known = state.lacked && state.lacked.revision > own ? state.lacked : undefined;
-    const lacked = known ?? (theirs > own ? { revision: theirs, since: now } : undefined);
-    const asks = lacked !== undefined && theirs > own && now - lacked.since >= BEHIND_MS;
+    const known = state.lacked && isFurther(state.lacked.progress, own) ? state.lacked : undefined;
+    const isBehind = isFurther(theirs, own);
+    const lacked = known ?? (isBehind ? { progress: theirs, since: now } : undefined);
+    const asks = lacked !== undefined && isBehind && now - lacked.since >= BEHIND_MS;
     return { state: { ...state, lacked: asks ? { ...lacked, since: now } : lacked }, asks };
 }
 
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -25,7 +25,7 @@
     createFollowing,
     type Following,
     type FollowPlan,
-    hearRevision,
+    hearProgress,
     hearWatcher,
     JOIN_MS,
     planFollowing,
@@ -127,5 +127,6 @@
     speedWords,
 } from "./speed-words.js";
 export { askAfter, give, newsOf, type SettingsAsk, type SettingsGive, takeGiven, type VersionNews } from "./spread.js";
+export { isAfter, isFurther, NO_POSITION, type StorePosition, type StoreProgress } from "./store-position.js";
 export { type Charge, ENDINGS_TO_QUARANTINE, judge, MOMENT_MS } from "./verdict.js";
 export { type EndpointWord, type LimitWord, saidOf, wordOf, wordsToTell } from "./words.js";
--- a/packages/hall/test/following.test.ts
+++ b/packages/hall/test/following.test.ts
@@ -1,5 +1,14 @@
 import test from "ava";
-import { createFollowing, type Following, hearWatcher, planFollowing, rank, WORD_VALID_MS } from "../src/index.js";
+import {
+    createFollowing,
+    type Following,
+    hearProgress,
+    hearWatcher,
+    planFollowing,
+    rank,
+    type StoreProgress,
+    WORD_VALID_MS,
+} from "../src/index.js";
 import { type HallHost, StoreHall } from "./store-hall.js";
 
 const HOSTS = ["a", "b", "c", "d", "e", "f"];
@@ -116,6 +125,33 @@
     t.is(hall.watching.length, 2);
 });
 
+for (const count of [1, 3, 6, 30, 60]) {
+    test(`in a hall of ${count}, news is in force within its bound after the store came back from an older copy`, t => {
+        for (const lost of [1, 5]) {
+            const hall = settled(count, lost);
+            for (let at = 0; at < 8; at++) t.true(hall.change(everyone) < BOUND_MS);
+            for (const cutOff of [0, 1, 2]) {
+                for (const [at, host] of hall.hosts.entries()) host.cut = count > 1 && at % 4 < cutOff;
+                hall.restore(lost);
+                const took = hall.change(everyone);
+                t.true(took < BOUND_MS, `${lost} lost, ${cutOff} in 4 cut off: ${took} ms`);
+            }
+        }
+    });
+}
+
+test("who knows less is asked for nothing, by epoch, revision or version", t => {
+    const at = { epoch: 2, revision: 38, version: 91 };
+    const behind = [{ ...at, epoch: 1, revision: 42 }, { ...at, revision: 37 }, { ...at, version: 90 }, at];
+    const further = [{ ...at, epoch: 3, revision: 1 }, { ...at, revision: 39 }, { ...at, version: 97 }];
+    const asks = (theirs: StoreProgress): boolean => {
+        const { state } = hearProgress(createFollowing("a", 0), theirs, at, START);
+        return hearProgress(state, theirs, at, START + 1_000).asks;
+    };
+    t.deepEqual(behind.map(asks), behind.map(() => false));
+    t.deepEqual(further.map(asks), further.map(() => true));
+});
+
 test("a host that hears of no watcher watches by itself, and one that hears of any does not", t => {
     // The last by rank: it is no watcher even when the first four are silent.
     const self = rank("store-watch", HOSTS).at(-1)!;
--- a/packages/hall/test/store-hall.ts
+++ b/packages/hall/test/store-hall.ts
@@ -7,9 +7,11 @@
 import {
     createFollowing,
     type Following,
-    hearRevision,
+    hearProgress,
     hearWatcher,
+    isAfter,
     planFollowing,
+    type StorePosition,
     type WatchReason,
     type Weights,
     WORD_EVERY_MS,
@@ -26,7 +28,7 @@
 export interface HallHost {
     readonly name: string;
     following: Following;
-    revision: number;
+    position: StorePosition;
     freshAt: number;
     reason: WatchReason | undefined;
     hears: boolean | undefined;
@@ -45,7 +47,7 @@
 /** A hall, its store and its time. */
 export class StoreHall extends VirtualClock {
     readonly hosts: HallHost[];
-    revision = 1;
+    position: StorePosition = { epoch: 1, revision: 1 };
     private readonly random: () => number;
 
     constructor(count: number, seed = 1, private readonly weights?: Weights) {
@@ -54,7 +56,7 @@
         this.hosts = Array.from({ length: count }, (_, at) => ({
             name: `h${String(at).padStart(3, "0")}`,
             following: createFollowing(`h${String(at).padStart(3, "0")}`, 0),
-            revision: 1,
+            position: this.position,
             freshAt: 0,
             reason: undefined,
             hears: undefined,
@@ -125,10 +127,10 @@
         host.calls += 1;
         const endsAt = this.now + (host.cut ? CALL_MS : 4 + waitMs);
         host.callEndsAt = endsAt;
-        const after = host.revision;
+        const after = host.position;
         const look = (): void => {
             if (host.callEndsAt !== endsAt || host.reason === undefined) return;
-            const hasNews = !host.cut && this.revision > after;
+            const hasNews = !host.cut && isAfter(this.position, after);
             if (!hasNews && this.now < endsAt) this.after(20, look);
             else this.answer(host, !host.cut, hasNews);
         };
@@ -140,7 +142,7 @@
         host.hears = hears;
         if (hears) {
             host.freshAt = this.now;
-            host.revision = this.revision;
+            host.position = this.position;
             if (hasNews && host.reason === "first") this.tell(host);
         }
         if (changed) this.plan(host);
@@ -151,11 +153,11 @@
     }
 
     private tell(host: HallHost): void {
-        const { name, revision } = host;
+        const { name, position } = host;
         const hears = host.hears === true;
         for (const other of this.running) {
             if (other !== host && !other.wordless) {
-                this.deliver(other, () => this.hear(other, host, name, hears, revision));
+                this.deliver(other, () => this.hear(other, host, name, hears, position));
             }
         }
     }
@@ -164,19 +166,23 @@
         this.after(1, () => this.whenAwake(to, run));
     }
 
-    private hear(host: HallHost, from: HallHost, name: string, hears: boolean, revision: number): void {
+    private hear(host: HallHost, from: HallHost, name: string, hears: boolean, position: StorePosition): void {
         host.following = hearWatcher(host.following, name, hears, this.now);
         if (hears) host.freshAt = Math.max(host.freshAt, this.now);
-        if (revision > host.revision) this.ask(host, from);
+        if (isAfter(position, host.position)) this.ask(host, from);
     }
 
     private ask(host: HallHost, from: HallHost): void {
         this.deliver(
             from,
-            () => this.deliver(host, () => void (host.revision = Math.max(host.revision, from.revision))),
+            () => this.deliver(host, () => this.take(host, from.position)),
         );
     }
 
+    private take(host: HallHost, position: StorePosition): void {
+        if (isAfter(position, host.position)) host.position = position;
+    }
+
     /** Probes tell how far their sender is, and answers how far who was probed is. */
     private exchange(host: HallHost, at: number, turn: number): void {
         const other = this.hosts[(at + 1 + turn % 3) % this.hosts.length]!;
@@ -187,16 +193,24 @@
 
     private stamp(host: HallHost, from: HallHost): void {
         host.freshAt = Math.max(host.freshAt, from.freshAt);
-        const { state, asks } = hearRevision(host.following, from.revision, host.revision, this.now);
+        const theirs = { ...from.position, version: 0 };
+        const own = { ...host.position, version: 0 };
+        const { state, asks } = hearProgress(host.following, theirs, own, this.now);
         host.following = state;
         if (asks) this.ask(host, from);
     }
 
+    /** The store comes back from a copy that lacks so many of its last changes. */
+    restore(lost: number): void {
+        const { epoch, revision } = this.position;
+        this.position = { epoch: epoch + 1, revision: revision - lost };
+    }
+
     /** A change of the store; gives how long it takes until the given hosts know it, at most `mostMs`. */
     change(wanted: (host: HallHost) => boolean, mostMs = 10_000): number {
-        this.revision += 1;
+        this.position = { ...this.position, revision: this.position.revision + 1 };
         const from = this.now;
-        const done = (): boolean => this.running.every(host => !wanted(host) || host.revision === this.revision);
+        const done = (): boolean => this.running.every(host => !wanted(host) || host.position === this.position);
         while (!done() && this.now - from < mostMs) this.run(5);
         return this.now - from;
     }
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -39,10 +39,15 @@
     incarnation: Type.Integer({ minimum: 0 }),
     leaving: Type.Optional(Type.Literal(true)),
 });
-/** How far the sender is: its settings' version, or the store's revision. */
+const Revision = Type.Integer({ minimum: 0 });
+/** A point in the store's history. */
+const Position = { epoch: Type.Integer({ minimum: 0 }), revision: Revision };
+/** How far a host is with what the store tells; below 0 where it knows nothing. */
+const StoreProgress = { epoch: Type.Integer(), revision: Type.Integer(), version: Type.Integer() };
+/** How far the sender is: its settings' version, or what it knows by the store's word. */
 const Progress = {
     settings: Type.Optional(Type.Object({ version: Type.Integer(), hash: Type.String() })),
-    store: Type.Optional(Type.Object({ revision: Type.Integer(), ageMs: Type.Number({ minimum: 0 }) })),
+    store: Type.Optional(Type.Object({ ...StoreProgress, ageMs: Type.Number({ minimum: 0 }) })),
     quarantine: Type.Optional(Type.Integer()),
 };
 const SignOfLife = Type.Object({
@@ -64,7 +69,6 @@
     shown: Type.Optional(ShownShape),
     speed: Type.Optional(SpeedShape),
 });
-const Revision = Type.Integer({ minimum: 0 });
 const Change = Type.Object({
     key: Type.String(),
     value: Type.Optional(Type.String()),
@@ -149,15 +153,15 @@
         unread: Type.Optional(Type.Number({ minimum: 0 })),
     }),
     storeWord: Type.Object({
-        revision: Revision,
+        ...Position,
         hears: Type.Boolean(),
         after: Revision,
         changes: Type.Array(Change),
     }),
     lifeMet: Type.Object({ id: Type.String({ minLength: 1 }), born: Type.Integer() }),
-    storeAsk: Type.Object({ revision: Type.Integer(), version: Type.Integer() }),
+    storeAsk: Type.Object(StoreProgress),
     storeState: Type.Object({
-        revision: Revision,
+        ...Position,
         ageMs: Type.Number({ minimum: 0 }),
         deployment: Type.Optional(Type.String()),
         endpoints: Type.String(),
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -131,6 +131,10 @@
         "drumpaddle_owned_endpoints",
         "Endpoints of which this host advises others where requests go.",
     );
+    readonly storeEpoch = this.gauge(
+        "drumpaddle_store_epoch",
+        "How often the platform's store has come back from an older copy, by its own count.",
+    );
     readonly evacuated = this.gauge(
         "drumpaddle_evacuated_halls",
         "Halls that take nothing new by the operator's order.",
--- a/packages/host/src/store/deployment-feed.ts
+++ b/packages/host/src/store/deployment-feed.ts
@@ -1,18 +1,26 @@
 /**
  * Keeps the newest deployment and the endpoints at this host: read at start, then a watch, or the word of peers that
  * watch. What comes from peers enters by the same door; a version only ever grows within the life of a process, and so
- * does the store's revision.
+ * does the store's position, whose revision starts over when the store comes back from an older copy.
  *
  * @module
  */
-import { type SettingsGive, type WatchReason, WORD_VALID_MS } from "@drumpaddle/hall";
+import {
+    isAfter,
+    isFurther,
+    NO_POSITION,
+    type SettingsGive,
+    type StorePosition,
+    type StoreProgress,
+    type WatchReason,
+    WORD_VALID_MS,
+} from "@drumpaddle/hall";
 import type { Clock, KeyValue, KvChange, KvEntry, KvError, PlatformWire, WatchTiming } from "@drumpaddle/protocol";
 import {
     adoptEndpoints,
     applyChanges,
     EMPTY_REGISTRY,
     type EndpointEntry,
-    expireLapsed,
     type HallOrders,
     type Life,
     meetLife,
@@ -20,8 +28,10 @@
     type Registry,
     replaceAll,
     RouteTable,
+    settle,
     storeAnswered,
     storeFailed,
+    storeRestored,
     writeEndpoints,
 } from "@drumpaddle/routes";
 import type { Log } from "../runtime/log.js";
@@ -74,8 +84,8 @@
     private current: { readonly table: RouteTable; readonly text: string } | undefined;
     private registry: Registry = EMPTY_REGISTRY;
     private endpointsRead = false;
-    /** The store's revision that this host is up to date with. */
-    private revision: number | undefined;
+    /** The point in the store's history that this host is up to date with. */
+    private position: StorePosition | undefined;
     /** Whether the store answered last; undefined before the first answer. */
     private answered: boolean | undefined;
     /** When the store last answered this host. */
@@ -149,31 +159,35 @@
             onAnswer: listener => void this.answerListeners.add(listener),
             hear: word => this.hear(word),
             hearOf: freshAt => this.hearOf(freshAt),
-            revision: () => this.revision ?? -1,
-            version: () => this.table?.version ?? NO_VERSION,
-            state: version => this.state(version),
+            progress: () => this.progress,
+            state: asker => this.state(asker),
             take: state => this.takeState(state),
             meetLife: (life, source) => this.meetLife(life, source),
         };
     }
 
+    private get progress(): StoreProgress {
+        return { ...this.position ?? NO_POSITION, version: this.table?.version ?? NO_VERSION };
+    }
+
     /** What this host says of the store: how far it is, and what has just changed. */
-    private word(changes: readonly KvChange[], after = this.revision): StoreWord | undefined {
-        if (this.revision === undefined || after === undefined) return undefined;
-        return { revision: this.revision, hears: this.answered === true, after, changes };
+    private word(changes: readonly KvChange[], after = this.position?.revision): StoreWord | undefined {
+        if (this.position === undefined || after === undefined) return undefined;
+        return { ...this.position, hears: this.answered === true, after, changes };
     }
 
     /** Takes in a watcher's word; true if changes before it are missing here. */
-    private hear({ hears, revision, after, changes }: StoreWord): boolean {
+    private hear({ epoch, revision, hears, after, changes }: StoreWord): boolean {
         const now = this.deps.clock.now();
+        const known = this.position ?? NO_POSITION;
         if (!hears) {
             // Mere silence does not show that the store is away; a watcher that it does not answer does.
             if (now - this.freshAt > WORD_VALID_MS) this.setRegistry(storeFailed(this.registry));
-            return revision > (this.revision ?? -1);
+            return isAfter({ epoch, revision }, known);
         }
         this.peersAnsweredAt = now;
-        if (this.revision === undefined || after > this.revision) return true;
-        this.take(changes, "peer");
+        if (isAfter({ epoch, revision: after }, known)) return true;
+        this.take(changes, epoch, "peer");
         return false;
     }
 
@@ -185,28 +199,28 @@
     }
 
     /** All that is known here; the deployment only where the asker has an older version. */
-    private state(askerVersion: number): StoreState | undefined {
-        if (this.revision === undefined || !this.current) return undefined;
+    private state(asker: StoreProgress): StoreState | undefined {
+        if (this.position === undefined || !this.current || !isFurther(this.progress, asker)) return undefined;
         const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
         const evacuated = [...this.registry.halls.evacuated];
         const { table, text } = this.current;
         return {
-            revision: this.revision,
+            ...this.position,
             ageMs: Math.round(this.deps.clock.now() - this.freshAt),
-            ...(table.version > askerVersion ? { deployment: text } : {}),
+            ...(table.version > asker.version ? { deployment: text } : {}),
             endpoints,
             evacuated,
         };
     }
 
     /** Takes over what a peer knows, if it is further than this host. */
-    private takeState({ revision, ageMs, deployment, endpoints, evacuated }: StoreState): void {
+    private takeState({ epoch, revision, ageMs, deployment, endpoints, evacuated }: StoreState): void {
         this.hearOf(this.deps.clock.now() - ageMs);
         if (deployment !== undefined) this.offer(deployment, "peer");
-        if (revision <= (this.revision ?? -1)) return;
+        if (!isAfter({ epoch, revision }, this.position ?? NO_POSITION)) return;
         const entries = this.registrations.fromPeer(endpoints);
         if (!entries) return;
-        this.revision = revision;
+        this.moveTo({ epoch, revision }, "peer");
         this.deps.log.info({ endpoints: entries.length, revision, age_ms: ageMs }, "endpoints_from_peer");
         this.setWhole(adoptEndpoints(this.registry, entries, evacuated, this.deps.clock.now()));
     }
@@ -263,7 +277,7 @@
     start(): void {
         const { signal } = this.deps;
         const timer = setInterval(
-            () => this.setRegistry(expireLapsed(this.registry, this.deps.clock.now())),
+            () => this.setRegistry(settle(this.registry, this.deps.clock.now())),
             EXPIRE_EVERY_MS,
         );
         signal.addEventListener("abort", () => clearInterval(timer), { once: true });
@@ -282,7 +296,7 @@
     /** Begins or ends to watch. */
     private setWatching(reason: WatchReason | undefined): void {
         if (reason === this.reason) return;
-        this.deps.log.info({ reason, before: this.reason, revision: this.revision }, "store_watching");
+        this.deps.log.info({ reason, before: this.reason, revision: this.position?.revision }, "store_watching");
         this.reason = reason;
         if (reason === undefined) {
             this.watching?.abort();
@@ -331,16 +345,16 @@
         const { log } = this.deps;
         let pauseMs = FIRST_RETRY_MS;
         // One that has followed others is up to date: it goes on from there, without reading all again.
-        let revision = this.isReady ? this.revision : undefined;
+        let position = this.isReady ? this.position : undefined;
         while (!signal.aborted) {
-            revision ??= await this.readAll(signal);
-            if (revision !== undefined) {
+            position ??= await this.readAll(signal);
+            if (position !== undefined) {
                 pauseMs = FIRST_RETRY_MS;
-                const ended = await this.watchFrom(revision, signal);
+                const ended = await this.watchFrom(position, signal);
                 if (signal.aborted) return;
-                if (ended.kind !== "compacted") this.onStoreAway();
+                if (isAway(ended)) this.onStoreAway();
                 log.warn({ err: ended.kind, detail: ended.detail }, "store_watch_ended");
-                revision = undefined;
+                position = undefined;
                 continue;
             }
             await pause(pauseMs);
@@ -348,30 +362,32 @@
         }
     }
 
-    private watchFrom(revision: number, signal: AbortSignal): Promise<KvError> {
+    private watchFrom({ epoch, revision }: StorePosition, signal: AbortSignal): Promise<KvError> {
         let isFirst = true;
         const timing = (): WatchTiming => {
             if (!isFirst) return this.reason === undefined ? {} : TIMING[this.reason];
             isFirst = false;
             return FIRST_TIMING;
         };
-        const watch = { prefix: EVERYTHING, after: revision, timing };
-        return this.deps.kv.watch(watch, changes => this.take(changes, "store"), signal);
+        const watch = { prefix: EVERYTHING, after: revision, epoch, timing };
+        return this.deps.kv.watch(watch, changes => this.take(changes, epoch, "store"), signal);
     }
 
-    /** Reads everything; returns the revision to watch from, or undefined where the store did not answer. */
-    private async readAll(signal: AbortSignal): Promise<number | undefined> {
+    /** Reads everything; returns the position to watch from, or undefined where the store did not answer. */
+    private async readAll(signal: AbortSignal): Promise<StorePosition | undefined> {
         const { kv, wire, log } = this.deps;
         const listed = await kv.list(EVERYTHING, signal);
         if (signal.aborted) return undefined;
         if (!listed.ok) {
-            this.onStoreAway();
+            if (isAway(listed.err)) this.onStoreAway();
             if (!signal.aborted) log.warn({ err: listed.err.kind, detail: listed.err.detail }, "store_read_failed");
             return undefined;
         }
-        const { entries, revision } = listed.value;
+        const { entries, epoch, revision } = listed.value;
         const now = this.deps.clock.now();
-        this.revision = Math.max(revision, this.revision ?? revision);
+        // A peer may have told of changes after this read.
+        const isBehind = this.position !== undefined && isAfter(this.position, { epoch, revision });
+        if (!isBehind) this.moveTo({ epoch, revision }, "store");
         const answered = storeAnswered(this.registry, now);
         const changes = entries.flatMap(entry => this.registrations.changeOf(entry) ?? []);
         const endpoints = changes.flatMap(change => change.kind === "registered" ? [change.entry] : []);
@@ -379,13 +395,25 @@
         const evacuated = changes.flatMap(change => change.kind === "evacuated" ? [change.hall] : []);
         const deployment = entries.find(entry => entry.key === wire.storeKeys.deployment);
         if (deployment) this.offerStored(deployment, "store");
-        log.info({ revision, endpoints: endpoints.length, deployment: deployment !== undefined }, "store_read");
-        // A peer may have told of changes after this read.
-        const isBehind = revision < this.revision;
+        const found = { endpoints: endpoints.length, deployment: deployment !== undefined };
+        log.info({ epoch, revision, ...found, behind: isBehind }, "store_read");
         const whole = isBehind ? answered : replaceAll(answered, endpoints, unreadable, evacuated, now);
         this.setWhole(whole, unreadable);
         this.setAnswered(true);
-        return revision;
+        return { epoch, revision };
+    }
+
+    /** Goes on to a later point in the store's history; in another epoch what the store holds is older than what is known here. */
+    private moveTo(position: StorePosition, source: DeploymentSource): void {
+        const before = this.position;
+        this.position = position;
+        this.deps.metrics.storeEpoch.set(position.epoch);
+        if (before === undefined || before.epoch === position.epoch) return;
+        const { epoch, revision } = position;
+        const told = { source, epoch, revision, before_epoch: before.epoch, before_revision: before.revision };
+        this.deps.log.warn(told, "store_restored");
+        this.registrations.forget();
+        this.setRegistry(storeRestored(this.registry, this.deps.clock.now()));
     }
 
     private offerStored({ value, unreadable }: KvEntry, source: DeploymentSource): void {
@@ -407,16 +435,17 @@
         for (const listener of this.answerListeners) listener();
     }
 
-    private take(changes: readonly KvChange[], source: DeploymentSource): void {
+    private take(changes: readonly KvChange[], epoch: number, source: DeploymentSource): void {
         const now = this.deps.clock.now();
         if (source === "store") this.setAnswered(true);
         const answered = storeAnswered(this.registry, now);
         const told: ToldChange[] = [];
-        const after = this.revision ?? -1;
-        const news = changes.filter(change => change.modRevision > after);
+        const known = this.position ?? NO_POSITION;
+        const news = changes.filter(({ modRevision }) => isAfter({ epoch, revision: modRevision }, known));
         for (const item of news) {
             const { key, value, modRevision } = item;
-            this.revision = Math.max(this.revision ?? -1, modRevision);
+            const position = { epoch, revision: modRevision };
+            if (isAfter(position, this.position ?? NO_POSITION)) this.position = position;
             if (key === this.deps.wire.storeKeys.deployment && value !== undefined) {
                 this.offerStored({ ...item, value }, source);
             }
@@ -427,14 +456,14 @@
         for (const one of told) logChange(this.deps.log, one, next);
         this.setRegistry(next);
         if (source === "peer" || news.length === 0) return;
-        const word = this.word(news, after);
+        const word = this.word(news, known.revision);
         if (word) { for (const listener of this.changeListeners) listener(word); }
     }
 
     private logEvacuations(before: HallOrders, { evacuated }: HallOrders): void {
         if (evacuated === before.evacuated) return;
         const { log, metrics } = this.deps;
-        const { revision } = this;
+        const revision = this.position?.revision;
         for (const hall of evacuated) if (!before.evacuated.has(hall)) log.warn({ hall, revision }, "hall_evacuated");
         for (const hall of before.evacuated) if (!evacuated.has(hall)) log.warn({ hall, revision }, "hall_reopened");
         metrics.evacuated.set(evacuated.size);
@@ -442,7 +471,8 @@
 
     /** Takes over all endpoints at once. The first ones are not told one by one. */
     private setWhole(registry: Registry, unreadable: readonly string[] = []): void {
-        const { revision, registry: before } = this;
+        const { registry: before } = this;
+        const revision = this.position?.revision;
         if (this.endpointsRead) logDifferences(this.deps.log, { before, after: registry, revision, unreadable });
         this.endpointsRead = true;
         this.setRegistry(registry);
@@ -461,6 +491,11 @@
     }
 }
 
+/** Whether an error tells that the store does not answer; it does where only what it held before is gone. */
+function isAway({ kind }: KvError): boolean {
+    return kind !== "compacted" && kind !== "restored";
+}
+
 function pause(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/packages/host/src/store/registrations.ts
+++ b/packages/host/src/store/registrations.ts
@@ -55,6 +55,11 @@
         return { kind: "unreadable", id };
     }
 
+    /** Forgets which revisions were told of: the store gives them out again. */
+    forget(): void {
+        this.noted.clear();
+    }
+
     /** Tells of a registration that cannot be read, once for each time that it was written. */
     private note(id: string, revision: number, { at, detail }: DecodeError): void {
         if (this.noted.get(id) === revision) return;
--- a/packages/host/src/store/store-follower.ts
+++ b/packages/host/src/store/store-follower.ts
@@ -8,10 +8,11 @@
     createFollowing,
     type Following,
     type FollowPlan,
-    hearRevision,
+    hearProgress,
     hearWatcher,
     planFollowing,
     type StoreHeard,
+    type StoreProgress,
     type WatchReason,
     type Weights,
     WORD_EVERY_MS,
@@ -39,12 +40,10 @@
     hear(word: StoreWord): boolean;
     /** A peer knows that the store answered at this time. */
     hearOf(freshAt: number): void;
-    /** The store's revision that it is up to date with; below 0 where it knows none. */
-    revision(): number;
-    /** The version of the deployment in force; below 0 where it knows none. */
-    version(): number;
-    /** All that it knows, the deployment only if it is newer than this version. */
-    state(askerVersion: number): StoreState | undefined;
+    /** How far it is with what the store tells. */
+    progress(): StoreProgress;
+    /** All that it knows, the deployment only if it is newer than the asker's; undefined where the asker lacks nothing. */
+    state(asker: StoreProgress): StoreState | undefined;
     take(state: StoreState): void;
     /** Takes in that an endpoint has begun a later life; returns whether it was news. */
     meetLife(life: Life, source: "endpoint" | "peer"): boolean;
@@ -126,7 +125,7 @@
 
     private ask(name: string): void {
         const { follower } = this.deps;
-        this.deps.send([name], { kind: "storeAsk", revision: follower.revision(), version: follower.version() });
+        this.deps.send([name], { kind: "storeAsk", ...follower.progress() });
     }
 
     /** What probes say of how far this host is. */
@@ -134,15 +133,15 @@
         const { follower } = this.deps;
         const { freshAt } = follower.heard();
         if (freshAt === -Infinity) return undefined;
-        return { revision: follower.revision(), ageMs: Math.round(this.deps.clock.now() - freshAt) };
+        return { ...follower.progress(), ageMs: Math.round(this.deps.clock.now() - freshAt) };
     }
 
     /** Takes in how far a peer is; who stays behind for a while asks it. */
-    hearStamp(from: string, { revision, ageMs }: StoreStamp): void {
+    hearStamp(from: string, { ageMs, ...progress }: StoreStamp): void {
         const { follower } = this.deps;
         const now = this.deps.clock.now();
         follower.hearOf(now - ageMs);
-        const { state, asks } = hearRevision(this.following, revision, follower.revision(), now);
+        const { state, asks } = hearProgress(this.following, progress, follower.progress(), now);
         this.following = state;
         if (asks) this.ask(from);
     }
@@ -163,9 +162,9 @@
             this.following = hearWatcher(this.following, from, word.hears, this.deps.clock.now());
             if (this.deps.follower.hear(word)) this.ask(from);
         },
-        storeAsk: (from, { revision, version }) => {
-            const state = this.deps.follower.state(version);
-            if (state && state.revision > revision) this.deps.send([from], { kind: "storeState", ...state });
+        storeAsk: (from, asker) => {
+            const state = this.deps.follower.state(asker);
+            if (state) this.deps.send([from], { kind: "storeState", ...state });
         },
         storeState: (_from, state) => this.deps.follower.take(state),
         lifeMet: (_from, { id, born }) => void this.deps.follower.meetLife({ id, born }, "peer"),
--- a/packages/host/test/deployment-feed.test.ts
+++ b/packages/host/test/deployment-feed.test.ts
@@ -45,7 +45,7 @@
         const key = `${platformWire.storeKeys.endpoints}${id}`;
         return { key, value: state === "unreadable" ? "" : value, modRevision: revision, ...unreadableOf(state) };
     };
-    return { revision, entries: Object.entries(states).map(entryOf) };
+    return { epoch: 0, revision, entries: Object.entries(states).map(entryOf) };
 }
 
 function unreadableOf(state: string): Pick<KvEntry, "unreadable"> {
@@ -85,7 +85,9 @@
 for (const endpoints of ["{", "{}"]) {
     test(`a peer's list of endpoints ${endpoints} is ignored with a log line`, t => {
         const { feed, log } = deafFeed();
-        t.notThrows(() => feed.follower.take({ revision: 7, ageMs: 0, deployment: "{}", endpoints, evacuated: [] }));
+        t.notThrows(() =>
+            feed.follower.take({ epoch: 0, revision: 7, ageMs: 0, deployment: "{}", endpoints, evacuated: [] })
+        );
         t.false(feed.isReady);
         t.true(log.some(line => line.includes("endpoints_ignored")));
     });
@@ -96,6 +98,7 @@
     const deployment = JSON.stringify(configOf(1));
     const good = decodeGood("i-2");
     feed.follower.take({
+        epoch: 0,
         revision: 7,
         ageMs: 0,
         deployment,
@@ -137,6 +140,7 @@
     const { feed, log } = deafFeed();
     const tell = (revision: number, ...entries: readonly EndpointEntry[]): void =>
         feed.follower.take({
+            epoch: 0,
             revision,
             ageMs: 0,
             deployment: JSON.stringify(configOf(1)),
--- a/packages/host/test/odd-registrations.test.ts
+++ b/packages/host/test/odd-registrations.test.ts
@@ -1,3 +1,4 @@
+import { NO_POSITION } from "@drumpaddle/hall";
 import { createPlatformStore, platformWire } from "@drumpaddle/platform";
 import { createClock } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
@@ -78,9 +79,12 @@
     });
 }
 
+/** How far a host is that knows nothing. */
+const NOTHING = { ...NO_POSITION, version: -1 };
+
 /** What a host believes: which endpoints there are, by id, and how each is used. */
 function believed(feed: DeploymentFeed): readonly string[] {
-    const entries = JSON.parse(feed.follower.state(-1)?.endpoints ?? "[]") as EndpointEntry[];
+    const entries = JSON.parse(feed.follower.state(NOTHING)?.endpoints ?? "[]") as EndpointEntry[];
     return entries.map(({ id, service, address, hall, slots, state }) =>
         JSON.stringify([id, service, address, hall, slots, state])
     ).sort();
@@ -112,7 +116,7 @@
             reading.start();
             await until(() => reading.isReady);
             const told = feedOf(store.url, own.signal);
-            told.follower.take(watching.follower.state(-1)!);
+            told.follower.take(watching.follower.state(NOTHING)!);
             t.deepEqual(believed(reading), believed(watching));
             t.deepEqual(believed(told), believed(watching));
             own.abort();
--- a/packages/protocol/src/etcd.ts
+++ b/packages/protocol/src/etcd.ts
@@ -25,6 +25,9 @@
     readonly dispatcher?: Dispatcher;
 }
 
+/** Adapters of services that are not restored under their clients count no epochs. */
+const ONLY_EPOCH = 0;
+
 interface RawHeader {
     readonly revision: string;
 }
@@ -92,7 +95,8 @@
             const body = { key: base64(prefix), range_end: base64(prefixEnd(prefix)) };
             const res = await call<{ header: RawHeader; kvs?: RawKv[] }>("/v3/kv/range", body, signal);
             if (!res.ok) return res;
-            return kvOk({ entries: (res.value.kvs ?? []).map(toEntry), revision: Number(res.value.header.revision) });
+            const revision = Number(res.value.header.revision);
+            return kvOk({ entries: (res.value.kvs ?? []).map(toEntry), revision, epoch: ONLY_EPOCH });
         },
         commit: async (commit, signal) => {
             const res = await call<{ succeeded?: boolean }>("/v3/kv/txn", txnOf(commit), signal);
--- a/packages/protocol/src/kv.ts
+++ b/packages/protocol/src/kv.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-/** One stored value. Revisions grow with every write to the service. */
+/** One stored value. Revisions grow with every write to the service, within one of its epochs. */
 export interface KvEntry {
     readonly key: string;
     readonly value: string;
@@ -20,6 +20,8 @@
     | { readonly kind: "refused"; readonly detail: string }
     /** A watch asked for changes that the service has forgotten: read again, then watch from there. */
     | { readonly kind: "compacted"; readonly detail: string }
+    /** The service came back from an older copy of its data meanwhile: what was read before tells nothing of what follows. */
+    | { readonly kind: "restored"; readonly detail: string }
     | { readonly kind: "badAnswer"; readonly detail: string };
 
 /** The answer of the service, or why there is none. */
@@ -51,6 +53,8 @@
 export interface KvList {
     readonly entries: readonly KvEntry[];
     readonly revision: number;
+    /** How often the service has come back from an older copy: it gives out again the revisions that it has lost. */
+    readonly epoch: number;
 }
 
 /** What to watch. */
@@ -58,6 +62,8 @@
     readonly prefix: string;
     /** Changes after this revision are told; only coming ones where it is absent. */
     readonly after?: number;
+    /** The epoch of that revision: the watch ends as `restored` in any other; the present one where it is absent. */
+    readonly epoch?: number;
     /** Where a watch is made of calls: asked before each of them. */
     readonly timing?: () => WatchTiming;
 }
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -7,7 +7,7 @@
 import { decode, encode } from "cbor-x";
 
 /** Version of the messages between hosts; another one is refused. */
-export const PEER_VERSION = 9;
+export const PEER_VERSION = 10;
 /** Largest frame: a whole tree of settings with room to spare. */
 export const MAX_FRAME_BYTES = 8_000_000;
 const LENGTH_BYTES = 4;
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -19,20 +19,24 @@
 } from "./endpoint-list.js";
 export { type HallChange, type HallOrders, NO_ORDERS, orderHall, replaceOrders } from "./evacuation.js";
 export { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
+export { SETTLE_MS } from "./older-copy.js";
 export {
-    adoptEndpoints,
-    applyChanges,
     type Departed,
     EMPTY_REGISTRY,
-    expireLapsed,
-    LAPSE_GRACE_MS,
-    meetLife,
     type Registered,
     type Registry,
     type RegistryChange,
+} from "./registry-state.js";
+export {
+    adoptEndpoints,
+    applyChanges,
+    LAPSE_GRACE_MS,
+    meetLife,
     replaceAll,
+    settle,
     storeAnswered,
     storeFailed,
+    storeRestored,
 } from "./registry.js";
 export { pickService, RouteTable } from "./route-table.js";
 export { warmAt } from "./warmth.js";
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -12,67 +12,17 @@
  * @module
  */
 import { type EndpointEntry, EndpointState } from "./deployment.js";
-import { type HallChange, type HallOrders, NO_ORDERS, orderHall, replaceOrders } from "./evacuation.js";
+import { type HallChange, orderHall, replaceOrders } from "./evacuation.js";
 import { compareLives, type Life, LifeOrder, nameOfLife } from "./life.js";
+import { SETTLE_MS, settleContent, stillDeferred } from "./older-copy.js";
+import type { Departed, Registered, Registry, RegistryChange } from "./registry-state.js";
 
 /** Registrations of servers that live are back within about two seconds of the store's return (letter 2). */
 export const LAPSE_GRACE_MS = 2_000;
 
-/** One endpoint that is or may be there. */
-export interface Registered {
-    readonly entry: EndpointEntry;
-    /** When its registration vanished for a reason that may be the store's; undefined while it stands. */
-    readonly lapsedAt: number | undefined;
-    /** When its registration was last heard to say what it says of its state and warmth. */
-    readonly saidAt: number;
-}
-
-/** All endpoints, and what is known of the store that names them. */
-export interface Registry {
-    /** By the names of their lives; of one endpoint no more than its latest. */
-    readonly endpoints: ReadonlyMap<string, Registered>;
-    /** Endpoints whose registration is gone, by the names of their lives: nothing new is sent to them. */
-    readonly departed: ReadonlyMap<string, Departed>;
-    /** The latest life that is known of each endpoint, by its id; also of one that has departed, so that none comes back. */
-    readonly latest: ReadonlyMap<string, EndpointEntry>;
-    /** Whether the store has answered since it last failed to. */
-    readonly storeAway: boolean;
-    /** When the store came back last; undefined if it was never away. */
-    readonly storeBackAt: number | undefined;
-    /** Halls that take nothing new. */
-    readonly halls: HallOrders;
-}
-
-/** An endpoint whose registration is gone. */
-export interface Departed {
-    readonly entry: EndpointEntry;
-    readonly at: number;
-    /** Whether it has begun a later life, so that nothing of this one is left; what runs at others may go on for a while. */
-    readonly isOver: boolean;
-}
-
 /** Departed endpoints are remembered for as long as they may still finish what they run. */
 export const DEPARTED_KEPT_MS = 30_000;
 
-/** What became of an endpoint's registration, or of a hall's evacuation. */
-export type RegistryChange =
-    | HallChange
-    | { readonly kind: "registered"; readonly entry: EndpointEntry }
-    /** It was deleted, or ran out. */
-    | { readonly kind: "gone"; readonly id: string }
-    /** It stands there and cannot be read: the endpoint takes nothing new, and what runs there goes on. */
-    | { readonly kind: "unreadable"; readonly id: string };
-
-/** A registry that knows of no endpoint. */
-export const EMPTY_REGISTRY: Registry = {
-    endpoints: new Map(),
-    departed: new Map(),
-    latest: new Map(),
-    storeAway: false,
-    storeBackAt: undefined,
-    halls: NO_ORDERS,
-};
-
 /** The registry when a call to the store failed. */
 export function storeFailed(registry: Registry): Registry {
     return registry.storeAway ? registry : { ...registry, storeAway: true };
@@ -83,6 +33,11 @@
     return registry.storeAway ? { ...registry, storeAway: false, storeBackAt: now } : registry;
 }
 
+/** The registry when the store was found to have come back from an older copy: it lacks what was written since. */
+export function storeRestored(registry: Registry, now: number): Registry {
+    return { ...registry, storeAway: false, storeBackAt: now, restoredAt: now, deferred: [] };
+}
+
 /** Whether a registration that vanishes now may have lapsed for the store's reasons. */
 function mayBeLapse(registry: Registry, now: number): boolean {
     const { storeAway, storeBackAt } = registry;
@@ -102,9 +57,10 @@
         change.kind === "evacuated" || change.kind === "reopened";
     const orders = changes.filter(isOrder);
     const halls = orders.reduce((sum, change) => orderHall(sum, change, now), registry.halls);
+    const deferred = stillDeferred(registry.deferred, changes);
     const draft = draftOf(registry);
     for (const change of changes) if (!isOrder(change)) applyChange(draft, change, now);
-    return withEndpoints({ ...registry, halls }, draft, now);
+    return withEndpoints({ ...registry, halls, deferred }, draft, now);
 }
 
 /** What changes while changes are taken in, one after another. */
@@ -184,14 +140,16 @@
     evacuated: readonly string[],
     now: number,
 ): Registry {
-    const halls = replaceOrders(registry.halls, evacuated, now);
+    const content = settleContent(registry, { entries, evacuated }, now);
+    const halls = replaceOrders(registry.halls, content.evacuated, now);
     const present = new Set([...entries.map(({ id }) => id), ...unreadable]);
     const missing = [...registry.endpoints.values()].filter(({ entry }) => !present.has(entry.id));
-    return applyChanges({ ...registry, halls }, [
+    const next = applyChanges({ ...registry, halls }, [
         ...missing.map(({ entry: { id } }): RegistryChange => ({ kind: "gone", id })),
         ...unreadable.map((id): RegistryChange => ({ kind: "unreadable", id })),
-        ...entries.map((entry): RegistryChange => ({ kind: "registered", entry })),
+        ...content.entries.map((entry): RegistryChange => ({ kind: "registered", entry })),
     ], now);
+    return { ...next, deferred: content.deferred };
 }
 
 /**
@@ -204,15 +162,16 @@
     evacuated: readonly string[],
     now: number,
 ): Registry {
-    const halls = replaceOrders(registry.halls, evacuated, now);
+    const content = settleContent(registry, { entries, evacuated }, now);
+    const halls = replaceOrders(registry.halls, content.evacuated, now);
     const draft: Draft = { registry, endpoints: new Map(), latest: new Map(registry.latest) };
-    for (const entry of entries) {
+    for (const entry of content.entries) {
         register(draft, entry, now);
         const latest = draft.latest.get(entry.id)!;
         const known = registry.endpoints.get(latest.incarnation);
         if (known && !draft.endpoints.has(latest.incarnation)) draft.endpoints.set(latest.incarnation, known);
     }
-    return withEndpoints({ ...registry, halls }, draft, now);
+    return withEndpoints({ ...registry, halls, deferred: content.deferred }, draft, now);
 }
 
 /**
@@ -242,9 +201,18 @@
     return withEndpoints(registry, draft, now);
 }
 
-/** The registry without the lapsed registrations whose time to come back is over. */
-export function expireLapsed(registry: Registry, now: number): Registry {
-    if (registry.storeAway) return registry;
+/** The registry when nothing was told for a while: what was kept or deferred for a time goes by the store's word when that is over. */
+export function settle(registry: Registry, now: number): Registry {
+    return registry.storeAway ? registry : expireLapsed(applyDeferred(registry, now), now);
+}
+
+function applyDeferred(registry: Registry, now: number): Registry {
+    const { deferred, restoredAt } = registry;
+    if (deferred.length === 0 || restoredAt === undefined || now - restoredAt < SETTLE_MS) return registry;
+    return applyChanges(registry, deferred, now);
+}
+
+function expireLapsed(registry: Registry, now: number): Registry {
     const since = registry.storeBackAt ?? -Infinity;
     const kept = [...registry.endpoints].filter(([, { lapsedAt }]) =>
         lapsedAt === undefined || now - since < LAPSE_GRACE_MS
--- a/packages/routes/src/warmth.ts
+++ b/packages/routes/src/warmth.ts
@@ -7,7 +7,7 @@
  */
 import type { ServiceCfg } from "./deployment.js";
 import type { HallOrders } from "./evacuation.js";
-import type { Registered } from "./registry.js";
+import type { Registered } from "./registry-state.js";
 
 /**
  * When an endpoint is warm, on the clock of the registry's times; -Infinity where it was not cold when it was heard of.
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -6,7 +6,6 @@
     EMPTY_REGISTRY,
     type EndpointEntry,
     EndpointState,
-    expireLapsed,
     LAPSE_GRACE_MS,
     meetLife,
     nameOfLife,
@@ -16,6 +15,7 @@
     type Route,
     RouteKind,
     RouteTable,
+    settle,
     storeAnswered,
     storeFailed,
 } from "../src/index.js";
@@ -123,10 +123,10 @@
 
 test("one that goes while the store is away is kept until its time to come back is over", t => {
     const away = gone(storeFailed(registryOf("i-1")), "i-1", 100);
-    t.deepEqual(namesOf(expireLapsed(away, 60_000)), ["i-1"]);
+    t.deepEqual(namesOf(settle(away, 60_000)), ["i-1"]);
     const back = storeAnswered(away, 70_000);
-    t.deepEqual(namesOf(expireLapsed(back, 70_000 + LAPSE_GRACE_MS - 1)), ["i-1"]);
-    t.deepEqual(namesOf(expireLapsed(back, 70_000 + LAPSE_GRACE_MS)), []);
+    t.deepEqual(namesOf(settle(back, 70_000 + LAPSE_GRACE_MS - 1)), ["i-1"]);
+    t.deepEqual(namesOf(settle(back, 70_000 + LAPSE_GRACE_MS)), []);
 });
 
 test("one that goes just after the store's return may have lapsed in the outage", t => {
@@ -138,7 +138,7 @@
 test("one that lapsed and registers again stays", t => {
     const lapsed = gone(storeFailed(registryOf("i-1")), "i-1", 0);
     const again = registered(storeAnswered(lapsed, 100), entryOf("i-1"), 200);
-    t.deepEqual(namesOf(expireLapsed(again, 10_000)), ["i-1"]);
+    t.deepEqual(namesOf(settle(again, 10_000)), ["i-1"]);
 });
 
 test("an endpoint that said that it leaves does not lapse: it is gone", t => {
