--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -8,6 +8,7 @@
 import { MEMORY_MUTATIONS } from "./memory-mutations.js";
 import type { Mutation } from "./mutation.js";
 import { SPEED_MUTATIONS } from "./speed-mutations.js";
+import { STORE_MUTATIONS } from "./store-mutations.js";
 
 const FAULTS = "packages/standins/test/faults.test.ts";
 const ENGINES = "packages/standins/test/engine-faults.test.ts";
@@ -42,6 +43,7 @@
     ...ENDPOINT_MUTATIONS,
     ...HOST_MUTATIONS,
     ...SPEED_MUTATIONS,
+    ...STORE_MUTATIONS,
     ...MEMORY_MUTATIONS,
     {
         promise: "each token once",
@@ -298,7 +300,7 @@
     {
         promise: "a host that stays behind asks a peer",
         file: "packages/hall/src/following.ts",
-        find: "const asks = lacked !== undefined && theirs > own",
+        find: "const asks = lacked !== undefined && isBehind",
         replace: "const asks = false && lacked !== undefined",
         tests: [FOLLOWING],
     },
