Claims take a new lease where the service has lost theirs

Claims of an hour share one lease. A service that came back from an older copy has lost one that was granted since; every claim of that host was then told as away until the hour was over, so that its callers' calls with keys were refused. The test fails without the change (away, status 404).

--- a/packages/host/src/calls/claims.ts
+++ b/packages/host/src/calls/claims.ts
@@ -68,11 +68,11 @@
     /** Claims a key for a request. A lost reply is settled by the same conditional write again, then by reading. */
     async claim(workspace: string, idempotencyKey: string, request: string, call: string): Promise<ClaimResult> {
         const key = this.keyOf(workspace, idempotencyKey);
-        const lease = await this.leaseId();
-        if (!lease.ok) return { kind: "away", detail: lease.err.kind };
         const claim: Claim = { request, call, at: Date.now() };
         let detail = "";
         for (let tried = 0; tried < TRIES; tried++) {
+            const lease = await this.leaseId();
+            if (!lease.ok) return { kind: "away", detail: lease.err.kind };
             const written = await this.kv.commit(
                 {
                     conditions: [{ key, modRevision: 0 }],
@@ -82,6 +82,8 @@
             );
             if (written.ok && written.value) return { kind: "mine" };
             if (written.ok) return this.readClaim(key, claim);
+            // A service that came back from an older copy may have lost the lease.
+            if (written.err.kind === "refused") this.lease = undefined;
             detail = written.err.detail;
         }
         return { kind: "away", detail };
--- /dev/null
+++ b/packages/host/test/claims.test.ts
@@ -0,0 +1,18 @@
+import { createPlatformStore } from "@drumpaddle/platform";
+import test from "ava";
+import { StandInStore } from "../../../platform/test/stand-in/store.js";
+import { Claims } from "../src/calls/claims.js";
+
+const { signal } = new AbortController();
+
+test("claims go on where the service has lost the lease that they share", async t => {
+    const store = await StandInStore.start();
+    t.teardown(() => store.stop());
+    const kv = createPlatformStore({ url: store.url, timeoutMs: 1_000, watchMs: 1_000, watchMarginMs: 1_000 });
+    const claims = new Claims(kv, "test", signal);
+    const copy = store.copy();
+    t.deepEqual(await claims.claim("payroll", "key-1", "request-1", "call"), { kind: "mine" });
+    store.restore(copy);
+    t.deepEqual(await claims.claim("payroll", "key-2", "request-2", "call"), { kind: "mine" });
+    t.deepEqual(await claims.claim("payroll", "key-2", "request-3", "call"), { kind: "taken" });
+});
