--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -47,7 +47,9 @@
 /** How far the sender is: its settings' version, or what it knows by the store's word. */
 const Progress = {
     settings: Type.Optional(Type.Object({ version: Type.Integer(), hash: Type.String() })),
-    store: Type.Optional(Type.Object({ ...StoreProgress, ageMs: Type.Number({ minimum: 0 }) })),
+    store: Type.Optional(
+        Type.Tuple([Type.Integer(), Type.Integer(), Type.Integer(), Type.Number({ minimum: 0 })]),
+    ),
     quarantine: Type.Optional(Type.Integer()),
 };
 const SignOfLife = Type.Object({
--- a/packages/host/src/store/store-follower.ts
+++ b/packages/host/src/store/store-follower.ts
@@ -133,15 +133,16 @@
         const { follower } = this.deps;
         const { freshAt } = follower.heard();
         if (freshAt === -Infinity) return undefined;
-        return { ...follower.progress(), ageMs: Math.round(this.deps.clock.now() - freshAt) };
+        const { epoch, revision, version } = follower.progress();
+        return [epoch, revision, version, Math.round(this.deps.clock.now() - freshAt)];
     }
 
     /** Takes in how far a peer is; who stays behind for a while asks it. */
-    hearStamp(from: string, { ageMs, ...progress }: StoreStamp): void {
+    hearStamp(from: string, [epoch, revision, version, ageMs]: StoreStamp): void {
         const { follower } = this.deps;
         const now = this.deps.clock.now();
         follower.hearOf(now - ageMs);
-        const { state, asks } = hearProgress(this.following, progress, follower.progress(), now);
+        const { state, asks } = hearProgress(this.following, { epoch, revision, version }, follower.progress(), now);
         this.following = state;
         if (asks) this.ask(from);
     }
--- a/packages/host/src/store/store-words.ts
+++ b/packages/host/src/store/store-words.ts
@@ -16,11 +16,11 @@
     /** An endpoint has told the sender of a later life than was known. */
     | { readonly kind: "lifeMet"; readonly id: string; readonly born: number };
 
-/** How far a host is with what the store tells. */
-export interface StoreStamp extends StoreProgress {
-    /** How long ago the store is known to have answered it, or one that it follows, in milliseconds. */
-    readonly ageMs: number;
-}
+/**
+ * How far a host is with what the store tells ({@link StoreProgress}), and how many milliseconds ago the store is known to have answered
+ * it or one that it follows. Without names, as every probe carries it.
+ */
+export type StoreStamp = readonly [epoch: number, revision: number, version: number, ageMs: number];
 
 /** What a host that watches the store says of it: its position is the one that the host is up to date with. */
 export interface StoreWord extends StorePosition {
--- a/packages/standins/src/bench-capacity.ts
+++ b/packages/standins/src/bench-capacity.ts
@@ -153,7 +153,7 @@
         // Those probed have answered.
         state = { ...step.state, waiting: new Map() };
         const [first] = step.send;
-        const message = { ...first!.message, store: { epoch: 1, revision: 520, version: 520, ageMs: 100 } };
+        const message = { ...first!.message, store: [1, 520, 520, 100] };
         return message;
     };
     const heartbeatBytes = encodeFrame(messageOf(1)).length;
