Endpoints called without a connection while the store is away count as cold until they answer

Cause: a host learns of a restart by a registration, a peer or the end of a connection. While the store is away and no host is connected, none of them comes. Hosts kept the earlier life, whose cold period had passed.

Change: while a host gets no registrations, a call that opens the first connection to an endpoint raises a suspicion of a restart, and counts against the cold bound. The suspicion is settled by a probe. The log line names its cause.

--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -53,6 +53,8 @@
     readonly onAnswered?: (address: string) => void;
     /** A connection could not be established. */
     readonly onUnreachable?: (address: string) => void;
+    /** A connection is about to be opened, while none to this address is open whose end would have been noticed. */
+    readonly onOpenFirst?: (address: string) => void;
     /** An endpoint closed an idle connection before the keep-alive time that it had announced. */
     readonly onClosedWhileIdle?: (address: string) => void;
 }
@@ -69,6 +71,7 @@
 const NO_TIMEOUT = 0;
 
 interface Connection {
+    readonly address: string;
     readonly client: Client;
     /** Undefined until the connection is established. */
     socket: Socket | undefined;
@@ -193,7 +196,9 @@
             // Undici's parser throws an uncaught exception if the socket ends while the parser is paused.
             connection.resumeReading();
         });
+        if (!this.isConnected(address)) this.listeners.onOpenFirst?.(address);
         const connection: Connection = {
+            address,
             socket: undefined,
             failed: false,
             ended: false,
@@ -224,6 +229,10 @@
         return connection;
     }
 
+    private isConnected(address: string): boolean {
+        return [...this.all].some(other => other.address === address && other.socket !== undefined && !other.ended);
+    }
+
     private reportConnected(address: string): void {
         this.onOpened();
         this.listeners.onAnswered?.(address);
--- a/packages/host/src/endpoints/placement.ts
+++ b/packages/host/src/endpoints/placement.ts
@@ -147,7 +147,7 @@
         if (!view) return true;
         if (!isLimited(view)) return !isResting(view, now);
         if (!maySend(this.state, view, now)) return false;
-        this.handle({ kind: "letIn", endpoint });
+        this.countAdmission(endpoint);
         return true;
     }
 
@@ -188,6 +188,11 @@
         this.handle({ kind: "doubt", endpoint, until });
     }
 
+    /** Counts a request that is sent to an endpoint against its bounds. */
+    countAdmission(endpoint: string): void {
+        this.handle({ kind: "letIn", endpoint });
+    }
+
     /** Whether the load of an endpoint is limited while it is cold. */
     limitsWhileCold(endpoint: string): boolean {
         return this.state.endpoints.get(endpoint)?.cfg.cold !== undefined;
--- a/packages/host/src/endpoints/restart-suspicions.ts
+++ b/packages/host/src/endpoints/restart-suspicions.ts
@@ -1,6 +1,7 @@
 /**
- * Suspects that an endpoint has restarted when it closes connections by itself. A restarted endpoint is cold, and its new
- * registration may arrive late; so until a probe settles the question, the scheduler sends it no more than a cold endpoint can take.
+ * Suspects that an endpoint has restarted when it closes connections by itself, and when it is called without a connection while
+ * the registry is stale, as a restart would then leave no sign. A restarted endpoint is cold, and its new registration may arrive
+ * late; so until a probe settles the question, the scheduler sends it no more than a cold endpoint can take.
  *
  * @module
  */
@@ -10,6 +11,15 @@
 import type { ProbeResult } from "./endpoint-probe.js";
 import type { Placement } from "./placement.js";
 
+/** Why an endpoint is suspected of a restart. */
+export const SuspicionCause = {
+    /** The endpoint closed a connection, or a call to it broke off. */
+    Closed: "closed",
+    /** A call is sent there with no connection from before, while this host gets no registrations. */
+    NoConnection: "noConnection",
+} as const;
+export type SuspicionCause = typeof SuspicionCause[keyof typeof SuspicionCause];
+
 /** Dependencies of {@link RestartSuspicions}. */
 export interface RestartSuspicionsDeps {
     readonly log: Log;
@@ -31,23 +41,28 @@
     constructor(private readonly deps: RestartSuspicionsDeps) {}
 
     /**
-     * Called when the endpoint closed a connection by itself. Ignores endpoints that do not report when their incarnation began,
-     * because a probe cannot tell their incarnations apart.
+     * Suspects and probes an endpoint. Ignores endpoints that do not report when their incarnation began, because a probe cannot
+     * tell their incarnations apart.
      */
-    raise(endpoint: EndpointIncarnation): void {
+    raise(endpoint: EndpointIncarnation, cause: SuspicionCause): void {
         const { incarnation, born } = endpoint;
         const placement = this.deps.placements.find(known => known.limitsWhileCold(incarnation));
         if (!placement || born === undefined || this.probing.has(incarnation)) return;
         this.probing.add(incarnation);
         placement.suspectRestart(incarnation, SUSPICION_MS);
-        void this.probeAndSettle(endpoint, placement);
+        if (cause === SuspicionCause.NoConnection) placement.countAdmission(incarnation);
+        void this.probeAndSettle(endpoint, cause, placement);
     }
 
-    private async probeAndSettle(endpoint: EndpointIncarnation, placement: Placement): Promise<void> {
+    private async probeAndSettle(
+        endpoint: EndpointIncarnation,
+        cause: SuspicionCause,
+        placement: Placement,
+    ): Promise<void> {
         const { incarnation } = endpoint;
         const sign = await this.deps.probe(endpoint);
         this.probing.delete(incarnation);
-        this.deps.log.info({ endpoint: incarnation, sign: sign.kind }, "endpoint_life_doubted");
+        this.deps.log.info({ endpoint: incarnation, cause, sign: sign.kind }, "endpoint_life_doubted");
         if (sign.kind === "lives" && sign.reportsBirth) placement.suspectRestart(incarnation, undefined);
         if (sign.kind === "laterLife") this.deps.learnIncarnation(sign.life);
     }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -32,7 +32,7 @@
 import { pollLeaving } from "./endpoints/leaving-poll.js";
 import { isLeaving, Placement } from "./endpoints/placement.js";
 import { RequestGuard } from "./endpoints/request-guard.js";
-import { RestartSuspicions } from "./endpoints/restart-suspicions.js";
+import { RestartSuspicions, SuspicionCause } from "./endpoints/restart-suspicions.js";
 import { watchSpeeds } from "./endpoints/speed-watch.js";
 import { addEndpointRoutes } from "./operators/endpoints-api.js";
 import { addQuarantineRoutes, allowSecrets } from "./operators/quarantine-api.js";
@@ -137,9 +137,10 @@
         {
             onAnswered: address => peers.reach.endpointAnswered(address),
             onUnreachable: address => peers.reach.connectionFailed(address),
-            onClosedWhileIdle: address => {
-                for (const endpoint of endpointsAt(address, latestRegistry)) restartSuspicions.raise(endpoint);
+            onOpenFirst: address => {
+                if (feed.isStoreAway) suspectRestartsAt(address, SuspicionCause.NoConnection);
             },
+            onClosedWhileIdle: address => suspectRestartsAt(address, SuspicionCause.Closed),
         },
     );
     const guard: RequestGuard = new RequestGuard({
@@ -149,7 +150,7 @@
         signal,
         share: news => peers.shareQuarantine(news),
         investigate: (endpoint, run) => {
-            restartSuspicions.raise(endpoint);
+            restartSuspicions.raise(endpoint, SuspicionCause.Closed);
             crashDetector.investigate(endpoint, run);
         },
     });
@@ -172,6 +173,9 @@
         probe: endpoint => probeWithinLimit(endpoint, [engines, plain], signal),
         learnIncarnation: incarnation => peers.learnIncarnation(incarnation),
     });
+    const suspectRestartsAt = (address: string, cause: SuspicionCause): void => {
+        for (const endpoint of endpointsAt(address, latestRegistry)) restartSuspicions.raise(endpoint, cause);
+    };
     const notices = new EndpointNotices({
         clock,
         log,
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -244,3 +244,27 @@
     await send(connections, "127.0.0.1:1").ended;
     t.deepEqual(told, ["unreachable 127.0.0.1:1"]);
 });
+
+test("a connection is reported before it is opened, unless another one to its address is open", async t => {
+    const own = new AbortController();
+    t.teardown(() => own.abort());
+    let first = 0;
+    const connections = new EndpointConnections(own.signal, createClock(), () => undefined, {
+        onOpenFirst: () => first += 1,
+    });
+    const { address, sockets } = await startEndpoint(t, socket => {
+        socket.resume();
+        socket.on("data", () => socket.write(COMPLETE_ANSWER));
+    });
+    const [one, other] = [send(connections, address), send(connections, address)];
+    t.is(first, 2, "neither was established when the other was opened");
+    await Promise.all([one.ended, other.ended]);
+    one.exchange.release(5_000);
+    const [reused, third] = [send(connections, address), send(connections, address)];
+    await Promise.all([reused.ended, third.ended]);
+    t.is(first, 2);
+    for (const socket of sockets) socket.resetAndDestroy();
+    await waitAwake(SETTLE_MS);
+    await send(connections, address).ended;
+    t.is(first, 3);
+});
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -238,6 +238,13 @@
         replace: "",
         tests: [COLD_AGAIN],
     },
+    {
+        promise: "lives: one that may have begun while no host was connected is taken for cold, too",
+        file: "packages/host/src/endpoints/endpoint-connections.ts",
+        find: "if (!this.isConnected(address)) this.listeners.onOpenFirst?.(address);",
+        replace: "",
+        tests: [COLD_AGAIN],
+    },
     {
         promise: "lives: one that lives on is used in full",
         file: "packages/host/src/endpoints/restart-suspicions.ts",
