A hall whose hosts were all passed over as watchers of the store tries again at once

Cause: a watcher that the store does not answer is passed over for 3 s. A store that resets connections fails all hosts of a small hall within 300 ms, so that nobody watched until 1.5 s of silence were over.

Change: if all are passed over, the two that failed first try again.

--- a/packages/hall/src/store-watchers.ts
+++ b/packages/hall/src/store-watchers.ts
@@ -5,7 +5,8 @@
  * The first {@link WATCHERS_PER_HALL} hosts of a hall by rank, which depends on their capacity, watch the store. At least every
  * {@link WATCHER_REPORT_INTERVAL_MS} they report to the hall their progress and whether the store answers them. A watcher that is silent, or that the
  * store does not answer, is passed over for {@link PASSED_OVER_MS} and the next by rank takes its place, so that the hosts of the hall
- * take turns while the store is unavailable. The other hosts follow the watchers' reports and the progress of any peer. A host that
+ * take turns while the store is unavailable. If all are passed over, those that failed first try again: a short outage uses up all
+ * hosts of a small hall, and its end must not go unnoticed. The other hosts follow the watchers' reports and the progress of any peer. A host that
  * hears of neither watches the store itself, later the lower its rank is. Following only saves calls; nothing else depends on it.
  *
  *     store ---watch---> first, second          (by rank; if one fails, the next)
@@ -149,7 +150,11 @@
     const storeFailedAt = hears === false ? now : state.storeFailedAt;
     const hasStoreFailed = hears !== true && now - storeFailedAt < PASSED_OVER_MS;
     const ranked = rank("store-watch", hosts, weights);
-    const { expected: expectedFrom, watchers } = pickWatchers(state, ranked, hasStoreFailed, now);
+    const picked = pickWatchers(state, ranked, hasStoreFailed, now);
+    const expectedFrom = picked.expected;
+    const watchers = picked.watchers.length > 0
+        ? picked.watchers
+        : longestPassedOver({ ...state, expectedFrom, storeFailedAt }, ranked);
     const watcherIndex = watchers.indexOf(state.self);
     const isAlone = watcherIndex < 0
         && now - lastStoreNewsAt(state, freshAt) > STORE_SILENCE_MS + rankDelay(ranked.indexOf(state.self));
@@ -193,6 +198,16 @@
     return { expected, watchers };
 }
 
+/** Returns the hosts whose last failure is the longest ago, by rank where that is equal. */
+function longestPassedOver(
+    { self, reports, expectedFrom, storeFailedAt }: WatcherView,
+    ranked: readonly string[],
+): readonly string[] {
+    const failedAt = (host: string): number =>
+        host === self ? storeFailedAt : reports.get(host)?.at ?? expectedFrom.get(host) ?? -Infinity;
+    return ranked.toSorted((a, b) => failedAt(a) - failedAt(b)).slice(0, WATCHERS_PER_HALL);
+}
+
 /** Returns since when a host is expected to watch. A host that was passed over for its silence is expected again after a while. */
 function expectedSince(since: number | undefined, report: WatcherReport | undefined, now: number): number {
     if (since === undefined) return now;
--- a/packages/hall/test/store-hall.ts
+++ b/packages/hall/test/store-hall.ts
@@ -22,6 +22,8 @@
 const ROUND_MS = 250;
 /** Timeout of a call to a store that does not answer. */
 const CALL_TIMEOUT_MS = 1_000;
+/** Duration of a call to a store that resets connections. */
+const RESET_MS = 4;
 const PAUSE_AFTER_NEWS_MS: Readonly<Record<WatchReason, number>> = { first: 100, second: 600, alone: 300 };
 
 /** A host of the hall. */
@@ -48,6 +50,8 @@
 export class StoreHall extends VirtualClock {
     readonly hosts: HallHost[];
     position: StorePosition = { epoch: 1, revision: 1 };
+    /** Whether a store that a host is cut off from resets its connections; if not, it is silent. */
+    resetsConnections = false;
     private readonly random: () => number;
 
     constructor(count: number, seed = 1, private readonly weights?: Weights) {
@@ -125,7 +129,8 @@
     /** Makes one call of a watch, which ends with an answer or a timeout. */
     private call(host: HallHost, waitMs: number): void {
         host.calls += 1;
-        const endsAt = this.now + (host.isCutOff ? CALL_TIMEOUT_MS : 4 + waitMs);
+        const failureMs = this.resetsConnections ? RESET_MS : CALL_TIMEOUT_MS;
+        const endsAt = this.now + (host.isCutOff ? failureMs : 4 + waitMs);
         host.callEndsAt = endsAt;
         const after = host.position;
         const look = (): void => {
@@ -137,6 +142,12 @@
         this.after(4, () => this.whenResumed(host, look));
     }
 
+    /** Ends a host's call to the store without an answer. */
+    failCall(host: HallHost): void {
+        host.callEndsAt = Infinity;
+        this.answer(host, false, false);
+    }
+
     private answer(host: HallHost, hears: boolean, hasNews: boolean): void {
         const changed = host.hears !== hears;
         host.hears = hears;
--- a/packages/hall/test/store-watchers.test.ts
+++ b/packages/hall/test/store-watchers.test.ts
@@ -16,6 +16,8 @@
 const START = 2_000;
 /** Shortest bound on the delay until a change is in force at all hosts. */
 const MAX_CHANGE_DELAY_MS = 2_000;
+/** Bound on the delay until a hall notices that the store is back: half of that, as reading and distributing a change take the rest. */
+const MAX_NOTICE_DELAY_MS = MAX_CHANGE_DELAY_MS / 2;
 
 function anyHost(): boolean {
     return true;
@@ -118,6 +120,28 @@
     }
 });
 
+// Guards against a hall in which nobody watches: a store that resets connections for 300 ms failed all three hosts of a hall, each was
+// passed over, and a configuration that was written after the outage came into force more than 2 s later.
+for (const count of [1, 2, 3, 6, 30]) {
+    test(`in a hall of ${count}, a change is in force within its bound after an outage that is shorter than the hall's turn`, t => {
+        for (let seed = 1; seed <= 20; seed++) {
+            const hall = settled(count, seed);
+            hall.resetsConnections = true;
+            for (const outageMs of [100, 300, 900, 2_500]) {
+                for (const host of hall.hosts) host.isCutOff = true;
+                // Their open calls fail at once.
+                for (const host of hall.watching) hall.failCall(host);
+                hall.run(outageMs);
+                for (const host of hall.hosts) host.isCutOff = false;
+                const took = hall.changeStore(anyHost);
+                t.true(took < MAX_NOTICE_DELAY_MS, `seed ${seed}, ${outageMs} ms: ${took} ms`);
+                hall.run(6_000);
+                t.is(hall.watching.length, Math.min(2, count));
+            }
+        }
+    });
+}
+
 test("a stall of the watchers makes no other host watch for good", t => {
     const hall = settled(60);
     for (const host of hall.watching) host.pausedUntil = hall.now + 900;
