A starting host with peers is ready when one has answered, not after 400 ms

What callers saw: a worker that had stated a limit of 0 got calls from a host that had just started ("a host that starts hears of a limit before it is ready"). The same held for workers that had said that they leave, and for quarantines.

Cause: a starting host was ready after 400 ms though no peer had answered. That wait was meant for hosts whose peers are all starting.

Notices are asked for only once the endpoints are known, as others are dropped. A log line tells how the wait ended.

--- a/packages/host/src/peers/notice-sharing.ts
+++ b/packages/host/src/peers/notice-sharing.ts
@@ -10,7 +10,7 @@
 import { randomSample } from "../runtime/random-sample.js";
 import { repeat } from "../runtime/repeat.js";
 import { MAX_ITEMS, type NoticePeerMessage } from "./peer-messages.js";
-import { StartupQuery } from "./startup-query.js";
+import { StartupQuery, type StartupResult } from "./startup-query.js";
 
 /** Dependencies of {@link NoticeSharing}. */
 export interface NoticeSharingDeps {
@@ -19,6 +19,12 @@
     readonly signal: AbortSignal;
     /** Live hosts of the scope, including this one. */
     live(): readonly string[];
+    /** Whether this host knows of other hosts, or looks for some. */
+    hasPeers(): boolean;
+    /** Whether this host knows the endpoints. Before that it can't keep notices of them. */
+    knowsEndpoints(): boolean;
+    /** Called when a starting host no longer waits for its peers' notices. */
+    onStarted(result: StartupResult): void;
     send(names: readonly string[], message: NoticePeerMessage): void;
     /** Applies notices from a peer; returns those that are new here. */
     learn(notices: readonly EndpointNotice[]): readonly EndpointNotice[];
@@ -41,7 +47,13 @@
 
     constructor(private readonly deps: NoticeSharingDeps) {
         const { clock, signal } = deps;
-        this.startupQuery = new StartupQuery({ clock, signal, ask: () => this.ask() });
+        this.startupQuery = new StartupQuery({
+            clock,
+            signal,
+            hasPeers: () => deps.hasPeers(),
+            ask: () => this.ask(),
+            onEnd: result => deps.onStarted(result),
+        });
         repeat(() => this.sendToSome(REPEAT_FANOUT, deps.all()), () => REPEAT_MS, signal);
     }
 
@@ -57,12 +69,14 @@
 
     /** Handles a message of a peer. */
     receive(from: string, message: NoticePeerMessage): void {
-        if (message.kind === "saidAsk") return this.send([from], this.deps.all(), true);
-        if (message.isAll) this.startupQuery.onAnswer();
+        // A host that is starting itself doesn't answer: the peer would take its notices for all there are.
+        if (message.kind === "saidAsk") return this.isReady ? this.send([from], this.deps.all(), true) : undefined;
+        if (message.isAll && this.deps.knowsEndpoints()) this.startupQuery.onAnswer();
         this.share(this.deps.learn(message.words));
     }
 
     private ask(): void {
+        if (!this.deps.knowsEndpoints()) return;
         this.deps.send(this.someOthers(1), { kind: "saidAsk" });
     }
 
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -57,7 +57,7 @@
 import type { StorePeerMessage } from "../store/store-messages.js";
 import { type StoreFollower, StoreSharing } from "../store/store-sharing.js";
 import type { VersionExchange } from "../store/version-exchange.js";
-import { NoticeSharing } from "./notice-sharing.js";
+import { NoticeSharing, type NoticeSharingDeps } from "./notice-sharing.js";
 import { OwnershipLog } from "./ownership-log.js";
 import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
 import { QuarantineSharing } from "./quarantine-sharing.js";
@@ -67,6 +67,9 @@
     readonly [K in PeerMessage["kind"]]: (from: PeerName, message: Extract<PeerMessage, { kind: K }>) => void;
 };
 
+/** What the exchanges share that ask peers as this host starts. */
+type StartupListeners = Pick<NoticeSharingDeps, "hasPeers" | "onStarted">;
+
 /** Dependencies of {@link Peers}. */
 export interface PeersDeps {
     readonly cfg: HostCfg;
@@ -141,7 +144,13 @@
             },
         });
         const { guard } = deps;
+        const startup = (what: "quarantines" | "notices"): StartupListeners => ({
+            hasPeers: () => this.live.length > 1 || unknownCandidates(this.membership).length > 0,
+            onStarted: ({ answered, waitedMs }) =>
+                deps.log.info({ what, answered, waited_ms: waitedMs }, "peers_asked_at_start"),
+        });
         this.quarantineSharing = guard && new QuarantineSharing({
+            ...startup("quarantines"),
             name,
             clock: deps.clock,
             signal: deps.signal,
@@ -153,6 +162,8 @@
         });
         const { notices: endpointNotices } = deps;
         this.noticeSharing = endpointNotices && new NoticeSharing({
+            ...startup("notices"),
+            knowsEndpoints: () => deps.follower?.isReady() ?? true,
             name,
             clock: deps.clock,
             signal: deps.signal,
--- a/packages/host/src/peers/quarantine-sharing.ts
+++ b/packages/host/src/peers/quarantine-sharing.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "@drumpaddle/protocol";
 import { randomSample } from "../runtime/random-sample.js";
 import { MAX_ITEMS, type QuarantinePeerMessage } from "./peer-messages.js";
-import { StartupQuery } from "./startup-query.js";
+import { StartupQuery, type StartupResult } from "./startup-query.js";
 
 /** Dependencies of {@link QuarantineSharing}. */
 export interface QuarantineSharingDeps {
@@ -17,6 +17,10 @@
     readonly signal: AbortSignal;
     /** Live hosts of the scope, including this one. */
     live(): readonly string[];
+    /** Whether this host knows of other hosts, or looks for some. */
+    hasPeers(): boolean;
+    /** Called when a starting host no longer waits for its peers' quarantines. */
+    onStarted(result: StartupResult): void;
     send(names: readonly string[], message: QuarantinePeerMessage): void;
     /** Merges news from a peer. */
     learn(news: QuarantineNews): void;
@@ -45,7 +49,13 @@
 
     constructor(private readonly deps: QuarantineSharingDeps) {
         const { clock, signal } = deps;
-        this.startupQuery = new StartupQuery({ clock, signal, ask: () => this.ask() });
+        this.startupQuery = new StartupQuery({
+            clock,
+            signal,
+            hasPeers: () => deps.hasPeers(),
+            ask: () => this.ask(),
+            onEnd: result => deps.onStarted(result),
+        });
     }
 
     /** Whether a peer has sent everything it knows, or the host has waited long enough for one. */
@@ -81,7 +91,8 @@
 
     /** Handles a message of a peer. */
     receive(from: string, message: QuarantinePeerMessage): void {
-        if (message.kind === "quarantineAsk") return this.sendEverything(from);
+        // A host that is starting itself doesn't answer: the peer would take what it knows for all there is.
+        if (message.kind === "quarantineAsk") return this.isReady ? this.sendEverything(from) : undefined;
         if (message.isAll) this.startupQuery.onAnswer();
         this.deps.learn(message);
     }
