A stream without events makes its host ask whether the engine still lives

Cause: silence was watched from the first event on. Before it nobody probed.

Change: a stream without events for as long as its objective, from an endpoint that sent nothing else meanwhile, makes the host probe that endpoint. Only a refused connection or an answer from a later life ends the stream; the hall is told of the latter. Connections are kept by address, which also tells whether one is open.

--- a/packages/host/src/calls/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -17,6 +17,7 @@
 import { FailCode, type LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { EndpointConnections, Exchange, ExchangeSink } from "../endpoints/endpoint-connections.js";
+import { type FirstEventCfg, FirstEventWatch } from "./first-event-watch.js";
 import { canFollow, isStream, judgeAnswer, MISDIRECTED, type SentBefore, type Verdict } from "./judge-answer.js";
 import { ReadPauses, SLOW_READER_MS } from "./read-pauses.js";
 import type { AttemptSink } from "./request-driver.js";
@@ -50,6 +51,8 @@
     readonly alreadySent: SentBefore | undefined;
     /** When a silent stream counts as lost; undefined if it could not continue elsewhere. */
     readonly silence: SilenceCfg | undefined;
+    /** How a stream without events is watched; undefined if the call is no stream. */
+    readonly firstEvent: FirstEventCfg | undefined;
     readonly sink: AttemptSink<AnswerPiece>;
     /** Returns whether more of the answer may be read now; if not, calls back when it may. */
     readonly whenRoom: (resume: () => void) => boolean;
@@ -121,6 +124,7 @@
     private sentAt: number | undefined;
     private readonly pauses: ReadPauses;
     private readonly silence: SilenceWatch | undefined;
+    private readonly firstEvent: FirstEventWatch | undefined;
 
     constructor(
         private readonly connections: EndpointConnections,
@@ -129,8 +133,9 @@
     ) {
         this.pieces = attempt.alreadySent?.pieces ?? 0;
         this.pauses = new ReadPauses(attempt.now);
-        const { silence } = attempt;
+        const { silence, firstEvent } = attempt;
         this.silence = silence && new SilenceWatch(silence, detail => this.reportLoss("idle", detail));
+        this.firstEvent = firstEvent && new FirstEventWatch(firstEvent, detail => this.reportLoss("reset", detail));
     }
 
     start(): void {
@@ -145,6 +150,7 @@
 
     onSending(): void {
         this.sentAt = this.attempt.now();
+        this.firstEvent?.start();
         this.attempt.sink.report({ kind: "sending", attempt: this.attempt.id });
     }
 
@@ -166,6 +172,7 @@
 
     onData(chunk: Buffer): void {
         if (this.hasEnded || this.verdict?.kind !== "accept") return;
+        this.firstEvent?.stop();
         if (this.splitter) return this.reportEvents(this.splitter.push(chunk), this.splitter.unfinished.length);
         this.held.push(chunk);
         this.heldBytes += chunk.length;
@@ -308,6 +315,7 @@
 
     private stopWatching(): void {
         this.silence?.stop();
+        this.firstEvent?.stop();
         this.attempt.incarnationSignal.removeEventListener("abort", this.onIncarnationOver);
     }
 
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -9,7 +9,7 @@
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import { rankOf } from "./forward-job.js";
-import { silenceCfgOf } from "./forward-silence.js";
+import { firstEventCfgOf, silenceCfgOf } from "./forward-silence.js";
 import { guardAttempt } from "./guard-attempt.js";
 import type { AttemptRunner } from "./request-driver.js";
 
@@ -72,6 +72,7 @@
                 body: progress.body,
                 alreadySent: sentBefore(progress, continueAt),
                 silence: silenceCfgOf(deps, call, endpoint, backUp),
+                firstEvent: firstEventCfgOf(deps, call, endpoint),
                 sink: guardAttempt(recordProgress(sink, progress), deps.guard, {
                     req: head.id,
                     route: route.name,
--- a/packages/host/src/calls/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -1,11 +1,13 @@
 /**
- * Decides when a forwarded stream that falls silent counts as lost, if a standby holds a copy of it.
+ * Decides when a forwarded stream that is silent counts as lost: before its first event, and afterwards if a standby holds a copy.
  *
  * @module
  */
 import { errText } from "@drumpaddle/protocol";
-import { compareIncarnations, type EndpointEntry, IncarnationOrder } from "@drumpaddle/routes";
+import { compareIncarnations, type EndpointEntry, IncarnationOrder, RouteKind } from "@drumpaddle/routes";
 import { callEndpoint } from "../endpoints/call-endpoint.js";
+import { probeByStatusCall } from "../endpoints/endpoint-probe.js";
+import type { FirstEventCfg } from "./first-event-watch.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import type { SilenceCfg } from "./silence-watch.js";
 
@@ -43,6 +45,30 @@
     };
 }
 
+/** Returns how a stream is watched until its first event; undefined for other calls. */
+export function firstEventCfgOf(
+    deps: GatewayContext,
+    { route }: ForwardCall,
+    endpoint: EndpointEntry,
+): FirstEventCfg | undefined {
+    if (route.kind !== RouteKind.Stream) return undefined;
+    return {
+        probeAfterMs: route.objectiveMs,
+        endpointSilentMs: () => deps.connections.silentMs(endpoint.address),
+        hasEnded: () => hasIncarnationEnded(deps, endpoint),
+    };
+}
+
+/** Probes whether an incarnation has certainly ended; it is reported to the hall if a later one answers. */
+async function hasIncarnationEnded(deps: GatewayContext, endpoint: EndpointEntry): Promise<boolean> {
+    const { incarnation, address } = endpoint;
+    if (!deps.engines.admitsControlCall(incarnation)) return false;
+    const sign = await probeByStatusCall(deps.wire, address, endpoint, deps.signal);
+    deps.log.info({ endpoint: incarnation, sign: sign.kind }, "endpoint_without_events");
+    if (sign.kind === "laterLife") deps.learnIncarnation(sign.life);
+    return sign.kind === "laterLife" || sign.kind === "refused";
+}
+
 /**
  * Probes whether the incarnation of an endpoint is still alive. An endpoint that does not answer gets no new work for a
  * while. A later incarnation that answers at the address does not have the streams of the earlier one.
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -71,7 +71,6 @@
 const NO_TIMEOUT = 0;
 
 interface Connection {
-    readonly address: string;
     readonly client: Client;
     /** Undefined until the connection is established. */
     socket: Socket | undefined;
@@ -87,6 +86,13 @@
     resumeReading: () => void;
 }
 
+/** The connections to one address. */
+interface AddressConnections {
+    readonly open: Set<Connection>;
+    /** When something was last received on one of them. */
+    heardAt: number;
+}
+
 const connector = buildConnector({
     timeout: CONNECT_TIMEOUT_MS,
     keepAlive: true,
@@ -97,6 +103,8 @@
 export class EndpointConnections {
     private readonly idle = new Map<string, Connection[]>();
     private readonly all = new Set<Connection>();
+    /** The same by address; an address without connections has no entry. */
+    private readonly peers = new Map<string, AddressConnections>();
 
     constructor(
         signal: AbortSignal,
@@ -109,6 +117,11 @@
         }, { once: true });
     }
 
+    /** Time since something was last received on a connection to an address, in milliseconds; Infinity if nothing was. */
+    silentMs(address: string): number {
+        return this.clock.now() - (this.peers.get(address)?.heardAt ?? -Infinity);
+    }
+
     /** Number of connections, in use or idle. */
     get size(): number {
         return this.all.size;
@@ -140,10 +153,13 @@
                 sink.onSending();
             },
             onResponseStart: (controller, status) => {
-                this.listeners.onAnswered?.(address);
+                this.reportAnswered(address);
                 sink.onHead(status, headerTexts(controller.rawHeaders));
             },
-            onResponseData: (_controller, chunk) => sink.onData(chunk),
+            onResponseData: (_controller, chunk) => {
+                this.noteHeard(address);
+                sink.onData(chunk);
+            },
             onResponseEnd: () => {
                 state.done = true;
                 sink.onEnd(!connection.failed);
@@ -198,7 +214,6 @@
         });
         if (!this.isConnected(address)) this.listeners.onOpenFirst?.(address);
         const connection: Connection = {
-            address,
             socket: undefined,
             failed: false,
             ended: false,
@@ -225,19 +240,37 @@
             if (isIdle && this.clock.now() < connection.keepAliveUntil) this.listeners.onClosedWhileIdle?.(address);
             this.close(address, connection);
         });
-        this.all.add(connection);
+        this.add(address, connection);
         return connection;
     }
 
     private isConnected(address: string): boolean {
-        return [...this.all].some(other => other.address === address && other.socket !== undefined && !other.ended);
+        const open = this.peers.get(address)?.open ?? [];
+        return [...open].some(({ socket, ended }) => socket !== undefined && !ended);
+    }
+
+    private add(address: string, connection: Connection): void {
+        this.all.add(connection);
+        const peer = this.peers.get(address);
+        if (peer) peer.open.add(connection);
+        else this.peers.set(address, { open: new Set([connection]), heardAt: -Infinity });
     }
 
     private reportConnected(address: string): void {
         this.onOpened();
+        this.reportAnswered(address);
+    }
+
+    private reportAnswered(address: string): void {
+        this.noteHeard(address);
         this.listeners.onAnswered?.(address);
     }
 
+    private noteHeard(address: string): void {
+        const peer = this.peers.get(address);
+        if (peer) peer.heardAt = this.clock.now();
+    }
+
     private keepIdle(address: string, connection: Connection, keepAliveMs: number | undefined): void {
         const idleMs = Math.min(MAX_IDLE_MS, (keepAliveMs ?? Infinity) - IDLE_MARGIN_MS);
         if (idleMs <= 0 || connection.failed || !this.all.has(connection)) return this.close(address, connection);
@@ -251,6 +284,9 @@
 
     private close(address: string, connection: Connection): void {
         if (!this.all.delete(connection)) return;
+        const peer = this.peers.get(address);
+        peer?.open.delete(connection);
+        if (peer?.open.size === 0) this.peers.delete(address);
         const idle = this.idle.get(address);
         if (idle?.includes(connection)) this.idle.set(address, idle.filter(other => other !== connection));
         void connection.client.destroy();
--- a/packages/host/src/peers/notice-sharing.ts
+++ b/packages/host/src/peers/notice-sharing.ts
@@ -20,11 +20,11 @@
     /** Live hosts of the scope, including this one. */
     live(): readonly string[];
     /** Whether this host knows of other hosts, or looks for some. */
-    hasPeers(): boolean;
+    readonly hasPeers: () => boolean;
     /** Whether this host knows the endpoints. Before that it can't keep notices of them. */
     knowsEndpoints(): boolean;
     /** Called when a starting host no longer waits for its peers' notices. */
-    onStarted(result: StartupResult): void;
+    readonly onStarted: (result: StartupResult) => void;
     send(names: readonly string[], message: NoticePeerMessage): void;
     /** Applies notices from a peer; returns those that are new here. */
     learn(notices: readonly EndpointNotice[]): readonly EndpointNotice[];
--- a/packages/host/src/peers/quarantine-sharing.ts
+++ b/packages/host/src/peers/quarantine-sharing.ts
@@ -18,9 +18,9 @@
     /** Live hosts of the scope, including this one. */
     live(): readonly string[];
     /** Whether this host knows of other hosts, or looks for some. */
-    hasPeers(): boolean;
+    readonly hasPeers: () => boolean;
     /** Called when a starting host no longer waits for its peers' quarantines. */
-    onStarted(result: StartupResult): void;
+    readonly onStarted: (result: StartupResult) => void;
     send(names: readonly string[], message: QuarantinePeerMessage): void;
     /** Merges news from a peer. */
     learn(news: QuarantineNews): void;
--- a/packages/host/test/startup-query.test.ts
+++ b/packages/host/test/startup-query.test.ts
@@ -6,7 +6,11 @@
 function startQuery(
     t: ExecutionContext,
     hasPeers: boolean,
-): { readonly query: StartupQuery; readonly setTime: (ms: number) => void; readonly results: readonly StartupResult[] } {
+): {
+    readonly query: StartupQuery;
+    readonly setTime: (ms: number) => void;
+    readonly results: readonly StartupResult[];
+} {
     const end = new AbortController();
     t.teardown(() => end.abort());
     let time = 0;
