Logs tell how late timers fire, when a call was first sent, and why there was no room

Cause: four known failures could not be told from a slow machine by the logs: no line told of delays of the event loop, of the time that a call spent in its host before a worker was asked, or of what bound a request that found no room.

--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -17,6 +17,8 @@
     body: Buffer | undefined;
     /** In milliseconds on the monotonic clock. */
     readonly deadline: number;
+    /** When the first byte was sent to an endpoint, in milliseconds on the monotonic clock; undefined if none was. */
+    sentAt: number | undefined;
     /** Id of the latest attempt. */
     attemptId: string;
     /** Endpoint of the latest attempt; undefined if it is no longer registered. */
@@ -61,6 +63,7 @@
     return {
         body,
         deadline,
+        sentAt: undefined,
         attemptId: "",
         endpoint: undefined,
         slowness: undefined,
@@ -127,12 +130,17 @@
  *
  * @example
  * ```ts
- * startAttempt(connections, wire, { ...attempt, sink: recordProgress(sink, progress) });
+ * startAttempt(connections, wire, { ...attempt, sink: recordProgress(sink, progress, () => clock.now()) });
  * ```
  */
-export function recordProgress(sink: AttemptSink<AnswerPiece>, progress: CallProgress): AttemptSink<AnswerPiece> {
+export function recordProgress(
+    sink: AttemptSink<AnswerPiece>,
+    progress: CallProgress,
+    now: () => number,
+): AttemptSink<AnswerPiece> {
     return {
         report: (event, piece) => {
+            if (event.kind === "sending") progress.sentAt ??= now();
             if (event.kind === "failedAnswer") progress.failedAnswer = piece;
             const hasAdvanced = sink.report(event, piece);
             if (hasAdvanced && event.kind === "token" && piece) recordPiece(progress, event.index, piece);
--- a/packages/host/src/calls/first-event-watch.ts
+++ b/packages/host/src/calls/first-event-watch.ts
@@ -10,9 +10,9 @@
     /** Time without an event after which the endpoint is probed, and between two probes, in milliseconds. */
     readonly probeAfterMs: number;
     /** Time for which this host has received nothing from the endpoint, on any connection. */
-    endpointSilentMs(): number;
+    readonly endpointSilentMs: () => number;
     /** Probes the endpoint; resolves to whether the incarnation that runs the stream has certainly ended. */
-    hasEnded(): Promise<boolean>;
+    readonly hasEnded: () => Promise<boolean>;
 }
 
 /**
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -73,7 +73,7 @@
                 alreadySent: sentBefore(progress, continueAt),
                 silence: silenceCfgOf(deps, call, endpoint, backUp),
                 firstEvent: firstEventCfgOf(deps, call, endpoint),
-                sink: guardAttempt(recordProgress(sink, progress), deps.guard, {
+                sink: guardAttempt(recordProgress(sink, progress, () => deps.clock.now()), deps.guard, {
                     req: head.id,
                     route: route.name,
                     workspace: workspace?.name,
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -282,6 +282,7 @@
         prompt: call.head.generation?.promptTokens,
         most: call.head.generation?.maxTokens,
         hint: call.head.generation?.hintTokens,
+        sent_ms: progress.sentAt === undefined ? undefined : Math.round(progress.sentAt - call.arrivedAt),
         first_ms: end.firstTokenMs === undefined ? undefined : Math.round(end.firstTokenMs),
         ms: Math.round(deps.clock.now() - call.arrivedAt),
     }, "call_ended");
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -41,6 +41,7 @@
 import { DescriptorLimit } from "./runtime/descriptors.js";
 import { HostMemory } from "./runtime/host-memory.js";
 import type { Log } from "./runtime/log.js";
+import { watchLoopDelay } from "./runtime/loop-delay.js";
 import { Metrics } from "./runtime/metrics.js";
 import { repeat } from "./runtime/repeat.js";
 import { DeploymentFeed } from "./store/deployment-feed.js";
@@ -256,6 +257,7 @@
     });
     // Reading the clock detects a suspension; without calls nothing else does.
     repeat(() => void clock.now(), () => CLOCK_POLL_MS, signal);
+    watchLoopDelay({ clock, log, metrics, signal });
     watchSpeeds({ clock, log, metrics, view: () => engines.view, signal });
     const operatorsServer = createOperatorsServer(
         () => feed.isReady && peers.hasCaughtUp && !openRequests.stopping,
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -12,6 +12,7 @@
     readConfig,
 } from "./runtime/config.js";
 export { createLog, formatRecord, type Log } from "./runtime/log.js";
+export { watchLoopDelay } from "./runtime/loop-delay.js";
 export { Metrics, TimeHistogram } from "./runtime/metrics.js";
 export { Directory, hashSecret } from "./store/directory.js";
 export { SettingsFeed, type SettingsFeedDeps } from "./store/settings-feed.js";
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -54,6 +54,7 @@
     readonly firstToken = new TimeHistogram();
     readonly betweenTokens = new TimeHistogram();
     readonly stall = new TimeHistogram();
+    readonly loopDelay = new TimeHistogram();
     private readonly registry = new Registry();
     private readonly outcomes = this.counter("drumpaddle_requests_total", "Requests by how they ended.", [
         "outcome",
@@ -177,6 +178,7 @@
             "Stall time of a request: what its gaps lie above the target.",
             this.stall,
         );
+        this.summary("drumpaddle_event_loop_delay_ms", "How late a timer of 50 ms fires.", this.loopDelay);
     }
 
     countOutcome(outcome: Outcome, ran: Ran): void {
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -193,6 +193,11 @@
     return Math.min(ramp, pace);
 }
 
+/** Whether one more stream would make an endpoint's pace, as far as it is known, too slow for a target. */
+export function isAtPace(view: EndpointView, gapTargetMs: number, variant: Variant, now: number): boolean {
+    return streamCount(view) + 1 > Math.max(1, streamLimit(view, gapTargetMs, variant, now));
+}
+
 /** An endpoint's streams and memory with a request added, and the bounds of both. */
 interface Fit {
     readonly streams: number;
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { serves, usableEndpoints } from "./choose.js";
+import { isAtPace, serves, usableEndpoints } from "./choose.js";
 import { expectedWaitMs, nextRetryTime } from "./forecast.js";
 import type { Job } from "./job.js";
 import { prefillMs } from "./prefill-rate.js";
@@ -77,10 +77,22 @@
     const age = state.drainRate ? `${Math.round(now - state.drainRate.lastStart)} ms ago` : "never";
     const detail = `room in ${Math.round(capacityMs)} ms at place ${position} after ${
         Math.round(now - since)
-    } ms, last seen ${age}`;
+    } ms, last seen ${age}; ${countAtPace(state, waiting, now)}`;
     return { state: { ...state, retryTimes }, actions: [refuse(job.id, reason, detail, afterMs)] };
 }
 
+/** Tells how many of the endpoints that could serve a request run as many streams as their pace allows. */
+function countAtPace(state: SchedulerState, { job, avoid }: WaitingRequest, now: number): string {
+    const views = usableEndpoints(
+        state.endpoints.values(),
+        { model: job.group.model, halls: job.halls },
+        avoid,
+        now,
+    );
+    const atPace = views.filter(view => isAtPace(view, job.policy.gapTargetMs, state.variant, now));
+    return `${atPace.length} of ${views.length} endpoints at their pace`;
+}
+
 /**
  * Refuses a request because all endpoints throttle this host. If another host may serve it, its caller is asked to
  * retry soon.
