A call waits for the answer of an endpoint that may have restarted without a sign

Change: a call to an endpoint without an open connection, while the host gets no registrations, is sent when the probe is over; one that finds a later life was never sent and goes elsewhere. The detail of wait_too_long also tells at how many endpoints the first event would be late.

--- a/packages/host/src/calls/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -64,6 +64,10 @@
     onMisdirected(incarnation: string): void;
     /** Called when a later incarnation of an endpoint has answered than the one that was called. */
     learnIncarnation(incarnation: IncarnationId): void;
+    /**
+     * Settles whether an endpoint has restarted, if a restart may have left no sign. Undefined if there is nothing to settle.
+     */
+    settleRestart(endpoint: EndpointEntry): Promise<void> | undefined;
 }
 
 /** A call, with what is fixed when it arrives. */
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -5,6 +5,7 @@
  */
 import { HeldKind } from "@drumpaddle/policy";
 import type { AnswerHead } from "@drumpaddle/protocol";
+import type { EndpointEntry } from "@drumpaddle/routes";
 import { type CallProgress, continuationOf, knownStandby, recordProgress, sentBefore } from "./call-progress.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
@@ -21,9 +22,11 @@
     fingerprint: string,
 ): AttemptRunner<AnswerPiece> {
     const { head, route, workspace, target, req, memory } = call;
-    return {
+    const endpointOf = (incarnation: string): EndpointEntry | undefined =>
+        knownStandby(progress, incarnation) ?? deps.endpoint(incarnation);
+    const runner: AttemptRunner<AnswerPiece> = {
         start: ({ attempt, endpoint: incarnation, backUp, continueAt }, sink, signal) => {
-            const endpoint = knownStandby(progress, incarnation) ?? deps.endpoint(incarnation);
+            const endpoint = endpointOf(incarnation);
             const copy = progress.copy?.standby.incarnation === incarnation ? progress.copy : undefined;
             progress.copy = undefined;
             progress.attemptId = attempt;
@@ -108,6 +111,17 @@
         // Nothing to send: the driver aborts the attempt's signal, and the closed connection cancels the call at the endpoint.
         cancel: () => undefined,
     };
+    return {
+        ...runner,
+        start: (plan, sink, signal) => {
+            const endpoint = endpointOf(plan.endpoint);
+            const settled = endpoint && deps.settleRestart(endpoint);
+            if (!settled) return runner.start(plan, sink, signal);
+            void settled.then(() => {
+                if (!signal.aborted) runner.start(plan, sink, signal);
+            });
+        },
+    };
 }
 
 /** Logs the answer of an endpoint that was asked to continue a stream. */
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -53,8 +53,6 @@
     readonly onAnswered?: (address: string) => void;
     /** A connection could not be established. */
     readonly onUnreachable?: (address: string) => void;
-    /** A connection is about to be opened, while none to this address is open whose end would have been noticed. */
-    readonly onOpenFirst?: (address: string) => void;
     /** An endpoint closed an idle connection before the keep-alive time that it had announced. */
     readonly onClosedWhileIdle?: (address: string) => void;
 }
@@ -122,6 +120,12 @@
         return this.clock.now() - (this.peers.get(address)?.heardAt ?? -Infinity);
     }
 
+    /** Whether a connection to an address is open, so that the end of the process there is noticed. */
+    isConnected(address: string): boolean {
+        const open = this.peers.get(address)?.open ?? [];
+        return [...open].some(({ socket, ended }) => socket !== undefined && !ended);
+    }
+
     /** Number of connections, in use or idle. */
     get size(): number {
         return this.all.size;
@@ -212,7 +216,6 @@
             // Undici's parser throws an uncaught exception if the socket ends while the parser is paused.
             connection.resumeReading();
         });
-        if (!this.isConnected(address)) this.listeners.onOpenFirst?.(address);
         const connection: Connection = {
             socket: undefined,
             failed: false,
@@ -244,11 +247,6 @@
         return connection;
     }
 
-    private isConnected(address: string): boolean {
-        const open = this.peers.get(address)?.open ?? [];
-        return [...open].some(({ socket, ended }) => socket !== undefined && !ended);
-    }
-
     private add(address: string, connection: Connection): void {
         this.all.add(connection);
         const peer = this.peers.get(address);
--- a/packages/host/src/endpoints/restart-suspicions.ts
+++ b/packages/host/src/endpoints/restart-suspicions.ts
@@ -36,22 +36,39 @@
 
 /** Suspects and probes endpoints that may have restarted. */
 export class RestartSuspicions {
-    private readonly probing = new Set<string>();
+    /** Probes that have not been answered yet, by incarnation. */
+    private readonly probing = new Map<string, Promise<void>>();
 
     constructor(private readonly deps: RestartSuspicionsDeps) {}
 
     /**
      * Suspects and probes an endpoint. Ignores endpoints that do not report when their incarnation began, because a probe cannot
      * tell their incarnations apart.
+     *
+     * @returns Resolves when the probe is over; undefined if there is nothing to wait for.
      */
-    raise(endpoint: EndpointIncarnation, cause: SuspicionCause): void {
+    raise(endpoint: EndpointIncarnation, cause: SuspicionCause): Promise<void> | undefined {
         const { incarnation, born } = endpoint;
         const placement = this.deps.placements.find(known => known.limitsWhileCold(incarnation));
-        if (!placement || born === undefined || this.probing.has(incarnation)) return;
-        this.probing.add(incarnation);
+        if (!placement || born === undefined) return undefined;
+        const known = this.probing.get(incarnation);
+        if (known) return known;
         placement.suspectRestart(incarnation, SUSPICION_MS);
-        if (cause === SuspicionCause.NoConnection) placement.countAdmission(incarnation);
-        void this.probeAndSettle(endpoint, cause, placement);
+        const settled = this.probeAndSettle(endpoint, cause, placement);
+        this.probing.set(incarnation, settled);
+        return settled;
+    }
+
+    /**
+     * Settles whether an endpoint has restarted before a call is sent there without a connection. The call counts as one that a cold
+     * endpoint gets.
+     *
+     * @returns As {@link raise} does.
+     */
+    settleBeforeCall(endpoint: EndpointIncarnation): Promise<void> | undefined {
+        const settled = this.raise(endpoint, SuspicionCause.NoConnection);
+        if (settled) { for (const placement of this.deps.placements) placement.countAdmission(endpoint.incarnation); }
+        return settled;
     }
 
     private async probeAndSettle(
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -138,10 +138,11 @@
         {
             onAnswered: address => peers.reach.endpointAnswered(address),
             onUnreachable: address => peers.reach.connectionFailed(address),
-            onOpenFirst: address => {
-                if (feed.isStoreAway) suspectRestartsAt(address, SuspicionCause.NoConnection);
+            onClosedWhileIdle: address => {
+                for (const endpoint of endpointsAt(address, latestRegistry)) {
+                    void restartSuspicions.raise(endpoint, SuspicionCause.Closed);
+                }
             },
-            onClosedWhileIdle: address => suspectRestartsAt(address, SuspicionCause.Closed),
         },
     );
     const guard: RequestGuard = new RequestGuard({
@@ -151,7 +152,7 @@
         signal,
         share: news => peers.shareQuarantine(news),
         investigate: (endpoint, run) => {
-            restartSuspicions.raise(endpoint, SuspicionCause.Closed);
+            void restartSuspicions.raise(endpoint, SuspicionCause.Closed);
             crashDetector.investigate(endpoint, run);
         },
     });
@@ -174,9 +175,6 @@
         probe: endpoint => probeWithinLimit(endpoint, [engines, plain], signal),
         learnIncarnation: incarnation => peers.learnIncarnation(incarnation),
     });
-    const suspectRestartsAt = (address: string, cause: SuspicionCause): void => {
-        for (const endpoint of endpointsAt(address, latestRegistry)) restartSuspicions.raise(endpoint, cause);
-    };
     const notices = new EndpointNotices({
         clock,
         log,
@@ -224,6 +222,10 @@
             }
         },
         learnIncarnation: incarnation => peers.learnIncarnation(incarnation),
+        settleRestart: endpoint =>
+            feed.isStoreAway && !connections.isConnected(endpoint.address)
+                ? restartSuspicions.settleBeforeCall(endpoint)
+                : undefined,
     };
     const callers = createForwardServer({
         requestTimeoutMs: cfg["callers.body-timeout"],
--- a/packages/host/test/endpoint-connections.test.ts
+++ b/packages/host/test/endpoint-connections.test.ts
@@ -245,26 +245,22 @@
     t.deepEqual(told, ["unreachable 127.0.0.1:1"]);
 });
 
-test("a connection is reported before it is opened, unless another one to its address is open", async t => {
-    const own = new AbortController();
-    t.teardown(() => own.abort());
-    let first = 0;
-    const connections = new EndpointConnections(own.signal, createClock(), () => undefined, {
-        onOpenFirst: () => first += 1,
-    });
+test("an address is connected while a connection to it is established, in use or idle", async t => {
+    const { connections } = connectionsOf(t);
     const { address, sockets } = await startEndpoint(t, socket => {
         socket.resume();
         socket.on("data", () => socket.write(COMPLETE_ANSWER));
     });
-    const [one, other] = [send(connections, address), send(connections, address)];
-    t.is(first, 2, "neither was established when the other was opened");
-    await Promise.all([one.ended, other.ended]);
-    one.exchange.release(5_000);
-    const [reused, third] = [send(connections, address), send(connections, address)];
-    await Promise.all([reused.ended, third.ended]);
-    t.is(first, 2);
-    for (const socket of sockets) socket.resetAndDestroy();
+    t.is(connections.silentMs(address), Infinity);
+    const call = send(connections, address);
+    t.false(connections.isConnected(address), "it is only being established");
+    await call.ended;
+    t.true(connections.isConnected(address));
+    call.exchange.release(5_000);
+    t.true(connections.isConnected(address));
+    t.true(connections.silentMs(address) < 5_000);
+    sockets[0]!.resetAndDestroy();
     await waitAwake(SETTLE_MS);
-    await send(connections, address).ended;
-    t.is(first, 3);
+    t.false(connections.isConnected(address));
+    t.is(connections.silentMs(address), Infinity);
 });
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -5,7 +5,8 @@
  * @module
  */
 import { isAtPace, serves, usableEndpoints } from "./choose.js";
-import { expectedWaitMs, nextRetryTime } from "./forecast.js";
+import { pendingPrefill } from "./endpoint.js";
+import { expectedWaitMs, nextRetryTime, startsInTime } from "./forecast.js";
 import type { Job } from "./job.js";
 import { prefillMs } from "./prefill-rate.js";
 import type { WaitingRequest } from "./queue-order.js";
@@ -77,20 +78,25 @@
     const age = state.drainRate ? `${Math.round(now - state.drainRate.lastStart)} ms ago` : "never";
     const detail = `room in ${Math.round(capacityMs)} ms at place ${position} after ${
         Math.round(now - since)
-    } ms, last seen ${age}; ${countAtPace(state, waiting, now)}`;
+    } ms, last seen ${age}; ${describeBounds(state, waiting, now)}`;
     return { state: { ...state, retryTimes }, actions: [refuse(job.id, reason, detail, afterMs)] };
 }
 
-/** Tells how many of the endpoints that could serve a request run as many streams as their pace allows. */
-function countAtPace(state: SchedulerState, { job, avoid }: WaitingRequest, now: number): string {
-    const views = usableEndpoints(
-        state.endpoints.values(),
-        { model: job.group.model, halls: job.halls },
-        avoid,
-        now,
-    );
-    const atPace = views.filter(view => isAtPace(view, job.policy.gapTargetMs, state.variant, now));
-    return `${atPace.length} of ${views.length} endpoints at their pace`;
+/**
+ * Tells why the endpoints that could serve a request have no room: one more stream would slow the others too much, its first token
+ * would come late, or neither, which leaves their memory.
+ */
+function describeBounds(state: SchedulerState, { job, avoid, since }: WaitingRequest, now: number): string {
+    const { gapTargetMs, maxWaitMs } = job.policy;
+    const needs = { model: job.group.model, halls: job.halls };
+    const views = usableEndpoints(state.endpoints.values(), needs, avoid, now);
+    const leftMs = maxWaitMs - (now - since);
+    const atPace = views.filter(view => isAtPace(view, gapTargetMs, state.variant, now)).length;
+    const late = views.filter(view => {
+        const firstTokenMs = prefillMs(state.prefillRate, pendingPrefill(view) + job.promptTokens);
+        return !startsInTime(view, firstTokenMs, leftMs);
+    }).length;
+    return `of ${views.length} endpoints ${atPace} at their pace, ${late} too late to start`;
 }
 
 /**
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -240,9 +240,9 @@
     },
     {
         promise: "lives: one that may have begun while no host was connected is taken for cold, too",
-        file: "packages/host/src/endpoints/endpoint-connections.ts",
-        find: "if (!this.isConnected(address)) this.listeners.onOpenFirst?.(address);",
-        replace: "",
+        file: "packages/host/src/calls/forward-runner.ts",
+        find: "const settled = endpoint && deps.settleRestart(endpoint);",
+        replace: "const settled = undefined as Promise<void> | undefined;",
         tests: [COLD_AGAIN],
     },
     {
