Names and a log level that a newcomer's reading of the change found

Cause: the connections by address were called peers, which are hosts elsewhere, and a line for each probe of a stream without events is too many under load.

Change: byAddress; probes that end no stream are logged at debug.

--- a/packages/host/src/calls/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -64,9 +64,11 @@
     const { incarnation, address } = endpoint;
     if (!deps.engines.admitsControlCall(incarnation)) return false;
     const sign = await probeByStatusCall(deps.wire, address, endpoint, deps.signal);
-    deps.log.info({ endpoint: incarnation, sign: sign.kind }, "endpoint_without_events");
+    const hasEnded = sign.kind === "laterLife" || sign.kind === "refused";
+    // Under load many streams wait for their first event, each of them asking: only what ends one is worth a line.
+    deps.log[hasEnded ? "info" : "debug"]({ endpoint: incarnation, sign: sign.kind }, "endpoint_without_events");
     if (sign.kind === "laterLife") deps.learnIncarnation(sign.life);
-    return sign.kind === "laterLife" || sign.kind === "refused";
+    return hasEnded;
 }
 
 /**
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -101,8 +101,8 @@
 export class EndpointConnections {
     private readonly idle = new Map<string, Connection[]>();
     private readonly all = new Set<Connection>();
-    /** The same by address; an address without connections has no entry. */
-    private readonly peers = new Map<string, AddressConnections>();
+    /** The connections in {@link all} by address; an address without any has no entry. */
+    private readonly byAddress = new Map<string, AddressConnections>();
 
     constructor(
         signal: AbortSignal,
@@ -117,12 +117,12 @@
 
     /** Time since something was last received on a connection to an address, in milliseconds; Infinity if nothing was. */
     silentMs(address: string): number {
-        return this.clock.now() - (this.peers.get(address)?.heardAt ?? -Infinity);
+        return this.clock.now() - (this.byAddress.get(address)?.heardAt ?? -Infinity);
     }
 
     /** Whether a connection to an address is open, so that the end of the process there is noticed. */
     isConnected(address: string): boolean {
-        const open = this.peers.get(address)?.open ?? [];
+        const open = this.byAddress.get(address)?.open ?? [];
         return [...open].some(({ socket, ended }) => socket !== undefined && !ended);
     }
 
@@ -249,9 +249,9 @@
 
     private add(address: string, connection: Connection): void {
         this.all.add(connection);
-        const peer = this.peers.get(address);
-        if (peer) peer.open.add(connection);
-        else this.peers.set(address, { open: new Set([connection]), heardAt: -Infinity });
+        const known = this.byAddress.get(address);
+        if (known) known.open.add(connection);
+        else this.byAddress.set(address, { open: new Set([connection]), heardAt: -Infinity });
     }
 
     private reportConnected(address: string): void {
@@ -265,8 +265,8 @@
     }
 
     private noteHeard(address: string): void {
-        const peer = this.peers.get(address);
-        if (peer) peer.heardAt = this.clock.now();
+        const known = this.byAddress.get(address);
+        if (known) known.heardAt = this.clock.now();
     }
 
     private keepIdle(address: string, connection: Connection, keepAliveMs: number | undefined): void {
@@ -282,9 +282,9 @@
 
     private close(address: string, connection: Connection): void {
         if (!this.all.delete(connection)) return;
-        const peer = this.peers.get(address);
-        peer?.open.delete(connection);
-        if (peer?.open.size === 0) this.peers.delete(address);
+        const known = this.byAddress.get(address);
+        known?.open.delete(connection);
+        if (known?.open.size === 0) this.byAddress.delete(address);
         const idle = this.idle.get(address);
         if (idle?.includes(connection)) this.idle.set(address, idle.filter(other => other !== connection));
         void connection.client.destroy();
