--- a/ava.config.js
+++ b/ava.config.js
@@ -3,8 +3,6 @@
     extensions: { ts: "module" },
     nodeArguments: ["--import=tsx", "--conditions=drumpaddle-source"],
     workerThreads: false,
-    // Tests of a file share a process. Run together, up to 50 gateways start at once in it, and tests of times measure each other.
-    serial: true,
     // No test ends for this long: the fleets of 400 and 800 hosts compute for 90 s without a pause, as the last tests to run.
     timeout: "5m",
 };
