Logs tell since when a host has heard no endpoint, and connections may start from a given address

The logs of the incident could not tell whether a cut-off host still heard any endpoint: only calls that failed told of it, one by one. endpoints_unreached names how many endpoints the last new connections failed to, how, and since when nothing was heard of any; drumpaddle_unreached_endpoints counts them. The pure judgement endpoint-links is there but decides nothing yet. forward.source-address lets hosts on one machine be told apart by a link, so that tests cut off chosen hosts only. Not measured: no decision changes.

--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -22,6 +22,17 @@
     nameOfEndedLife,
     type RequestNews,
 } from "./endings.js";
+export {
+    type CutOff,
+    type EndpointLinks,
+    LINK_FAILURE_TTL_MS,
+    LinkFailureCause,
+    needsRelay,
+    recordLinkFailure,
+    recordLinkUp,
+    recordReachedByPeer,
+    UNKNOWN_LINKS,
+} from "./endpoint-links.js";
 export { type EndpointNotice, type LimitNotice, noticeOf, noticesToTell, saidFromNotice } from "./endpoint-notices.js";
 export { hostShareOfLimits, type ShareIndex, shareIndexIn, splitLimit } from "./limit-share.js";
 export {
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { LinkFailureCause } from "@drumpaddle/hall";
 import type { Clock, RawHeaders } from "@drumpaddle/protocol";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
@@ -55,6 +56,10 @@
     readonly onUnreachable?: (address: string) => void;
     /** An endpoint closed an idle connection before the keep-alive time that it had announced. */
     readonly onClosedWhileIdle?: (address: string) => void;
+    /** Something was received on a connection. `isFirst`: it is the first thing on this connection. */
+    readonly onReceived?: (address: string, isFirst: boolean) => void;
+    /** A new connection failed: it was not established, or it ended before anything was received on it. */
+    readonly onLinkFailed?: (address: string, cause: LinkFailureCause) => void;
 }
 
 /** Connections within a region are established within milliseconds. */
@@ -72,6 +77,8 @@
     readonly client: Client;
     /** Undefined until the connection is established. */
     socket: Socket | undefined;
+    /** Whether anything was received on it. */
+    heard: boolean;
     /** Whether its socket was reset or failed. */
     failed: boolean;
     /** Whether its socket has ended; the rest of an answer is then read at once, and `pause` has no effect. */
@@ -109,6 +116,7 @@
         private readonly clock: Clock,
         private readonly onOpened: () => void,
         private readonly listeners: ConnectionListeners = {},
+        private readonly localAddress?: string,
     ) {
         signal.addEventListener("abort", () => {
             for (const { client } of this.all) void client.destroy();
@@ -157,11 +165,12 @@
                 sink.onSending();
             },
             onResponseStart: (controller, status) => {
-                this.reportAnswered(address);
+                this.noteReceived(address, connection);
+                this.listeners.onAnswered?.(address);
                 sink.onHead(status, headerTexts(controller.rawHeaders));
             },
             onResponseData: (_controller, chunk) => {
-                this.noteHeard(address);
+                this.noteReceived(address, connection);
                 sink.onData(chunk);
             },
             onResponseEnd: () => {
@@ -170,6 +179,10 @@
             },
             onResponseError: (_controller, err) => {
                 state.done = true;
+                const endedByItself = this.all.has(connection) && connection.socket !== undefined;
+                if (endedByItself && !connection.heard) {
+                    this.listeners.onLinkFailed?.(address, LinkFailureCause.Closed);
+                }
                 drop();
                 sink.onBroken(err);
             },
@@ -218,6 +231,7 @@
         });
         const connection: Connection = {
             socket: undefined,
+            heard: false,
             failed: false,
             ended: false,
             usableUntil: 0,
@@ -225,6 +239,7 @@
             resumeReading: () => undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
+                ...(this.localAddress === undefined ? {} : { localAddress: this.localAddress }),
                 connect: (options, callback) =>
                     connectReportingEnds(options, (...result) => {
                         const [, socket] = result;
@@ -233,7 +248,10 @@
                             this.reportConnected(address);
                         }
                         // If the call was cancelled, the failure says nothing about the network.
-                        else if (!connection.client.destroyed) this.listeners.onUnreachable?.(address);
+                        else if (!connection.client.destroyed) {
+                            this.listeners.onLinkFailed?.(address, LinkFailureCause.Connect);
+                            this.listeners.onUnreachable?.(address);
+                        }
                         callback(...result);
                     }),
             }),
@@ -256,12 +274,15 @@
 
     private reportConnected(address: string): void {
         this.onOpened();
-        this.reportAnswered(address);
+        this.noteHeard(address);
+        this.listeners.onAnswered?.(address);
     }
 
-    private reportAnswered(address: string): void {
+    private noteReceived(address: string, connection: Connection): void {
+        const isFirst = !connection.heard;
+        connection.heard = true;
         this.noteHeard(address);
-        this.listeners.onAnswered?.(address);
+        this.listeners.onReceived?.(address, isFirst);
     }
 
     private noteHeard(address: string): void {
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -30,6 +30,7 @@
 import { probeByStatusCall, type ProbeResult } from "./endpoints/endpoint-probe.js";
 import { IncarnationSignals } from "./endpoints/incarnation-signals.js";
 import { pollLeaving } from "./endpoints/leaving-poll.js";
+import { LinkMonitor } from "./endpoints/link-monitor.js";
 import { isLeaving, Placement } from "./endpoints/placement.js";
 import { RequestGuard } from "./endpoints/request-guard.js";
 import { RestartSuspicions, SuspicionCause } from "./endpoints/restart-suspicions.js";
@@ -131,11 +132,14 @@
         endpoint: incarnation => feed.endpoint(incarnation),
     });
     const incarnationSignals = new IncarnationSignals();
+    const links = new LinkMonitor({ clock, log, metrics, addresses: () => addressesIn(latestRegistry) });
     const connections = new EndpointConnections(
         signal,
         clock,
         () => metrics.countConnection(),
         {
+            onReceived: (address, isFirst) => links.received(address, isFirst),
+            onLinkFailed: (address, cause) => links.failed(address, cause),
             onAnswered: address => peers.reach.endpointAnswered(address),
             onUnreachable: address => peers.reach.connectionFailed(address),
             onClosedWhileIdle: address => {
@@ -144,6 +148,7 @@
                 }
             },
         },
+        cfg["forward.source-address"],
     );
     const guard: RequestGuard = new RequestGuard({
         clock,
@@ -395,6 +400,11 @@
     return entries.filter(entry => entry.address === address);
 }
 
+/** Addresses of all registered endpoints. */
+function addressesIn(registry: Registry | undefined): readonly string[] {
+    return [...registry?.endpoints.values() ?? []].map(({ entry }) => entry.address);
+}
+
 /** Whether an incarnation is over although it was ready, not leaving: the endpoint has restarted or is gone. */
 function hasRestarted(incarnation: string, registry: Registry | undefined): boolean {
     const departed = registry?.departed.get(incarnation);
--- a/packages/host/src/runtime/config.ts
+++ b/packages/host/src/runtime/config.ts
@@ -131,6 +131,11 @@
         fallback: "",
         doc: "Regions of halls, for routes and workspaces whose calls must stay in certain regions; other halls are in no region.",
     },
+    "forward.source-address": {
+        type: text(/^[0-9a-f.:]+$/i, "an IP address"),
+        optional: true,
+        doc: "IP address of this machine from which connections to endpoints are opened; by default the system chooses one.",
+    },
     "forward.stop-grace": {
         type: duration(500, 600_000),
         fallback: "8s",
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -130,6 +130,10 @@
         "drumpaddle_quarantined_requests",
         "Requests that are begun nowhere.",
     );
+    readonly unreachedEndpoints = this.gauge(
+        "drumpaddle_unreached_endpoints",
+        "Endpoints to which this host's last new connection failed.",
+    );
     readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
     readonly waiting = this.gauge("drumpaddle_waiting_requests", "Requests that wait for room.");
     readonly liveHosts = this.gauge(
