A host that has lost its links to the endpoints reaches them through its peers

Cause: a host judged each endpoint by itself and tried one after another over its own links; nothing told it that they were down, and there was no other way. The class: 'I can't reach it' taken for 'it is gone', also in the probes of crashes and restarts, which saw refused connections of a cut as ended endpoints. Change: connections to endpoints go through a peer if the own link is down. The peer connects on a stream of the peers' port, with their secret, and passes bytes without reading them, so that scheduling, limits, cold bounds, evacuations, quarantine, attempts and what is known of 'not run' stay with the host that has the call. A relayed connection is never relayed on. A host is cut off if two endpoints fail, none answers since, and a peer reaches one that this host still does not. Probes of crashes and restarts ask a peer before they believe a refusal.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -43,8 +43,8 @@
 }
 
 /**
- * Returns the lines about a request, sorted by time: its own, and the events during the request of the endpoints that
- * these name.
+ * Returns the lines about a request, sorted by time: its own, the events during the request of the endpoints that these name, and
+ * those of the connection by which a peer relayed it.
  *
  * @example
  * ```ts
@@ -57,12 +57,15 @@
     const endpoints = new Set(
         own.flatMap(({ fields }) => ["endpoint", "from", "to"].flatMap(key => fields.get(key) ?? [])),
     );
+    const relays = new Set(own.flatMap(({ fields }) => fields.get("relay") ?? []));
     const firstMs = Math.min(...own.map(line => line.atMs)) - CONTEXT_BEFORE_MS;
     const lastMs = Math.max(...own.map(line => line.atMs));
     const context = lines.filter(({ fields, atMs }) =>
         !fields.has("req") && endpoints.has(fields.get("endpoint") ?? "") && atMs >= firstMs && atMs <= lastMs
     );
-    return [...own, ...context].sort((a, b) => a.atMs - b.atMs);
+    // A relayed connection may carry calls before and after this one.
+    const relayed = lines.filter(({ fields }) => !fields.has("req") && relays.has(fields.get("relay") ?? ""));
+    return [...own, ...context, ...relayed].sort((a, b) => a.atMs - b.atMs);
 }
 
 /** The parsed lines of log files, or the command's result if a file cannot be read. */
--- a/packages/hall/src/endpoint-links.ts
+++ b/packages/hall/src/endpoint-links.ts
@@ -19,6 +19,8 @@
     Connect: "connect",
     /** It ended before anything was received on it. */
     Closed: "closed",
+    /** Nothing was received on it in time. */
+    Silent: "silent",
 } as const;
 export type LinkFailureCause = typeof LinkFailureCause[keyof typeof LinkFailureCause];
 
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -117,6 +117,7 @@
     recordFailedConnection,
     recordHeard,
 } from "./reachability.js";
+export { AVOID_PEER_MS, type AvoidedPeers, avoidPeer, chooseRelays, type RelayPeer } from "./relay-choice.js";
 export {
     give,
     type SettingsRequest,
--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -5,6 +5,7 @@
  */
 import type { Continuation } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { RelayRoute } from "../relay/relay-socket.js";
 import type { CallMemory } from "../runtime/call-memory.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { Copy } from "./generation-copies.js";
@@ -23,6 +24,8 @@
     attemptId: string;
     /** Endpoint of the latest attempt; undefined if it is no longer registered. */
     endpoint: EndpointEntry | undefined;
+    /** By which peer the latest attempt is relayed; undefined if it is sent directly. */
+    route: RelayRoute | undefined;
     /** Estimated slowness of that endpoint when the attempt began, as a factor of the mean of its kind. */
     slowness: number | undefined;
     /**
@@ -66,6 +69,7 @@
         sentAt: undefined,
         attemptId: "",
         endpoint: undefined,
+        route: undefined,
         slowness: undefined,
         standby: undefined,
         copy: undefined,
--- a/packages/host/src/calls/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -6,6 +6,7 @@
 import type { CallHead, Clock, PlatformWire } from "@drumpaddle/protocol";
 import type { EndpointEntry, EngineCfg, IncarnationId, Route, RouteTable, WorkspaceCfg } from "@drumpaddle/routes";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EndpointDispatchers } from "../endpoints/dialer.js";
 import type { EndpointConnections } from "../endpoints/endpoint-connections.js";
 import type { EndpointNotices } from "../endpoints/endpoint-notices.js";
 import type { IncarnationSignals } from "../endpoints/incarnation-signals.js";
@@ -25,6 +26,8 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly connections: EndpointConnections;
+    /** Send control calls to endpoints. */
+    readonly dispatchers: EndpointDispatchers;
     /** Schedules generations on engines. */
     readonly engines: Placement;
     /** Schedules calls of plain services. */
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -31,6 +31,7 @@
             progress.copy = undefined;
             progress.attemptId = attempt;
             progress.bodyUnread = undefined;
+            progress.route = undefined;
             progress.endpoint = endpoint;
             progress.slowness = deps.engines.slownessOf(incarnation);
             if (copy) deps.copies.end(head.id, true);
@@ -90,6 +91,7 @@
                 onHeld: bytes => memory.hold(HeldKind.Answer, bytes + (progress.failedAnswer?.body.length ?? 0)),
                 trackBodyStall: unreadMs => memory.bodyStuckMs = unreadMs,
                 onBodyUnread: (bytes, ms) => progress.bodyUnread = { bytes, ms },
+                onRoute: route => progress.route = route,
                 now: () => deps.clock.now(),
                 onAnswered: (status, answer) => {
                     progress.lastAnswer = { status, framed: answer.framed };
--- a/packages/host/src/calls/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -63,7 +63,7 @@
 async function hasIncarnationEnded(deps: GatewayContext, endpoint: EndpointEntry): Promise<boolean> {
     const { incarnation, address } = endpoint;
     if (!deps.engines.admitsControlCall(incarnation)) return false;
-    const sign = await probeByStatusCall(deps.wire, address, endpoint, deps.signal);
+    const sign = await probeByStatusCall(deps.wire, address, endpoint, deps.signal, deps.dispatchers.usual);
     const hasEnded = sign.kind === "laterLife" || sign.kind === "refused";
     // Under load many streams wait for their first event, each of them asking: only what ends one is worth a line.
     deps.log[hasEnded ? "info" : "debug"]({ endpoint: incarnation, sign: sign.kind }, "endpoint_without_events");
@@ -80,7 +80,14 @@
     // An endpoint that limits its requests may not be probed: it is slow rather than gone.
     if (!deps.engines.admitsControlCall(incarnation)) return true;
     try {
-        const { status, body } = await callEndpoint(address, deps.wire.leavingCall(), PROBE_TIMEOUT_MS, deps.signal);
+        const call = deps.wire.leavingCall();
+        const { status, body } = await callEndpoint(
+            address,
+            call,
+            PROBE_TIMEOUT_MS,
+            deps.signal,
+            deps.dispatchers.usual,
+        );
         const stay = deps.wire.decodeLeavingAnswer(status, body);
         const answered = { id, born: stay.kind === "told" ? stay.born : undefined };
         if (compareIncarnations(answered, endpoint) !== IncarnationOrder.Later) return true;
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -265,6 +265,8 @@
         fingerprint: end.err || end.failed ? fingerprint : undefined,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
+        through: progress.route?.host,
+        relay: progress.route?.id,
         slowness: progress.slowness,
         standby: progress.standby?.incarnation,
         standby_hall: progress.standby?.hall,
--- a/packages/host/src/calls/generation-copies.ts
+++ b/packages/host/src/calls/generation-copies.ts
@@ -14,6 +14,7 @@
     type PlatformWire,
 } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { Dispatcher } from "undici";
 import { callEndpoint } from "../endpoints/call-endpoint.js";
 import type { CopyAction, Placement } from "../endpoints/placement.js";
 import type { Log } from "../runtime/log.js";
@@ -43,6 +44,7 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly signal: AbortSignal;
+    readonly dispatcher: Dispatcher;
     endpoint(incarnation: string): EndpointEntry | undefined;
 }
 
@@ -139,7 +141,8 @@
 
     private async requestCopy({ address, incarnation }: EndpointEntry, call: EndpointCall): Promise<CopyAnswer> {
         try {
-            const { status, body } = await callEndpoint(address, call, COPY_TIMEOUT_MS, this.deps.signal);
+            const { signal, dispatcher } = this.deps;
+            const { status, body } = await callEndpoint(address, call, COPY_TIMEOUT_MS, signal, dispatcher);
             return this.deps.wire.decodeCopyAnswer(status, body);
         }
         catch (err) {
@@ -153,8 +156,8 @@
         // A later incarnation of the source may use the name for another copy.
         if (!this.deps.endpoint(source.incarnation)) return;
         try {
-            const { signal, wire } = this.deps;
-            await callEndpoint(source.address, wire.dropCopyCall(name), DROP_TIMEOUT_MS, signal);
+            const { signal, wire, dispatcher } = this.deps;
+            await callEndpoint(source.address, wire.dropCopyCall(name), DROP_TIMEOUT_MS, signal, dispatcher);
         }
         catch (err) {
             // The copy expires by itself a few seconds later.
--- a/packages/host/src/endpoints/call-endpoint.ts
+++ b/packages/host/src/endpoints/call-endpoint.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type EndpointCall, withTimeLimit } from "@drumpaddle/protocol";
-import { request } from "undici";
+import { type Dispatcher, request } from "undici";
 
 /** Status and body of an endpoint's answer. */
 export interface EndpointResponse {
@@ -16,10 +16,11 @@
  * Sends a control call. Rejects with the network's error if no complete answer arrives within `timeoutMs`.
  *
  * @param address `ip:port`
+ * @param dispatcher Opens the connection.
  *
  * @example
  * ```ts
- * const { status, body } = await callEndpoint("10.0.0.9:8080", wire.leavingCall(), 500, signal);
+ * const { status, body } = await callEndpoint("10.0.0.9:8080", wire.leavingCall(), 500, signal, dispatchers.usual);
  * ```
  */
 export async function callEndpoint(
@@ -27,10 +28,12 @@
     { method, path, body }: EndpointCall,
     timeoutMs: number,
     signal: AbortSignal,
+    dispatcher: Dispatcher,
 ): Promise<EndpointResponse> {
     const headers = body === undefined ? {} : { "content-type": "application/json" };
     return withTimeLimit(timeoutMs, signal, async limited => {
-        const res = await request(`http://${address}${path}`, { method, headers, signal: limited, body: body ?? null });
+        const url = `http://${address}${path}`;
+        const res = await request(url, { method, headers, signal: limited, body: body ?? null, dispatcher });
         return { status: res.statusCode, body: await res.body.text() };
     });
 }
--- a/packages/host/src/endpoints/connector.ts
+++ b/packages/host/src/endpoints/connector.ts
@@ -3,14 +3,26 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
-import type { buildConnector } from "undici";
+import { buildConnector } from "undici";
+import { wasReset } from "../runtime/socket-end.js";
 
 /** Error code of a reset. Undici takes a socket error with this code as the regular end of an answer without a length. */
 const RESET_CODE = "ECONNRESET";
 /** An error code that undici treats as a failure for every answer. */
 const FAILURE_CODE = "CONNECTION_RESET";
 
+/** Connections within a region are established within milliseconds. */
+const CONNECT_TIMEOUT_MS = 500;
+/** TCP keep-alive probes begin after this much silence. */
+const TCP_PROBE_DELAY_MS = 1_000;
+
+/** Connects to an endpoint directly. */
+export const connectDirectly = buildConnector({
+    timeout: CONNECT_TIMEOUT_MS,
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_PROBE_DELAY_MS,
+});
+
 /**
  * Called before undici's own listeners when a socket ends. `failed` is true if the peer reset the connection, if the socket
  * emitted an error, or if this side destroyed it with an error.
@@ -50,11 +62,3 @@
 export function failOnReset(connector: buildConnector.connector): buildConnector.connector {
     return reportSocketEnds(connector, () => undefined);
 }
-
-/**
- * Whether a socket that ended was reset. If a reset follows directly on data, Node emits `end` and no error; but the operating
- * system no longer knows the peer address of a connection that was reset.
- */
-function wasReset(socket: Socket): boolean {
-    return socket.remoteAddress === undefined;
-}
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -7,8 +7,10 @@
 import { LinkFailureCause } from "@drumpaddle/hall";
 import type { Clock, RawHeaders } from "@drumpaddle/protocol";
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
-import { reportSocketEnds } from "./connector.js";
+import { type buildConnector, Client, type Dispatcher } from "undici";
+import type { RelayRoute } from "../relay/relay-socket.js";
+import { connectDirectly, reportSocketEnds } from "./connector.js";
+import { routeOf } from "./dialer.js";
 
 /** One call as it is sent to an endpoint. */
 export interface OutgoingCall {
@@ -20,8 +22,8 @@
 
 /** Receives the progress of one call, in the order of these methods; `onEnd` or `onBroken` is called last. */
 export interface ExchangeSink {
-    /** The first byte is about to be sent. */
-    onSending(): void;
+    /** The first byte is about to be sent; `route` tells by which peer, if not directly. */
+    onSending(route: RelayRoute | undefined): void;
     onHead(status: number, headers: RawHeaders): void;
     onData(chunk: Buffer): void;
     /**
@@ -56,20 +58,16 @@
     readonly onUnreachable?: (address: string) => void;
     /** An endpoint closed an idle connection before the keep-alive time that it had announced. */
     readonly onClosedWhileIdle?: (address: string) => void;
-    /** Something was received on a connection. `isFirst`: it is the first thing on this connection. */
+    /** Something was received on a direct connection. `isFirst`: it is the first thing on this connection. */
     readonly onReceived?: (address: string, isFirst: boolean) => void;
-    /** A new connection failed: it was not established, or it ended before anything was received on it. */
+    /** A new direct connection ended before anything was received on it. */
     readonly onLinkFailed?: (address: string, cause: LinkFailureCause) => void;
 }
 
-/** Connections within a region are established within milliseconds. */
-const CONNECT_TIMEOUT_MS = 500;
 /** A connection that was idle for longer is not reused: the endpoint may have dropped it. */
 const MAX_IDLE_MS = 3_000;
 /** A connection is not reused within this time of the moment when the endpoint would close it. */
 const IDLE_MARGIN_MS = 1_000;
-/** TCP keep-alive probes begin after this much silence. */
-const TCP_PROBE_DELAY_MS = 1_000;
 /** Turns off undici's own timeouts for headers and body: the caller of {@link EndpointConnections.send} enforces the deadline. */
 const NO_TIMEOUT = 0;
 
@@ -77,8 +75,12 @@
     readonly client: Client;
     /** Undefined until the connection is established. */
     socket: Socket | undefined;
-    /** Whether anything was received on it. */
-    heard: boolean;
+    /** By which peer it is relayed; undefined if it is direct. */
+    route: RelayRoute | undefined;
+    /** When something was last received on it; -Infinity if nothing was. */
+    heardAt: number;
+    /** When the call was sent that has had no answer yet; undefined if there is none. */
+    unansweredSince: number | undefined;
     /** Whether its socket was reset or failed. */
     failed: boolean;
     /** Whether its socket has ended; the rest of an answer is then read at once, and `pause` has no effect. */
@@ -91,6 +93,15 @@
     resumeReading: () => void;
 }
 
+/** How connections are opened. */
+export interface ConnectionWays {
+    readonly dial: buildConnector.connector;
+    /** When this host lost its links to the endpoints; undefined if it has them. */
+    cutOffSince(): number | undefined;
+}
+
+const DIRECT_ONLY: ConnectionWays = { dial: connectDirectly, cutOffSince: () => undefined };
+
 /** The connections to one address. */
 interface AddressConnections {
     readonly open: Set<Connection>;
@@ -98,12 +109,6 @@
     heardAt: number;
 }
 
-const connector = buildConnector({
-    timeout: CONNECT_TIMEOUT_MS,
-    keepAlive: true,
-    keepAliveInitialDelay: TCP_PROBE_DELAY_MS,
-});
-
 /** All connections of this host to endpoints. */
 export class EndpointConnections {
     private readonly idle = new Map<string, Connection[]>();
@@ -116,7 +121,7 @@
         private readonly clock: Clock,
         private readonly onOpened: () => void,
         private readonly listeners: ConnectionListeners = {},
-        private readonly localAddress?: string,
+        private readonly ways: ConnectionWays = DIRECT_ONLY,
     ) {
         signal.addEventListener("abort", () => {
             for (const { client } of this.all) void client.destroy();
@@ -162,7 +167,8 @@
             onRequestStart: controller => {
                 state.controller = controller;
                 connection.resumeReading = () => controller.resume();
-                sink.onSending();
+                connection.unansweredSince = this.clock.now();
+                sink.onSending(connection.route);
             },
             onResponseStart: (controller, status) => {
                 this.noteReceived(address, connection);
@@ -179,10 +185,7 @@
             },
             onResponseError: (_controller, err) => {
                 state.done = true;
-                const endedByItself = this.all.has(connection) && connection.socket !== undefined;
-                if (endedByItself && !connection.heard) {
-                    this.listeners.onLinkFailed?.(address, LinkFailureCause.Closed);
-                }
+                this.reportFailedLink(address, connection);
                 drop();
                 sink.onBroken(err);
             },
@@ -206,6 +209,31 @@
         this.idle.delete(address);
     }
 
+    /** How long the oldest call that was sent directly has had no byte of an answer, in milliseconds; 0 if there is none. */
+    get unansweredMs(): number {
+        const now = this.clock.now();
+        let longest = 0;
+        for (const { route, unansweredSince } of this.all) {
+            if (!route && unansweredSince !== undefined) longest = Math.max(longest, now - unansweredSince);
+        }
+        return longest;
+    }
+
+    /**
+     * Closes the direct connections that have brought nothing since this host lost its links. Calls on them may continue elsewhere. If
+     * something was received on any direct connection, the link keeps those that are open, and those with a call stay.
+     */
+    closeSuspect(): void {
+        const direct = [...this.byAddress].flatMap(([address, { open }]) =>
+            [...open].filter(({ route, socket }) => !route && socket).map(connection => ({ address, connection }))
+        );
+        const keepsOpen = direct.some(({ connection }) => !this.isSuspect(connection));
+        for (const { address, connection } of direct) {
+            const isIdle = this.idle.get(address)?.includes(connection) === true;
+            if (this.isSuspect(connection) && (isIdle || !keepsOpen)) this.close(address, connection);
+        }
+    }
+
     /** Closes all idle connections. */
     closeAllIdle(): void {
         for (const address of [...this.idle.keys()]) this.closeIdle(address);
@@ -217,13 +245,20 @@
         for (;;) {
             const connection = idle?.pop();
             if (!connection) return undefined;
-            if (!connection.client.destroyed && !connection.failed && now < connection.usableUntil) return connection;
+            const isUsable = !connection.client.destroyed && !connection.failed && now < connection.usableUntil;
+            if (isUsable && !this.isSuspect(connection)) return connection;
             this.close(address, connection);
         }
     }
 
+    /** Whether a direct connection has brought nothing since this host lost its links. */
+    private isSuspect({ route, heardAt }: Connection): boolean {
+        const since = this.ways.cutOffSince();
+        return since !== undefined && !route && heardAt < since;
+    }
+
     private open(address: string): Connection {
-        const connectReportingEnds = reportSocketEnds(connector, failed => {
+        const connectReportingEnds = reportSocketEnds(this.ways.dial, failed => {
             connection.failed ||= failed;
             connection.ended = true;
             // Undici's parser throws an uncaught exception if the socket ends while the parser is paused.
@@ -231,7 +266,9 @@
         });
         const connection: Connection = {
             socket: undefined,
-            heard: false,
+            route: undefined,
+            heardAt: -Infinity,
+            unansweredSince: undefined,
             failed: false,
             ended: false,
             usableUntil: 0,
@@ -239,19 +276,16 @@
             resumeReading: () => undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
-                ...(this.localAddress === undefined ? {} : { localAddress: this.localAddress }),
                 connect: (options, callback) =>
                     connectReportingEnds(options, (...result) => {
                         const [, socket] = result;
                         if (socket) {
                             connection.socket = socket;
+                            connection.route = routeOf(socket);
                             this.reportConnected(address);
                         }
                         // If the call was cancelled, the failure says nothing about the network.
-                        else if (!connection.client.destroyed) {
-                            this.listeners.onLinkFailed?.(address, LinkFailureCause.Connect);
-                            this.listeners.onUnreachable?.(address);
-                        }
+                        else if (!connection.client.destroyed) this.listeners.onUnreachable?.(address);
                         callback(...result);
                     }),
             }),
@@ -279,10 +313,19 @@
     }
 
     private noteReceived(address: string, connection: Connection): void {
-        const isFirst = !connection.heard;
-        connection.heard = true;
+        const isFirst = connection.heardAt === -Infinity;
+        connection.heardAt = this.clock.now();
+        connection.unansweredSince = undefined;
         this.noteHeard(address);
-        this.listeners.onReceived?.(address, isFirst);
+        if (!connection.route) this.listeners.onReceived?.(address, isFirst);
+    }
+
+    /** Reports a direct connection that the network has ended before anything was received on it. */
+    private reportFailedLink(address: string, connection: Connection): void {
+        const isOwnDoing = !this.all.has(connection);
+        const { socket, route, heardAt } = connection;
+        if (isOwnDoing || !socket || route || heardAt !== -Infinity) return;
+        this.listeners.onLinkFailed?.(address, LinkFailureCause.Closed);
     }
 
     private noteHeard(address: string): void {
--- a/packages/host/src/endpoints/endpoint-probe.ts
+++ b/packages/host/src/endpoints/endpoint-probe.ts
@@ -6,6 +6,7 @@
 import { errText, type PlatformWire } from "@drumpaddle/protocol";
 import { compareIncarnations, type IncarnationId, IncarnationOrder } from "@drumpaddle/routes";
 import { connect } from "node:net";
+import type { Dispatcher } from "undici";
 import { callEndpoint } from "./call-endpoint.js";
 
 /** What a probe shows about an incarnation. */
@@ -27,10 +28,11 @@
  * Probes by the endpoint's status call, whose answer may say when its incarnation began.
  *
  * @param address `ip:port`
+ * @param dispatcher Opens the connection.
  *
  * @example
  * ```ts
- * (await probeByStatusCall(wire, "10.0.0.9:8080", { id: "i-7", born: 1700 }, signal)).kind; // "lives"
+ * (await probeByStatusCall(wire, "10.0.0.9:8080", { id: "i-7", born: 1700 }, signal, usual)).kind; // "lives"
  * ```
  */
 export async function probeByStatusCall(
@@ -38,9 +40,10 @@
     address: string,
     known: IncarnationId,
     signal: AbortSignal,
+    dispatcher: Dispatcher,
 ): Promise<ProbeResult> {
     try {
-        const { status, body } = await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS, signal);
+        const { status, body } = await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS, signal, dispatcher);
         const stay = wire.decodeLeavingAnswer(status, body);
         const life = { id: known.id, born: stay.kind === "told" ? stay.born : undefined };
         if (compareIncarnations(life, known) === IncarnationOrder.Later) return { kind: "laterLife", life };
--- a/packages/host/src/endpoints/leaving-poll.ts
+++ b/packages/host/src/endpoints/leaving-poll.ts
@@ -5,6 +5,7 @@
  */
 import { errText, type LeavingAnswer, type PlatformWire } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
+import type { Dispatcher } from "undici";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import { repeat } from "../runtime/repeat.js";
@@ -16,6 +17,7 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly signal: AbortSignal;
+    readonly dispatcher: Dispatcher;
     /** Whether this host gets no changes of the registry at present, neither from the store nor from a peer. */
     isRegistryStale(): boolean;
     /** Engines that this host polls on behalf of all hosts. */
@@ -46,10 +48,10 @@
 }
 
 async function pollOne(deps: LeavingPollDeps, endpoint: EndpointEntry): Promise<void> {
-    const { wire, log, metrics, signal } = deps;
+    const { wire, log, metrics, signal, dispatcher } = deps;
     const { incarnation, address } = endpoint;
     try {
-        const { status, body } = await callEndpoint(address, wire.leavingCall(), POLL_TIMEOUT_MS, signal);
+        const { status, body } = await callEndpoint(address, wire.leavingCall(), POLL_TIMEOUT_MS, signal, dispatcher);
         const answer = wire.decodeLeavingAnswer(status, body);
         metrics.countStayAnswer(answer.kind === "told" ? leavingLabel(answer.leaving) : answer.kind);
         if (answer.kind === "told") return deps.onAnswer(endpoint, answer);
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -18,6 +18,7 @@
 import Fastify, { type FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
+import type { Agent } from "undici";
 import type { GatewayContext } from "./calls/forward-call.js";
 import { applyCallerLimits, createForwardServer } from "./calls/forward-server.js";
 import { serveForwardedCall } from "./calls/forward.js";
@@ -26,11 +27,11 @@
 import { CrashDetector, type EndpointIncarnation } from "./endpoints/crash-detector.js";
 import { declareEndpoints } from "./endpoints/declare-endpoints.js";
 import { EndpointConnections } from "./endpoints/endpoint-connections.js";
+import { createEndpointLinks, type EndpointLinks } from "./endpoints/endpoint-links.js";
 import { EndpointNotices } from "./endpoints/endpoint-notices.js";
 import { probeByStatusCall, type ProbeResult } from "./endpoints/endpoint-probe.js";
 import { IncarnationSignals } from "./endpoints/incarnation-signals.js";
 import { pollLeaving } from "./endpoints/leaving-poll.js";
-import { LinkMonitor } from "./endpoints/link-monitor.js";
 import { isLeaving, Placement } from "./endpoints/placement.js";
 import { RequestGuard } from "./endpoints/request-guard.js";
 import { RestartSuspicions, SuspicionCause } from "./endpoints/restart-suspicions.js";
@@ -87,6 +88,8 @@
 /** How often the host reads the clock, so that it notices a suspension also while it has no calls. */
 const CLOCK_POLL_MS = 50;
 const SEED_RANGE = 1_000_000;
+/** Descriptors of a relayed connection: to the peer and to the endpoint. */
+const SOCKETS_PER_RELAY = 2;
 
 /**
  * Starts a gateway. Resolves when its servers listen; the gateway is ready once it has a deployment and the endpoints.
@@ -122,6 +125,29 @@
     const engines = new Placement(signal, clock, ENGINE_VARIANT, seed, options);
     const plain = new Placement(signal, clock, PLAIN_VARIANT, seed, options);
     const memory = new HostMemory({ budgetBytes: memoryBudgetBytes(cfg), clock, log, metrics });
+    const incarnationSignals = new IncarnationSignals();
+    const links: EndpointLinks = createEndpointLinks({
+        name: cfg["host.name"],
+        clock,
+        log,
+        metrics,
+        wire: platformWire,
+        signal,
+        localAddress: cfg["forward.source-address"],
+        budgetBytes: memoryBudgetBytes(cfg),
+        addresses: () => addressesIn(latestRegistry),
+        mayProbe: address => mayProbe(endpointsAt(address, latestRegistry), [engines, plain]),
+        unansweredMs: () => connections.unansweredMs,
+        onCutOff: () => {
+            connections.closeSuspect();
+            peers.reach.onWayChanged();
+        },
+        onReached: () => peers.reach.onWayChanged(),
+        peers: () => peers.relayPeers,
+        openStream: (address, limited) => peers.openStream(address, limited),
+        isStopping: () => exitsAt !== undefined,
+        hasDescriptors: () => descriptorLimit.admitsCall(),
+    });
     const copies = new GenerationCopies({
         clock,
         engines,
@@ -129,26 +155,28 @@
         log,
         metrics,
         signal,
+        dispatcher: links.dispatchers.usual,
         endpoint: incarnation => feed.endpoint(incarnation),
     });
-    const incarnationSignals = new IncarnationSignals();
-    const links = new LinkMonitor({ clock, log, metrics, addresses: () => addressesIn(latestRegistry) });
     const connections = new EndpointConnections(
         signal,
         clock,
         () => metrics.countConnection(),
         {
-            onReceived: (address, isFirst) => links.received(address, isFirst),
-            onLinkFailed: (address, cause) => links.failed(address, cause),
+            onReceived: (address, isFirst) => links.monitor.received(address, isFirst),
+            onLinkFailed: (address, cause) => links.monitor.failed(address, cause),
             onAnswered: address => peers.reach.endpointAnswered(address),
-            onUnreachable: address => peers.reach.connectionFailed(address),
+            onUnreachable: address => {
+                // A host that is cut off itself knows nothing of the links of its hall.
+                if (!links.monitor.isCutOff) peers.reach.connectionFailed(address);
+            },
             onClosedWhileIdle: address => {
                 for (const endpoint of endpointsAt(address, latestRegistry)) {
                     void restartSuspicions.raise(endpoint, SuspicionCause.Closed);
                 }
             },
         },
-        cfg["forward.source-address"],
+        { dial: links.dialer.usual, cutOffSince: () => links.monitor.cutOffSince },
     );
     const guard: RequestGuard = new RequestGuard({
         clock,
@@ -165,7 +193,7 @@
     const crashDetector = new CrashDetector({
         clock,
         log,
-        probe: endpoint => probeWithinLimit(endpoint, [engines, plain], signal),
+        probe: endpoint => probeWithinLimit(endpoint, [engines, plain], links, signal),
         isLeaving: incarnation => isLeaving(incarnation, engines, plain),
         // An endpoint that had announced that it was leaving did not crash.
         isOver: incarnation => hasRestarted(incarnation, latestRegistry) && !notices.hasAnnouncedLeaving(incarnation),
@@ -177,7 +205,7 @@
     const restartSuspicions = new RestartSuspicions({
         log,
         placements: [engines, plain],
-        probe: endpoint => probeWithinLimit(endpoint, [engines, plain], signal),
+        probe: endpoint => probeWithinLimit(endpoint, [engines, plain], links, signal),
         learnIncarnation: incarnation => peers.learnIncarnation(incarnation),
     });
     const notices = new EndpointNotices({
@@ -192,7 +220,11 @@
     const descriptorLimit = new DescriptorLimit({
         maxDescriptors: cfg["host.descriptors"],
         log,
-        countSockets: () => ({ callers: openCallerSockets, endpoints: connections.size, peers: peers.connections }),
+        countSockets: () => ({
+            callers: openCallerSockets,
+            endpoints: connections.size,
+            peers: peers.connections + SOCKETS_PER_RELAY * links.relays.size,
+        }),
         closeIdle: () => connections.closeAllIdle(),
     });
     const deps: GatewayContext = {
@@ -207,6 +239,7 @@
         plain,
         openRequests,
         copies,
+        dispatchers: links.dispatchers,
         memory,
         notices,
         signal,
@@ -253,6 +286,7 @@
         guard,
         notices,
         memory,
+        onStream: (from, socket) => links.relays.accept(from, socket),
         signal,
     });
     clock.onWake(({ suspendedMs, jumpMs }) => {
@@ -264,6 +298,7 @@
     });
     // Reading the clock detects a suspension; without calls nothing else does.
     repeat(() => void clock.now(), () => CLOCK_POLL_MS, signal);
+    links.monitor.start();
     watchLoopDelay({ clock, log, metrics, signal });
     watchSpeeds({ clock, log, metrics, view: () => engines.view, signal });
     const operatorsServer = createOperatorsServer(
@@ -297,6 +332,7 @@
         metrics,
         signal,
         isRegistryStale: () => feed.isStoreAway,
+        dispatcher: links.dispatchers.usual,
         owned: () => ownedEnginesInUse(engines, feed, peers),
         mayPoll: incarnation => engines.admitsControlCall(incarnation),
         onAnswer: (endpoint, { leaving, born }) => {
@@ -338,7 +374,7 @@
         const deadline = clock.now() + cfg["forward.stop-grace"] - STOP_MARGIN_MS;
         exitsAt = deadline;
         await pause(cfg["callers.still-served"]);
-        while (openRequests.size > 0 && clock.now() < deadline) await pause(STOP_POLL_MS);
+        while (openRequests.size + links.relays.size > 0 && clock.now() < deadline) await pause(STOP_POLL_MS);
         // From here on the host refuses every call as not run; the pause leaves time to send these answers.
         exitsAt = clock.now();
         await pause(STOP_FLUSH_MS);
@@ -411,15 +447,33 @@
     return departed?.isOver === true && departed.entry.state === EndpointState.Ready;
 }
 
-/** Probes whether an incarnation of an endpoint still runs, unless the probe would exceed the endpoint's limit. */
+/**
+ * Probes whether an incarnation of an endpoint still runs, unless the probe would exceed the endpoint's limit. If the endpoint is not
+ * reached directly, a peer is asked: the host's own link may be down.
+ */
 async function probeWithinLimit(
     { incarnation, address, id, born }: EndpointIncarnation,
     placements: readonly Placement[],
+    { monitor, dispatchers }: EndpointLinks,
     signal: AbortSignal,
 ): Promise<ProbeResult> {
-    const isAllowed = placements.every(placement => placement.admitsControlCall(incarnation));
-    if (!isAllowed) return { kind: "unknown", detail: "not asked, as the endpoint's limit allows no request" };
-    return probeByStatusCall(platformWire, address, { id, born }, signal);
+    const isAllowed = (): boolean => placements.every(placement => placement.admitsControlCall(incarnation));
+    if (!isAllowed()) return { kind: "unknown", detail: "not asked, as the endpoint's limit allows no request" };
+    const probe = (dispatcher: Agent): Promise<ProbeResult> =>
+        probeByStatusCall(platformWire, address, { id, born }, signal, dispatcher);
+    const answer = await probe(dispatchers.direct);
+    if (answer.kind === "lives" || answer.kind === "laterLife" || !isAllowed()) return answer;
+    const peersAnswer = await probe(dispatchers.relayed);
+    // A host that is cut off is refused by its network, which says nothing about the endpoint.
+    if (peersAnswer.kind !== "unknown" || monitor.isCutOff) return peersAnswer;
+    return answer;
+}
+
+/** Whether the endpoints at an address may be sent a probe now; it counts against their limits. */
+function mayProbe(endpoints: readonly EndpointEntry[], placements: readonly Placement[]): boolean {
+    return endpoints.every(({ incarnation }) =>
+        placements.every(placement => placement.admitsControlCall(incarnation))
+    );
 }
 
 function holdsStreams({ streams, backups, others }: EndpointView): boolean {
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -33,19 +33,29 @@
     type QuarantineNews,
     receiveDetectorMessage,
     receiveLoadMessage,
+    type RelayPeer,
     runLoadRound,
     selfAndAliveMembers,
     setCandidates,
     tickDetector,
     unknownCandidates,
+    weightOf,
     type Weights,
     weightsOf,
     withOwnerWeights,
 } from "@drumpaddle/hall";
 import type { EndpointTable } from "@drumpaddle/policy";
-import { type Clock, type FrameMessage, type PeerError, PeerMesh, type PeerName } from "@drumpaddle/protocol";
+import {
+    type Clock,
+    type FrameMessage,
+    openPeerStream,
+    type PeerError,
+    PeerMesh,
+    type PeerName,
+} from "@drumpaddle/protocol";
 import type { IncarnationId } from "@drumpaddle/routes";
 import { randomInt } from "node:crypto";
+import type { Socket } from "node:net";
 import type { EndpointNotices } from "../endpoints/endpoint-notices.js";
 import type { Placement } from "../endpoints/placement.js";
 import type { RequestGuard } from "../endpoints/request-guard.js";
@@ -88,6 +98,8 @@
     readonly notices?: Pick<EndpointNotices, "all" | "receive">;
     /** If given, messages queued for peers count against its memory budget. */
     readonly memory?: HostMemory;
+    /** Called with each stream that a peer opens; if absent, streams are refused. */
+    readonly onStream?: (from: PeerName, socket: Socket) => void;
     readonly signal: AbortSignal;
 }
 
@@ -184,7 +196,7 @@
 
     /** Listens for peers and starts probing them; stops when the signal aborts. */
     static async start(deps: PeersDeps): Promise<Peers> {
-        const { cfg, clock, log, metrics, memory, signal } = deps;
+        const { cfg, clock, log, metrics, memory, onStream, signal } = deps;
         const listen = cfg["peers.listen"];
         const at = listen.lastIndexOf(":");
         // Messages can arrive before the instance exists; they are dropped.
@@ -198,6 +210,7 @@
             onError: (peer: string, err: PeerError) =>
                 log.debug({ peer, err: err.kind, detail: "detail" in err ? err.detail : undefined }, "peer_error"),
             onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
+            ...(onStream ? { onStream } : {}),
             sendQueues: {
                 most: () => memory?.maxLinkBytes(),
                 onChange: (link, bytes) => memory?.setLinkBytes(link, bytes),
@@ -225,6 +238,21 @@
         );
     }
 
+    /** The live peers of this host's scope, as relays of connections. Those that are leaving are left out. */
+    get relayPeers(): readonly RelayPeer[] {
+        const now = this.deps.clock.now();
+        const { self } = this.membership;
+        return aliveMembers(this.membership, now)
+            .filter(({ scope, leaving }) => scope === self.scope && !leaving)
+            .map(({ name, address, capacity }) => ({ name, address, weight: weightOf(capacity) }));
+    }
+
+    /** Opens a stream to a peer. */
+    openStream(to: string, signal: AbortSignal): Promise<Socket> {
+        const { "host.name": name, "peers.secrets": secrets } = this.deps.cfg;
+        return openPeerStream({ name, address: this.address, secrets, to, signal });
+    }
+
     /** The address at which peers reach this host. */
     get address(): string {
         return this.mesh.at;
--- a/packages/host/src/peers/reach-sharing.ts
+++ b/packages/host/src/peers/reach-sharing.ts
@@ -95,6 +95,12 @@
         if (endpoint) this.recordFailure(endpoint, agoMs);
     }
 
+    /** Called when this host reaches endpoints in another way than before: failures of the way before say nothing any more. */
+    onWayChanged(): void {
+        const halls = new Set([...this.byIncarnation.values()].map(({ hall }) => hall));
+        this.updateAfter([this.deps.hall, ...halls]);
+    }
+
     /** Evaluates again what is in doubt. Called periodically: silence puts a hall in doubt as time passes, and doubts expire. */
     update(): void {
         this.updateAfter([]);
--- a/packages/host/src/runtime/metrics.ts
+++ b/packages/host/src/runtime/metrics.ts
@@ -116,6 +116,11 @@
     private readonly peerBytes = this.counter("drumpaddle_peer_bytes_total", "Bytes to and from peers.", [
         "direction",
     ]);
+    private readonly relays = this.counter(
+        "drumpaddle_relays_total",
+        "Connections to endpoints through peers: asked of peers or served for them, by result.",
+        ["role", "result"],
+    );
     private readonly endings = this.counter(
         "drumpaddle_endings_total",
         "Endpoints that ended under calls of this host, by how that was found out.",
@@ -134,6 +139,7 @@
         "drumpaddle_unreached_endpoints",
         "Endpoints to which this host's last new connection failed.",
     );
+    readonly cutOff = this.gauge("drumpaddle_cut_off", "1 while this host is cut off from the endpoints, otherwise 0.");
     readonly open = this.gauge("drumpaddle_open_requests", "Requests being served.");
     readonly waiting = this.gauge("drumpaddle_waiting_requests", "Requests that wait for room.");
     readonly liveHosts = this.gauge(
@@ -268,6 +274,10 @@
         this.connections.inc();
     }
 
+    countRelay(role: "asked" | "served", result: string): void {
+        this.relays.inc({ role, result });
+    }
+
     /** All metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.registry.metrics();
--- a/packages/host/test/layers.test.ts
+++ b/packages/host/test/layers.test.ts
@@ -7,7 +7,7 @@
 const PACKAGES = fileURLToPath(new URL("../../", import.meta.url));
 
 /** Folders of the daemon, in order: each may import only those before it. `.` holds the modules that combine them. */
-const LAYERS = ["runtime", "store", "endpoints", "peers", "calls", "operators", "."];
+const LAYERS = ["runtime", "store", "relay", "endpoints", "peers", "calls", "operators", "."];
 
 function sourcesOf(folder: string): readonly string[] {
     const entries = readdirSync(folder, { recursive: true, encoding: "utf8" });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -53,6 +53,7 @@
     PEER_VERSION,
 } from "./peer-codec.js";
 export { type MeshCfg, type PeerError, PeerMesh, type PeerName, type SendQueueBounds } from "./peer-mesh.js";
+export { openPeerStream, type PeerStreamCfg, PeerStreamError } from "./peer-stream.js";
 export {
     type AnswerHead,
     type AttemptHead,
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -50,28 +50,44 @@
     /** Returns the messages that this chunk completes, and the error if one follows them. */
     push(chunk: Buffer): { readonly messages: readonly FrameMessage[]; readonly err?: FrameError } {
         const messages: FrameMessage[] = [];
-        if (this.failed) return { messages };
-        this.chunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        for (;;) {
-            const length = this.peekLength();
-            if (length !== undefined && length > this.maxBytes) {
-                return this.fail(messages, { kind: "tooLong", bytes: length });
-            }
-            if (length === undefined || this.bufferedBytes < LENGTH_BYTES + length) return { messages };
-            const read = decodeMessage(this.consume(LENGTH_BYTES + length).subarray(LENGTH_BYTES));
-            if ("err" in read) return this.fail(messages, read.err);
+        this.append(chunk);
+        for (let read = this.next(); read; read = this.next()) {
+            if ("err" in read) return { messages, err: read.err };
             messages.push(read.message);
         }
+        return { messages };
+    }
+
+    /** Adds a chunk without decoding it. */
+    append(chunk: Buffer): void {
+        if (this.failed) return;
+        this.chunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+    }
+
+    /** Decodes the next message; undefined if there is no complete one. */
+    next(): { readonly message: FrameMessage } | { readonly err: FrameError } | undefined {
+        const length = this.peekLength();
+        if (length === undefined) return undefined;
+        if (length > this.maxBytes) return this.fail({ kind: "tooLong", bytes: length });
+        if (this.bufferedBytes < LENGTH_BYTES + length) return undefined;
+        const read = decodeMessage(this.consume(LENGTH_BYTES + length).subarray(LENGTH_BYTES));
+        return "err" in read ? this.fail(read.err) : read;
+    }
+
+    /** Takes the bytes that follow the last message, when the connection goes on in another protocol. */
+    takeRest(): Buffer {
+        const rest = Buffer.concat(this.chunks);
+        this.chunks = [];
+        this.bufferedBytes = 0;
+        return rest;
     }
 
-    private fail(
-        messages: readonly FrameMessage[],
-        err: FrameError,
-    ): { messages: readonly FrameMessage[]; err: FrameError } {
+    private fail(err: FrameError): { readonly err: FrameError } {
         this.failed = true;
         this.chunks = [];
-        return { messages, err };
+        this.bufferedBytes = 0;
+        return { err };
     }
 
     private peekLength(): number | undefined {
--- a/packages/protocol/src/peer-mesh.ts
+++ b/packages/protocol/src/peer-mesh.ts
@@ -2,16 +2,24 @@
  * TCP connections between hosts. Each pair of hosts shares one connection, which is opened when there is a message to
  * send. The queue of unsent bytes is bounded.
  *
- * Both sides of a connection begin with a `hello`, which carries their protocol version. Each then proves that it knows a
- * shared secret with a MAC over the other's nonce. A host sends and accepts other messages only after it has verified the
- * peer's proof.
+ * Both sides of a connection begin with a handshake (`peer-handshake`). A host sends and accepts other messages only after it
+ * has verified the peer's proof. A connection that a peer dialled as a stream leaves the mesh after its handshake.
  *
  * @module
  */
-import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { Clock } from "./clock.js";
 import { encodeFrame, type FrameMessage, FrameReader, PEER_VERSION } from "./peer-codec.js";
+import {
+    createProof,
+    type Hello,
+    isCompleteHello,
+    isValidProof,
+    NONCE_BYTES,
+    type Proof,
+    ProofRole,
+} from "./peer-handshake.js";
 
 /** Why a connection was refused or ended. */
 export type PeerError =
@@ -36,6 +44,8 @@
     readonly onMessage: (from: PeerName, message: FrameMessage) => void;
     readonly onError: (peer: string, err: PeerError) => void;
     readonly onBytes: (direction: "in" | "out", bytes: number) => void;
+    /** Called with each stream that a peer opens, after its handshake; if absent, streams are refused. */
+    readonly onStream?: (from: PeerName, socket: Socket) => void;
     /** Bounds the send queues; if absent, a link whose queue exceeds a fixed bound is closed. */
     readonly sendQueues?: SendQueueBounds;
     readonly clock: Clock;
@@ -52,19 +62,6 @@
     onDrop(): void;
 }
 
-interface Hello extends FrameMessage {
-    readonly kind: "hello";
-    readonly version: number;
-    readonly name: string;
-    readonly address: string;
-    readonly nonce: Uint8Array;
-}
-
-interface Proof extends FrameMessage {
-    readonly kind: "proof";
-    readonly mac: Uint8Array;
-}
-
 /** One connection to a peer. */
 interface Link {
     /** Unique among all links of this host, including two links to the same peer. */
@@ -74,15 +71,19 @@
     /** The address that this host has dialled; undefined if the peer opened the connection. */
     readonly dialledTo: string | undefined;
     peer: PeerName | undefined;
+    /** Whether the peer has dialled it as a stream. */
+    isStream: boolean;
     /** Whether the peer's proof was valid. */
     isAuthenticated: boolean;
+    readonly reader: FrameReader;
+    /** Ends the connection if the handshake takes too long. */
+    handshakeTimer: NodeJS.Timeout | undefined;
     /** Frames that wait for the peer's proof. */
     readonly unsentFrames: Buffer[];
     /** Bytes that wait to be sent, as last reported to {@link SendQueueBounds}. */
     queuedBytes: number;
 }
 
-const NONCE_BYTES = 16;
 const CONNECT_TIMEOUT_MS = 1_000;
 const HANDSHAKE_TIMEOUT_MS = 2_000;
 /** A link with more queued bytes is closed. Nothing of lasting value is lost: hosts share only soft state, which they send again. */
@@ -170,29 +171,30 @@
             nonce: randomBytes(NONCE_BYTES),
             dialledTo: dialled,
             peer: undefined,
+            isStream: false,
             isAuthenticated: false,
+            reader: new FrameReader(),
+            handshakeTimer: undefined,
             unsentFrames: [],
             queuedBytes: 0,
         };
-        const reader = new FrameReader();
         this.openLinks.set(link.id, link);
         if (dialled !== undefined) this.byAddress.set(dialled, link);
         socket.setNoDelay(true);
-        const timer = setTimeout(
+        link.handshakeTimer = setTimeout(
             () => link.isAuthenticated || socket.destroy(new Error("handshake timed out")),
             HANDSHAKE_TIMEOUT_MS,
         );
         socket.on("data", chunk => {
             this.cfg.onBytes("in", chunk.length);
-            const { messages, err } = reader.push(chunk);
-            for (const message of messages) if (!socket.destroyed) this.handleMessage(link, message);
-            if (err) this.fail(link, { kind: "badFrame", detail: err.kind });
+            link.reader.append(chunk);
+            this.readMessages(link);
         });
         socket.on("drain", () => this.setQueuedBytes(link, unsentBytesOf(link)));
         let failure: string | undefined;
         socket.on("error", err => failure = err.message);
         socket.on("close", () => {
-            clearTimeout(timer);
+            clearTimeout(link.handshakeTimer);
             this.handleClose(link, failure);
         });
         const hello: Hello = {
@@ -201,11 +203,21 @@
             name: this.cfg.name,
             address: this.address,
             nonce: link.nonce,
+            ...(this.cfg.onStream ? { acceptsStreams: true } : {}),
         };
         this.write(link, encodeFrame(hello), true);
         return link;
     }
 
+    private readMessages(link: Link): void {
+        for (let read = link.reader.next(); read; read = link.reader.next()) {
+            if ("err" in read) return this.fail(link, { kind: "badFrame", detail: read.err.kind });
+            this.handleMessage(link, read.message);
+            // What follows the handshake of a stream is no frame.
+            if (link.socket.destroyed || link.isStream && link.isAuthenticated) return;
+        }
+    }
+
     private handleClose(link: Link, failure: string | undefined): void {
         this.openLinks.delete(link.id);
         this.setQueuedBytes(link, 0);
@@ -272,23 +284,28 @@
 
     private handleHello(link: Link, hello: Hello): void {
         if (hello.version !== PEER_VERSION) return this.fail(link, { kind: "otherVersion", found: hello.version });
-        const isComplete = typeof hello.name === "string" && typeof hello.address === "string"
-            && hello.nonce instanceof Uint8Array;
-        if (!isComplete || link.peer) return this.fail(link, { kind: "badFrame", detail: "invalid hello" });
+        if (!isCompleteHello(hello) || link.peer) return this.fail(link, { kind: "badFrame", detail: "invalid hello" });
         link.peer = { name: hello.name, address: hello.address };
-        const proof: Proof = {
-            kind: "proof",
-            mac: this.computeMac(this.cfg.secrets[0] ?? "", hello.nonce, this.cfg.name),
-        };
+        link.isStream = hello.stream === true;
+        if (link.isStream && !this.acceptsStream(link)) {
+            return this.fail(link, { kind: "badFrame", detail: "no stream" });
+        }
+        const role = link.isStream ? ProofRole.StreamAcceptor : ProofRole.Mesh;
+        const proof = createProof(this.cfg.secrets[0] ?? "", hello.nonce, this.cfg.name, role);
         this.write(link, encodeFrame(proof), true);
     }
 
+    private acceptsStream({ dialledTo }: Link): boolean {
+        return dialledTo === undefined && this.cfg.onStream !== undefined;
+    }
+
     private handleProof(link: Link, proof: Proof): void {
         const peer = link.peer;
-        const isValid = peer
-            && this.cfg.secrets.some(secret => equalBytes(this.computeMac(secret, link.nonce, peer.name), proof.mac));
+        const role = link.isStream ? ProofRole.StreamDialler : ProofRole.Mesh;
+        const isValid = peer && isValidProof(this.cfg.secrets, link.nonce, peer.name, role, proof);
         if (!peer || !isValid) return this.fail(link, { kind: "badProof" });
         link.isAuthenticated = true;
+        if (link.isStream) return this.detachStream(link, peer);
         this.redialBackoffs.delete(peer.address);
         this.closeDuplicate(link, peer);
         const unsent = link.unsentFrames.splice(0);
@@ -296,6 +313,19 @@
         for (const frame of unsent) this.write(link, frame, false);
     }
 
+    /** Takes a stream out of the mesh and hands it over, with the bytes that followed the handshake. */
+    private detachStream(link: Link, peer: PeerName): void {
+        const { socket, reader } = link;
+        for (const event of ["data", "drain", "error", "close"]) socket.removeAllListeners(event);
+        clearTimeout(link.handshakeTimer);
+        this.openLinks.delete(link.id);
+        socket.pause();
+        const rest = reader.takeRest();
+        this.cfg.onStream?.(peer, socket);
+        if (rest.length > 0) socket.unshift(rest);
+        process.nextTick(() => socket.resume());
+    }
+
     /**
      * Of two authenticated connections to the same peer, keeps the one that the host with the lesser name has dialled. A
      * connection that is not authenticated yet stays open, but hands over its unsent frames and is no longer sent to.
@@ -316,10 +346,6 @@
         (keepsNew ? other : link).socket.end();
     }
 
-    private computeMac(secret: string, nonce: Uint8Array, name: string): Buffer {
-        return createHmac("sha256", secret).update(nonce).update(name).digest();
-    }
-
     private close(): void {
         for (const { socket } of this.openLinks.values()) socket.destroy();
         this.server.close();
@@ -329,7 +355,3 @@
 function unsentBytesOf({ unsentFrames: unsent }: Link): number {
     return unsent.reduce((sum, frame) => sum + frame.length, 0);
 }
-
-function equalBytes(a: Uint8Array, b: unknown): boolean {
-    return b instanceof Uint8Array && a.length === b.length && timingSafeEqual(a, b);
-}
