A host that hears nothing opens a connection before it probes endpoints by requests

A silence is now answered by opening a connection; requests follow if that fails, or if a call has had no answer and nothing was heard for a second.

--- a/packages/host/src/endpoints/endpoint-links.ts
+++ b/packages/host/src/endpoints/endpoint-links.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { type Clock, type PlatformWire, withTimeLimit } from "@drumpaddle/protocol";
+import type { Socket } from "node:net";
 import { RelayClient, type RelayClientDeps } from "../relay/relay-client.js";
 import { RelayCode, RelayError } from "../relay/relay-protocol.js";
 import { RelayServer } from "../relay/relay-server.js";
@@ -45,6 +46,8 @@
 
 /** Time limit of a probe: endpoints of the same region answer within 10 ms. */
 const PROBE_TIMEOUT_MS = 250;
+/** A link that resets new connections has done so by then. */
+const RESET_WAIT_MS = 50;
 /** Time limit of a connection that is opened for a peer: shorter than the peer's own, which includes its handshake. */
 const PEER_CONNECT_TIMEOUT_MS = 400;
 /** Share of the memory for others that relayed connections may fill. */
@@ -74,9 +77,9 @@
         mayProbe: deps.mayProbe,
         unansweredMs: deps.unansweredMs,
         probe: async (address, way) => {
-            const dispatcher = dispatchers[way];
             try {
-                await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS, signal, dispatcher);
+                if (way === "connection") return await staysOpen(await dialer.direct(address));
+                await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS, signal, dispatchers[way]);
                 return true;
             }
             catch {
@@ -109,6 +112,15 @@
     return { monitor, dialer, dispatchers, relays };
 }
 
+/** Whether a new connection is not reset at once; closes it. */
+async function staysOpen(socket: Socket): Promise<boolean> {
+    const reset = new Promise<boolean>(resolve => socket.once("error", () => resolve(false)));
+    const kept = new Promise<boolean>(resolve => setTimeout(() => resolve(true), RESET_WAIT_MS));
+    const isOpen = await Promise.race([reset, kept]);
+    socket.destroy();
+    return isOpen;
+}
+
 /** How many relayed connections a memory budget allows. */
 function maxRelaysWithin(budgetBytes: number | undefined): number {
     if (budgetBytes === undefined) return Infinity;
--- a/packages/host/src/endpoints/link-monitor.ts
+++ b/packages/host/src/endpoints/link-monitor.ts
@@ -2,8 +2,9 @@
  * Finds out whether this host has lost its links to the endpoints, and when they are back. The rules stand in `endpoint-links` of the
  * package `hall`.
  *
- * Calls show most: connections that fail, and answers that do not come. If nothing is heard from any endpoint, the host probes two of
- * them, directly and through a peer: only an endpoint that a peer reaches and this host does not speaks against this host's links.
+ * Calls show most: connections that fail, and answers that do not come. If nothing is heard from any endpoint, the host first opens a
+ * connection to one of them, which costs the endpoint no request. If that fails, or a call still has no answer, it probes two of them,
+ * directly and through a peer: only an endpoint that a peer reaches and this host does not speaks against this host's links.
  *
  * @module
  */
@@ -22,8 +23,8 @@
 import { randomSample } from "../runtime/random-sample.js";
 import { repeat } from "../runtime/repeat.js";
 
-/** How a probe connects. */
-export type ProbeWay = "direct" | "relayed";
+/** How an endpoint is probed: by a request, directly or through a peer, or only by opening a connection directly. */
+export type ProbeWay = "direct" | "relayed" | "connection";
 
 /** Dependencies of {@link LinkMonitor}. */
 export interface LinkMonitorDeps {
@@ -35,7 +36,7 @@
     addresses(): readonly string[];
     /** Whether the endpoint may be sent a probe now. */
     mayProbe(address: string): boolean;
-    /** Probes an endpoint; resolves with whether it answered anything. */
+    /** Probes an endpoint; resolves with whether it answered anything, or kept the connection open. */
     probe(address: string, way: ProbeWay): Promise<boolean>;
     /** How long the oldest call that was sent directly has had no byte of an answer, in milliseconds. */
     unansweredMs(): number;
@@ -47,10 +48,12 @@
 
 /** Interval at which the silence is checked. */
 const CHECK_INTERVAL_MS = 100;
-/** Silence of all endpoints after which they are probed while a call waits for an answer. Short calls are answered by then. */
+/** Silence of all endpoints after which a connection is opened while a call waits. Short calls are answered by then. */
 const BUSY_SILENCE_MS = 500;
 /** As {@link BUSY_SILENCE_MS}, while no call waits. */
 const IDLE_SILENCE_MS = 1_500;
+/** Silence after which endpoints are probed by requests while a call waits, even though connections can be opened. */
+const PROBE_SILENCE_MS = 1_000;
 /** Pause after probes that left the question open, and between probes of a host that is cut off; it is drawn up to twice as long. */
 const PROBE_INTERVAL_MS = 250;
 /** Endpoints that are probed after a silence: as many as have to fail. */
@@ -66,6 +69,8 @@
     /** Whether failures were logged that no connection has followed yet. */
     private isFailureLogged = false;
     private nextProbeAt = -Infinity;
+    /** When a connection was last opened because of a silence. */
+    private connectionTriedAt = -Infinity;
     /** Endpoints that a peer is being asked for. */
     private readonly confirming = new Set<string>();
 
@@ -124,8 +129,14 @@
         const now = this.deps.clock.now();
         if (now < this.nextProbeAt) return;
         if (this.isCutOff) return this.probeWhileCutOff();
-        const limit = this.deps.unansweredMs() >= BUSY_SILENCE_MS ? BUSY_SILENCE_MS : IDLE_SILENCE_MS;
-        if (now - this.heardAt >= limit) await this.probeAfterSilence();
+        const isBusy = this.deps.unansweredMs() >= BUSY_SILENCE_MS;
+        const silentMs = now - this.heardAt;
+        if (isBusy && silentMs >= PROBE_SILENCE_MS) return this.probeAfterSilence();
+        const isConnectionDue = now - this.connectionTriedAt >= IDLE_SILENCE_MS;
+        if (silentMs < (isBusy ? BUSY_SILENCE_MS : IDLE_SILENCE_MS) || !isConnectionDue) return;
+        this.connectionTriedAt = now;
+        const [address] = randomSample(this.deps.addresses(), 1);
+        if (address !== undefined && !await this.deps.probe(address, "connection")) await this.probeAfterSilence();
     }
 
     private async probeAfterSilence(): Promise<void> {
