Hosts keep what is sent to brittle endpoints within their places

What callers saw: once workers said that they are brittle (Server-Brittle), they fell over again and again, and nearly nothing was served. Cause: the word was not read; hosts sent all they had, and each crash sent the calls of one worker to the others. Change: the word is learnt from any answer, told to peers and to starting hosts as limits are. Each host keeps to its share of a plain worker's places; with more hosts than places its calls are spaced. Engines, whose load hosts share, get no more streams than places. A new life of a brittle service counts as brittle before its first answer. What has to wait too long is refused at once, as not run, with a time.

--- a/packages/hall/src/endpoint-notices.ts
+++ b/packages/hall/src/endpoint-notices.ts
@@ -21,6 +21,8 @@
 export interface LimitNotice {
     /** Requests per second from all hosts together; absent if the limit is lifted. */
     readonly perS?: number;
+    /** Requests per second that it can turn away without failing; absent if it announces no such bound. */
+    readonly maxRejectsPerS?: number;
     /** Age of the announcement in milliseconds. */
     readonly agoMs: number;
 }
@@ -44,16 +46,18 @@
 export function noticeOf(view: EndpointView, now: number): EndpointNotice | undefined {
     const { cfg: { id: endpoint }, announcedLimit: said } = view;
     const leaves = announcedLeaving(view);
-    const isNews = said && (said.limitPerS !== undefined || now - said.at <= LIMIT_END_TOLD_MS);
+    const isBound = said?.limitPerS !== undefined || said?.maxRejectsPerS !== undefined;
+    const isNews = said && (isBound || now - said.at <= LIMIT_END_TOLD_MS);
     if (!isNews) return leaves ? { endpoint, leaves } : undefined;
     const perS = said.limitPerS === undefined ? {} : { perS: said.limitPerS };
-    return { endpoint, leaves, limit: { ...perS, agoMs: Math.max(0, now - said.at) } };
+    const rejects = said.maxRejectsPerS === undefined ? {} : { maxRejectsPerS: said.maxRejectsPerS };
+    return { endpoint, leaves, limit: { ...perS, ...rejects, agoMs: Math.max(0, now - said.at) } };
 }
 
 /**
  * Converts a peer's notice of a limit to an announcement of the endpoint. If the message was delayed, the announcement seems newer than
  * it is. The endpoint's next answer to any host corrects that.
  */
-export function saidFromNotice({ perS, agoMs }: LimitNotice, now: number): AnnouncedLimit {
-    return { limitPerS: perS, at: now - agoMs };
+export function saidFromNotice({ perS, maxRejectsPerS, agoMs }: LimitNotice, now: number): AnnouncedLimit {
+    return { limitPerS: perS, maxRejectsPerS, at: now - agoMs };
 }
--- a/packages/host/src/endpoints/declare-endpoints.ts
+++ b/packages/host/src/endpoints/declare-endpoints.ts
@@ -54,6 +54,7 @@
             hall: entry.hall,
             models: [plainModel(entry.service)],
             memoryTokens: service?.engine?.memoryTokens ?? 0,
+            places: entry.slots,
             isEvacuated: registry.halls.evacuated.has(entry.hall),
             cold: coldCfgOf(registered, service, registry.halls, bounds),
         };
--- a/packages/host/src/endpoints/endpoint-notices.ts
+++ b/packages/host/src/endpoints/endpoint-notices.ts
@@ -6,7 +6,7 @@
  */
 import { type EndpointNotice, noticeOf, noticesToTell, saidFromNotice } from "@drumpaddle/hall";
 import { announcedLeaving, type AnnouncedLimit, type EndpointView, isLimited } from "@drumpaddle/policy";
-import type { AnswerHead, Clock } from "@drumpaddle/protocol";
+import type { AnswerHead, Clock, DeclaredNumber } from "@drumpaddle/protocol";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import type { Placement } from "./placement.js";
@@ -23,7 +23,7 @@
 }
 
 /** The part of an answer's head that carries notices. */
-export type NoticeHead = Pick<AnswerHead, "notRun" | "limitPerS" | "leaving" | "retryAfterS">;
+export type NoticeHead = Pick<AnswerHead, "notRun" | "limitPerS" | "maxRejectsPerS" | "leaving" | "retryAfterS">;
 
 /** Where this host learnt a notice from. */
 type NoticeSource = "endpoint" | "peer";
@@ -80,10 +80,12 @@
         this.deps.metrics.limitedEndpoints.set(this.views().filter(isLimited).length);
     }
 
-    private readLimit(endpoint: string, { limitPerS }: NoticeHead): boolean {
+    private readLimit(endpoint: string, { limitPerS, maxRejectsPerS }: NoticeHead): boolean {
         if (limitPerS.kind === "malformed") return this.logIgnored(endpoint, "limit", limitPerS.text);
-        const value = limitPerS.kind === "number" ? limitPerS.value : undefined;
-        return this.applyLimit(endpoint, { limitPerS: value, at: this.deps.clock.now() }, "endpoint");
+        if (maxRejectsPerS.kind === "malformed") return this.logIgnored(endpoint, "brittle", maxRejectsPerS.text);
+        const valueOf = (word: DeclaredNumber): number | undefined => word.kind === "number" ? word.value : undefined;
+        const said = { limitPerS: valueOf(limitPerS), maxRejectsPerS: valueOf(maxRejectsPerS) };
+        return this.applyLimit(endpoint, { ...said, at: this.deps.clock.now() }, "endpoint");
     }
 
     private readRetryAfter(endpoint: string, { retryAfterS }: NoticeHead): void {
@@ -94,7 +96,7 @@
         this.deps.log.info({ endpoint, for_ms: forMs }, "endpoint_rests");
     }
 
-    private logIgnored(endpoint: string, said: "limit" | "rest", text: string): false {
+    private logIgnored(endpoint: string, said: "limit" | "brittle" | "rest", text: string): false {
         this.deps.log.debug({ endpoint, said, text }, "endpoint_word_ignored");
         return false;
     }
@@ -118,13 +120,14 @@
     private applyLimit(endpoint: string, said: AnnouncedLimit, source: NoticeSource): boolean {
         const known = this.viewOf(endpoint)?.announcedLimit;
         // Return early: nearly every answer states no limit, for an endpoint that had stated none before.
-        if (!known && said.limitPerS === undefined) return false;
-        const isUnchanged = known?.limitPerS === said.limitPerS;
+        if (!known && said.limitPerS === undefined && said.maxRejectsPerS === undefined) return false;
+        const isUnchanged = known?.limitPerS === said.limitPerS && known?.maxRejectsPerS === said.maxRejectsPerS;
         if (known && (known.at >= said.at || isUnchanged && said.at - known.at < REPEAT_INTERVAL_MS)) return false;
         for (const placement of this.deps.placements) placement.applyAnnouncedLimit(endpoint, said);
         if (isUnchanged || !this.viewOf(endpoint)) return false;
         const before = known?.limitPerS ?? "none";
-        this.deps.log.info({ endpoint, per_s: said.limitPerS ?? "none", before, source }, "endpoint_limit");
+        const brittle = said.maxRejectsPerS;
+        this.deps.log.info({ endpoint, per_s: said.limitPerS ?? "none", before, brittle, source }, "endpoint_limit");
         this.updateLimitedGauge();
         return true;
     }
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -93,7 +93,11 @@
 const NoticeShape = Type.Object({
     endpoint: Name,
     leaves: Type.Boolean(),
-    limit: Type.Optional(Type.Object({ perS: Type.Optional(Type.Number({ minimum: 0 })), agoMs: Age })),
+    limit: Type.Optional(Type.Object({
+        perS: Type.Optional(Type.Number({ minimum: 0 })),
+        maxRejectsPerS: Type.Optional(Type.Number({ minimum: 0 })),
+        agoMs: Age,
+    })),
 });
 /** Maximum length of each list of crashes, trials or notices in a message. */
 export const MAX_ITEMS = 256;
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { allowsRequest } from "./breaker.js";
+import { type BrittleServices, isBrittle } from "./brittle.js";
 import type { Demand, RequestProfile } from "./demand.js";
 import { isLimited } from "./endpoint-limit.js";
 import {
@@ -68,6 +69,8 @@
     readonly hall?: string | undefined;
     readonly prefillRate: PrefillRate;
     readonly speeds: SpeedPools;
+    /** Services whose endpoints count as brittle. */
+    readonly brittleServices: BrittleServices;
 }
 
 /** Above this share of its bounds an endpoint counts as crowded. */
@@ -211,13 +214,16 @@
 export function fitOf(
     view: EndpointView,
     { demand, curve, z }: RequestProfile,
-    { variant, hosts }: PlacementContext,
+    { variant, hosts, brittleServices }: PlacementContext,
     now: number,
 ): Fit | undefined {
     const share = variant.share === "owner" ? plannedShare(view, hosts, now) : 1;
     const limit = share * streamLimit(view, demand.gapTargetMs, variant, now);
     const streams = streamCount(view) + 1;
     if (streams > Math.max(1, limit)) return undefined;
+    // Memory may have room for more requests than a brittle endpoint has places.
+    const places = isBrittle(view, brittleServices, now) ? view.cfg.places ?? Infinity : Infinity;
+    if (streams > Math.max(1, share * places)) return undefined;
     const memoryLimit = share * view.cfg.memoryTokens * (1 - MEMORY_RESERVE);
     const peak = variant.admission === "free"
         ? view.curve.mean[0]! + view.others.curve.mean[0]! + demand.promptTokens
--- a/packages/policy/src/endpoint-admission.ts
+++ b/packages/policy/src/endpoint-admission.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { brittleAdmits, isBrittle } from "./brittle.js";
 import { coldAdmits, isCold } from "./cold.js";
 import { isLimited, limitAdmits } from "./endpoint-limit.js";
 import { type EndpointView, isResting } from "./endpoint.js";
@@ -33,22 +34,29 @@
 /**
  * Whether this host may send a request of its own now. An endpoint that asked this host for rest gets none of its
  * requests, but the host may still, as owner, admit those of other hosts.
+ *
+ * @param sharesLoad Whether the hosts tell each other what they hold at the endpoint. Otherwise each keeps to its share of the places
+ * of a brittle one.
  */
 export function maySend(
     state: AdmissionBounds,
     view: EndpointView,
     now: number,
+    sharesLoad = true,
 ): boolean {
-    return !isResting(view, now) && mayAdmit(state, view, now);
+    if (isResting(view, now) || !mayAdmit(state, view, now)) return false;
+    if (sharesLoad || !isBrittle(view, state.brittleServices, now)) return true;
+    return brittleAdmits(view, state.letIn.get(view.cfg.id) ?? [], state.fleet, now);
 }
 
-/** Records one more request to an endpoint; returns the same value if the endpoint is neither cold nor limited. */
+/** Records one more request to an endpoint; returns the same value if no bound counts it. */
 export function recordAdmission(
-    admissions: RecentAdmissions,
+    { letIn: admissions, brittleServices }: AdmissionBounds,
     view: EndpointView | undefined,
     now: number,
 ): RecentAdmissions {
-    if (!view || !isCold(view, now) && !isLimited(view)) return admissions;
+    const isBounded = view && (isCold(view, now) || isLimited(view) || isBrittle(view, brittleServices, now));
+    if (!isBounded) return admissions;
     const counted = [...admissions].map(([id, times]) => [id, times.filter(at => now - at < RETAIN_MS)] as const)
         .filter(([, times]) => times.length > 0);
     const next = new Map(counted);
--- a/packages/policy/src/endpoint-limit.ts
+++ b/packages/policy/src/endpoint-limit.ts
@@ -67,7 +67,7 @@
 }
 
 /** Whether a host hears more than half of the hosts that it has known; at most one part of a divided fleet does. */
-function hearsMajority({ live, most }: Fleet): boolean {
+export function hearsMajority({ live, most }: Fleet): boolean {
     return 2 * live > most;
 }
 
@@ -75,7 +75,7 @@
  * A host's position for one endpoint. Positions are shifted by endpoint, so that small limits of several endpoints do
  * not all fall to the same host.
  */
-function placeAtEndpoint(endpoint: string, { place, live }: Fleet): number {
+export function placeAtEndpoint(endpoint: string, { place, live }: Fleet): number {
     let sum = 0;
     for (let at = 0; at < endpoint.length; at++) sum = (31 * sum + endpoint.charCodeAt(at)) % 65_536;
     return (place + sum) % Math.max(1, live);
--- a/packages/policy/src/endpoint.ts
+++ b/packages/policy/src/endpoint.ts
@@ -28,6 +28,8 @@
     readonly memoryTokens: number;
     /** Whether the operator has evacuated its hall: it gets nothing new, and what runs there runs on. */
     readonly isEvacuated?: boolean | undefined;
+    /** Requests that it runs at once; undefined if it does not declare that. */
+    readonly places?: number | undefined;
     /** Its bound while it is cold; undefined if none is declared. */
     readonly cold?: ColdCfg | undefined;
 }
@@ -84,6 +86,8 @@
 export interface AnnouncedLimit {
     /** Requests per second that it takes from all hosts together; undefined if it announces no limit. */
     readonly limitPerS: number | undefined;
+    /** It fails if it turns away more requests than this in a second for want of room; undefined if it announces no such bound. */
+    readonly maxRejectsPerS?: number | undefined;
     /** When it announced this, in milliseconds on the scheduler's clock. */
     readonly at: number;
 }
@@ -122,6 +126,10 @@
     readonly prefixes: ReadonlyMap<string, number>;
     /** The limit that it announced; undefined before it announced anything. */
     readonly announcedLimit: KnownLimit | undefined;
+    /** Mean time that it takes for a request of this host; undefined if none has ended yet. */
+    readonly serviceMs: number | undefined;
+    /** When it last refused a request of this host; undefined if it never did. */
+    readonly rejectedAt: number | undefined;
     /** Until when it asked this host for rest, in milliseconds on the scheduler's clock; undefined if it never did. */
     readonly restUntil: number | undefined;
     /**
@@ -160,6 +168,8 @@
         recentlyEnded: [],
         prefixes: new Map(),
         announcedLimit: undefined,
+        serviceMs: undefined,
+        rejectedAt: undefined,
         restUntil: undefined,
         restartDoubtUntil: undefined,
     };
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { BrittleServices } from "./brittle.js";
 
 /** What this host knows of the hosts that may send to the same endpoints. */
 export interface Fleet {
@@ -32,6 +33,8 @@
     readonly fleet: Fleet;
     /** Requests that this host recently admitted to cold or limited endpoints. */
     readonly letIn: RecentAdmissions;
+    /** Services whose endpoints count as brittle. */
+    readonly brittleServices: BrittleServices;
     /** When this host became the owner of each endpoint that it owns. */
     readonly ownedSince: ReadonlyMap<string, number>;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 export { advisePlacement } from "./advise.js";
 export { jobsToEvacuate, keepsCopy } from "./backups.js";
 export { allowsRequest, type Breaker, CLOSED, onInconclusive, onResult, onSent, onUnreachable } from "./breaker.js";
+export { type BrittleServices, isBrittle, ownPlaces } from "./brittle.js";
 export { assess, type Candidate, usableEndpoints } from "./choose.js";
 export { coldAllowance, coldUntil, isCold } from "./cold.js";
 export { type Demand, demandOf, profileOf, type RequestProfile } from "./demand.js";
--- a/packages/policy/src/place.ts
+++ b/packages/policy/src/place.ts
@@ -46,7 +46,8 @@
     const survival = survivalFor(state, job);
     const profile = profileOf(job, survival, now - waiting.since);
     const views = usableEndpoints(state.endpoints.values(), profile.demand, waiting.avoid, now, includeInDoubt);
-    const candidates = views.filter(view => maySend(state, view, now))
+    const sharesLoad = state.variant.admission !== "none";
+    const candidates = views.filter(view => maySend(state, view, now, sharesLoad))
         .map(view => assess(view, profile, state, now))
         .filter(candidate => candidate !== undefined);
     const pick = job.isSuspect ? fewestStreams(state) : PICKERS[state.variant.choice];
@@ -93,7 +94,7 @@
 
 /** Counts a request that this host sends by its own decision against the endpoint's rate bounds. */
 export function recordOwnAdmission(state: SchedulerState, endpoint: string, now: number): SchedulerState {
-    return { ...state, letIn: recordAdmission(state.letIn, state.endpoints.get(endpoint), now) };
+    return { ...state, letIn: recordAdmission(state, state.endpoints.get(endpoint), now) };
 }
 
 /** Withdraws a question to an owner and releases the capacity that was counted for the request. */
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -46,7 +46,7 @@
     now: number,
 ): Throttling | undefined {
     const known = state.endpoints.values();
-    if (!known.some(view => isThrottled(view, now))) return undefined;
+    if (!known.some(view => isThrottled(view, state, now))) return undefined;
     const views = usableEndpoints(known, { model: job.group.model, halls: job.halls }, avoid, now);
     return throttlingOf(state, views, position, now);
 }
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -234,6 +234,7 @@
         ownedSince: new Map(),
         fleet: ALONE,
         letIn: new Map(),
+        brittleServices: new Map(),
         asked: new Map(),
         askedForStandby: new Map(),
         turn: seed,
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -9,6 +9,7 @@
 import { onArrival, serveQueue } from "./admission-queue.js";
 import { dropBackup, evacuate } from "./backups.js";
 import { onReachable, onResult, onUnreachable } from "./breaker.js";
+import { recordBrittle } from "./brittle.js";
 import { BACKUP_MEMORY_SHARE, EVACUATION_MEMORY_SHARE } from "./choose.js";
 import { mayContinueWhileCold } from "./cold.js";
 import { restoreRetained, retainDeparted } from "./departed-endpoints.js";
@@ -126,7 +127,7 @@
         return { state: { ...state, hosts: count, fleet }, actions: [] };
     },
     letIn: (state, { endpoint }, now) => {
-        const letIn = recordAdmission(state.letIn, state.endpoints.get(endpoint), now);
+        const letIn = recordAdmission(state, state.endpoints.get(endpoint), now);
         return { state: { ...state, letIn }, actions: [] };
     },
     owns: (state, { endpoints }, now) => {
@@ -150,10 +151,12 @@
     continue: (state, { job, failed }, now) => continueAtStandby(state, job, failed, now),
     evacuate: (state, { job }, now) =>
         askOwnerForStandby(state, job, "evacuate", EVACUATION_MEMORY_SHARE, now) ?? evacuate(state, job, now),
-    said: (state, { endpoint, said }, now) => ({
-        state: updateEndpoint(state, endpoint, view => applyAnnouncedLimit(view, said, now)),
-        actions: [],
-    }),
+    said: (state, { endpoint, said }, now) => {
+        const models = state.endpoints.get(endpoint)?.cfg.models ?? [];
+        const brittleServices = recordBrittle(state.brittleServices, models, said, now);
+        const changed = updateEndpoint(state, endpoint, view => applyAnnouncedLimit(view, said, now));
+        return { state: { ...changed, brittleServices }, actions: [] };
+    },
     rest: (state, { endpoint, until }) => ({
         state: updateEndpoint(state, endpoint, view => applyRest(view, until)),
         actions: [],
@@ -252,7 +255,7 @@
         ...promoted,
         placed: setIn(promoted.placed, job, standby),
         standbys: deleteIn(promoted.standbys, job),
-        letIn: isLimited(keeper) ? recordAdmission(promoted.letIn, keeper, now) : promoted.letIn,
+        letIn: isLimited(keeper) ? recordAdmission(promoted, keeper, now) : promoted.letIn,
     };
     const asks = wantsBackup(next, running.job)
         ? askOwnerForStandby(next, job, "continue", BACKUP_MEMORY_SHARE, now)
--- a/packages/policy/src/stream-events.ts
+++ b/packages/policy/src/stream-events.ts
@@ -6,6 +6,7 @@
  */
 import { dropBackup } from "./backups.js";
 import { type Breaker, onInconclusive, onResult, onUnreachable } from "./breaker.js";
+import { observeServiceTime } from "./brittle.js";
 import { survivalFor, withoutKey } from "./dispatch.js";
 import { advanceStream, removeStream, type RunningStream, streamCount } from "./endpoint.js";
 import { observeLength } from "./length-estimate.js";
@@ -88,7 +89,9 @@
         )
         : state.estimates;
     return updateEndpoint(dropBackup({ ...state, placed, estimates }, job), id, view => {
-        return { ...removeStream(view, job, now), breaker: breakerAfter(view.breaker, outcome, now) };
+        const left = { ...removeStream(view, job, now), breaker: breakerAfter(view.breaker, outcome, now) };
+        if (outcome === "refused") return { ...left, rejectedAt: now };
+        return isWhole ? observeServiceTime(left, now - running.dispatchedAt) : left;
     });
 }
 
--- a/packages/policy/src/throttling.ts
+++ b/packages/policy/src/throttling.ts
@@ -1,11 +1,13 @@
 /**
- * When a host may send one more request if every endpoint that could serve it throttles it, by an announced limit or by
- * rest that it asked this host for.
+ * When a host may send one more request if every endpoint that could serve it throttles it, by an announced limit, by rest
+ * that it asked this host for, or because it is brittle.
  *
  * @module
  */
+import { brittleRate, brittleSendTimes, isBrittle } from "./brittle.js";
 import { isLimited, limitPerMs, sendTimesWithinLimit } from "./endpoint-limit.js";
 import { type EndpointView, isResting } from "./endpoint.js";
+import type { AdmissionBounds } from "./fleet.js";
 import type { SchedulerState } from "./scheduler-state.js";
 
 /** When throttled endpoints next take a request of this host. */
@@ -21,9 +23,9 @@
     readonly othersMayServe: boolean;
 }
 
-/** Whether an endpoint throttles this host now, by a limit or by rest. */
-export function isThrottled(view: EndpointView, now: number): boolean {
-    return isLimited(view) || isResting(view, now);
+/** Whether an endpoint throttles this host now: by a limit, by rest, or because it is brittle. */
+export function isThrottled(view: EndpointView, { brittleServices }: AdmissionBounds, now: number): boolean {
+    return isLimited(view) || isResting(view, now) || isBrittle(view, brittleServices, now);
 }
 
 /**
@@ -32,15 +34,25 @@
  */
 function sendTimesOf(
     view: EndpointView,
-    { letIn, fleet }: SchedulerState,
+    { letIn, fleet, brittleServices }: SchedulerState,
     count: number,
     now: number,
 ): readonly number[] {
     const restMs = isResting(view, now) ? view.restUntil! - now : 0;
+    if (isBrittle(view, brittleServices, now)) {
+        const times = brittleSendTimes(view, letIn.get(view.cfg.id) ?? [], fleet, count, now);
+        return times.map(ms => Math.max(ms, restMs));
+    }
     if (!isLimited(view)) return new Array<number>(count).fill(restMs);
     return sendTimesWithinLimit(view, letIn.get(view.cfg.id) ?? [], fleet, now).map(ms => Math.max(ms, restMs));
 }
 
+/** Requests per millisecond that this host may send to an endpoint; Infinity if only rest keeps them back. */
+function ownRate(view: EndpointView, { fleet, brittleServices }: SchedulerState, now: number): number {
+    if (isBrittle(view, brittleServices, now)) return brittleRate(view, fleet, now);
+    return isLimited(view) ? limitPerMs(view) / fleet.live : Infinity;
+}
+
 /**
  * When this host may send one more request; undefined if at least one endpoint does not throttle it.
  *
@@ -58,13 +70,12 @@
     position: number,
     now: number,
 ): Throttling | undefined {
-    if (views.length === 0 || !views.every(view => isThrottled(view, now))) return undefined;
+    if (views.length === 0 || !views.every(view => isThrottled(view, state, now))) return undefined;
     const sendTimes = views.flatMap(view => sendTimesOf(view, state, position, now)).sort((a, b) => a - b);
-    const limited = views.filter(isLimited);
-    const perMs = limited.reduce((sum, view) => sum + limitPerMs(view), 0);
+    const rates = views.map(view => ownRate(view, state, now));
     return {
         waitMs: sendTimes[position - 1] ?? Infinity,
-        intervalMs: limited.length < views.length ? 0 : state.fleet.live / perMs,
+        intervalMs: 1 / rates.reduce((sum, perMs) => sum + perMs, 0),
         othersMayServe: views.some(view => isResting(view, now)),
     };
 }
--- a/packages/protocol/src/platform-wire.ts
+++ b/packages/protocol/src/platform-wire.ts
@@ -98,6 +98,8 @@
     readonly framed: boolean;
     /** The rate of requests per second that the endpoint accepts from all hosts together, while it declares one. */
     readonly limitPerS: DeclaredNumber;
+    /** Requests per second that the endpoint can turn away for want of room without failing, if it says so. */
+    readonly maxRejectsPerS: DeclaredNumber;
     /** Whether the endpoint announces that it is leaving. */
     readonly leaving: boolean;
     /** Seconds after which a caller may retry; in a refusal, the seconds for which this host must send the endpoint nothing. */
