--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -7,6 +7,7 @@
 import { HOST_MUTATIONS } from "./host-mutations.js";
 import { MEMORY_MUTATIONS } from "./memory-mutations.js";
 import type { Mutation } from "./mutation.js";
+import { RELAY_MUTATIONS } from "./relay-mutations.js";
 import { SPEED_MUTATIONS } from "./speed-mutations.js";
 import { STORE_MUTATIONS } from "./store-mutations.js";
 
@@ -42,6 +43,7 @@
 export const MUTATIONS: readonly Mutation[] = [
     ...ENDPOINT_MUTATIONS,
     ...HOST_MUTATIONS,
+    ...RELAY_MUTATIONS,
     ...SPEED_MUTATIONS,
     ...STORE_MUTATIONS,
     ...MEMORY_MUTATIONS,
