Peers that are slow to answer are still asked, and calls that ended without an answer count as silence

Such a peer is now drawn last, and probes through peers have a second. A silence now counts from the first call that had no answer, also if its deadline has passed: deadlines may be shorter than the silence. The type of brittle services moves to where no import cycle arises.

--- a/packages/hall/src/relay-choice.ts
+++ b/packages/hall/src/relay-choice.ts
@@ -2,7 +2,7 @@
  * Chooses the peers through which a host reaches endpoints when its own links are down.
  *
  * The choice is random with the peers' weights, so that a hall that is cut off as a whole spreads its calls over all others. A peer
- * that could not help is left out for a while: it is probably cut off as well.
+ * that has refused is left out for a while: it is probably cut off as well. One that has not answered in time is drawn last.
  *
  * All functions are pure.
  *
@@ -17,10 +17,17 @@
     readonly weight: number;
 }
 
-/** Until when peers are left out, by name. Times are in milliseconds on the host's monotonic clock. */
-export type AvoidedPeers = ReadonlyMap<string, number>;
+/** Why a peer is avoided, and until when, in milliseconds on the host's monotonic clock. */
+interface Avoidance {
+    readonly until: number;
+    /** Whether the peer has refused; otherwise it has not answered in time and may only be busy. */
+    readonly hasRefused: boolean;
+}
+
+/** The peers that could not help lately, by name. */
+export type AvoidedPeers = ReadonlyMap<string, Avoidance>;
 
-/** A peer that could not help is left out for this long. */
+/** A peer that could not help is avoided for this long. */
 export const AVOID_PEER_MS = 1_000;
 
 /**
@@ -41,16 +48,20 @@
     now: number,
     random: () => number,
 ): readonly RelayPeer[] {
+    const current = currentlyAvoided(avoided, now);
     return peers
-        .filter(({ name }) => now >= (avoided.get(name) ?? -Infinity))
-        .map(peer => ({ peer, key: -Math.log(1 - random()) / peer.weight }))
-        .sort((a, b) => a.key - b.key)
+        .filter(({ name }) => current.get(name)?.hasRefused !== true)
+        .map(peer => ({ peer, isLast: current.has(peer.name), key: -Math.log(1 - random()) / peer.weight }))
+        .sort((a, b) => Number(a.isLast) - Number(b.isLast) || a.key - b.key)
         .slice(0, count)
         .map(({ peer }) => peer);
 }
 
 /** Records that a peer could not help; forgets those whose time is over. */
-export function avoidPeer(avoided: AvoidedPeers, name: string, now: number): AvoidedPeers {
-    const current = [...avoided].filter(([, until]) => now < until);
-    return new Map(current).set(name, now + AVOID_PEER_MS);
+export function avoidPeer(avoided: AvoidedPeers, name: string, hasRefused: boolean, now: number): AvoidedPeers {
+    return new Map(currentlyAvoided(avoided, now)).set(name, { until: now + AVOID_PEER_MS, hasRefused });
+}
+
+function currentlyAvoided(avoided: AvoidedPeers, now: number): AvoidedPeers {
+    return new Map([...avoided].filter(([, { until }]) => now < until));
 }
--- a/packages/hall/test/relay-choice.test.ts
+++ b/packages/hall/test/relay-choice.test.ts
@@ -40,9 +40,16 @@
 
 test("different peers are drawn, none of those to be avoided, until their time is over", t => {
     const peers = peersOf(3);
-    const avoided = avoidPeer(new Map(), "h1", NOW);
+    const avoided = avoidPeer(new Map(), "h1", true, NOW);
     const drawn = chooseRelays(peers, avoided, 3, NOW + AVOID_PEER_MS - 1, sequence()).map(({ name }) => name);
     t.deepEqual([...drawn].sort(), ["h0", "h2"]);
     t.is(chooseRelays(peers, avoided, 3, NOW + AVOID_PEER_MS, sequence()).length, 3);
-    t.deepEqual([...avoidPeer(avoided, "h2", NOW + AVOID_PEER_MS).keys()], ["h2"], "forgets what is over");
+    t.deepEqual([...avoidPeer(avoided, "h2", true, NOW + AVOID_PEER_MS).keys()], ["h2"], "forgets what is over");
+});
+
+test("a peer that has not answered in time is drawn last, not left out", t => {
+    const avoided = avoidPeer(new Map(), "h1", false, NOW);
+    const drawn = chooseRelays(peersOf(3), avoided, 3, NOW, sequence()).map(({ name }) => name);
+    t.is(drawn.length, 3);
+    t.is(drawn[2], "h1");
 });
--- a/packages/host/src/endpoints/endpoint-connections.ts
+++ b/packages/host/src/endpoints/endpoint-connections.ts
@@ -58,6 +58,8 @@
     readonly onUnreachable?: (address: string) => void;
     /** An endpoint closed an idle connection before the keep-alive time that it had announced. */
     readonly onClosedWhileIdle?: (address: string) => void;
+    /** A call is about to be sent on a direct connection. */
+    readonly onSent?: () => void;
     /** Something was received on a direct connection. `isFirst`: it is the first thing on this connection. */
     readonly onReceived?: (address: string, isFirst: boolean) => void;
     /** A new direct connection ended before anything was received on it. */
@@ -79,8 +81,6 @@
     route: RelayRoute | undefined;
     /** When something was last received on it; -Infinity if nothing was. */
     heardAt: number;
-    /** When the call was sent that has had no answer yet; undefined if there is none. */
-    unansweredSince: number | undefined;
     /** Whether its socket was reset or failed. */
     failed: boolean;
     /** Whether its socket has ended; the rest of an answer is then read at once, and `pause` has no effect. */
@@ -167,7 +167,7 @@
             onRequestStart: controller => {
                 state.controller = controller;
                 connection.resumeReading = () => controller.resume();
-                connection.unansweredSince = this.clock.now();
+                if (!connection.route) this.listeners.onSent?.();
                 sink.onSending(connection.route);
             },
             onResponseStart: (controller, status) => {
@@ -209,16 +209,6 @@
         this.idle.delete(address);
     }
 
-    /** How long the oldest call that was sent directly has had no byte of an answer, in milliseconds; 0 if there is none. */
-    get unansweredMs(): number {
-        const now = this.clock.now();
-        let longest = 0;
-        for (const { route, unansweredSince } of this.all) {
-            if (!route && unansweredSince !== undefined) longest = Math.max(longest, now - unansweredSince);
-        }
-        return longest;
-    }
-
     /**
      * Closes the direct connections that have brought nothing since this host lost its links. Calls on them may continue elsewhere. If
      * something was received on any direct connection, the link keeps those that are open, and those with a call stay.
@@ -268,7 +258,6 @@
             socket: undefined,
             route: undefined,
             heardAt: -Infinity,
-            unansweredSince: undefined,
             failed: false,
             ended: false,
             usableUntil: 0,
@@ -315,7 +304,6 @@
     private noteReceived(address: string, connection: Connection): void {
         const isFirst = connection.heardAt === -Infinity;
         connection.heardAt = this.clock.now();
-        connection.unansweredSince = undefined;
         this.noteHeard(address);
         if (!connection.route) this.listeners.onReceived?.(address, isFirst);
     }
--- a/packages/host/src/endpoints/endpoint-links.ts
+++ b/packages/host/src/endpoints/endpoint-links.ts
@@ -18,7 +18,7 @@
 /** Dependencies of {@link createEndpointLinks}. */
 export interface EndpointLinksDeps
     extends
-        Pick<LinkMonitorDeps, "addresses" | "mayProbe" | "unansweredMs" | "onReached" | "onCutOff">,
+        Pick<LinkMonitorDeps, "addresses" | "mayProbe" | "onReached" | "onCutOff">,
         Pick<RelayClientDeps, "peers" | "openStream">
 {
     readonly name: string;
@@ -44,8 +44,8 @@
     readonly relays: RelayServer;
 }
 
-/** Time limit of a probe: endpoints of the same region answer within 10 ms. */
-const PROBE_TIMEOUT_MS = 250;
+/** Time limits of probes. Endpoints of the same region answer within 10 ms, but a peer may be busy. */
+const PROBE_TIMEOUT_MS = { direct: 250, relayed: 1_000 } as const;
 /** A link that resets new connections has done so by then. */
 const RESET_WAIT_MS = 50;
 /** Time limit of a connection that is opened for a peer: shorter than the peer's own, which includes its handshake. */
@@ -75,11 +75,10 @@
         signal,
         addresses: deps.addresses,
         mayProbe: deps.mayProbe,
-        unansweredMs: deps.unansweredMs,
         probe: async (address, way) => {
             try {
                 if (way === "connection") return await staysOpen(await dialer.direct(address));
-                await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS, signal, dispatchers[way]);
+                await callEndpoint(address, wire.leavingCall(), PROBE_TIMEOUT_MS[way], signal, dispatchers[way]);
                 return true;
             }
             catch {
--- a/packages/host/src/endpoints/link-monitor.ts
+++ b/packages/host/src/endpoints/link-monitor.ts
@@ -38,8 +38,6 @@
     mayProbe(address: string): boolean;
     /** Probes an endpoint; resolves with whether it answered anything, or kept the connection open. */
     probe(address: string, way: ProbeWay): Promise<boolean>;
-    /** How long the oldest call that was sent directly has had no byte of an answer, in milliseconds. */
-    unansweredMs(): number;
     /** Called when this host finds itself cut off. `since`: when its connections began to fail. */
     onCutOff(since: number): void;
     /** Called when this host reaches the endpoints again. */
@@ -66,6 +64,8 @@
     private links: EndpointLinks = UNKNOWN_LINKS;
     /** When something was last received from any endpoint on a direct connection. */
     private heardAt: number;
+    /** When the first call since then was sent directly; undefined if none was. */
+    private unansweredSince: number | undefined;
     /** Whether failures were logged that no connection has followed yet. */
     private isFailureLogged = false;
     private nextProbeAt = -Infinity;
@@ -98,10 +98,16 @@
         return needsRelay(this.links, address, this.deps.clock.now());
     }
 
+    /** Called when a call is sent on a direct connection. */
+    sent(): void {
+        this.unansweredSince ??= this.deps.clock.now();
+    }
+
     /** Called when something was received on a direct connection. `isFirst`: it is the first thing on a new connection. */
     received(address: string, isFirst: boolean): void {
         const now = this.deps.clock.now();
         this.heardAt = now;
+        this.unansweredSince = undefined;
         if (!isFirst) return;
         this.update(recordLinkUp(this.links, address, this.knownEndpoints, now));
         if (this.isFailureLogged && !this.isCutOff) {
@@ -129,7 +135,8 @@
         const now = this.deps.clock.now();
         if (now < this.nextProbeAt) return;
         if (this.isCutOff) return this.probeWhileCutOff();
-        const isBusy = this.deps.unansweredMs() >= BUSY_SILENCE_MS;
+        // Calls that have ended without an answer count as well: their deadlines may be shorter than this silence.
+        const isBusy = now - (this.unansweredSince ?? now) >= BUSY_SILENCE_MS;
         const silentMs = now - this.heardAt;
         if (isBusy && silentMs >= PROBE_SILENCE_MS) return this.probeAfterSilence();
         const isConnectionDue = now - this.connectionTriedAt >= IDLE_SILENCE_MS;
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -137,7 +137,6 @@
         budgetBytes: memoryBudgetBytes(cfg),
         addresses: () => addressesIn(latestRegistry),
         mayProbe: address => mayProbe(endpointsAt(address, latestRegistry), [engines, plain]),
-        unansweredMs: () => connections.unansweredMs,
         onCutOff: () => {
             connections.closeSuspect();
             peers.reach.onWayChanged();
@@ -163,6 +162,7 @@
         clock,
         () => metrics.countConnection(),
         {
+            onSent: () => links.monitor.sent(),
             onReceived: (address, isFirst) => links.monitor.received(address, isFirst),
             onLinkFailed: (address, cause) => links.monitor.failed(address, cause),
             onAnswered: address => peers.reach.endpointAnswered(address),
--- a/packages/host/src/relay/relay-client.ts
+++ b/packages/host/src/relay/relay-client.ts
@@ -84,7 +84,8 @@
             // Another peer was faster, which says nothing about this one.
             if (signal.aborted) throw failure;
             if (!ABOUT_ENDPOINT.has(failure.code)) {
-                this.avoided = avoidPeer(this.avoided, peer.name, this.deps.clock.now());
+                const hasRefused = failure.code !== RelayCode.PeerLost;
+                this.avoided = avoidPeer(this.avoided, peer.name, hasRefused, this.deps.clock.now());
             }
             this.deps.metrics.countRelay("asked", failure.code);
             this.deps.log.debug(
--- a/packages/host/test/link-monitor.test.ts
+++ b/packages/host/test/link-monitor.test.ts
@@ -15,8 +15,6 @@
     readonly probes: readonly ProbeWay[];
     /** Which probes are answered. */
     readonly answers: Record<ProbeWay, boolean>;
-    /** How long a call has waited for an answer. */
-    unansweredMs: number;
 }
 
 function startMonitor(t: ExecutionContext, answers: Partial<Record<ProbeWay, boolean>> = {}): Stage {
@@ -26,7 +24,6 @@
     const stage = {
         probes,
         answers: { direct: true, relayed: true, connection: true, ...answers },
-        unansweredMs: 0,
     };
     const monitor = new LinkMonitor({
         clock: createClock(),
@@ -39,7 +36,6 @@
             probes.push(way);
             return Promise.resolve(stage.answers[way]);
         },
-        unansweredMs: () => stage.unansweredMs,
         onCutOff: () => undefined,
         onReached: () => undefined,
     });
@@ -60,9 +56,9 @@
     t.true(cutOff.monitor.isCutOff);
 });
 
-test("a call without an answer leads to probes, though connections can be opened", async t => {
+test("a call without an answer leads to probes, also after its deadline, though connections can be opened", async t => {
     const stage = startMonitor(t, { direct: false });
-    stage.unansweredMs = 2_000;
+    stage.monitor.sent();
     await pause(1_500);
     t.true(stage.monitor.isCutOff);
 });
--- a/packages/policy/src/brittle.ts
+++ b/packages/policy/src/brittle.ts
@@ -14,7 +14,7 @@
  */
 import { hearsMajority, placeAtEndpoint } from "./endpoint-limit.js";
 import type { AnnouncedLimit, EndpointView } from "./endpoint.js";
-import type { Fleet } from "./fleet.js";
+import type { BrittleServices, Fleet } from "./fleet.js";
 
 /** Hosts that start together have heard from each other after this time. */
 const FLEET_LEARN_MS = 3_000;
@@ -30,9 +30,6 @@
 /** An endpoint that has announced nothing counts as brittle for this long after the last announcement of its service. */
 const SERVICE_MEMORY_MS = 60_000;
 
-/** Until when the endpoints of a service count as brittle that have announced nothing, by model. */
-export type BrittleServices = ReadonlyMap<string, number>;
-
 /** Records what an endpoint of a service has announced. */
 export function recordBrittle(
     services: BrittleServices,
--- a/packages/policy/src/choose.ts
+++ b/packages/policy/src/choose.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { allowsRequest } from "./breaker.js";
-import { type BrittleServices, isBrittle } from "./brittle.js";
+import { isBrittle } from "./brittle.js";
 import type { Demand, RequestProfile } from "./demand.js";
 import { isLimited } from "./endpoint-limit.js";
 import {
@@ -16,6 +16,7 @@
     streamCount,
     takesNew,
 } from "./endpoint.js";
+import type { BrittleServices } from "./fleet.js";
 import { startsInTime } from "./forecast.js";
 import type { Variant } from "./job.js";
 import { outlookAt } from "./lateness.js";
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import type { BrittleServices } from "./brittle.js";
 
 /** What this host knows of the hosts that may send to the same endpoints. */
 export interface Fleet {
@@ -28,6 +27,9 @@
 /** Times of recent admissions by endpoint, oldest first. Only endpoints that are cold or name a limit are recorded. */
 export type RecentAdmissions = ReadonlyMap<string, readonly number[]>;
 
+/** Until when the endpoints of a service count as brittle that have announced nothing, by model. */
+export type BrittleServices = ReadonlyMap<string, number>;
+
 /** What decides whether one more request may go to an endpoint that bounds its requests. */
 export interface AdmissionBounds {
     readonly fleet: Fleet;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,7 +1,7 @@
 export { advisePlacement } from "./advise.js";
 export { jobsToEvacuate, keepsCopy } from "./backups.js";
 export { allowsRequest, type Breaker, CLOSED, onInconclusive, onResult, onSent, onUnreachable } from "./breaker.js";
-export { type BrittleServices, isBrittle, ownPlaces } from "./brittle.js";
+export { isBrittle, ownPlaces } from "./brittle.js";
 export { assess, type Candidate, usableEndpoints } from "./choose.js";
 export { coldAllowance, coldUntil, isCold } from "./cold.js";
 export { type Demand, demandOf, profileOf, type RequestProfile } from "./demand.js";
@@ -30,7 +30,7 @@
     streamCount,
     takesNew,
 } from "./endpoint.js";
-export { ALONE, type Fleet } from "./fleet.js";
+export { ALONE, type BrittleServices, type Fleet } from "./fleet.js";
 export { expectedWaitMs, nextRetryTime, NO_RETRY_TIMES, type RetryTimes, startsInTime } from "./forecast.js";
 export { DEFAULT_VARIANT, type Job, type JobPolicy, type Priority, PRIORITY_RANK, type Variant } from "./job.js";
 export {
--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -171,8 +171,8 @@
     {
         promise: "limits: one that is over binds nobody",
         file: "packages/host/src/endpoints/endpoint-notices.ts",
-        find: "if (!known && said.limitPerS === undefined) return false;",
-        replace: "if (said.limitPerS === undefined) return false;",
+        find: "if (!known && said.limitPerS === undefined && said.maxRejectsPerS === undefined) return false;",
+        replace: "if (said.limitPerS === undefined && said.maxRejectsPerS === undefined) return false;",
         tests: [LIMITS],
     },
     {
@@ -199,8 +199,8 @@
     {
         promise: "rest: nothing goes to an endpoint that wants it",
         file: "packages/policy/src/endpoint-admission.ts",
-        find: "return !isResting(view, now) && mayAdmit(state, view, now);",
-        replace: "return mayAdmit(state, view, now);",
+        find: "if (isResting(view, now) || !mayAdmit(state, view, now)) return false;",
+        replace: "if (!mayAdmit(state, view, now)) return false;",
         tests: [REST],
     },
     {
--- a/packages/standins/src/relay-mutations.ts
+++ b/packages/standins/src/relay-mutations.ts
@@ -51,8 +51,8 @@
     {
         promise: "relays: a peer that could not help is left out",
         file: CHOICE_SOURCE,
-        find: "now >= (avoided.get(name) ?? -Infinity)",
-        replace: "now >= -Infinity",
+        find: "current.get(name)?.hasRefused !== true",
+        replace: "true",
         tests: [CHOICE, RELAY],
     },
     {
