--- a/packages/host/src/endpoints/endpoint-links.ts
+++ b/packages/host/src/endpoints/endpoint-links.ts
@@ -106,11 +106,23 @@
             const hasRoom = open < maxRelays && deps.hasDescriptors();
             return hasRoom ? undefined : new RelayError(RelayCode.NoRoom, `this host relays ${open} connections`);
         },
-        connect: (address, limited) => withTimeLimit(PEER_CONNECT_TIMEOUT_MS, limited, () => dialer.direct(address)),
+        connect: (address, limited) => connectInTime(dialer, address, limited),
     });
     return { monitor, dialer, dispatchers, relays };
 }
 
+/** Connects for a peer; closes a connection that is established too late. */
+async function connectInTime(dialer: EndpointDialer, address: string, signal: AbortSignal): Promise<Socket> {
+    const connecting = dialer.direct(address);
+    try {
+        return await withTimeLimit(PEER_CONNECT_TIMEOUT_MS, signal, () => connecting);
+    }
+    catch (err) {
+        connecting.then(late => late.destroy(), () => undefined);
+        throw err;
+    }
+}
+
 /** Whether a new connection is not reset at once; closes it. */
 async function staysOpen(socket: Socket): Promise<boolean> {
     const reset = new Promise<boolean>(resolve => socket.once("error", () => resolve(false)));
