--- a/packages/host/src/calls/fingerprint.ts
+++ b/packages/host/src/calls/fingerprint.ts
@@ -1,9 +1,11 @@
 /**
- * Identifies calls by their content: a caller that repeats a call gives it another id, and may send it to any host.
+ * Identifies calls by their content, and the parts that calls share: a caller that repeats a call gives it another id, and may send
+ * it to any host.
  *
  * @module
  */
-import { createHash } from "node:crypto";
+import type { GenerationHead } from "@drumpaddle/protocol";
+import { createHash, type Hash } from "node:crypto";
 
 /** The parts of a call that identify it. */
 export interface CallContent {
@@ -32,5 +34,35 @@
     const head = JSON.stringify([method, host, target, workspace]);
     const hash = createHash("sha256").update(head);
     if (body) hash.update(body);
+    return shortHash(hash);
+}
+
+/** How many parts of a prompt are named. A longer list of parts is cut off, so that a single call cannot fill a host's records. */
+const MAX_NAMED_PARTS = 32;
+/** Model names and ids of parts that can be given out as they are; others are replaced by their hash. */
+const PLAIN_NAME = /^[\w.-]{1,64}$/;
+
+/**
+ * Returns the names of the parts of a prompt that other calls may share, which are all but the last. The same part read by another
+ * model has another name, as it meets other weights.
+ *
+ * @example
+ * ```ts
+ * const parts = [{ id: "5C1E07A2", tokens: 800 }, { id: "e4402b7d", tokens: 250 }];
+ * sharedPartsOf({ ...generation, model: "m", parts }); // ["part:m:5c1e07a2"]
+ * ```
+ */
+export function sharedPartsOf(generation: Pick<GenerationHead, "model" | "parts"> | undefined): readonly string[] {
+    if (!generation) return [];
+    const { model, parts } = generation;
+    const shared = parts.slice(0, -1).slice(0, MAX_NAMED_PARTS);
+    return [...new Set(shared.map(({ id }) => `part:${plainName(model)}:${plainName(id.toLowerCase())}`))];
+}
+
+function plainName(text: string): string {
+    return PLAIN_NAME.test(text) ? text : shortHash(createHash("sha256").update(text));
+}
+
+function shortHash(hash: Hash): string {
     return hash.digest().subarray(0, FINGERPRINT_BYTES).toString("base64url");
 }
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -7,6 +7,7 @@
 import type { AnswerHead } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import { type CallProgress, continuationOf, knownStandby, recordProgress, sentBefore } from "./call-progress.js";
+import { sharedPartsOf } from "./fingerprint.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import { rankOf } from "./forward-job.js";
@@ -83,6 +84,7 @@
                     workspace: workspace?.name,
                     attempt,
                     fingerprint,
+                    parts: sharedPartsOf(head.generation),
                     endpoint,
                     signal,
                 }),
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -230,7 +230,7 @@
         whenCallerReads: stall.whenCallerReads,
         now: () => host.clock.now(),
     });
-    const guardedCall = { req: id, route: job.group.service, workspace: call.workspace, fingerprint };
+    const guardedCall = { req: id, route: job.group.service, workspace: call.workspace, fingerprint, parts: [] };
     const driver: RequestDriver<EngineEventData> = new RequestDriver<EngineEventData>({
         cfg: {
             id,
--- a/packages/host/src/calls/guard-attempt.ts
+++ b/packages/host/src/calls/guard-attempt.ts
@@ -14,6 +14,8 @@
     readonly route: string;
     readonly workspace: string | undefined;
     readonly fingerprint: string;
+    /** Names of the parts of its prompt that other requests may share. */
+    readonly parts: readonly string[];
 }
 
 /** An attempt that is reported to the guard. */
--- a/packages/host/src/calls/plain-service.ts
+++ b/packages/host/src/calls/plain-service.ts
@@ -283,6 +283,7 @@
             route: call.service,
             workspace: call.workspace,
             fingerprint,
+            parts: [],
         }, endpoint => urlOf(host, call.directory, endpoint)),
         withholdReason: attempt => host.guard.withhold(fingerprint, { attempt }),
         reply,
--- a/packages/host/src/endpoints/crash-detector.ts
+++ b/packages/host/src/endpoints/crash-detector.ts
@@ -29,6 +29,8 @@
     readonly route: string;
     readonly workspace: string | undefined;
     readonly fingerprint: string;
+    /** Names of the parts of its prompt that other requests may share. */
+    readonly parts: readonly string[];
     /** How long it had been running there, in milliseconds. */
     readonly ranMs: number;
     /** Whether the request was already suspected of crashing endpoints when this run began. */
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -202,11 +202,15 @@
         const { incarnation } = endpoint;
         this.deps.metrics.countEndpointEnd(sign);
         this.deps.log.warn({ endpoint: incarnation, sign, runs: runs.length }, "endpoint_ended_under_calls");
-        for (const { req, fingerprint, ranMs, wasSuspect } of runs) {
-            this.deps.log.info(
-                { req, fingerprint, endpoint: incarnation, ran_ms: Math.round(ranMs), suspect: wasSuspect },
-                "call_at_ending",
-            );
+        for (const { req, fingerprint, parts, ranMs, wasSuspect } of runs) {
+            this.deps.log.info({
+                req,
+                fingerprint,
+                parts: parts.length > 0 ? parts.join(",") : undefined,
+                endpoint: incarnation,
+                ran_ms: Math.round(ranMs),
+                suspect: wasSuspect,
+            }, "call_at_ending");
         }
         const requests = runs.map(({ fingerprint, ranMs, wasSuspect }) => ({
             fingerprint,
--- /dev/null
+++ b/packages/host/test/fingerprint.test.ts
@@ -0,0 +1,41 @@
+import type { PromptPart } from "@drumpaddle/protocol";
+import test from "ava";
+import { sharedPartsOf } from "../src/calls/fingerprint.js";
+
+const MAX_NAMED_PARTS = 32;
+
+function parts(...ids: readonly string[]): readonly PromptPart[] {
+    return ids.map(id => ({ id, tokens: 10 }));
+}
+
+const NAMED: readonly {
+    readonly title: string;
+    readonly model: string;
+    readonly parts: readonly PromptPart[];
+    readonly names: readonly string[];
+}[] = [
+    { title: "all parts but the last", model: "m", parts: parts("a", "b", "c"), names: ["part:m:a", "part:m:b"] },
+    { title: "nothing of a single part", model: "m", parts: parts("a"), names: [] },
+    { title: "nothing without parts", model: "m", parts: [], names: [] },
+    { title: "hexadecimal digits in either case alike", model: "m", parts: parts("5C1E", "b"), names: ["part:m:5c1e"] },
+    { title: "a repeated part once", model: "m", parts: parts("a", "b", "a", "c"), names: ["part:m:a", "part:m:b"] },
+    { title: "a part of another model otherwise", model: "n", parts: parts("a", "b"), names: ["part:n:a"] },
+];
+
+for (const { title, model, parts: list, names } of NAMED) {
+    test(`shared parts name ${title}`, t => {
+        t.deepEqual(sharedPartsOf({ model, parts: list }), names);
+    });
+}
+
+test("names of shared parts are bounded in number and length", t => {
+    const list = Array.from({ length: 1_000 }, (_, at) => ({ id: `${at}`.padStart(400, "0"), tokens: 1 }));
+    const names = sharedPartsOf({ model: "a model\n".repeat(50), parts: list });
+    t.is(names.length, MAX_NAMED_PARTS);
+    t.is(new Set(names).size, MAX_NAMED_PARTS);
+    t.true(names.every(name => /^[\w.:-]{1,64}$/.test(name)));
+});
+
+test("a call without a generation has no shared parts", t => {
+    t.deepEqual(sharedPartsOf(undefined), []);
+});
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -51,6 +51,7 @@
             route: "draft",
             workspace: "payroll",
             fingerprint,
+            parts: [],
             ranMs: 1,
             wasSuspect: guard.isSuspect(fingerprint),
         });
