--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -43,8 +43,8 @@
 }
 
 /**
- * Returns the lines about a request, sorted by time: its own, the events during the request of the endpoints that these name, and
- * those of the connection by which a peer relayed it.
+ * Returns the lines about a request, sorted by time: its own, the events during the request of the endpoints that these name, those
+ * of the connection by which a peer relayed it, and those of the quarantine for which it was withheld.
  *
  * @example
  * ```ts
@@ -65,7 +65,33 @@
     );
     // A relayed connection may carry calls before and after this one.
     const relayed = lines.filter(({ fields }) => !fields.has("req") && relays.has(fields.get("relay") ?? ""));
-    return [...own, ...context, ...relayed].sort((a, b) => a.atMs - b.atMs);
+    const quarantine = linesAboutQuarantine(lines, new Set(own.flatMap(({ fields }) => fields.get("by") ?? [])));
+    return [...new Set([...own, ...context, ...relayed, ...quarantine])].sort((a, b) => a.atMs - b.atMs);
+}
+
+const QUARANTINE_EVENTS: ReadonlySet<string> = new Set(["request_quarantined", "request_quarantine_lifted"]);
+
+/** Returns the lines on quarantined requests and parts, and the calls that were at the crashes on which these rest. */
+function linesAboutQuarantine(lines: readonly LogLine[], names: ReadonlySet<string>): readonly LogLine[] {
+    if (names.size === 0) return [];
+    const decisions = lines.filter(({ event, fields }) =>
+        QUARANTINE_EVENTS.has(event) && names.has(fields.get("fingerprint") ?? "")
+    );
+    const crashed = new Set(decisions.flatMap(({ fields }) => unquote(fields.get("endpoints")).split(",")));
+    const calls = lines.filter(({ event, fields }) =>
+        event === "call_at_ending" && crashed.has(fields.get("endpoint") ?? "")
+        && namesOf(fields).some(name => names.has(name))
+    );
+    return [...decisions, ...calls];
+}
+
+/** The names under which a call that ran at a crashed endpoint may be held to blame. */
+function namesOf(fields: LogLine["fields"]): readonly string[] {
+    return [unquote(fields.get("fingerprint")), ...unquote(fields.get("parts")).split(",")];
+}
+
+function unquote(text = ""): string {
+    return text.replace(/^"|"$/g, "");
 }
 
 /** The parsed lines of log files, or the command's result if a file cannot be read. */
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,5 +3,5 @@
 export { expireKey, issueKey, issueToken, listKeys } from "./keys.js";
 export { countLosses, DEFAULT_STEP_S, type Loss, losses } from "./losses.js";
 export { type CommandResult, Exit, formatChanges } from "./output.js";
-export { liftQuarantine, listQuarantine } from "./quarantine.js";
+export { liftQuarantine, type ListedRequest, listQuarantine } from "./quarantine.js";
 export * as settings from "./settings.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -195,12 +195,16 @@
     .action((flags: Flags) => runCommand(flags, () => listEndpoints(clientOptionsOf(flags))));
 program.command(
     "quarantine list",
-    "List the requests that a host knows to be quarantined or suspected of ending endpoints",
+    "List the requests, and the parts of prompts, that a host knows to be quarantined or suspected of ending endpoints",
 )
     .example("quarantine list --hosts http://10.0.0.1:8749")
     .action((flags: Flags) => runCommand(flags, () => listQuarantine(clientOptionsOf(flags))));
-program.command("quarantine lift <fingerprint>", "Lift the quarantine of a request at all hosts")
+program.command(
+    "quarantine lift <fingerprint>",
+    "Lift the quarantine of a request, or of a part of prompts, at all hosts",
+)
     .example("quarantine lift zfrk1UZixpr7_INCf_ZeUA")
+    .example("quarantine lift part:m:5c1e07a2")
     .action((fingerprint: string, flags: Flags) =>
         runCommand(flags, () => liftQuarantine(clientOptionsOf(flags), String(fingerprint)))
     );
--- a/packages/cli/src/quarantine.ts
+++ b/packages/cli/src/quarantine.ts
@@ -13,10 +13,13 @@
     readonly req?: string;
 }
 
-/** A suspected or quarantined request in a host's answer. */
-interface ListedRequest {
+/** A suspected or quarantined request, or part of prompts, in a host's answer. */
+export interface ListedRequest {
+    /** Fingerprint of the request, or name of the part: `part:`, its model, a colon and its id. */
     readonly fingerprint: string;
     readonly quarantined: boolean;
+    /** Other parts that may be to blame instead: only requests with all of them are withheld. */
+    readonly alternatives?: readonly string[];
     readonly route?: string;
     readonly workspace?: string;
     readonly endings: readonly ListedEnding[];
@@ -24,20 +27,20 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Lists the suspected and quarantined requests that one host knows. */
+/** Lists the suspected and quarantined requests and parts that one host knows. */
 export async function listQuarantine(client: ClientOptions): Promise<CommandResult> {
     const result = await callAnyHost(client, "GET", "/quarantine");
     if (result.kind !== "answer") return resultOf(Exit.Failed, result.detail);
     if (result.status !== 200) return resultOf(Exit.Failed, errorMessageOf(result.body));
     const requests = result.body["requests"] as readonly ListedRequest[];
-    const rows = requests.map(({ fingerprint, quarantined, route, workspace, endings }) => [
+    const rows = requests.map(({ fingerprint, quarantined, alternatives = [], route, workspace, endings }) => [
         fingerprint,
-        quarantined ? "quarantined" : "suspected",
+        quarantined ? ["quarantined", ...alternatives.map(part => `with ${part}`)].join("\n") : "suspected",
         route ?? "-",
         workspace ?? "-",
         endings.map(formatEnding).join("\n"),
     ]);
-    const table = formatTable(["fingerprint", "state", "route", "workspace", "endings"], rows);
+    const table = formatTable(["fingerprint or part", "state", "route", "workspace", "endings"], rows);
     const text = requests.length === 0 ? "nothing is quarantined or suspected" : table;
     return { exit: Exit.Done, text, data: requests };
 }
--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -1,5 +1,6 @@
 /**
- * Records of the requests that were running when an endpoint ended unexpectedly: the evidence on which requests are quarantined.
+ * Records of the requests that were running when an endpoint ended unexpectedly: the evidence on which requests are quarantined, and
+ * parts of prompts that requests share.
  *
  * A life of an endpoint is one run of its process. Each life has one record, however many hosts saw its end: hosts merge their records
  * by life. The merge is idempotent and does not depend on the order of the news. Of several reported times it keeps the earliest.
@@ -9,13 +10,13 @@
  * @module
  */
 
-/** How a request was involved in the end of a life. */
+/** How a request, or a part of requests' prompts, was involved in the end of a life. */
 export interface Involvement {
-    /** How long it had run there, in milliseconds. */
+    /** How long it had run there, in milliseconds; of several requests with a part, the one that had run for the shortest time. */
     readonly ranMs: number;
     /** Whether it was already a suspect, because of an earlier ending, when it began there. */
     readonly wasSuspect: boolean;
-    /** Whether it was cleared since: it ran to completion, or an operator lifted its quarantine. */
+    /** Whether it was cleared since: it ran to completion, a request with the part was answered, or an operator lifted its quarantine. */
     readonly cleared: boolean;
 }
 
@@ -28,8 +29,15 @@
     readonly software: string | undefined;
     /** Requests that ran there, by fingerprint. */
     readonly requests: ReadonlyMap<string, Involvement>;
+    /** Shared parts of the prompts of those requests that had no answer yet, by name. */
+    readonly parts: ReadonlyMap<string, Involvement>;
 }
 
+/** What can be to blame for an ending: a request, or a part of prompts. */
+export const SuspectKind = { Request: "requests", Part: "parts" } as const;
+/** One of {@link SuspectKind}; each is the name of the member of {@link Ending} that holds suspects of the kind. */
+export type SuspectKind = typeof SuspectKind[keyof typeof SuspectKind];
+
 /** Endings by the name of the life that ended. */
 export type Endings = ReadonlyMap<string, Ending>;
 
@@ -39,10 +47,13 @@
     readonly agoMs: number;
     readonly software?: string | undefined;
     readonly requests: readonly RequestNews[];
+    /** Absent in news of hosts that know of no parts. */
+    readonly parts?: readonly RequestNews[] | undefined;
 }
 
-/** A request's involvement in an ending, as hosts send it. */
+/** The involvement of a request, or of a part, in an ending, as hosts send it. */
 export interface RequestNews extends Involvement {
+    /** Fingerprint of the request, or name of the part. */
     readonly fingerprint: string;
 }
 
@@ -51,11 +62,16 @@
  * so none is dropped as long as endpoints are used as declared.
  */
 export const MAX_REQUESTS_PER_ENDING = 64;
+/** How many parts of an ending are kept at most: those of 24 requests, most of which name three or four. */
+export const MAX_PARTS_PER_ENDING = 128;
 
 /** Returns the news by which an ending is sent to peers. */
-export function newsOfEnding({ life, at, software, requests }: Ending, now: number): EndingNews {
-    const requestNews = [...requests].map(([fingerprint, involved]) => ({ fingerprint, ...involved }));
-    return { life, agoMs: Math.max(0, now - at), software, requests: requestNews };
+export function newsOfEnding({ life, at, software, requests, parts }: Ending, now: number): EndingNews {
+    return { life, agoMs: Math.max(0, now - at), software, requests: newsOf(requests), parts: newsOf(parts) };
+}
+
+function newsOf(involved: ReadonlyMap<string, Involvement>): readonly RequestNews[] {
+    return [...involved].map(([fingerprint, involvement]) => ({ fingerprint, ...involvement }));
 }
 
 /** Result of {@link mergeEnding}: all endings, and what was new. */
@@ -77,32 +93,56 @@
 export function mergeEnding(endings: Endings, received: EndingNews, now: number): MergedEnding {
     const known = endings.get(received.life);
     const at = now - received.agoMs;
-    const requests = new Map(known?.requests);
-    const added: RequestNews[] = [];
-    for (const { fingerprint, ...involved } of received.requests) {
-        const before = requests.get(fingerprint);
-        const merged = before ? mergeInvolvement(before, involved) : involved;
-        if (before && isSameInvolvement(before, merged)) continue;
-        requests.set(fingerprint, merged);
-        added.push({ fingerprint, ...merged });
-    }
-    if (known && added.length === 0) return { endings, news: undefined };
-    const software = known?.software ?? received.software;
+    const requests = mergeInvolved(known?.requests, received.requests, MAX_REQUESTS_PER_ENDING, Math.max);
+    const parts = mergeInvolved(known?.parts, received.parts ?? [], MAX_PARTS_PER_ENDING, Math.min);
+    if (known && requests.added.length + parts.added.length === 0) return { endings, news: undefined };
+    const { life } = received;
     const ending = {
-        life: received.life,
+        life,
         at: Math.min(known?.at ?? at, at),
-        software,
-        requests: dropLongestRunning(requests),
+        software: known?.software ?? received.software,
+        requests: requests.involved,
+        parts: parts.involved,
     };
+    const agoMs = Math.max(0, now - ending.at);
     return {
-        endings: new Map(endings).set(received.life, ending),
-        news: { life: received.life, agoMs: Math.max(0, now - ending.at), software, requests: added },
+        endings: new Map(endings).set(life, ending),
+        news: { life, agoMs, software: ending.software, requests: requests.added, parts: parts.added },
     };
 }
 
-function mergeInvolvement(a: Involvement, b: Involvement): Involvement {
+interface MergedInvolved {
+    readonly involved: ReadonlyMap<string, Involvement>;
+    readonly added: readonly RequestNews[];
+}
+
+/** Merges suspects of one kind. `mergeRanMs` chooses between the times that two hosts saw. */
+function mergeInvolved(
+    known: ReadonlyMap<string, Involvement> | undefined,
+    received: readonly RequestNews[],
+    most: number,
+    mergeRanMs: (a: number, b: number) => number,
+): MergedInvolved {
+    const merged = new Map(known);
+    const changed = new Set<string>();
+    for (const { fingerprint, ...involvement } of received) {
+        const before = merged.get(fingerprint);
+        const after = before ? mergeInvolvement(before, involvement, mergeRanMs) : involvement;
+        if (before && isSameInvolvement(before, after)) continue;
+        merged.set(fingerprint, after);
+        changed.add(fingerprint);
+    }
+    const involved = dropLongestRunning(merged, most);
+    return { involved, added: newsOf(involved).filter(({ fingerprint }) => changed.has(fingerprint)) };
+}
+
+function mergeInvolvement(
+    a: Involvement,
+    b: Involvement,
+    mergeRanMs: (a: number, b: number) => number,
+): Involvement {
     return {
-        ranMs: Math.max(a.ranMs, b.ranMs),
+        ranMs: mergeRanMs(a.ranMs, b.ranMs),
         wasSuspect: a.wasSuspect || b.wasSuspect,
         cleared: a.cleared || b.cleared,
     };
@@ -112,30 +152,50 @@
     return a.ranMs === b.ranMs && a.wasSuspect === b.wasSuspect && a.cleared === b.cleared;
 }
 
-function dropLongestRunning(requests: ReadonlyMap<string, Involvement>): ReadonlyMap<string, Involvement> {
-    if (requests.size <= MAX_REQUESTS_PER_ENDING) return requests;
-    const sorted = [...requests].sort(([a, { ranMs: ranA }], [b, { ranMs: ranB }]) => ranA - ranB || (a < b ? -1 : 1));
-    return new Map(sorted.slice(0, MAX_REQUESTS_PER_ENDING));
+function dropLongestRunning(
+    involved: ReadonlyMap<string, Involvement>,
+    most: number,
+): ReadonlyMap<string, Involvement> {
+    if (involved.size <= most) return involved;
+    const sorted = [...involved].sort(([a, { ranMs: ranA }], [b, { ranMs: ranB }]) => ranA - ranB || (a < b ? -1 : 1));
+    return new Map(sorted.slice(0, most));
 }
 
 /**
- * Returns the news that clears a request of all known endings, to be merged here and sent to peers.
+ * Returns the news that clears a request or a part of all known endings, to be merged here and sent to peers.
+ *
+ * @param software If given, only endings of endpoints that ran this software, or an unknown one, are cleared.
  *
  * @example
  * ```ts
  * clearingNews(endings, fingerprint, now).length; // number of endings that were held against it
  * ```
  */
-export function clearingNews(endings: Endings, fingerprint: string, now: number): readonly EndingNews[] {
+export function clearingNews(
+    endings: Endings,
+    fingerprint: string,
+    now: number,
+    software?: string,
+): readonly EndingNews[] {
     const news: EndingNews[] = [];
-    for (const { life, at, software, requests } of endings.values()) {
-        const involved = requests.get(fingerprint);
-        if (!involved || involved.cleared) continue;
-        news.push({ life, agoMs: now - at, software, requests: [{ fingerprint, ...involved, cleared: true }] });
+    for (const ending of endings.values()) {
+        const { life, at, requests, parts } = ending;
+        if (software !== undefined && ending.software !== undefined && ending.software !== software) continue;
+        const cleared = {
+            requests: clearedNews(requests, fingerprint),
+            parts: clearedNews(parts, fingerprint),
+        };
+        if (cleared.requests.length + cleared.parts.length === 0) continue;
+        news.push({ life, agoMs: now - at, software: ending.software, ...cleared });
     }
     return news;
 }
 
+function clearedNews(involved: ReadonlyMap<string, Involvement>, fingerprint: string): readonly RequestNews[] {
+    const involvement = involved.get(fingerprint);
+    return involvement && !involvement.cleared ? [{ fingerprint, ...involvement, cleared: true }] : [];
+}
+
 /**
  * Returns the name under which the end of a life is recorded. If a life of this name has ended before the requests began, the endpoint
  * has restarted and the name of its new life was not known yet: the name gets a number.
@@ -159,8 +219,8 @@
 /** Returns a digest by which two hosts compare the endings that they know. It does not depend on order or times. */
 export function digestOfEndings(endings: Endings): number {
     let digest = 0;
-    for (const { life, requests } of endings.values()) {
-        for (const [fingerprint, { wasSuspect, cleared }] of requests) {
+    for (const { life, requests, parts } of endings.values()) {
+        for (const [fingerprint, { wasSuspect, cleared }] of [...requests, ...parts]) {
             digest ^= fnv1a(`${life}/${fingerprint}/${wasSuspect}/${cleared}`);
         }
     }
--- a/packages/hall/src/index.ts
+++ b/packages/hall/src/index.ts
@@ -1,4 +1,10 @@
-export { type Assessment, assessRequests, ENDINGS_TO_QUARANTINE, SIMULTANEOUS_MS } from "./assessment.js";
+export {
+    type Assessment,
+    type Assessments,
+    assessSuspects,
+    ENDINGS_TO_QUARANTINE,
+    SIMULTANEOUS_MS,
+} from "./assessment.js";
 export { capacityOf, type HostCapacity, type HostResources, weightOf, weightsOf } from "./capacity.js";
 export {
     type AddressedDetectorMessage,
@@ -17,10 +23,12 @@
     type EndingNews,
     type Endings,
     type Involvement,
+    MAX_PARTS_PER_ENDING,
     MAX_REQUESTS_PER_ENDING,
     mergeEnding,
     nameOfEndedLife,
     type RequestNews,
+    SuspectKind,
 } from "./endings.js";
 export {
     type CutOff,
@@ -89,6 +97,7 @@
 export { EQUAL_WEIGHTS, isWatcher, ownerOf, rank, WATCHERS_PER_HALL, type Weights } from "./ownership.js";
 export {
     allEndingNews,
+    clearPart,
     clearRequest,
     dropExpired,
     EMPTY_QUARANTINE,
@@ -98,6 +107,7 @@
     type Quarantine,
     type QuarantineNews,
     type QuarantineStep,
+    type RequestIdentity,
     type TrialNews,
     type Verdict,
     type VerdictContext,
--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -1,11 +1,15 @@
 /**
- * Quarantine of requests that crash the endpoints that run them. An ending is the unexpected end of one life of an endpoint, i.e. of one
+ * Quarantine of requests that crash the endpoints that run them, and of the parts of prompts that make them do so. An ending is the unexpected end of one life of an endpoint, i.e. of one
  * run of its process.
  *
  * A request that was involved in an ending is a suspect: all hosts together run it at one endpoint at a time. After three endings it is
  * quarantined: no host begins it until a period is over that doubles with each further ending, or until endpoints with other software
  * are available. Then a single trial run decides again.
  *
+ * The same holds for a part that prompts share, with two differences. A request with it that is answered clears it. And as long as
+ * requests with it were answered recently, it is not held back to one run at a time: a part that most requests share is involved in every
+ * ending, and the next answer clears it.
+ *
  *     a --news (ending, trial)--> some hosts, each of which passes on what is new to it
  *     a --digest (with each probe)--> b, and if b knows other endings: b --all its endings--> a
  *     a, when it starts: a --ask--> b, b --all its endings--> a
@@ -16,11 +20,29 @@
  *
  * @module
  */
-import { type Assessment, assessRequests, ENDINGS_TO_QUARANTINE } from "./assessment.js";
-import { clearingNews, digestOfEndings, type EndingNews, type Endings, mergeEnding, newsOfEnding } from "./endings.js";
+import { type Assessment, type Assessments, assessSuspects, ENDINGS_TO_QUARANTINE } from "./assessment.js";
+import {
+    clearingNews,
+    digestOfEndings,
+    type EndingNews,
+    type Endings,
+    mergeEnding,
+    newsOfEnding,
+    SuspectKind,
+} from "./endings.js";
+
+/** What identifies a request: its content, and the parts of its prompt that other requests may share. */
+export interface RequestIdentity {
+    readonly fingerprint: string;
+    /** Names of the shared parts. */
+    readonly parts: readonly string[];
+}
 
 /** A run of a suspect. */
 interface Trial {
+    /** Name of the attempt, unique among all hosts. */
+    readonly attempt: string;
+    /** Fingerprint of the request, or name of the part that is on trial. */
     readonly fingerprint: string;
     readonly at: number;
     readonly isOver: boolean;
@@ -44,9 +66,10 @@
 /** A host's knowledge of endings, trials and suspects. */
 export interface Quarantine {
     readonly endings: Endings;
+    /** By attempt and suspect. */
     readonly trials: ReadonlyMap<string, Trial>;
-    /** By fingerprint, derived from the endings. */
-    readonly assessments: ReadonlyMap<string, Assessment>;
+    /** Derived from the endings. */
+    readonly assessments: Assessments;
     /** Digest of the endings. */
     readonly digest: number;
 }
@@ -99,8 +122,17 @@
     | { readonly kind: "suspect"; readonly endings: number }
     /** It is a suspect that is running elsewhere. It may begin after `trialEndsInMs` at the latest. */
     | { readonly kind: "onTrial"; readonly trialEndsInMs: number }
-    /** It may not begin. For another `evidencePendingMs`, observations of its last ending may still arrive and clear it. */
-    | { readonly kind: "quarantined"; readonly endings: number; readonly evidencePendingMs: number };
+    /**
+     * It may not begin, because of the request itself or of the part `by`. For another `evidencePendingMs`, observations of its last
+     * ending may still arrive and clear it.
+     */
+    | {
+        readonly kind: "quarantined";
+        readonly by: string;
+        readonly suspectKind: SuspectKind;
+        readonly endings: number;
+        readonly evidencePendingMs: number;
+    };
 
 const FREE: Verdict = { kind: "free" };
 
@@ -110,6 +142,8 @@
     readonly attempt?: string | undefined;
     /** Software versions of the endpoints that may run it. */
     readonly software?: readonly string[] | undefined;
+    /** Whether requests with a part were answered recently. */
+    readonly isProven?: ((part: string) => boolean) | undefined;
 }
 
 /**
@@ -117,25 +151,51 @@
  *
  * @example
  * ```ts
- * verdictOf(quarantine, fingerprint, now).kind; // "free"
+ * verdictOf(quarantine, { fingerprint, parts: [] }, now).kind; // "free"
  * ```
  */
-export function verdictOf(state: Quarantine, fingerprint: string, now: number, context: VerdictContext = {}): Verdict {
-    const assessment = state.assessments.get(fingerprint);
-    if (!assessment || assessment.endings.length === 0) return FREE;
-    const endings = assessment.endings.length;
-    if (
-        assessment.isCulprit && now < quarantinedUntil(assessment)
+export function verdictOf(
+    state: Quarantine,
+    request: RequestIdentity,
+    now: number,
+    context: VerdictContext = {},
+): Verdict {
+    const suspects = suspectsIn(state, request, context.isProven);
+    if (suspects.length === 0) return FREE;
+    const culprit = suspects.find(assessment =>
+        assessment.isCulprit
+        && now < quarantinedUntil(assessment)
+        && assessment.alternatives.every(part => request.parts.includes(part))
         && !mayRunOnOtherSoftware(assessment, context.software)
-    ) {
+    );
+    if (culprit) {
         return {
             kind: "quarantined",
-            endings,
-            evidencePendingMs: Math.max(0, assessment.lastAt + ENDING_SPREAD_MS - now),
+            by: culprit.fingerprint,
+            suspectKind: culprit.kind,
+            endings: culprit.endings.length,
+            evidencePendingMs: Math.max(0, culprit.lastAt + ENDING_SPREAD_MS - now),
         };
     }
-    const trialEndsInMs = remainingTrialMs(state, fingerprint, now, context.attempt);
-    return trialEndsInMs > 0 ? { kind: "onTrial", trialEndsInMs } : { kind: "suspect", endings };
+    const trialsEndInMs = suspects.map(({ fingerprint }) => remainingTrialMs(state, fingerprint, now, context.attempt));
+    const trialEndsInMs = Math.max(...trialsEndInMs);
+    if (trialEndsInMs > 0) return { kind: "onTrial", trialEndsInMs };
+    return { kind: "suspect", endings: Math.max(...suspects.map(({ endings }) => endings.length)) };
+}
+
+/** Returns the assessments that concern a request, without those of proven parts that are no culprits. */
+function suspectsIn(
+    { assessments }: Quarantine,
+    { fingerprint, parts }: RequestIdentity,
+    isProven: (part: string) => boolean = () => false,
+): readonly Assessment[] {
+    if (assessments.size === 0) return [];
+    return [fingerprint, ...parts].flatMap(name => {
+        const assessment = assessments.get(name);
+        if (!assessment || assessment.endings.length === 0) return [];
+        const isDisregarded = assessment.kind === SuspectKind.Part && !assessment.isCulprit && isProven(name);
+        return isDisregarded ? [] : [assessment];
+    });
 }
 
 /**
@@ -160,14 +220,14 @@
     ownAttempt: string | undefined,
 ): number {
     let left = 0;
-    for (const [attempt, trial] of trials) {
-        if (trial.fingerprint !== fingerprint || trial.isOver || attempt === ownAttempt) continue;
+    for (const trial of trials.values()) {
+        if (trial.fingerprint !== fingerprint || trial.isOver || trial.attempt === ownAttempt) continue;
         left = Math.max(left, trial.at + TRIAL_TIMEOUT_MS - now);
     }
     return left;
 }
 
-/** Returns whether a request was involved in an ending and not cleared since. */
+/** Returns whether a request or a part was involved in an ending and not cleared since. */
 export function isSuspect({ assessments }: Quarantine, fingerprint: string): boolean {
     return assessments.has(fingerprint);
 }
@@ -187,11 +247,21 @@
     return { state: trials.state, news: hasNews ? { endings: endings.added, trials: trials.added } : undefined };
 }
 
-/** Clears a request of all known endings, because it ran to completion or an operator lifts its quarantine. */
+/** Clears a request or a part of all known endings, because it ran to completion or an operator lifts its quarantine. */
 export function clearRequest(state: Quarantine, fingerprint: string, now: number): QuarantineStep {
     return mergeNews(state, { endings: clearingNews(state.endings, fingerprint, now), trials: [] }, now);
 }
 
+/** Clears a part of the endings of endpoints with the same software as one that has begun to answer a request with it. */
+export function clearPart(
+    state: Quarantine,
+    part: string,
+    software: string | undefined,
+    now: number,
+): QuarantineStep {
+    return mergeNews(state, { endings: clearingNews(state.endings, part, now, software), trials: [] }, now);
+}
+
 /** Returns all known endings, for a host that starts or whose digest differs. Trials are left out: most are over before they could be sent again. */
 export function allEndingNews({ endings }: Quarantine, now: number): QuarantineNews {
     return { endings: [...endings.values()].map(ending => newsOfEnding(ending, now)), trials: [] };
@@ -226,7 +296,7 @@
 }
 
 function withEndings(state: Quarantine, endings: Endings): Quarantine {
-    return { ...state, endings, assessments: assessRequests(endings), digest: digestOfEndings(endings) };
+    return { ...state, endings, assessments: assessSuspects(endings), digest: digestOfEndings(endings) };
 }
 
 /** Drops endings above {@link MAX_ENDINGS}: first those that no quarantine is based on, the oldest first. */
@@ -253,10 +323,11 @@
     const trials = new Map(state.trials);
     const added: TrialNews[] = [];
     for (const trial of received) {
-        const known = trials.get(trial.attempt);
+        const key = `${trial.attempt} ${trial.fingerprint}`;
+        const known = trials.get(key);
         if (trial.agoMs >= TRIAL_TIMEOUT_MS || known && (known.isOver || !trial.isOver)) continue;
         const { attempt, fingerprint, agoMs, isOver } = trial;
-        trials.set(attempt, { fingerprint, at: known?.at ?? now - agoMs, isOver });
+        trials.set(key, { attempt, fingerprint, at: known?.at ?? now - agoMs, isOver });
         added.push(trial);
     }
     return added.length === 0 ? { state, added } : { state: { ...state, trials }, added };
--- a/packages/hall/test/quarantine.test.ts
+++ b/packages/hall/test/quarantine.test.ts
@@ -2,16 +2,21 @@
 import fc from "fast-check";
 import {
     allEndingNews,
+    clearPart,
     clearRequest,
     dropExpired,
     EMPTY_QUARANTINE,
     type EndingNews,
+    MAX_PARTS_PER_ENDING,
     mergeNews,
     nameOfEndedLife,
     type Quarantine,
     type QuarantineNews,
+    type RequestIdentity,
+    type RequestNews,
     SIMULTANEOUS_MS,
     type Verdict,
+    type VerdictContext,
     verdictOf,
 } from "../src/index.js";
 
@@ -54,8 +59,13 @@
     return { state, now };
 }
 
+/** The verdict on a request without parts. */
+function verdictOn(state: Quarantine, fingerprint: string, now: number, context?: VerdictContext): Verdict {
+    return verdictOf(state, { fingerprint, parts: [] }, now, context);
+}
+
 function kindOf({ state, now }: { readonly state: Quarantine; readonly now: number }, fingerprint: string): string {
-    return verdictOf(state, fingerprint, now).kind;
+    return verdictOn(state, fingerprint, now).kind;
 }
 
 test("a request is a suspect after its first ending and quarantined after its third", t => {
@@ -74,7 +84,7 @@
     const beganAt = now + 50;
     const name = nameOfEndedLife(state.endings, "e1@1", beganAt);
     const again = mergeNews(state, newsOf(ending(name, { fingerprint: "a", wasSuspect: true })), beganAt + 20).state;
-    t.like(verdictOf(again, "a", beganAt + 20), { kind: "suspect", endings: 2 });
+    t.like(verdictOn(again, "a", beganAt + 20), { kind: "suspect", endings: 2 });
     t.is(nameOfEndedLife(state.endings, "e1@1", now - 100), "e1@1");
     t.is(nameOfEndedLife(again.endings, "e1@1", beganAt + 30), "e1@1#3");
 });
@@ -112,13 +122,13 @@
         );
         state = mergeNews(state, newsOf(...lives), rack * APART_MS).state;
     }
-    t.is(verdictOf(state, "hot", 4 * APART_MS).kind, "free");
+    t.is(verdictOn(state, "hot", 4 * APART_MS).kind, "free");
 });
 
 test("simultaneous endings count once for a request, unless it began there as a suspect", t => {
     const at = (wasSuspect: boolean): Verdict => {
         const lives = ["e1", "e2", "e3"].map(life => ending(life, { fingerprint: "a", wasSuspect }));
-        return verdictOf(mergeNews(EMPTY_QUARANTINE, newsOf(...lives), 0).state, "a", 0);
+        return verdictOn(mergeNews(EMPTY_QUARANTINE, newsOf(...lives), 0).state, "a", 0);
     };
     t.like(at(false), { kind: "suspect", endings: 1 });
     t.like(at(true), { kind: "quarantined", endings: 3 });
@@ -127,42 +137,42 @@
 test("a request that runs to completion is cleared, and only later endings count against it", t => {
     const { state, now } = after(ending("e1", "a"), ending("e2", "a"));
     const cleared = clearRequest(state, "a", now);
-    t.is(verdictOf(cleared.state, "a", now).kind, "free");
+    t.is(verdictOn(cleared.state, "a", now).kind, "free");
     t.is(cleared.news?.endings.length, 2);
     const again = mergeNews(cleared.state, newsOf(ending("e3", "a")), now + APART_MS);
-    t.like(verdictOf(again.state, "a", now + APART_MS), { kind: "suspect", endings: 1 });
+    t.like(verdictOn(again.state, "a", now + APART_MS), { kind: "suspect", endings: 1 });
 });
 
 test("a request that was cleared at one host stays cleared when another host sends the ending again", t => {
     const { state, now } = after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a"));
     const cleared = clearRequest(state, "a", now).state;
-    t.is(verdictOf(mergeNews(cleared, allEndingNews(state, now), now).state, "a", now).kind, "free");
-    t.is(verdictOf(mergeNews(state, allEndingNews(cleared, now), now).state, "a", now).kind, "free");
+    t.is(verdictOn(mergeNews(cleared, allEndingNews(state, now), now).state, "a", now).kind, "free");
+    t.is(verdictOn(mergeNews(state, allEndingNews(cleared, now), now).state, "a", now).kind, "free");
 });
 
 test("a suspect runs at one endpoint at a time", t => {
     const { state, now } = after(ending("e1", "a"));
     const trial = { attempt: "r1.1", fingerprint: "a", agoMs: 0, isOver: false };
     const running = mergeNews(state, { endings: [], trials: [trial] }, now);
-    t.is(verdictOf(running.state, "a", now).kind, "onTrial");
-    t.is(verdictOf(running.state, "a", now, { attempt: "r1.1" }).kind, "suspect");
+    t.is(verdictOn(running.state, "a", now).kind, "onTrial");
+    t.is(verdictOn(running.state, "a", now, { attempt: "r1.1" }).kind, "suspect");
     const over = mergeNews(running.state, { endings: [], trials: [{ ...trial, isOver: true }] }, now);
-    t.is(verdictOf(over.state, "a", now).kind, "suspect");
+    t.is(verdictOn(over.state, "a", now).kind, "suspect");
     // News of its begin that arrives after that of its end changes nothing.
     t.is(mergeNews(over.state, { endings: [], trials: [trial] }, now).news, undefined);
-    t.is(verdictOf(running.state, "a", now + MINUTE_MS).kind, "suspect");
+    t.is(verdictOn(running.state, "a", now + MINUTE_MS).kind, "suspect");
 });
 
 test("a trial is allowed after half an hour, another after an hour, and then none", t => {
     let { state, now } = after(ending("e1", "a"), ending("e2", "a"), ending("e3", "a"));
     const waits = [30, 60] as const;
     for (const [at, minutes] of waits.entries()) {
-        t.is(verdictOf(state, "a", now + minutes * MINUTE_MS - 1).kind, "quarantined");
+        t.is(verdictOn(state, "a", now + minutes * MINUTE_MS - 1).kind, "quarantined");
         now += minutes * MINUTE_MS;
-        t.is(verdictOf(state, "a", now).kind, "suspect");
+        t.is(verdictOn(state, "a", now).kind, "suspect");
         state = mergeNews(state, newsOf(ending(`later-${at}`, { fingerprint: "a", wasSuspect: true })), now).state;
     }
-    t.is(verdictOf(state, "a", now + 20 * 60 * MINUTE_MS).kind, "quarantined");
+    t.is(verdictOn(state, "a", now + 20 * 60 * MINUTE_MS).kind, "quarantined");
 });
 
 test("endpoints with other software allow one trial of a quarantined request", t => {
@@ -172,7 +182,7 @@
     });
     const { state, now } = after(of("e1", "v1"), of("e2", "v1"), of("e3", "v1"));
     const kind = (known: Quarantine, ...software: readonly string[]): string =>
-        verdictOf(known, "a", now, { software }).kind;
+        verdictOn(known, "a", now, { software }).kind;
     t.is(kind(state, "v1"), "quarantined");
     t.is(kind(state, "v1", "v2"), "suspect");
     const again = mergeNews(state, newsOf(of("e4", "v2")), now).state;
@@ -183,8 +193,8 @@
 test("evidence without a quarantine expires after minutes, evidence for a quarantine after a day", t => {
     const { state, now } = after(ending("e1", "a"), ending("e2", "b"), ending("e3", "b"), ending("e4", "b"));
     const later = dropExpired(state, now + 11 * MINUTE_MS);
-    t.is(verdictOf(later, "a", now + 11 * MINUTE_MS).kind, "free");
-    t.is(verdictOf(later, "b", now + 11 * MINUTE_MS).kind, "quarantined");
+    t.is(verdictOn(later, "a", now + 11 * MINUTE_MS).kind, "free");
+    t.is(verdictOn(later, "b", now + 11 * MINUTE_MS).kind, "quarantined");
     t.is(dropExpired(later, now + 25 * 60 * MINUTE_MS).endings.size, 0);
 });
 
@@ -194,10 +204,147 @@
         now += APART_MS;
         state = mergeNews(state, newsOf(ending(`x${at}`, `drawn-${at}`)), now).state;
     }
-    t.is(verdictOf(state, "a", now).kind, "quarantined");
+    t.is(verdictOn(state, "a", now).kind, "quarantined");
     t.true(state.endings.size <= 256);
 });
 
+// Parts of prompts that requests share.
+
+const PART = "part:m:bad";
+const SHARED = "part:m:shared";
+
+/** An ending at which a request with some parts ran that had no answer yet. */
+function endingOf(life: string, parts: readonly string[], options: Partial<RequestNews> = {}): EndingNews {
+    const involved = { ranMs: 100, wasSuspect: false, cleared: false, ...options };
+    return {
+        ...ending(life, `own-${life}`),
+        parts: parts.map(fingerprint => ({ fingerprint, ...involved })),
+    };
+}
+
+function withParts(...parts: readonly string[]): RequestIdentity {
+    return { fingerprint: "new", parts };
+}
+
+interface Known {
+    readonly state: Quarantine;
+    readonly now: number;
+}
+
+function kindWith({ state, now }: Known, parts: readonly string[], context?: VerdictContext): string {
+    return verdictOf(state, withParts(...parts), now, context).kind;
+}
+
+/** Adds one more ending, later than all others. */
+function then({ state, now }: Known, next: EndingNews): Known {
+    const later = now + APART_MS;
+    return { state: mergeNews(state, newsOf(next), later).state, now: later };
+}
+
+const THREE_ENDINGS = ["e1", "e2", "e3"].map(life => endingOf(life, [PART]));
+
+test("a part is a suspect after one ending and quarantined after three, whatever else the requests held", t => {
+    t.is(kindWith(after(), [PART]), "free");
+    t.is(kindWith(after(...THREE_ENDINGS.slice(0, 1)), [PART]), "suspect");
+    t.is(kindWith(after(...THREE_ENDINGS.slice(0, 2)), [PART]), "suspect");
+    const known = after(...THREE_ENDINGS);
+    t.like(verdictOf(known.state, withParts(SHARED, PART), known.now), { kind: "quarantined", by: PART, endings: 3 });
+    t.is(kindWith(known, [SHARED]), "free");
+    t.is(kindWith(known, []), "free");
+});
+
+test("an answer clears a part, and does not clear the part beside it", t => {
+    const known = after(...["e1", "e2"].map(life => endingOf(life, [SHARED, PART])));
+    const { state, news } = clearPart(known.state, SHARED, undefined, known.now);
+    t.is(news?.endings.length, 2);
+    t.is(kindWith({ ...known, state }, [SHARED]), "free");
+    t.is(kindWith({ ...known, state }, [PART]), "suspect");
+    t.is(kindWith(then({ ...known, state }, endingOf("e3", [SHARED, PART])), [PART]), "quarantined");
+    t.is(clearPart(state, SHARED, undefined, known.now).news, undefined);
+});
+
+test("a part that was answered recently is not held back to one run at a time, unless it is a culprit", t => {
+    const isProven = (): boolean => true;
+    const known = after(...THREE_ENDINGS.slice(0, 2));
+    const trial = { attempt: "r1.1", fingerprint: PART, agoMs: 0, isOver: false };
+    const running = { ...known, state: mergeNews(known.state, { endings: [], trials: [trial] }, known.now).state };
+    t.is(kindWith(running, [PART]), "onTrial");
+    t.is(kindWith(running, [PART], { isProven }), "free");
+    t.is(kindWith(after(...THREE_ENDINGS), [PART], { isProven }), "quarantined");
+});
+
+test("of two parts that always came together, a request with one of them may be tried", t => {
+    const known = after(...["e1", "e2", "e3"].map(life => endingOf(life, [PART, SHARED])));
+    t.is(kindWith(known, [PART, SHARED]), "quarantined");
+    t.is(kindWith(known, [SHARED]), "suspect");
+    t.is(kindWith(known, [PART]), "suspect");
+    const answered = { ...known, state: clearPart(known.state, SHARED, undefined, known.now).state };
+    t.is(kindWith(answered, [SHARED]), "free");
+    t.is(kindWith(answered, [PART]), "quarantined");
+    const crashed = then(known, endingOf("e4", [PART], { wasSuspect: true }));
+    t.is(kindWith(crashed, [PART]), "quarantined");
+    t.is(kindWith(crashed, [SHARED]), "suspect");
+});
+
+test("a part that met one unrelated ending more than the culprit may still be tried alone, and is cleared by its answer", t => {
+    const known = after(...["e1", "e2", "e3"].map(life => endingOf(life, [PART, SHARED])), endingOf("e4", [SHARED]));
+    t.is(kindWith(known, [PART, SHARED]), "quarantined");
+    t.is(kindWith(known, [SHARED]), "suspect");
+    const answered = { ...known, state: clearPart(known.state, SHARED, undefined, known.now).state };
+    t.is(kindWith(answered, [SHARED]), "free");
+    t.is(kindWith(answered, [PART]), "quarantined");
+});
+
+test("two bad parts are both identified", t => {
+    const lives = ["e1", "e2", "e3", "e4", "e5", "e6"];
+    const known = after(...lives.map((life, at) => endingOf(life, at % 2 === 0 ? [PART] : ["part:m:other"])));
+    t.is(kindWith(known, [PART]), "quarantined");
+    t.is(kindWith(known, ["part:m:other"]), "quarantined");
+});
+
+test("a request that crashed three endpoints is quarantined itself, and others with its parts may be tried", t => {
+    const lives = ["e1", "e2", "e3"];
+    const known = after(...lives.map(life => ({ ...endingOf(life, [PART]), requests: ending(life, "same").requests })));
+    t.is(verdictOf(known.state, { fingerprint: "same", parts: [PART] }, known.now).kind, "quarantined");
+    t.is(kindWith(known, [PART]), "suspect");
+    t.is(kindWith(then(known, endingOf("e4", [PART], { wasSuspect: true })), [PART]), "quarantined");
+});
+
+test("an answer by other software does not clear a part", t => {
+    const known = after(...THREE_ENDINGS.map(one => ({ ...one, software: "v1" })));
+    const other = { ...known, state: clearPart(known.state, PART, "v2", known.now).state };
+    t.is(kindWith(other, [PART], { software: ["v1"] }), "quarantined");
+    t.is(kindWith(other, [PART], { software: ["v2"] }), "suspect");
+    const same = { ...known, state: clearPart(known.state, PART, "v1", known.now).state };
+    t.is(kindWith(same, [PART], { software: ["v1"] }), "free");
+});
+
+test("a part that is at endings of a rack is not blamed", t => {
+    let state = EMPTY_QUARANTINE;
+    for (let rack = 0; rack < 3; rack++) {
+        const lives = [1, 2, 3, 4].map(at => endingOf(`r${rack}e${at}`, at === 1 ? [SHARED] : [`part:m:${rack}${at}`]));
+        state = mergeNews(state, newsOf(...lives), rack * APART_MS).state;
+    }
+    t.is(verdictOf(state, withParts(SHARED), 3 * APART_MS).kind, "free");
+});
+
+test("operators lift the quarantine of a part", t => {
+    const known = after(...THREE_ENDINGS);
+    t.is(kindWith({ ...known, state: clearRequest(known.state, PART, known.now).state }, [PART]), "free");
+});
+
+test("the parts that are kept of an ending are bounded, and news of them reaches no peer again once it is dropped", t => {
+    const names = Array.from({ length: 500 }, (_, at) => `part:m:${at}`);
+    const many = {
+        ...ending("e1"),
+        parts: names.map((fingerprint, ranMs) => ({ fingerprint, ranMs, wasSuspect: false, cleared: false })),
+    };
+    const first = mergeNews(EMPTY_QUARANTINE, newsOf(many), 0);
+    t.is(first.state.endings.get("e1")!.parts.size, MAX_PARTS_PER_ENDING);
+    t.is(first.news!.endings[0]!.parts!.length, MAX_PARTS_PER_ENDING);
+    t.is(mergeNews(first.state, newsOf(many), 0).news, undefined);
+});
+
 // Random endings: the same news gives the same verdicts in any order, if repeated, or if merged from two halls.
 
 const requestArb = fc.record({
@@ -209,7 +356,13 @@
 const endingArb = fc.record({
     life: fc.integer({ min: 0, max: 9 }).map(at => `e${at}`),
     requests: fc.uniqueArray(requestArb, { maxLength: 4, selector: ({ fingerprint }) => fingerprint }),
-}).map(({ life, requests }): EndingNews => ({ life, requests, agoMs: 1_000 * Number(life.slice(1)) }));
+    parts: fc.uniqueArray(requestArb, { maxLength: 4, selector: ({ fingerprint }) => fingerprint }),
+}).map(({ life, requests, parts }): EndingNews => ({
+    life,
+    requests,
+    parts: parts.map(part => ({ ...part, fingerprint: `part:m:${part.fingerprint}` })),
+    agoMs: 1_000 * Number(life.slice(1)),
+}));
 const NOW = 100_000;
 
 function mergeAll(endings: readonly EndingNews[]): Quarantine {
@@ -217,7 +370,11 @@
 }
 
 function verdicts(state: Quarantine): readonly Verdict[] {
-    return ["a", "b", "c", "d"].map(fingerprint => verdictOf(state, fingerprint, NOW));
+    const names = ["a", "b", "c", "d"];
+    return [
+        ...names.map(fingerprint => verdictOn(state, fingerprint, NOW)),
+        ...names.map(name => verdictOf(state, withParts(`part:m:${name}`), NOW)),
+    ];
 }
 
 test("verdicts do not depend on the order of news or on duplicates", t => {
@@ -252,7 +409,7 @@
             const lives = [...state.endings.values()].filter(({ requests }) =>
                 requests.get(fingerprint)?.cleared === false
             );
-            if (lives.length < 3) t.not(verdictOf(state, fingerprint, NOW).kind, "quarantined");
+            if (lives.length < 3) t.not(verdictOn(state, fingerprint, NOW).kind, "quarantined");
         }
     }));
 });
@@ -260,6 +417,6 @@
 test("a request that ran alone at three separate endings is quarantined, whatever else ended", t => {
     fc.assert(fc.property(fc.array(endingArb, { maxLength: 20 }), endings => {
         const alone = [0, 1, 2].map(at => ({ ...ending(`g${at}`, "guilty"), agoMs: 500 + 1_000 * at }));
-        t.is(verdictOf(mergeAll([...endings, ...alone]), "guilty", NOW).kind, "quarantined");
+        t.is(verdictOn(mergeAll([...endings, ...alone]), "guilty", NOW).kind, "quarantined");
     }));
 });
--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -48,6 +48,8 @@
      * read all.
      */
     bodyUnread: { readonly bytes: number; readonly ms: number } | undefined;
+    /** The fingerprint or the part for which the latest attempt was withheld; undefined if it was not. */
+    withheldBy: string | undefined;
     /** The latest complete error answer of an endpoint; sent to the caller if no later attempt is answered. */
     failedAnswer: AnswerPiece | undefined;
 }
@@ -78,6 +80,7 @@
         framed: true,
         lastAnswer: undefined,
         bodyUnread: undefined,
+        withheldBy: undefined,
         failedAnswer: undefined,
     };
 }
--- a/packages/host/src/calls/fingerprint.ts
+++ b/packages/host/src/calls/fingerprint.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { GenerationHead } from "@drumpaddle/protocol";
+import type { GenerationBody, GenerationHead } from "@drumpaddle/protocol";
 import { createHash, type Hash } from "node:crypto";
 
 /** The parts of a call that identify it. */
@@ -54,9 +54,30 @@
  */
 export function sharedPartsOf(generation: Pick<GenerationHead, "model" | "parts"> | undefined): readonly string[] {
     if (!generation) return [];
-    const { model, parts } = generation;
+    return partNames(generation.model, generation.parts, ({ id }) => id.toLowerCase());
+}
+
+/**
+ * Returns the names of the messages of a chat that other calls may share, which are all but the last. A text completion has none.
+ *
+ * @example
+ * ```ts
+ * sharedMessagesOf({ model: "m", messages: [system, question] }); // ["part:m:" and the hash of the system message]
+ * ```
+ */
+export function sharedMessagesOf(body: GenerationBody): readonly string[] {
+    if (!("messages" in body)) return [];
+    return partNames(
+        body.model,
+        body.messages,
+        message => shortHash(createHash("sha256").update(JSON.stringify(message))),
+    );
+}
+
+/** Names all parts but the last, each once. */
+function partNames<T>(model: string, parts: readonly T[], idOf: (part: T) => string): readonly string[] {
     const shared = parts.slice(0, -1).slice(0, MAX_NAMED_PARTS);
-    return [...new Set(shared.map(({ id }) => `part:${plainName(model)}:${plainName(id.toLowerCase())}`))];
+    return [...new Set(shared.map(part => `part:${plainName(model)}:${plainName(idOf(part))}`))];
 }
 
 function plainName(text: string): string {
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
+import type { RequestIdentity } from "@drumpaddle/hall";
 import { HeldKind } from "@drumpaddle/policy";
 import type { AnswerHead } from "@drumpaddle/protocol";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import { type CallProgress, continuationOf, knownStandby, recordProgress, sentBefore } from "./call-progress.js";
-import { sharedPartsOf } from "./fingerprint.js";
 import { type AnswerPiece, startAttempt } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import { rankOf } from "./forward-job.js";
@@ -15,12 +15,15 @@
 import { guardAttempt } from "./guard-attempt.js";
 import type { AttemptRunner } from "./request-driver.js";
 
+/** Answers with this status or above come from endpoints that did not use the prompt. */
+const MIN_REFUSED_STATUS = 400;
+
 /** Creates the runner of one call; its attempts update `progress`. */
 export function forwardRunner(
     deps: GatewayContext,
     call: ForwardCall,
     progress: CallProgress,
-    fingerprint: string,
+    identity: RequestIdentity,
 ): AttemptRunner<AnswerPiece> {
     const { head, route, workspace, target, req, memory } = call;
     const endpointOf = (incarnation: string): EndpointEntry | undefined =>
@@ -83,10 +86,10 @@
                     route: route.name,
                     workspace: workspace?.name,
                     attempt,
-                    fingerprint,
-                    parts: sharedPartsOf(head.generation),
+                    ...identity,
                     endpoint,
                     signal,
+                    isAnswer: piece => piece !== undefined && piece.status < MIN_REFUSED_STATUS,
                 }),
                 whenRoom: resume => memory.whenReadable(resume),
                 holdLimit: () => memory.maxHeldAnswerBytes,
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RequestIdentity } from "@drumpaddle/hall";
 import { HeldKind } from "@drumpaddle/policy";
 import { FailCode, notRunError } from "@drumpaddle/request";
 import { pickService, type Route, RouteKind } from "@drumpaddle/routes";
@@ -12,7 +13,7 @@
 import { type CallProgress, createProgress, unreadFields } from "./call-progress.js";
 import { type ApiError, toApiError } from "./caller-answer.js";
 import { CallerQueue } from "./caller-queue.js";
-import { fingerprintOf } from "./fingerprint.js";
+import { fingerprintOf, sharedPartsOf } from "./fingerprint.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import { hallsOf, jobOf } from "./forward-job.js";
@@ -179,10 +180,10 @@
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const progress = createProgress(body, arrivedAt + timeoutMs);
     const queue = new CallerQueue(out, memory);
-    const fingerprint = fingerprintOfCall(call, body);
-    const withheld = deps.guard.withhold(fingerprint, { software: deps.softwareVersionsOf(call.service) });
+    const identity = identityOf(call, body);
+    const withheld = deps.guard.withhold(identity, { software: deps.softwareVersionsOf(call.service) });
     // If the guard is not certain yet, the driver asks it again before the first attempt.
-    if (withheld && !withheld.evidencePendingMs) return refuseWithheld(deps, call, fingerprint, withheld);
+    if (withheld && !withheld.evidencePendingMs) return refuseWithheld(deps, call, identity.fingerprint, withheld);
     const onClose = (): void => driver.handle({ kind: "callerGone" });
     const driver: RequestDriver<AnswerPiece> = new RequestDriver<AnswerPiece>({
         cfg: {
@@ -195,12 +196,14 @@
             deadline: progress.deadline,
         },
         clock: deps.clock,
-        job: jobOf(call, deps.guard.isSuspect(fingerprint), hallsOf(deps, call)),
+        job: jobOf(call, deps.guard.isSuspect(identity), hallsOf(deps, call)),
         placement: engine ? deps.engines : deps.plain,
-        runner: forwardRunner(deps, call, progress, fingerprint),
+        runner: forwardRunner(deps, call, progress, identity),
         withholdReason: (attempt, incarnation) => {
             const endpoint = deps.endpoint(incarnation);
-            return deps.guard.withhold(fingerprint, { attempt, software: endpoint && [endpoint.software] });
+            const reason = deps.guard.withhold(identity, { attempt, software: endpoint && [endpoint.software] });
+            progress.withheldBy = reason?.by;
+            return reason;
         },
         reply: forwardReply({
             out,
@@ -220,7 +223,7 @@
             });
             deps.metrics.open.dec();
             deps.copies.end(head.id, false);
-            onEnd(deps, call, progress, end, fingerprint);
+            onEnd(deps, call, progress, end, identity.fingerprint);
             progress.body = undefined;
             progress.failedAnswer = undefined;
             memory.hold(HeldKind.Body, 0);
@@ -263,6 +266,7 @@
         workspace: call.workspace?.name,
         version: call.version,
         fingerprint: end.err || end.failed ? fingerprint : undefined,
+        by: end.err?.code === FailCode.Quarantined ? progress.withheldBy : undefined,
         endpoint: end.endpoint,
         hall: progress.endpoint?.hall,
         through: progress.route?.host,
@@ -290,9 +294,10 @@
     }, "call_ended");
 }
 
-function fingerprintOfCall({ req, head, target, workspace }: ForwardCall, body: Buffer | undefined): string {
+function identityOf({ req, head, target, workspace }: ForwardCall, body: Buffer | undefined): RequestIdentity {
     const { method = "" } = req;
-    return fingerprintOf({ method, host: head.host, target, workspace: workspace?.name ?? "", body });
+    const fingerprint = fingerprintOf({ method, host: head.host, target, workspace: workspace?.name ?? "", body });
+    return { fingerprint, parts: sharedPartsOf(head.generation) };
 }
 
 /**
--- a/packages/host/src/calls/generate.ts
+++ b/packages/host/src/calls/generate.ts
@@ -32,7 +32,7 @@
 import { type ApiError, streamReply, wholeReply, writeError } from "./caller-answer.js";
 import { CallerQueue } from "./caller-queue.js";
 import { type EngineEventData, engineRunner } from "./engine-runner.js";
-import { fingerprintOf } from "./fingerprint.js";
+import { fingerprintOf, sharedMessagesOf } from "./fingerprint.js";
 import { giveUpError, trackDelivery } from "./given-up.js";
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
@@ -220,6 +220,7 @@
         workspace: call.workspace,
         body: Buffer.from(JSON.stringify(body)),
     });
+    const parts = sharedMessagesOf(body);
     const runner = engineRunner({
         dispatcher: host.dispatcher,
         urlOf,
@@ -230,7 +231,7 @@
         whenCallerReads: stall.whenCallerReads,
         now: () => host.clock.now(),
     });
-    const guardedCall = { req: id, route: job.group.service, workspace: call.workspace, fingerprint, parts: [] };
+    const guardedCall = { req: id, route: job.group.service, workspace: call.workspace, fingerprint, parts };
     const driver: RequestDriver<EngineEventData> = new RequestDriver<EngineEventData>({
         cfg: {
             id,
@@ -244,7 +245,7 @@
         job,
         placement: host.engines,
         runner: guardRunner(runner, host.guard, guardedCall, urlOf),
-        withholdReason: attempt => host.guard.withhold(fingerprint, { attempt }),
+        withholdReason: attempt => host.guard.withhold(guardedCall, { attempt }),
         reply: facts.stream
             ? streamReply(out, queue, headers)
             : wholeReply(out, onHeldBytes, headers, chat, facts.promptTokens),
--- a/packages/host/src/calls/guard-attempt.ts
+++ b/packages/host/src/calls/guard-attempt.ts
@@ -3,25 +3,25 @@
  *
  * @module
  */
+import type { RequestIdentity } from "@drumpaddle/hall";
 import type { LossCause, RequestEvent } from "@drumpaddle/request";
 import type { EndpointIncarnation } from "../endpoints/crash-detector.js";
 import type { RequestGuard } from "../endpoints/request-guard.js";
 import type { AttemptRunner, AttemptSink } from "./request-driver.js";
 
 /** A call whose attempts are reported to the guard. */
-export interface GuardedCall {
+export interface GuardedCall extends RequestIdentity {
     readonly req: string;
     readonly route: string;
     readonly workspace: string | undefined;
-    readonly fingerprint: string;
-    /** Names of the parts of its prompt that other requests may share. */
-    readonly parts: readonly string[];
 }
 
 /** An attempt that is reported to the guard. */
-export interface GuardedAttempt extends GuardedCall {
+export interface GuardedAttempt<T> extends GuardedCall {
     readonly attempt: string;
     readonly endpoint: EndpointIncarnation;
+    /** Whether a piece belongs to an answer, rather than to a refusal or an error that says nothing of the prompt. */
+    readonly isAnswer: (piece: T | undefined) => boolean;
     /** Aborts when the attempt ends. */
     readonly signal: AbortSignal;
 }
@@ -40,37 +40,44 @@
 export function guardAttempt<T>(
     sink: AttemptSink<T>,
     guard: RequestGuard,
-    { attempt, endpoint, signal, ...run }: GuardedAttempt,
+    { attempt, endpoint, signal, isAnswer, ...run }: GuardedAttempt<T>,
 ): AttemptSink<T> {
-    const { fingerprint } = run;
     let sentAt: number | undefined;
-    let wasSuspect = false;
-    const onOver = (): void => guard.attemptEnded(fingerprint, attempt);
+    let wasAnswering = false;
+    let suspects: ReadonlySet<string> = new Set();
+    const onOver = (): void => guard.attemptEnded(attempt);
     signal.addEventListener("abort", onOver, { once: true });
-    const handlers: { readonly [K in RequestEvent["kind"]]?: (event: Extract<RequestEvent, { kind: K }>) => void } = {
+    const handlers: {
+        readonly [K in RequestEvent["kind"]]?: (event: Extract<RequestEvent, { kind: K }>, piece?: T) => void;
+    } = {
         sending: () => {
             sentAt = guard.now();
-            wasSuspect = guard.attemptStarted(fingerprint, attempt);
+            suspects = guard.attemptStarted(run, attempt);
+        },
+        token: (_event, piece) => {
+            if (wasAnswering || !isAnswer(piece)) return;
+            wasAnswering = true;
+            guard.answerBegan(run, attempt, endpoint.software);
         },
         lost: ({ cause }) => {
             onOver();
             if (sentAt === undefined || !POSSIBLE_CRASHES.has(cause)) return;
-            guard.attemptInterrupted(endpoint, { ...run, ranMs: guard.now() - sentAt, wasSuspect });
+            guard.attemptInterrupted(endpoint, { ...run, ranMs: guard.now() - sentAt, wasAnswering, suspects });
         },
         endpointRefused: onOver,
         failedAnswer: () => {
             onOver();
-            guard.attemptCompleted(fingerprint);
+            guard.attemptCompleted(run.fingerprint);
         },
         finished: () => {
             onOver();
-            guard.attemptCompleted(fingerprint);
+            guard.attemptCompleted(run.fingerprint);
         },
     };
     return {
         report: (event, piece) => {
-            const handler = handlers[event.kind] as ((event: RequestEvent) => void) | undefined;
-            if (!signal.aborted) handler?.(event);
+            const handler = handlers[event.kind] as ((event: RequestEvent, piece?: T) => void) | undefined;
+            if (!signal.aborted) handler?.(event, piece);
             return sink.report(event, piece);
         },
     };
@@ -94,7 +101,7 @@
 ): AttemptRunner<T> {
     const guardedSink = (sink: AttemptSink<T>, attempt: string, id: string, signal: AbortSignal): AttemptSink<T> => {
         const endpoint = { id, incarnation: id, born: undefined, software: undefined, address: urlOf(id) ?? "" };
-        return guardAttempt(sink, guard, { ...call, attempt, endpoint, signal });
+        return guardAttempt(sink, guard, { ...call, attempt, endpoint, signal, isAnswer: () => true });
     };
     return {
         ...runner,
--- a/packages/host/src/calls/plain-service.ts
+++ b/packages/host/src/calls/plain-service.ts
@@ -285,7 +285,7 @@
             fingerprint,
             parts: [],
         }, endpoint => urlOf(host, call.directory, endpoint)),
-        withholdReason: attempt => host.guard.withhold(fingerprint, { attempt }),
+        withholdReason: attempt => host.guard.withhold({ fingerprint, parts: [] }, { attempt }),
         reply,
         onGap: () => undefined,
         onDispatch: kind => host.metrics.countDispatch(kind),
--- a/packages/host/src/endpoints/crash-detector.ts
+++ b/packages/host/src/endpoints/crash-detector.ts
@@ -33,8 +33,10 @@
     readonly parts: readonly string[];
     /** How long it had been running there, in milliseconds. */
     readonly ranMs: number;
-    /** Whether the request was already suspected of crashing endpoints when this run began. */
-    readonly wasSuspect: boolean;
+    /** Whether its answer had begun: the endpoint had survived the parts of its prompt. */
+    readonly wasAnswering: boolean;
+    /** The request and those of its parts that were already suspected of crashing endpoints when this run began. */
+    readonly suspects: ReadonlySet<string>;
 }
 
 /** What showed that an incarnation has ended: a refused connection, a later incarnation, or its removal from the registry. */
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -1,5 +1,5 @@
 /**
- * Withholds requests that crash the endpoints that run them. The guard records interrupted attempts of this host, answers before
+ * Withholds requests that crash the endpoints that run them, by their content or by a part of their prompts. The guard records interrupted attempts of this host, answers before
  * each attempt whether it may start, and shares its findings with the peers. The rules stand in `quarantine` of the package `hall`.
  *
  * @module
@@ -7,6 +7,7 @@
 import {
     allEndingNews,
     type Assessment,
+    clearPart,
     clearRequest,
     dropExpired,
     EMPTY_QUARANTINE,
@@ -19,6 +20,9 @@
     type Quarantine,
     type QuarantineNews,
     type QuarantineStep,
+    type RequestIdentity,
+    type RequestNews,
+    SuspectKind,
     type Verdict,
     type VerdictContext,
     verdictOf,
@@ -34,6 +38,8 @@
 export interface Withheld {
     readonly code: typeof FailCode.Quarantined | typeof FailCode.OnTrial;
     readonly detail: string;
+    /** The fingerprint or the part that is quarantined. */
+    readonly by?: string;
     readonly retryAfterMs?: number;
     /** Set if the refusal is provisional: asked again after this time, the guard gives a final answer. */
     readonly evidencePendingMs?: number;
@@ -54,10 +60,13 @@
     investigate(endpoint: EndpointIncarnation, run: InterruptedRun): void;
 }
 
-/** A suspected or quarantined request, as operators see it. */
+/** A suspected or quarantined request, or part of prompts, as operators see it. */
 export interface ListedRequest {
+    /** Fingerprint of the request, or name of the part. */
     readonly fingerprint: string;
     readonly quarantined: boolean;
+    /** Other parts that may be to blame instead: only requests with all of them are withheld. */
+    readonly alternatives: readonly string[];
     /** Known if a call of this host ran at one of the endpoints when it crashed. */
     readonly route: string | undefined;
     readonly workspace: string | undefined;
@@ -72,23 +81,34 @@
 /** A call of this host that ran at an endpoint when the endpoint crashed. */
 type CrashedCall = Pick<InterruptedRun, "req" | "route" | "workspace">;
 
-/** Calls kept for operators' listings: enough for a day of crashes. */
-const MAX_CALLS = 1_024;
+/** Calls kept for operators' listings, by crash and suspect: enough for a day of crashes. */
+const MAX_CALLS = 4_096;
+/** When a request with a part was last answered, and by which software. */
+interface PartAnswer {
+    readonly at: number;
+    readonly software: string | undefined;
+}
+
 /** Interval at which expired state is dropped. */
 const FORGET_EVERY_MS = 10_000;
 /** How long completed requests are remembered, and how many: news of a crash arrives at most a few seconds late. */
 const COMPLETED_KEPT_MS = 10_000;
 const MAX_COMPLETED = 4_096;
+/** For how long an answer shows that a part is sound, and for how many parts that is remembered. */
+const PROVEN_MS = 10_000;
+const MAX_PROVEN = 4_096;
 /** Refusals of one request are logged at most this often, so that repeated calls cannot flood the log. */
 const REFUSAL_LOG_MS = 1_000;
 
 /** Decides on this host which requests are withheld. */
 export class RequestGuard {
     private state: Quarantine = EMPTY_QUARANTINE;
-    /** Interrupted runs whose endpoint is still being probed, by the request's fingerprint; each with the endpoint's incarnation. */
+    /** Interrupted runs whose endpoint is still being probed, by suspect; each with the endpoint's incarnation. */
     private readonly unresolved = new Map<string, Map<InterruptedRun, string>>();
     /** When requests last completed, by fingerprint, the oldest first. */
     private readonly completedAt = new Map<string, number>();
+    /** The last answer to a request with a part, by part, the oldest first. */
+    private readonly lastAnswers = new Map<string, PartAnswer>();
     private readonly refusalLoggedAt = new Map<string, number>();
     /** By incarnation and fingerprint, the oldest first. */
     private readonly crashedCalls = new Map<string, CrashedCall>();
@@ -118,13 +138,14 @@
         return charges.map(charge => this.describe(charge));
     }
 
-    private describe({ fingerprint, endings }: Assessment): ListedRequest {
+    private describe({ fingerprint, endings, alternatives }: Assessment): ListedRequest {
         const now = this.deps.clock.now();
         const crashed = endings.map(({ life }) => this.crashedCalls.get(`${life} ${fingerprint}`));
         const first = crashed.find(sighting => sighting !== undefined);
         return {
             fingerprint,
-            quarantined: verdictOf(this.state, fingerprint, now).kind === "quarantined",
+            quarantined: verdictOf(this.state, { fingerprint, parts: alternatives }, now).kind === "quarantined",
+            alternatives,
             route: first?.route,
             workspace: first?.workspace,
             endings: endings.map(({ life, at }, index) => ({
@@ -140,44 +161,94 @@
      *
      * @example
      * ```ts
-     * const withheld = guard.withhold(fingerprint);
+     * const withheld = guard.withhold({ fingerprint, parts: [] });
      * if (withheld) refuse(withheld.code);
      * ```
      */
-    withhold(fingerprint: string, asked: VerdictContext = {}): Withheld | undefined {
-        const verdict = verdictOf(this.state, fingerprint, this.deps.clock.now(), asked);
-        const probedEndpoints = new Set(this.unresolved.get(fingerprint)?.values()).size;
+    withhold(request: RequestIdentity, asked: VerdictContext = {}): Withheld | undefined {
+        const context = { ...asked, isProven: (part: string) => this.isProven(part) };
+        const verdict = verdictOf(this.state, request, this.deps.clock.now(), context);
+        const probedEndpoints = Math.max(...this.suspectNames(request).map(name => this.probedEndpoints(name)));
         // Count crashes that are still under investigation: otherwise the request reaches the next endpoint before they are confirmed.
         if (probedEndpoints > 0 && crashCountOf(verdict) + probedEndpoints >= ENDINGS_TO_QUARANTINE) {
-            return withheldAsQuarantined(ENDINGS_TO_QUARANTINE, ENDING_SPREAD_MS);
+            return withheldAsRequest(request.fingerprint, ENDINGS_TO_QUARANTINE, ENDING_SPREAD_MS);
         }
         return WITHHELD_BY_VERDICT[verdict.kind](verdict as never);
     }
 
-    /** Whether a request ran at an endpoint that crashed or may have crashed. It is then sent where little else runs. */
-    isSuspect(fingerprint: string): boolean {
-        return this.unresolved.has(fingerprint) || isSuspect(this.state, fingerprint);
+    private probedEndpoints(name: string): number {
+        return new Set(this.unresolved.get(name)?.values()).size;
+    }
+
+    /** Whether a request with a part was answered recently. */
+    private isProven(part: string): boolean {
+        return this.deps.clock.now() - (this.lastAnswers.get(part)?.at ?? -Infinity) < PROVEN_MS;
+    }
+
+    /** The names under which a request may be a suspect: its fingerprint, and its parts that are not proven. */
+    private suspectNames({ fingerprint, parts }: RequestIdentity): readonly string[] {
+        return [fingerprint, ...parts.filter(part => !this.isProven(part))];
+    }
+
+    /**
+     * Whether a request, or an unproven part of its prompt, ran at an endpoint that crashed or may have crashed. It is then sent where
+     * little else runs.
+     */
+    isSuspect(request: RequestIdentity): boolean {
+        return this.suspectsOf(request).size > 0;
+    }
+
+    private suspectsOf(request: RequestIdentity): ReadonlySet<string> {
+        if (this.unresolved.size === 0 && this.state.assessments.size === 0) return NO_SUSPECTS;
+        return new Set(this.suspectNames(request).filter(name => this.isHeldAgainst(name)));
     }
 
-    /** Called when an attempt is being sent; returns whether its request is suspected. */
-    attemptStarted(fingerprint: string, attempt: string): boolean {
-        const suspect = this.isSuspect(fingerprint);
-        if (suspect) this.publishTrial(fingerprint, attempt, false);
-        return suspect;
+    /** Whether anything is held against a request, by its fingerprint, or against a part, by its name. */
+    isHeldAgainst(name: string): boolean {
+        return this.unresolved.has(name) || isSuspect(this.state, name);
+    }
+
+    /** Called when an attempt is being sent; returns the fingerprint and the parts of its request that are suspected. */
+    attemptStarted(request: RequestIdentity, attempt: string): ReadonlySet<string> {
+        const suspects = this.suspectsOf(request);
+        if (suspects.size > 0) this.publishTrials(attempt, [...suspects], false);
+        return suspects;
     }
 
     /** Called when an attempt is over, whatever its outcome. */
-    attemptEnded(fingerprint: string, attempt: string): void {
-        if (this.state.trials.has(attempt)) this.publishTrial(fingerprint, attempt, true);
+    attemptEnded(attempt: string): void {
+        this.endTrials(attempt, () => true);
     }
 
     /** Called when an attempt was interrupted while it ran. */
     attemptInterrupted(endpoint: EndpointIncarnation, run: InterruptedRun): void {
-        const runs = this.unresolved.get(run.fingerprint) ?? new Map<InterruptedRun, string>();
-        this.unresolved.set(run.fingerprint, runs.set(run, endpoint.incarnation));
+        for (const name of suspectsIn(run)) {
+            const runs = this.unresolved.get(name) ?? new Map<InterruptedRun, string>();
+            this.unresolved.set(name, runs.set(run, endpoint.incarnation));
+        }
         this.deps.investigate(endpoint, run);
     }
 
+    /** Called when the answer of an attempt has begun: its endpoint has survived the parts of the prompt. */
+    answerBegan({ parts }: RequestIdentity, attempt: string, software: string | undefined): void {
+        const at = this.deps.clock.now();
+        for (const part of parts) {
+            this.lastAnswers.delete(part);
+            this.lastAnswers.set(part, { at, software });
+            if (this.lastAnswers.size > MAX_PROVEN) this.lastAnswers.delete(this.lastAnswers.keys().next().value!);
+            if (isSuspect(this.state, part)) this.clearAnsweredPart(part, software);
+        }
+        this.endTrials(attempt, name => parts.includes(name));
+    }
+
+    private clearAnsweredPart(part: string, software: string | undefined): void {
+        const charge = this.state.assessments.get(part);
+        if (charge?.isCulprit) {
+            this.deps.log.warn({ fingerprint: part, reason: "answered" }, "request_quarantine_lifted");
+        }
+        this.applyStep(clearPart(this.state, part, software, this.deps.clock.now()));
+    }
+
     /** Called when an attempt completed. As its endpoint survived it, the request is cleared. */
     attemptCompleted(fingerprint: string): void {
         const now = this.deps.clock.now();
@@ -202,33 +273,35 @@
         const { incarnation } = endpoint;
         this.deps.metrics.countEndpointEnd(sign);
         this.deps.log.warn({ endpoint: incarnation, sign, runs: runs.length }, "endpoint_ended_under_calls");
-        for (const { req, fingerprint, parts, ranMs, wasSuspect } of runs) {
+        for (const { req, fingerprint, parts, ranMs, wasAnswering, suspects } of runs) {
             this.deps.log.info({
                 req,
                 fingerprint,
                 parts: parts.length > 0 ? parts.join(",") : undefined,
                 endpoint: incarnation,
                 ran_ms: Math.round(ranMs),
-                suspect: wasSuspect,
+                answering: wasAnswering,
+                suspect: suspects.size > 0,
             }, "call_at_ending");
         }
-        const requests = runs.map(({ fingerprint, ranMs, wasSuspect }) => ({
-            fingerprint,
-            ranMs: Math.round(ranMs),
-            wasSuspect,
-            cleared: false,
-        }));
+        const requests = runs.map(run => involvementOf(run, run.fingerprint));
+        const parts = runs.flatMap(run => partsAtRisk(run).map(part => involvementOf(run, part)));
         const beganAt = at - Math.max(...runs.map(({ ranMs }) => ranMs));
         const life = nameOfEndedLife(this.state.endings, incarnation, beganAt);
-        const ending = { life, agoMs: this.deps.clock.now() - at, software: endpoint.software, requests };
-        for (const { req, route, workspace, fingerprint } of runs) {
-            this.crashedCalls.set(`${life} ${fingerprint}`, { req, route, workspace });
-            if (this.crashedCalls.size > MAX_CALLS) this.crashedCalls.delete(this.crashedCalls.keys().next().value!);
-        }
+        const ending = { life, agoMs: this.deps.clock.now() - at, software: endpoint.software, requests, parts };
+        for (const run of runs) this.recordCrashedCall(life, run);
         this.applyStep(mergeNews(this.state, { endings: [ending], trials: [] }, this.deps.clock.now()));
         this.clearCompleted([ending]);
     }
 
+    private recordCrashedCall(life: string, run: InterruptedRun): void {
+        const { req, route, workspace } = run;
+        for (const name of suspectsIn(run)) {
+            this.crashedCalls.set(`${life} ${name}`, { req, route, workspace });
+            if (this.crashedCalls.size > MAX_CALLS) this.crashedCalls.delete(this.crashedCalls.keys().next().value!);
+        }
+    }
+
     /**
      * Called when the endpoint of interrupted runs is alive, or cannot be probed; in the latter case {@link RequestGuard.endpointCrashed} may
      * still follow.
@@ -244,37 +317,53 @@
     }
 
     /** Counts a refusal, and logs it at a limited rate. */
-    recordRefusal(req: string, fingerprint: string, { code, detail }: Withheld): void {
+    recordRefusal(req: string, fingerprint: string, { code, detail, by }: Withheld): void {
         this.deps.metrics.countWithheld(code);
         const now = this.deps.clock.now();
-        if (now - (this.refusalLoggedAt.get(fingerprint) ?? -Infinity) < REFUSAL_LOG_MS) return;
-        this.refusalLoggedAt.set(fingerprint, now);
-        this.deps.log.info({ req, fingerprint, outcome: code, detail }, "call_withheld");
+        const reason = by ?? fingerprint;
+        if (now - (this.refusalLoggedAt.get(reason) ?? -Infinity) < REFUSAL_LOG_MS) return;
+        this.refusalLoggedAt.set(reason, now);
+        this.deps.log.info({ req, fingerprint, by, outcome: code, detail }, "call_withheld");
     }
 
-    /** Clears requests that completed here after the crashes that are reported only now. */
+    /** Clears requests that completed here, and parts that were answered here, after the crashes that are reported only now. */
     private clearCompleted(endings: readonly EndingNews[]): void {
         const now = this.deps.clock.now();
-        for (const { agoMs, requests } of endings) {
+        for (const { agoMs, requests, parts = [] } of endings) {
+            const crashedAt = now - agoMs;
+            const isLater = (at: number | undefined): boolean => at !== undefined && at >= crashedAt;
             for (const { fingerprint, cleared } of requests) {
-                const doneAt = this.completedAt.get(fingerprint);
-                if (!cleared && doneAt !== undefined && doneAt >= now - agoMs) this.clear(fingerprint, "whole");
+                if (!cleared && isLater(this.completedAt.get(fingerprint))) this.clear(fingerprint, "whole");
+            }
+            for (const { fingerprint: part, cleared } of parts) {
+                const answer = this.lastAnswers.get(part);
+                if (!cleared && isLater(answer?.at)) this.clearAnsweredPart(part, answer!.software);
             }
         }
     }
 
     private removeUnresolved(runs: readonly InterruptedRun[]): void {
         for (const run of runs) {
-            const known = this.unresolved.get(run.fingerprint);
-            if (known?.delete(run) && known.size === 0) this.unresolved.delete(run.fingerprint);
+            for (const name of suspectsIn(run)) {
+                const known = this.unresolved.get(name);
+                if (known?.delete(run) && known.size === 0) this.unresolved.delete(name);
+            }
         }
     }
 
-    private publishTrial(fingerprint: string, attempt: string, isOver: boolean): void {
-        const trials = [{ attempt, fingerprint, agoMs: 0, isOver }];
+    private publishTrials(attempt: string, names: readonly string[], isOver: boolean): void {
+        const trials = names.map(fingerprint => ({ attempt, fingerprint, agoMs: 0, isOver }));
         this.applyStep(mergeNews(this.state, { endings: [], trials }, this.deps.clock.now()));
     }
 
+    /** Ends the trials of an attempt, of those suspects that `isEnded` names. */
+    private endTrials(attempt: string, isEnded: (name: string) => boolean): void {
+        const running = [...this.state.trials.values()].filter(trial =>
+            trial.attempt === attempt && !trial.isOver && isEnded(trial.fingerprint)
+        );
+        if (running.length > 0) this.publishTrials(attempt, running.map(({ fingerprint }) => fingerprint), true);
+    }
+
     private applyStep({ state, news }: QuarantineStep): void {
         const before = this.state.assessments;
         this.state = state;
@@ -310,6 +399,10 @@
         for (const [fingerprint, at] of this.refusalLoggedAt) {
             if (now - at >= REFUSAL_LOG_MS) this.refusalLoggedAt.delete(fingerprint);
         }
+        for (const [part, { at }] of this.lastAnswers) {
+            if (now - at < PROVEN_MS) break;
+            this.lastAnswers.delete(part);
+        }
     }
 }
 
@@ -317,11 +410,40 @@
     return "endings" in verdict ? verdict.endings : 0;
 }
 
-function withheldAsQuarantined(endings: number, evidencePendingMs: number): Withheld {
+const NO_SUSPECTS: ReadonlySet<string> = new Set();
+
+/** The parts of a run's prompt that may have crashed its endpoint. */
+function partsAtRisk({ parts, wasAnswering }: InterruptedRun): readonly string[] {
+    return wasAnswering ? [] : parts;
+}
+
+/** What may be to blame if the endpoint of a run crashed. */
+function suspectsIn(run: InterruptedRun): readonly string[] {
+    return [run.fingerprint, ...partsAtRisk(run)];
+}
+
+function involvementOf({ ranMs, suspects }: InterruptedRun, fingerprint: string): RequestNews {
+    return { fingerprint, ranMs: Math.round(ranMs), wasSuspect: suspects.has(fingerprint), cleared: false };
+}
+
+function withheldAsRequest(by: string, endings: number, evidencePendingMs: number): Withheld {
     const detail = `this request was running at ${endings} endpoints when they ended; do not send it again`;
-    return { code: FailCode.Quarantined, detail, evidencePendingMs };
+    return { code: FailCode.Quarantined, detail, by, evidencePendingMs };
 }
 
+function withheldAsPart(by: string, endings: number, evidencePendingMs: number): Withheld {
+    const detail = `requests with ${by} in their prompts were running at ${endings} endpoints when they ended, `
+        + "and are withheld for now";
+    return { code: FailCode.Quarantined, detail, by, evidencePendingMs };
+}
+
+const WITHHELD_BY_SUSPECT: {
+    readonly [K in SuspectKind]: (by: string, endings: number, evidencePendingMs: number) => Withheld;
+} = {
+    [SuspectKind.Request]: withheldAsRequest,
+    [SuspectKind.Part]: withheldAsPart,
+};
+
 const WITHHELD_BY_VERDICT: {
     readonly [K in Verdict["kind"]]: (verdict: Extract<Verdict, { kind: K }>) => Withheld | undefined;
 } = {
@@ -329,8 +451,9 @@
     suspect: () => undefined,
     onTrial: ({ trialEndsInMs }) => ({
         code: FailCode.OnTrial,
-        detail: "this request was running at an endpoint when that ended, and runs once more now",
+        detail: "this request, or one like it, was running at an endpoint when that ended, and runs once more now",
         retryAfterMs: trialEndsInMs,
     }),
-    quarantined: ({ endings, evidencePendingMs }) => withheldAsQuarantined(endings, evidencePendingMs),
+    quarantined: ({ by, suspectKind, endings, evidencePendingMs }) =>
+        WITHHELD_BY_SUSPECT[suspectKind](by, endings, evidencePendingMs),
 };
--- a/packages/host/src/operators/quarantine-api.ts
+++ b/packages/host/src/operators/quarantine-api.ts
@@ -38,7 +38,7 @@
 /** Adds the routes under `/quarantine` to a server. */
 export function addQuarantineRoutes(
     app: FastifyInstance,
-    guard: Pick<RequestGuard, "list" | "clear" | "isSuspect">,
+    guard: Pick<RequestGuard, "list" | "clear" | "isHeldAgainst">,
     authorize: Authorize,
 ): void {
     app.get(
@@ -48,7 +48,7 @@
     app.post<{ Params: { fingerprint: string } }>("/quarantine/:fingerprint/lift", (req, reply) => {
         if (!authorize(req, reply, "edit")) return reply;
         const { fingerprint } = req.params;
-        if (!guard.isSuspect(fingerprint)) {
+        if (!guard.isHeldAgainst(fingerprint)) {
             const message = "nothing is held against a request of this fingerprint";
             return reply.code(404).send({ error: { code: "not_quarantined", message } });
         }
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -8,6 +8,7 @@
     ENCODED_SAMPLES_LENGTH,
     type EndpointNotice,
     type LoadMessage,
+    MAX_PARTS_PER_ENDING,
     MAX_REQUESTS_PER_ENDING,
     type QuarantineNews,
     type SettingsRequest,
@@ -80,14 +81,18 @@
 /** Names of requests, endpoints and their incarnations, software and attempts. */
 const Name = Type.String({ minLength: 1, maxLength: 256 });
 const Age = Type.Number({ minimum: 0 });
+const InvolvementShape = Type.Object({
+    fingerprint: Name,
+    ranMs: Age,
+    wasSuspect: Type.Boolean(),
+    cleared: Type.Boolean(),
+});
 const CrashShape = Type.Object({
     life: Name,
     agoMs: Age,
     software: Type.Optional(Name),
-    requests: Type.Array(
-        Type.Object({ fingerprint: Name, ranMs: Age, wasSuspect: Type.Boolean(), cleared: Type.Boolean() }),
-        { maxItems: MAX_REQUESTS_PER_ENDING },
-    ),
+    requests: Type.Array(InvolvementShape, { maxItems: MAX_REQUESTS_PER_ENDING }),
+    parts: Type.Optional(Type.Array(InvolvementShape, { maxItems: MAX_PARTS_PER_ENDING })),
 });
 const TrialShape = Type.Object({ attempt: Name, fingerprint: Name, agoMs: Age, isOver: Type.Boolean() });
 const NoticeShape = Type.Object({
--- a/packages/host/test/fingerprint.test.ts
+++ b/packages/host/test/fingerprint.test.ts
@@ -1,6 +1,6 @@
 import type { PromptPart } from "@drumpaddle/protocol";
 import test from "ava";
-import { sharedPartsOf } from "../src/calls/fingerprint.js";
+import { sharedMessagesOf, sharedPartsOf } from "../src/calls/fingerprint.js";
 
 const MAX_NAMED_PARTS = 32;
 
@@ -39,3 +39,14 @@
 test("a call without a generation has no shared parts", t => {
     t.deepEqual(sharedPartsOf(undefined), []);
 });
+
+test("shared messages of a chat are all but the last, named by their content", t => {
+    const system = { role: "system", content: "you are brief" };
+    const question = (content: string): { readonly role: string } => ({ role: "user", ...{ content } });
+    const one = sharedMessagesOf({ model: "m", messages: [system, question("a")] });
+    t.is(one.length, 1);
+    t.deepEqual(sharedMessagesOf({ model: "m", messages: [system, question("b")] }), one);
+    t.notDeepEqual(sharedMessagesOf({ model: "n", messages: [system, question("a")] }), one);
+    t.deepEqual(sharedMessagesOf({ model: "m", messages: [question("a")] }), []);
+    t.deepEqual(sharedMessagesOf({ model: "m", prompt: "a" }), []);
+});
--- a/packages/standins/src/quarantine-model.ts
+++ b/packages/standins/src/quarantine-model.ts
@@ -7,6 +7,7 @@
  */
 import {
     allEndingNews,
+    clearPart,
     clearRequest,
     EMPTY_QUARANTINE,
     isSuspect,
@@ -14,6 +15,7 @@
     type Quarantine,
     type QuarantineNews,
     type QuarantineStep,
+    type RequestNews,
     verdictOf,
 } from "@drumpaddle/hall";
 import TinyQueue from "tinyqueue";
@@ -27,13 +29,39 @@
     readonly seconds: number;
     /** Number of requests that crash each endpoint that runs them. Their callers resend them all day. */
     readonly fatalRequests: number;
+    /** Number of parts of prompts that crash each endpoint that begins to answer a request with them; each comes all day. */
+    readonly badParts: number;
+    /** Whether each bad part always comes with a sound part that some harmless requests hold. */
+    readonly hasCompanions: boolean;
     /** Whether hosts quarantine requests. */
     readonly isQuarantineOn: boolean;
+    /** How hosts judge parts of prompts. */
+    readonly partRules: PartRules;
     /** Number of endpoints, and of racks with several endpoints each, that crash during the day for other reasons. */
     readonly crashes: number;
     readonly rackFailures: number;
 }
 
+/** How hosts judge parts of prompts. */
+export interface PartRules {
+    /** Whether endings are held against parts. */
+    readonly areJudged: boolean;
+    /** Whether endings are held against the parts of requests that were being answered, too. */
+    readonly chargesAnswering: boolean;
+    /** Whether a part is cleared by the first event of an answer, or only by the answer's end. */
+    readonly clearsAtFirstEvent: boolean;
+    /** Whether a suspected part that was answered recently may run at many endpoints at once. */
+    readonly trustsProven: boolean;
+}
+
+/** The rules of the daemons. */
+export const PART_RULES: PartRules = {
+    areJudged: true,
+    chargesAnswering: false,
+    clearsAtFirstEvent: true,
+    trustsProven: true,
+};
+
 /** Counts of a simulated day. A request is harmless if it crashes no endpoint. */
 export interface QuarantineResult {
     /** Endpoint crashes that fatal requests caused. */
@@ -49,6 +77,9 @@
     readonly propagationMs: readonly number[];
     /** Runs of fatal requests that started after their third crash. */
     readonly runsAfterThreshold: number;
+    /** Endpoint crashes that bad parts caused, and requests with them that started 3 s after the fifth crash or later. */
+    readonly crashesByParts: number;
+    readonly latePartRuns: number;
 }
 
 /** Number of requests that an endpoint runs at once, as the users' engines do. */
@@ -81,14 +112,44 @@
 /** Number of crashes after which a request is to be quarantined. */
 const THRESHOLD = 3;
 
+/** Number of first parts, one of which each harmless stream holds, and of parts that some hold, by a skewed law. */
+const FIRST_PARTS = 3;
+const MIDDLE_PARTS = 200;
+const SKEW = 2;
+/** Mean time from the start of a harmless stream until its first event. */
+const MEAN_FIRST_EVENT_MS = 400;
+/** Mean time between two requests with a bad part. */
+const MEAN_BAD_PART_GAP_MS = 400;
+/** Crashes after which no more requests with a bad part are to start, once hosts had time to learn of them. */
+const PART_CRASHES = 5;
+const CONTACT_MS = 3_000;
+/** How long an answer shows that a part is sound. */
+const PROVEN_MS = 10_000;
+
 interface Run {
     readonly fingerprint: string;
+    readonly parts: readonly string[];
+    readonly badPart: string | undefined;
+    hasAnswered: boolean;
+    readonly suspects: ReadonlySet<string>;
     readonly attempt: string;
     readonly host: Host;
     readonly startedAt: number;
     readonly endsAt: number;
     readonly isFatal: boolean;
-    readonly wasSuspect: boolean;
+}
+
+/** A request to run. */
+interface SimulatedRequest {
+    readonly host: Host;
+    readonly fingerprint: string;
+    readonly parts: readonly string[];
+    /** The part that crashes its endpoint, if it has one. */
+    readonly badPart?: string | undefined;
+    readonly ms: number;
+    readonly isFatal: boolean;
+    /** Whether it continues from its copy after a crash. */
+    readonly isContinuation?: boolean;
 }
 
 interface Endpoint {
@@ -99,6 +160,7 @@
 
 interface Host {
     state: Quarantine;
+    readonly answeredAt: Map<string, number>;
 }
 
 interface TimedEvent {
@@ -130,18 +192,22 @@
         harmlessQuarantined: 0,
         harmlessDeferred: 0,
         runsAfterThreshold: 0,
+        crashesByParts: 0,
+        latePartRuns: 0,
     };
+    private readonly partCrashes = new Map<string, number[]>();
 
     constructor(private readonly day: QuarantineDayCfg) {
         this.random = xoroshiro128plus(day.seed);
-        this.hosts = Array.from({ length: day.hosts }, () => ({ state: EMPTY_QUARANTINE }));
+        this.hosts = Array.from({ length: day.hosts }, () => ({ state: EMPTY_QUARANTINE, answeredAt: new Map() }));
         this.endpoints = Array.from({ length: day.endpoints }, () => this.newEndpoint());
     }
 
     run(): QuarantineResult {
-        const { seconds, fatalRequests, crashes, rackFailures } = this.day;
+        const { seconds, fatalRequests, badParts, crashes, rackFailures } = this.day;
         const end = seconds * 1_000;
         for (let i = 0; i < fatalRequests; i++) this.scheduleFatalRequest(`guilty-${i}`);
+        for (let i = 0; i < badParts; i++) this.scheduleBadPart(`bad-${i}`, 0);
         for (let i = 0; i < crashes; i++) this.schedule(this.uniform(0, end), () => this.crashUpTo(1));
         for (let i = 0; i < rackFailures; i++) this.schedule(this.uniform(0, end), () => this.crashUpTo(RACK_SIZE));
         this.handleHarmlessArrival();
@@ -185,32 +251,59 @@
             ? `alike-${Math.floor(this.uniform(0, LOOKUP_KINDS))}`
             : `own-${this.counts.harmlessRequests}`;
         this.counts.harmlessRequests += 1;
-        this.handleRequest(
-            this.pick(this.hosts),
+        this.handleRequest({
+            host: this.pick(this.hosts),
             fingerprint,
-            this.exponential(isLookup ? MEAN_LOOKUP_MS : MEAN_STREAM_MS),
-            false,
-        );
+            parts: isLookup ? [] : this.drawParts(),
+            ms: this.exponential(isLookup ? MEAN_LOOKUP_MS : MEAN_STREAM_MS),
+            isFatal: false,
+        });
         const arrivalsPerMs = this.day.endpoints * SLOTS_PER_ENDPOINT * UTILIZATION / MEAN_STREAM_MS;
         this.schedule(this.exponential(1 / arrivalsPerMs), () => this.handleHarmlessArrival());
     }
 
+    /** Draws the parts of a stream: a first one that many share, and one whose popularity follows a skewed law. */
+    private drawParts(): readonly string[] {
+        const middle = Math.floor(MIDDLE_PARTS * uniformFloat64(this.random) ** SKEW);
+        return [`first-${Math.floor(this.uniform(0, FIRST_PARTS))}`, `middle-${middle}`];
+    }
+
     private scheduleFatalRequest(fingerprint: string): void {
         this.schedule(this.exponential(MEAN_RESEND_MS), () => {
-            this.handleRequest(this.pick(this.hosts), fingerprint, Infinity, true);
+            this.handleRequest({ host: this.pick(this.hosts), fingerprint, parts: [], ms: Infinity, isFatal: true });
             this.scheduleFatalRequest(fingerprint);
         });
     }
 
-    /** Handles a request at a host: a new one, or one that continues from its copy after a crash. */
-    private handleRequest(host: Host, fingerprint: string, ms: number, isFatal: boolean, isContinuation = false): void {
-        const verdict = verdictOf(host.state, fingerprint, this.now);
+    private scheduleBadPart(badPart: string, sent: number): void {
+        this.schedule(this.exponential(MEAN_BAD_PART_GAP_MS), () => {
+            const [first, middle] = this.drawParts();
+            const companion = this.day.hasCompanions ? `middle-${Number(badPart.split("-")[1])}` : middle!;
+            const parts = [first!, badPart, companion];
+            const fingerprint = `${badPart}-${sent}`;
+            const host = this.pick(this.hosts);
+            this.handleRequest({ host, fingerprint, parts, badPart, ms: Infinity, isFatal: true });
+            this.scheduleBadPart(badPart, sent + 1);
+        });
+    }
+
+    private isProven(host: Host, part: string): boolean {
+        return this.day.partRules.trustsProven && this.now - (host.answeredAt.get(part) ?? -Infinity) < PROVEN_MS;
+    }
+
+    private judgedParts(parts: readonly string[]): readonly string[] {
+        return this.day.partRules.areJudged ? parts : [];
+    }
+
+    private handleRequest(request: SimulatedRequest): void {
+        const { host, fingerprint, isFatal } = request;
+        const parts = this.judgedParts(request.parts);
+        const verdict = verdictOf(host.state, { fingerprint, parts }, this.now, {
+            isProven: part => this.isProven(host, part),
+        });
         if (this.day.isQuarantineOn && verdict.kind === "quarantined") {
             if (verdict.evidencePendingMs > 0) {
-                this.schedule(
-                    verdict.evidencePendingMs,
-                    () => this.handleRequest(host, fingerprint, ms, isFatal, isContinuation),
-                );
+                this.schedule(verdict.evidencePendingMs, () => this.handleRequest(request));
                 return;
             }
             if (!isFatal) this.counts.harmlessQuarantined += 1;
@@ -220,49 +313,77 @@
             if (!isFatal) this.counts.harmlessDeferred += 1;
             return;
         }
-        const suspect = isSuspect(host.state, fingerprint);
+        const suspects = new Set(
+            [fingerprint, ...parts].filter(name => isSuspect(host.state, name) && !this.isProven(host, name)),
+        );
         const up = this.endpoints.filter(({ isUp }) => isUp);
         if (up.length === 0) return;
         // A stream continues at the endpoint with its copy, which was chosen before the request became suspect.
-        const endpoint = suspect && !isContinuation
+        const endpoint = suspects.size > 0 && !request.isContinuation
             ? up.reduce((a, b) => b.runs.size < a.runs.size ? b : a)
             : this.pick(up);
-        this.startRun(endpoint, { fingerprint, host, ms, isFatal, suspect });
+        this.startRun(endpoint, request, suspects);
     }
 
-    private startRun(
-        endpoint: Endpoint,
-        { fingerprint, host, ms, isFatal, suspect }: {
-            readonly fingerprint: string;
-            readonly host: Host;
-            readonly ms: number;
-            readonly isFatal: boolean;
-            readonly suspect: boolean;
-        },
-    ): void {
+    private startRun(endpoint: Endpoint, request: SimulatedRequest, suspects: ReadonlySet<string>): void {
+        const { host, fingerprint, parts, badPart, ms, isFatal } = request;
         this.attemptCount += 1;
         const attempt = `r${this.attemptCount}`;
         const { now: startedAt } = this;
         const run: Run = {
             fingerprint,
+            parts,
+            badPart,
+            hasAnswered: false,
+            suspects,
             attempt,
             host,
             startedAt,
             endsAt: startedAt + ms,
             isFatal,
-            wasSuspect: suspect,
         };
         endpoint.runs.add(run);
-        if (suspect) this.recordTrial(run, false);
-        if (isFatal && (this.crashCounts.get(fingerprint) ?? 0) >= THRESHOLD) this.counts.runsAfterThreshold += 1;
+        this.recordTrials(run, [...suspects], false);
+        if (isFatal && !badPart && (this.crashCounts.get(fingerprint) ?? 0) >= THRESHOLD) {
+            this.counts.runsAfterThreshold += 1;
+        }
+        const fifthCrash = this.partCrashes.get(badPart ?? "")?.[PART_CRASHES - 1];
+        if (fifthCrash !== undefined && startedAt > fifthCrash + CONTACT_MS) this.counts.latePartRuns += 1;
         const { incarnation } = endpoint;
-        if (isFatal) this.schedule(this.uniform(0, MAX_CRASH_DELAY_MS), () => this.failRun(endpoint, incarnation, run));
-        else this.schedule(ms, () => this.finishRun(endpoint, run));
+        if (isFatal) {
+            this.schedule(this.uniform(0, MAX_CRASH_DELAY_MS), () => this.failRun(endpoint, incarnation, run));
+            return;
+        }
+        const firstEventMs = Math.min(ms, this.exponential(MEAN_FIRST_EVENT_MS));
+        this.schedule(firstEventMs, () => this.answerRun(endpoint, run));
+        this.schedule(ms, () => this.finishRun(endpoint, run));
+    }
+
+    /** Handles the first event of an answer. */
+    private answerRun(endpoint: Endpoint, run: Run): void {
+        if (!endpoint.runs.has(run)) return;
+        run.hasAnswered = true;
+        if (this.day.partRules.clearsAtFirstEvent) this.clearParts(run);
+    }
+
+    private clearParts(run: Run): void {
+        const { host } = run;
+        const parts = this.judgedParts(run.parts);
+        for (const part of parts) {
+            host.answeredAt.set(part, this.now);
+            if (isSuspect(host.state, part)) this.applyStep(host, clearPart(host.state, part, undefined, this.now));
+        }
+        this.recordTrials(run, parts.filter(part => run.suspects.has(part)), true);
     }
 
     /** Crashes the endpoint of a fatal request, unless it has restarted since the request began. */
-    private failRun(endpoint: Endpoint, incarnation: string, { fingerprint }: Run): void {
+    private failRun(endpoint: Endpoint, incarnation: string, { fingerprint, badPart }: Run): void {
         if (endpoint.incarnation !== incarnation || !endpoint.isUp) return;
+        if (badPart) {
+            this.counts.crashesByParts += 1;
+            this.partCrashes.set(badPart, [...this.partCrashes.get(badPart) ?? [], this.now]);
+            return this.crashEndpoint(endpoint);
+        }
         const crashes = (this.crashCounts.get(fingerprint) ?? 0) + 1;
         this.crashCounts.set(fingerprint, crashes);
         if (crashes === THRESHOLD) this.thresholdReachedAt.set(fingerprint, this.now);
@@ -272,7 +393,8 @@
 
     private finishRun(endpoint: Endpoint, run: Run): void {
         if (!endpoint.runs.delete(run)) return;
-        if (run.wasSuspect) this.recordTrial(run, true);
+        this.recordTrials(run, [...run.suspects], true);
+        if (!this.day.partRules.clearsAtFirstEvent) this.clearParts(run);
         if (isSuspect(run.host.state, run.fingerprint)) {
             this.applyStep(run.host, clearRequest(run.host.state, run.fingerprint, this.now));
         }
@@ -301,26 +423,32 @@
     }
 
     private recordCrash(host: Host, incarnation: string, crashedAt: number, runs: readonly Run[]): void {
-        const requests = runs.map(({ fingerprint, startedAt, wasSuspect }) => ({
+        const involvementOf = ({ startedAt, suspects }: Run, fingerprint: string): RequestNews => ({
             fingerprint,
             ranMs: crashedAt - startedAt,
-            wasSuspect,
+            wasSuspect: suspects.has(fingerprint),
             cleared: false,
-        }));
-        const endings = [{ life: incarnation, agoMs: this.now - crashedAt, requests }];
-        for (const run of runs) if (run.wasSuspect) this.recordTrial(run, true);
+        });
+        const { chargesAnswering } = this.day.partRules;
+        const requests = runs.map(run => involvementOf(run, run.fingerprint));
+        const parts = runs.filter(({ hasAnswered }) => chargesAnswering || !hasAnswered)
+            .flatMap(run => this.judgedParts(run.parts).map(part => involvementOf(run, part)));
+        const endings = [{ life: incarnation, agoMs: this.now - crashedAt, requests, parts }];
+        for (const run of runs) this.recordTrials(run, [...run.suspects], true);
         this.applyStep(host, mergeNews(host.state, { endings, trials: [] }, this.now));
     }
 
-    private continueElsewhere({ host, fingerprint, endsAt, isFatal }: Run): void {
+    private continueElsewhere({ host, fingerprint, parts, badPart, endsAt, isFatal }: Run): void {
+        const ms = Math.max(0, endsAt - this.now);
         if (uniformFloat64(this.random) < REPLICATED_SHARE) {
-            this.handleRequest(host, fingerprint, Math.max(0, endsAt - this.now), isFatal, true);
+            this.handleRequest({ host, fingerprint, parts, badPart, ms, isFatal, isContinuation: true });
         }
         else if (!isFatal) this.counts.lostStreams += 1;
     }
 
-    private recordTrial({ host, fingerprint, attempt }: Run, isOver: boolean): void {
-        const trials = [{ attempt, fingerprint, agoMs: 0, isOver }];
+    private recordTrials({ host, attempt }: Run, names: readonly string[], isOver: boolean): void {
+        if (names.length === 0) return;
+        const trials = names.map(fingerprint => ({ attempt, fingerprint, agoMs: 0, isOver }));
         this.applyStep(host, mergeNews(host.state, { endings: [], trials }, this.now));
     }
 
@@ -354,7 +482,7 @@
         for (const name of this.thresholdReachedAt.keys()) {
             if (this.quarantinedEverywhereAt.has(name)) continue;
             const isQuarantinedEverywhere = this.hosts.every(({ state }) =>
-                verdictOf(state, name, this.now).kind === "quarantined"
+                verdictOf(state, { fingerprint: name, parts: [] }, this.now).kind === "quarantined"
             );
             if (isQuarantinedEverywhere) this.quarantinedEverywhereAt.set(name, this.now);
         }
