A part that most requests hold is not blamed for the endings of several culprits

For 1.2 s no engine had answered anything, as three causes ended one after the other; the part that all prompts hold was at three endings by then, and went before the real culprits with as many, as of several requests with a part the shortest run counted. Now the longest counts, which a part that many hold always has. A quarantine of a part is tried again after 15 s, 60 s and 240 s, and after 0.25 s if the part was answered in the 10 s before.

--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -12,7 +12,7 @@
 
 /** How a request, or a part of requests' prompts, was involved in the end of a life. */
 export interface Involvement {
-    /** How long it had run there, in milliseconds; of several requests with a part, the one that had run for the shortest time. */
+    /** How long it had run there, in milliseconds; of several requests with a part, the one that had run for the longest time. */
     readonly ranMs: number;
     /** Whether it was already a suspect, because of an earlier ending, when it began there. */
     readonly wasSuspect: boolean;
@@ -93,8 +93,8 @@
 export function mergeEnding(endings: Endings, received: EndingNews, now: number): MergedEnding {
     const known = endings.get(received.life);
     const at = now - received.agoMs;
-    const requests = mergeInvolved(known?.requests, received.requests, MAX_REQUESTS_PER_ENDING, Math.max);
-    const parts = mergeInvolved(known?.parts, received.parts ?? [], MAX_PARTS_PER_ENDING, Math.min);
+    const requests = mergeInvolved(known?.requests, received.requests, MAX_REQUESTS_PER_ENDING);
+    const parts = mergeInvolved(known?.parts, received.parts ?? [], MAX_PARTS_PER_ENDING);
     if (known && requests.added.length + parts.added.length === 0) return { endings, news: undefined };
     const { life } = received;
     const ending = {
@@ -116,18 +116,17 @@
     readonly added: readonly RequestNews[];
 }
 
-/** Merges suspects of one kind. `mergeRanMs` chooses between the times that two hosts saw. */
+/** Merges suspects of one kind. */
 function mergeInvolved(
     known: ReadonlyMap<string, Involvement> | undefined,
     received: readonly RequestNews[],
     most: number,
-    mergeRanMs: (a: number, b: number) => number,
 ): MergedInvolved {
     const merged = new Map(known);
     const changed = new Set<string>();
     for (const { fingerprint, ...involvement } of received) {
         const before = merged.get(fingerprint);
-        const after = before ? mergeInvolvement(before, involvement, mergeRanMs) : involvement;
+        const after = before ? mergeInvolvement(before, involvement) : involvement;
         if (before && isSameInvolvement(before, after)) continue;
         merged.set(fingerprint, after);
         changed.add(fingerprint);
@@ -136,13 +135,9 @@
     return { involved, added: newsOf(involved).filter(({ fingerprint }) => changed.has(fingerprint)) };
 }
 
-function mergeInvolvement(
-    a: Involvement,
-    b: Involvement,
-    mergeRanMs: (a: number, b: number) => number,
-): Involvement {
+function mergeInvolvement(a: Involvement, b: Involvement): Involvement {
     return {
-        ranMs: mergeRanMs(a.ranMs, b.ranMs),
+        ranMs: Math.max(a.ranMs, b.ranMs),
         wasSuspect: a.wasSuspect || b.wasSuspect,
         cleared: a.cleared || b.cleared,
     };
--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -6,9 +6,9 @@
  * quarantined: no host begins it until a period is over that doubles with each further ending, or until endpoints with other software
  * are available. Then a single trial run decides again.
  *
- * The same holds for a part that prompts share, with two differences. A request with it that is answered clears it. And as long as
+ * The same holds for a part that prompts share, with three differences. A request with it that is answered clears it. As long as
  * requests with it were answered recently, it is not held back to one run at a time: a part that most requests share is involved in every
- * ending, and the next answer clears it.
+ * ending, and the next answer clears it. And it is tried again sooner, as a quarantine of a sound part refuses many requests.
  *
  *     a --news (ending, trial)--> some hosts, each of which passes on what is new to it
  *     a --digest (with each probe)--> b, and if b knows other endings: b --all its endings--> a
@@ -93,8 +93,15 @@
  * ending and callers retried for 15 s: half an hour is far longer than both, and gives an operator time to investigate.
  */
 const QUARANTINE_MS = 30 * 60_000;
-/** At this many endings, i.e. after two failed trials, only an operator can lift the quarantine. */
-const ENDINGS_TO_QUARANTINE_FOREVER = ENDINGS_TO_QUARANTINE + 2;
+/** After this many failed trials, only an operator can lift the quarantine. */
+const MAX_TRIALS = 2;
+/**
+ * How long the first quarantines of a part last, by the number of endings after the one that led to the quarantine; then they last as
+ * long as those of requests. A trial of a part that crashes endpoints costs one more endpoint; these add three in five minutes.
+ */
+const PART_QUARANTINE_MS = [15_000, 60_000, 240_000] as const;
+/** A part that was answered recently was probably at the endings by chance: it is tried as soon as these are known everywhere. */
+const PROVEN_PART_QUARANTINE_MS = 250;
 /** Endings that no quarantine is based on are forgotten after this. Repeated endings came within seconds, at most within minutes. */
 const EVIDENCE_RETENTION_MS = 10 * 60_000;
 /** Endings that a quarantine is based on are forgotten after this, which ends the quarantine. */
@@ -164,7 +171,7 @@
     if (suspects.length === 0) return FREE;
     const culprit = suspects.find(assessment =>
         assessment.isCulprit
-        && now < quarantinedUntil(assessment)
+        && now < quarantinedUntil(assessment, context.isProven?.(assessment.fingerprint) ?? false)
         && assessment.alternatives.every(part => request.parts.includes(part))
         && !mayRunOnOtherSoftware(assessment, context.software)
     );
@@ -208,9 +215,16 @@
 }
 
 /** Returns when a trial may decide again. */
-function quarantinedUntil({ endings, lastAt }: Assessment): number {
-    if (endings.length >= ENDINGS_TO_QUARANTINE_FOREVER) return Infinity;
-    return lastAt + QUARANTINE_MS * 2 ** (endings.length - ENDINGS_TO_QUARANTINE);
+function quarantinedUntil({ kind, endings, lastAt }: Assessment, isProven: boolean): number {
+    const trials = endings.length - ENDINGS_TO_QUARANTINE;
+    if (kind === SuspectKind.Request) return lastAt + quarantineMs(trials);
+    if (isProven && trials === 0) return lastAt + PROVEN_PART_QUARANTINE_MS;
+    return lastAt + (PART_QUARANTINE_MS[trials] ?? quarantineMs(trials - PART_QUARANTINE_MS.length));
+}
+
+/** How long a quarantine lasts, by the number of trials that have failed. */
+function quarantineMs(failedTrials: number): number {
+    return failedTrials >= MAX_TRIALS ? Infinity : QUARANTINE_MS * 2 ** failedTrials;
 }
 
 function remainingTrialMs(
--- a/packages/hall/test/quarantine.test.ts
+++ b/packages/hall/test/quarantine.test.ts
@@ -273,6 +273,37 @@
     t.is(kindWith(after(...THREE_ENDINGS), [PART], { isProven }), "quarantined");
 });
 
+test("a part is tried again after 15 s, a minute, four minutes and then as a request is; one that was answered recently at once", t => {
+    let known = after(...THREE_ENDINGS);
+    t.is(kindWith({ ...known, now: known.now + 300 }, [PART], { isProven: () => true }), "suspect");
+    for (const seconds of [15, 60, 240, 30 * 60, 60 * 60]) {
+        const until = known.now + seconds * 1_000;
+        t.is(kindWith({ ...known, now: until - 1 }, [PART]), "quarantined");
+        t.is(kindWith({ ...known, now: until }, [PART]), "suspect");
+        known = then({ ...known, now: until }, endingOf(`after ${seconds}`, [PART], { wasSuspect: true }));
+    }
+    t.is(kindWith({ ...known, now: known.now + 20 * 60 * MINUTE_MS }, [PART]), "quarantined");
+});
+
+test("a part that most requests hold is not blamed for the endings of three culprits", t => {
+    const lives = ["e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"];
+    const culprits = ["part:m:x", "part:m:y", "part:m:z"];
+    const known = after(...lives.map((life, at): EndingNews => {
+        const beside = { fingerprint: SHARED, ranMs: 300, wasSuspect: false, cleared: false };
+        return { ...ending(life), parts: [...endingOf(life, [culprits[at % 3]!]).parts!, beside] };
+    }));
+    // Only the next answer can tell whether all of these endings have one cause.
+    const answered = { ...known, state: clearPart(known.state, SHARED, undefined, known.now).state };
+    t.is(kindWith(answered, [SHARED]), "free");
+    for (const culprit of culprits) t.is(kindWith(answered, [culprit]), "quarantined");
+    const three = after(...["e1", "e4", "e7"].map((life): EndingNews => {
+        const beside = { fingerprint: SHARED, ranMs: 300, wasSuspect: false, cleared: false };
+        return { ...ending(life), parts: [...endingOf(life, [PART]).parts!, beside] };
+    }));
+    t.is(verdictOf(three.state, withParts(SHARED, PART), three.now).kind, "quarantined");
+    t.is(kindWith(three, [SHARED]), "suspect");
+});
+
 test("of two parts that always came together, a request with one of them may be tried", t => {
     const known = after(...["e1", "e2", "e3"].map(life => endingOf(life, [PART, SHARED])));
     t.is(kindWith(known, [PART, SHARED]), "quarantined");
--- a/packages/standins/src/bench-quarantine.ts
+++ b/packages/standins/src/bench-quarantine.ts
@@ -19,6 +19,8 @@
     readonly hosts: string;
     /** Which table is printed: `requests`, `parts`, or both if it is not given. */
     readonly only?: string;
+    /** Ways to judge parts, of {@link WAYS}; all if it is not given. */
+    readonly ways?: string;
 }
 
 /** Endpoints per host: the lowest ratio among the users' fleets. */
@@ -148,7 +150,7 @@
     ];
 }
 
-function printPartTable(sizes: readonly number[], days: number): void {
+function printPartTable(sizes: readonly number[], days: number, ways: readonly string[]): void {
     const table = new Table({
         head: [
             "hosts",
@@ -164,16 +166,16 @@
     });
     for (const hosts of sizes) {
         for (const day of PART_DAYS) {
-            for (const way of Object.keys(WAYS)) table.push([...simulatePartRow(hosts, day, way, days)]);
+            for (const way of ways) table.push([...simulatePartRow(hosts, day, way, days)]);
         }
     }
     process.stdout.write(`${table.toString()}\n`);
 }
 
-function run({ days, hosts, only }: Options): void {
+function run({ days, hosts, only, ways }: Options): void {
     const sizes = hosts.split(",").map(Number);
     if (only !== "parts") printRequestTable(sizes, days);
-    if (only !== "requests") printPartTable(sizes, days);
+    if (only !== "requests") printPartTable(sizes, days, ways?.split(",") ?? Object.keys(WAYS));
 }
 
 function printRequestTable(sizes: readonly number[], days: number): void {
@@ -206,6 +208,7 @@
     .option("--days", "Days of each kind", 20)
     .option("--hosts", "Sizes of the fleet", "6,60")
     .option("--only", "requests or parts: one table instead of both")
+    .option("--ways", "Ways to judge parts, separated by commas; all by default")
     .example("--days 20 --hosts 6,60,400")
     .action(run)
     .parse(process.argv);
