Shares of announced limits follow the callers

Cause: each host had an equal share, whoever came to it.

A host that refuses requests for a limit, or lets some wait, asks others to lend it what they do not use. While loans are expected callers are asked to return after half a second.

--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -97,9 +97,9 @@
 const MAX_TRIALS = 2;
 /**
  * How long the first quarantines of a part last, by the number of endings after the one that led to the quarantine; then they last as
- * long as those of requests. A trial of a part that crashes endpoints costs one more endpoint; these add three in five minutes.
+ * long as those of requests. A trial of a part that crashes endpoints costs one more endpoint; these add two in five minutes.
  */
-const PART_QUARANTINE_MS = [15_000, 60_000, 240_000] as const;
+const PART_QUARANTINE_MS = [60_000, 240_000] as const;
 /** A part that was answered recently was probably at the endings by chance: it is tried as soon as these are known everywhere. */
 const PROVEN_PART_QUARANTINE_MS = 250;
 /** Endings that no quarantine is based on are forgotten after this. Repeated endings came within seconds, at most within minutes. */
--- a/packages/host/src/endpoints/placement.ts
+++ b/packages/host/src/endpoints/placement.ts
@@ -6,6 +6,7 @@
  */
 import {
     type AnnouncedLimit,
+    type BorrowedLoan,
     canContinue,
     createScheduler,
     decide,
@@ -17,13 +18,19 @@
     type Job,
     type JobOutcome,
     type LeavingSource,
+    lendableShare,
+    type LimitShortfall,
+    limitShortfalls,
+    limitSpanMs,
     type LoadReport,
+    loanMs,
     maySend,
     type RefuseReason,
     type SchedulerAction,
     type SchedulerEvent,
     type SchedulerOptions,
     type SchedulerState,
+    unusedLoans,
     type Variant,
 } from "@drumpaddle/policy";
 import type { Clock } from "@drumpaddle/protocol";
@@ -188,6 +195,54 @@
         this.handle({ kind: "doubt", endpoint, until });
     }
 
+    /** What this host lacks of the limits of endpoints. */
+    limitShortfalls(): readonly LimitShortfall[] {
+        return limitShortfalls(this.state, this.clock.now());
+    }
+
+    /**
+     * Lends a part of this host's share of an endpoint's limit, as far as this host does not need it; returns how many requests within
+     * a span it has lent.
+     */
+    lend(id: string, { endpoint, perS, count }: LimitShortfall): number {
+        const now = this.clock.now();
+        const lent = Math.min(count, lendableShare(this.state, endpoint, perS, id, now));
+        if (lent <= 0) return 0;
+        // The borrower counts from its question on, and the last requests that it sends count for one more span.
+        const until = now + loanMs(perS) + limitSpanMs(perS);
+        this.handle({ kind: "loan", endpoint, side: "lent", loan: { id, perS, count: lent, from: now, until } });
+        return lent;
+    }
+
+    /** Uses a part of another host's share that was asked for at `askedAt`; returns whether this host knows the endpoint's limit. */
+    borrow(id: string, { endpoint, perS, count }: LimitShortfall, askedAt: number): boolean {
+        if (this.state.endpoints.get(endpoint)?.announcedLimit?.limitPerS !== perS) return false;
+        const loan = { id, perS, count, from: this.clock.now(), until: askedAt + loanMs(perS) };
+        this.handle({ kind: "loan", endpoint, side: "borrowed", loan });
+        return true;
+    }
+
+    /** Stops using loans that this host does not need, and returns them. */
+    endUnusedLoans(): readonly BorrowedLoan[] {
+        const now = this.clock.now();
+        const unused = unusedLoans(this.state, now);
+        for (const { endpoint, loan: { id } } of unused) {
+            this.handle({ kind: "loanEnds", endpoint, side: "borrowed", id, at: now });
+        }
+        return unused;
+    }
+
+    /** Stops using what a lender has lent that has restarted since. */
+    endLoansOf(isTheirs: (id: string) => boolean): void {
+        this.handle({ kind: "lenderRestarted", isTheirs });
+    }
+
+    /** Takes back what a borrower has stopped using, once its last requests no longer count. */
+    takeBack(id: string, endpoint: string): void {
+        const perS = this.state.endpoints.get(endpoint)?.announcedLimit?.limitPerS ?? 0;
+        this.handle({ kind: "loanEnds", endpoint, side: "lent", id, at: this.clock.now() + limitSpanMs(perS) });
+    }
+
     /** Counts a request that is sent to an endpoint against its bounds. */
     countAdmission(endpoint: string): void {
         this.handle({ kind: "letIn", endpoint });
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -15,6 +15,7 @@
     type SettingsResponse,
     type VersionNews,
 } from "@drumpaddle/hall";
+import type { LimitShortfall } from "@drumpaddle/policy";
 import type { FrameMessage } from "@drumpaddle/protocol";
 import { Type } from "@sinclair/typebox";
 import { TypeCompiler } from "@sinclair/typebox/compiler";
@@ -106,6 +107,8 @@
 });
 /** Maximum length of each list of crashes, trials or notices in a message. */
 export const MAX_ITEMS = 256;
+/** A part of an endpoint's limit. */
+const ShareShape = Type.Object({ endpoint: Name, perS: NonNegative, count: Type.Integer({ minimum: 1 }) });
 const TextRecord = Type.Record(Type.String(), Type.String());
 
 /** Schema of each message, by kind. A message that does not match is dropped and logged. */
@@ -186,6 +189,13 @@
     quarantineAsk: Type.Object({}),
     said: Type.Object({ words: Type.Array(NoticeShape, { maxItems: MAX_ITEMS }), isAll: Type.Boolean() }),
     saidAsk: Type.Object({}),
+    limitAsk: Type.Object({ question: Name, wants: Type.Array(ShareShape, { maxItems: MAX_ITEMS }) }),
+    limitLend: Type.Object({ question: Name, loans: Type.Array(ShareShape, { maxItems: MAX_ITEMS }) }),
+    limitReset: Type.Object({}),
+    limitReturn: Type.Object({
+        id: Type.String({ maxLength: 600 }),
+        endpoints: Type.Array(Name, { maxItems: MAX_ITEMS }),
+    }),
     unreached: Type.Object({ endpoint: Name, agoMs: Age }),
 } as const;
 
@@ -213,6 +223,7 @@
     | QuarantinePeerMessage
     | NoticePeerMessage
     | ReachPeerMessage
+    | LimitPeerMessage
     | LoadMessage;
 
 /** Reports to hosts of the sender's hall that it could not connect to an endpoint of another hall. */
@@ -222,6 +233,17 @@
     readonly agoMs: number;
 }
 
+/** Messages by which hosts lend each other parts of their shares of announced limits. */
+export type LimitPeerMessage =
+    /** Asks for parts of the receiver's shares. */
+    | { readonly kind: "limitAsk"; readonly question: string; readonly wants: readonly LimitShortfall[] }
+    /** Lends parts of the sender's shares, for the time that their limits determine. */
+    | { readonly kind: "limitLend"; readonly question: string; readonly loans: readonly LimitShortfall[] }
+    /** The sender has started: what it lent in an earlier life is over. */
+    | { readonly kind: "limitReset" }
+    /** The sender no longer uses a loan of the receiver at these endpoints. */
+    | { readonly kind: "limitReturn"; readonly id: string; readonly endpoints: readonly string[] };
+
 /** Messages by which hosts share the notices of endpoints. */
 export type NoticePeerMessage =
     /** `isAll`: the answer to `saidAsk`, with all notices that the sender knows. */
--- a/packages/host/src/peers/peers.ts
+++ b/packages/host/src/peers/peers.ts
@@ -67,6 +67,7 @@
 import type { StorePeerMessage } from "../store/store-messages.js";
 import { type StoreFollower, StoreSharing } from "../store/store-sharing.js";
 import type { VersionExchange } from "../store/version-exchange.js";
+import { LimitLending } from "./limit-lending.js";
 import { NoticeSharing, type NoticeSharingDeps } from "./notice-sharing.js";
 import { OwnershipLog } from "./ownership-log.js";
 import { isPeerMessage, type PeerMessage, type Progress } from "./peer-messages.js";
@@ -117,6 +118,7 @@
     private readonly noticeSharing: NoticeSharing | undefined;
     /** Tracks which other halls can be reached. */
     readonly reach: ReachSharing;
+    private readonly limitLending: LimitLending;
     private readonly ownershipLog: OwnershipLog;
     /** The live hosts that `hosts_changed` last logged. */
     private loggedLive: readonly string[] = [];
@@ -155,6 +157,15 @@
                 for (const placement of [deps.engines, deps.plain]) placement.applyEvents([event]);
             },
         });
+        this.limitLending = new LimitLending({
+            name,
+            clock: deps.clock,
+            log: deps.log,
+            signal: deps.signal,
+            placements: [deps.engines, deps.plain],
+            live: () => this.live,
+            send: (names, message) => this.sendAll(names, message),
+        });
         const { guard } = deps;
         const startup = (what: "quarantines" | "notices"): StartupListeners => ({
             hasPeers: () => this.live.length > 1 || unknownCandidates(this.membership).length > 0,
@@ -410,6 +421,10 @@
         quarantineAsk: (from, message) => this.quarantineSharing?.receive(from.name, message),
         said: (from, message) => this.noticeSharing?.receive(from.name, message),
         saidAsk: (from, message) => this.noticeSharing?.receive(from.name, message),
+        limitAsk: (from, message) => this.limitLending.receive(from.name, message),
+        limitLend: (from, message) => this.limitLending.receive(from.name, message),
+        limitReset: (from, message) => this.limitLending.receive(from.name, message),
+        limitReturn: (from, message) => this.limitLending.receive(from.name, message),
         unreached: (_from, message) => this.reach.receive(message),
     };
 
--- a/packages/policy/src/endpoint-admission.ts
+++ b/packages/policy/src/endpoint-admission.ts
@@ -28,7 +28,7 @@
     now: number,
 ): boolean {
     const times = state.letIn.get(view.cfg.id) ?? [];
-    return coldAdmits(view, times, state, now) && limitAdmits(view, times, state.fleet, now);
+    return coldAdmits(view, times, state, now) && limitAdmits(view, times, state, now);
 }
 
 /**
--- a/packages/policy/src/endpoint-limit.ts
+++ b/packages/policy/src/endpoint-limit.ts
@@ -1,9 +1,9 @@
 /**
  * Limits that overloaded endpoints announce themselves, in requests per second from all hosts together.
  *
- * No host sees what the others send, so each has a fixed share of the requests of a span, by its position among the
- * live hosts. The shares add up to no more than the limit, also with more hosts than requests; a host without a share
- * sends nothing. The remainder of an even division goes only to hosts that hear more than half of the hosts that they
+ * No host sees what the others send, so each has a share of the requests of a span, by its position among the live
+ * hosts. The shares add up to no more than the limit, also with more hosts than requests; a host without a share sends
+ * nothing. Hosts lend each other what they do not use. The remainder of an even division goes only to hosts that hear more than half of the hosts that they
  * have known, so that parts of a fleet that cannot hear each other do not hand it out twice.
  *
  * Only an endpoint's answer shows that its limit has been lifted. If no answer has come for a while, for example
@@ -14,7 +14,8 @@
  * @module
  */
 import type { AnnouncedLimit, EndpointView } from "./endpoint.js";
-import type { Fleet } from "./fleet.js";
+import type { AdmissionBounds, Fleet } from "./fleet.js";
+import { loanedCount, loansOf } from "./limit-loans.js";
 
 /**
  * A limit applies over the shortest span of at least this length that holds a whole number of requests: 2.3 requests
@@ -55,6 +56,11 @@
     return { maxRequests, spanMs: Math.min(MAX_SPAN_MS, 1_000 * maxRequests / perS) };
 }
 
+/** Length of the span within which a limit's requests are counted, in milliseconds. */
+export function limitSpanMs(perS: number): number {
+    return quotaOf(perS).spanMs;
+}
+
 /** Requests per millisecond that all hosts together may send to a limited endpoint. */
 export function limitPerMs({ announcedLimit }: EndpointView): number {
     const { maxRequests, spanMs } = quotaOf(announcedLimit?.limitPerS ?? 0);
@@ -98,15 +104,31 @@
     return hearsMajority(fleet) && placeAtEndpoint(endpoint, fleet) < maxRequests % hosts ? each + 1 : each;
 }
 
+/** What a host needs to know of the others to keep to its share of a limit. */
+export type SharingHosts = Pick<AdmissionBounds, "fleet" | "loans">;
+
+/** Number of requests that a host may send to an endpoint within a span now: its share with what it has lent and borrowed. */
+export function currentLimitShare(
+    endpoint: string,
+    perS: number,
+    { fleet, loans }: SharingHosts,
+    now: number,
+): number {
+    const { lent, borrowed } = loansOf(loans, endpoint);
+    const balance = loanedCount(borrowed, perS, now) - loanedCount(lent, perS, now);
+    return Math.max(0, limitShare(endpoint, perS, fleet, now) + balance);
+}
+
 /**
  * Earliest send times of a host's share, in milliseconds after it heard of the limit or its share changed. The sends of
  * all hosts together are spread evenly over a span. So the endpoint receives an even load, one of the requests soon
  * shows when the limit has been lifted, and where shares pass to other hosts the earlier sends no longer count.
  */
-function firstSendTimes(endpoint: string, perS: number, fleet: Fleet, now: number): readonly number[] {
+function firstSendTimes(endpoint: string, perS: number, hosts: SharingHosts, now: number): readonly number[] {
     const { maxRequests, spanMs } = quotaOf(perS);
+    const { fleet } = hosts;
     const place = placeAtEndpoint(endpoint, fleet);
-    const share = limitShare(endpoint, perS, fleet, now);
+    const share = currentLimitShare(endpoint, perS, hosts, now);
     return Array.from({ length: share }, (_, at) => spanMs * ((at * fleet.most + place) / maxRequests % 1));
 }
 
@@ -127,13 +149,14 @@
 export function sendTimesWithinLimit(
     { cfg: { id }, announcedLimit: said }: EndpointView,
     times: readonly number[],
-    fleet: Fleet,
+    hosts: SharingHosts,
     now: number,
 ): readonly number[] {
     const { limitPerS: perS = 0, since } = said!;
     const { spanMs } = quotaOf(perS);
-    const from = Math.max(since, fleet.changedAt);
-    const first = firstSendTimes(id, perS, fleet, now).map(ms => Math.max(0, from + ms - now)).sort((a, b) => a - b);
+    const from = Math.max(since, hosts.fleet.changedAt);
+    const first = firstSendTimes(id, perS, hosts, now).map(ms => Math.max(0, from + ms - now)).sort((a, b) => a - b);
+    if (first.length === 0) return [];
     const counted = times.filter(at => now - at < spanMs).slice(-first.length);
     // Each counted request uses one of the share until a span has passed.
     return [...first.slice(counted.length), ...counted.map(at => at + spanMs - now)].sort((a, b) => a - b);
@@ -146,14 +169,14 @@
  *
  * @example
  * ```ts
- * limitAdmits(view, state.letIn.get(view.cfg.id) ?? [], state.fleet, now);
+ * limitAdmits(view, state.letIn.get(view.cfg.id) ?? [], state, now);
  * ```
  */
-export function limitAdmits(view: EndpointView, times: readonly number[], fleet: Fleet, now: number): boolean {
+export function limitAdmits(view: EndpointView, times: readonly number[], hosts: SharingHosts, now: number): boolean {
     const { cfg: { id }, announcedLimit: said } = view;
     if (!said || !isLimited(view)) return true;
-    const [next] = sendTimesWithinLimit(view, times, fleet, now);
+    const [next] = sendTimesWithinLimit(view, times, hosts, now);
     if (next === 0) return true;
     const isFirstOfTurn = times.every(at => now - at >= PROBE_TURN_MS);
-    return isFirstOfTurn && isProbeTurn(id, said, fleet, now);
+    return isFirstOfTurn && isProbeTurn(id, said, hosts.fleet, now);
 }
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { LimitLoans } from "./limit-loans.js";
+
 /** What this host knows of the hosts that may send to the same endpoints. */
 export interface Fleet {
     /** When this host first heard from other hosts; undefined before that. */
@@ -35,6 +37,8 @@
     readonly fleet: Fleet;
     /** Requests that this host recently admitted to cold or limited endpoints. */
     readonly letIn: RecentAdmissions;
+    /** Parts of limits that this host has lent to others, or borrowed from them. */
+    readonly loans: LimitLoans;
     /** Services whose endpoints count as brittle. */
     readonly brittleServices: BrittleServices;
     /** When this host became the owner of each endpoint that it owns. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -6,7 +6,7 @@
 export { coldAllowance, coldUntil, isCold } from "./cold.js";
 export { type Demand, demandOf, profileOf, type RequestProfile } from "./demand.js";
 export { mayAdmit, maySend } from "./endpoint-admission.js";
-export { isLimited, limitShare } from "./endpoint-limit.js";
+export { currentLimitShare, isLimited, limitShare, limitSpanMs } from "./endpoint-limit.js";
 export { EndpointTable } from "./endpoint-table.js";
 export {
     announcedLeaving,
@@ -46,6 +46,15 @@
     survivalOf,
     survivalOfKnownLength,
 } from "./length-estimate.js";
+export {
+    type BorrowedLoan,
+    lendableShare,
+    type LimitShortfall,
+    limitShortfalls,
+    loanMs,
+    unusedLoans,
+} from "./limit-demand.js";
+export { type EndpointLoans, type LimitLoan, type LimitLoans, type LoanSide } from "./limit-loans.js";
 export {
     acceptsBody,
     adjustHeld,
--- a/packages/policy/src/refusal.ts
+++ b/packages/policy/src/refusal.ts
@@ -8,12 +8,15 @@
 import { pendingPrefill } from "./endpoint.js";
 import { expectedWaitMs, nextRetryTime, startsInTime } from "./forecast.js";
 import type { Job } from "./job.js";
+import { mayBorrow, recordLimitRefusal } from "./limit-demand.js";
 import { prefillMs } from "./prefill-rate.js";
 import type { WaitingRequest } from "./queue-order.js";
 import type { Decision, RefuseReason, SchedulerAction, SchedulerState } from "./scheduler-state.js";
 import { isThrottled, type Throttling, throttlingOf } from "./throttling.js";
 
 const MIN_RETRY_AFTER_MS = 250;
+/** Callers return after this time if other hosts may serve them, or lend this host a part of their shares. */
+const LOAN_RETRY_MS = 500;
 /** It is not known when an endpoint for a model will be available again; callers are asked to retry after this time. */
 export const NO_ENDPOINT_RETRY_MS = 5_000;
 
@@ -72,7 +75,9 @@
 ): Decision {
     const { job, since } = waiting;
     const throttling = throttlingFor(state, waiting, position, now);
-    if (throttling && throttling.waitMs > 0) return refuseThrottled(state, job, throttling, now);
+    if (throttling && throttling.waitMs > 0) {
+        return refuseThrottled(recordLimitRefusal(state, job.group.model, now), job, throttling, now);
+    }
     const capacityMs = expectedWaitMs(state.drainRate, position, state.waiting[0]?.since, now);
     const { retryTimes, afterMs } = nextRetryTime(state.retryTimes, capacityMs, state.drainRate?.meanMs ?? 0, now);
     const age = state.drainRate ? `${Math.round(now - state.drainRate.lastStart)} ms ago` : "never";
@@ -111,6 +116,9 @@
 ): Decision {
     const next = Number.isFinite(waitMs) ? `in ${Math.round(waitMs)} ms` : "not this host's";
     const detail = `all endpoints limit what they take, or want rest; the next request ${next}`;
+    if (mayBorrow(state, job.group.model, now)) {
+        return { state, actions: [refuse(job.id, "limited", detail, LOAN_RETRY_MS)] };
+    }
     if (othersMayServe) return { state, actions: [refuse(job.id, "limited", detail, MIN_RETRY_AFTER_MS)] };
     const sendMs = Number.isFinite(waitMs) ? waitMs : intervalMs;
     const { retryTimes, afterMs } = nextRetryTime(state.retryTimes, sendMs, intervalMs, now);
--- a/packages/policy/src/scheduler-state.ts
+++ b/packages/policy/src/scheduler-state.ts
@@ -10,6 +10,7 @@
 import { NO_RETRY_TIMES, type RetryTimes } from "./forecast.js";
 import { DEFAULT_VARIANT, type Job, type Variant } from "./job.js";
 import { createLengthEstimates, type LengthEstimates } from "./length-estimate.js";
+import type { LimitLoan, LoanSide } from "./limit-loans.js";
 import type { PlacementQuestion } from "./placement-question.js";
 import { createPrefillRate, type PrefillRate } from "./prefill-rate.js";
 import type { DrainRate, WaitingRequest } from "./queue-order.js";
@@ -48,6 +49,8 @@
     readonly asked: ReadonlyMap<string, PendingQuestion>;
     /** Running requests for which an owner was asked for a standby. */
     readonly askedForStandby: ReadonlyMap<string, PendingStandbyQuestion>;
+    /** When requests were refused lately because all endpoints limit this host, by model, oldest first. */
+    readonly refusedForLimits: ReadonlyMap<string, readonly number[]>;
     /** Counter of choices: the turn of round robin and the seed of two random choices. */
     readonly turn: number;
 }
@@ -132,6 +135,18 @@
     | { readonly kind: "evacuate"; readonly job: string }
     /** An endpoint has announced a limit, or that it has none. */
     | { readonly kind: "said"; readonly endpoint: string; readonly said: AnnouncedLimit }
+    /** This host lends a part of its share of an endpoint's limit to another host, or borrows one. */
+    | { readonly kind: "loan"; readonly endpoint: string; readonly side: LoanSide; readonly loan: LimitLoan }
+    /** A loan ends at this time, if not sooner. */
+    | {
+        readonly kind: "loanEnds";
+        readonly endpoint: string;
+        readonly side: LoanSide;
+        readonly id: string;
+        readonly at: number;
+    }
+    /** The lenders of these loans have restarted: they no longer know what they have lent, and will use it themselves. */
+    | { readonly kind: "lenderRestarted"; readonly isTheirs: (id: string) => boolean }
     /** An endpoint asked this host to send it nothing until then. */
     | { readonly kind: "rest"; readonly endpoint: string; readonly until: number }
     /** An endpoint may have restarted: it counts as cold until this time; undefined once the doubt is resolved. */
@@ -234,6 +249,8 @@
         ownedSince: new Map(),
         fleet: ALONE,
         letIn: new Map(),
+        loans: new Map(),
+        refusedForLimits: new Map(),
         brittleServices: new Map(),
         asked: new Map(),
         askedForStandby: new Map(),
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -31,6 +31,7 @@
     type RunningStream,
     setLeaving,
 } from "./endpoint.js";
+import { addLoan, endBorrowed, endLoan } from "./limit-loans.js";
 import { decideWithoutOwner, onOwnerAnswer } from "./owner-answers.js";
 import { cancelAsk } from "./place.js";
 import { isServable, NO_ENDPOINT_RETRY_MS, refuse } from "./refusal.js";
@@ -157,6 +158,16 @@
         const changed = updateEndpoint(state, endpoint, view => applyAnnouncedLimit(view, said, now));
         return { state: { ...changed, brittleServices }, actions: [] };
     },
+    loan: (state, { endpoint, side, loan }, now) =>
+        serveQueue({ ...state, loans: addLoan(state.loans, endpoint, side, loan, now) }, now),
+    loanEnds: (state, { endpoint, side, id, at }) => ({
+        state: { ...state, loans: endLoan(state.loans, endpoint, side, id, at) },
+        actions: [],
+    }),
+    lenderRestarted: (state, { isTheirs }) => ({
+        state: { ...state, loans: endBorrowed(state.loans, isTheirs) },
+        actions: [],
+    }),
     rest: (state, { endpoint, until }) => ({
         state: updateEndpoint(state, endpoint, view => applyRest(view, until)),
         actions: [],
@@ -221,7 +232,7 @@
         && acceptsContinuation(keeper, now)
         && !isResting(keeper, now)
         && mayContinueWhileCold(keeper, running.job.promptTokens, now)
-        && limitAdmits(keeper, state.letIn.get(standby) ?? [], state.fleet, now);
+        && limitAdmits(keeper, state.letIn.get(standby) ?? [], state, now);
     return isOpen && isServable(state, running.job) ? { standby, running } : undefined;
 }
 
--- a/packages/policy/src/throttling.ts
+++ b/packages/policy/src/throttling.ts
@@ -34,17 +34,18 @@
  */
 function sendTimesOf(
     view: EndpointView,
-    { letIn, fleet, brittleServices }: SchedulerState,
+    state: SchedulerState,
     count: number,
     now: number,
 ): readonly number[] {
+    const { letIn, fleet, brittleServices } = state;
     const restMs = isResting(view, now) ? view.restUntil! - now : 0;
     if (isBrittle(view, brittleServices, now)) {
         const times = brittleSendTimes(view, letIn.get(view.cfg.id) ?? [], fleet, count, now);
         return times.map(ms => Math.max(ms, restMs));
     }
     if (!isLimited(view)) return new Array<number>(count).fill(restMs);
-    return sendTimesWithinLimit(view, letIn.get(view.cfg.id) ?? [], fleet, now).map(ms => Math.max(ms, restMs));
+    return sendTimesWithinLimit(view, letIn.get(view.cfg.id) ?? [], state, now).map(ms => Math.max(ms, restMs));
 }
 
 /** Requests per millisecond that this host may send to an endpoint; Infinity if only rest keeps them back. */
