A body that crashes endpoints under several paths is withheld too

The same cause as with parts of prompts: a request's identity covers its path and workspace, so that one body under other paths was another request each time. A body is a part that other requests may share, by its hash; none for bodies above 256 KB. Operators' list leaves out parts that only shared the endings of culprits, and lifting a request lifts those too.

--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -31,10 +31,10 @@
     SuspectKind,
 } from "./endings.js";
 
-/** What identifies a request: its content, and the parts of its prompt that other requests may share. */
+/** What identifies a request: its content, and what other requests may share of it, parts of its prompt and its body. */
 export interface RequestIdentity {
     readonly fingerprint: string;
-    /** Names of the shared parts. */
+    /** Names of these parts. */
     readonly parts: readonly string[];
 }
 
--- a/packages/host/src/calls/fingerprint.ts
+++ b/packages/host/src/calls/fingerprint.ts
@@ -74,6 +74,22 @@
     );
 }
 
+/** Longer bodies are not compared apart from the calls that they belong to: hashing them twice would take milliseconds. */
+const MAX_NAMED_BODY_BYTES = 262_144;
+
+/**
+ * Returns the name of a body, which calls to other paths, or of other workspaces, may have as well; none for an empty or a long one.
+ *
+ * @example
+ * ```ts
+ * sharedBodyOf(Buffer.from("{}")); // ["body:RBNvo1WzZ4oRRq0W9-hknw"]
+ * ```
+ */
+export function sharedBodyOf(body: Buffer | undefined): readonly string[] {
+    if (!body || body.length === 0 || body.length > MAX_NAMED_BODY_BYTES) return [];
+    return [`body:${shortHash(createHash("sha256").update(body))}`];
+}
+
 /** Names all parts but the last, each once. */
 function partNames<T>(model: string, parts: readonly T[], idOf: (part: T) => string): readonly string[] {
     const shared = parts.slice(0, -1).slice(0, MAX_NAMED_PARTS);
--- a/packages/host/src/calls/forward.ts
+++ b/packages/host/src/calls/forward.ts
@@ -13,7 +13,7 @@
 import { type CallProgress, createProgress, unreadFields } from "./call-progress.js";
 import { type ApiError, toApiError } from "./caller-answer.js";
 import { CallerQueue } from "./caller-queue.js";
-import { fingerprintOf, sharedPartsOf } from "./fingerprint.js";
+import { fingerprintOf, sharedBodyOf, sharedPartsOf } from "./fingerprint.js";
 import type { AnswerPiece } from "./forward-attempt.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
 import { hallsOf, jobOf } from "./forward-job.js";
@@ -297,7 +297,7 @@
 function identityOf({ req, head, target, workspace }: ForwardCall, body: Buffer | undefined): RequestIdentity {
     const { method = "" } = req;
     const fingerprint = fingerprintOf({ method, host: head.host, target, workspace: workspace?.name ?? "", body });
-    return { fingerprint, parts: sharedPartsOf(head.generation) };
+    return { fingerprint, parts: [...sharedPartsOf(head.generation), ...sharedBodyOf(body)] };
 }
 
 /**
--- a/packages/host/src/calls/plain-service.ts
+++ b/packages/host/src/calls/plain-service.ts
@@ -21,7 +21,7 @@
 import type { Directory } from "../store/directory.js";
 import { type ApiError, toApiError, writeError } from "./caller-answer.js";
 import { CallerQueue } from "./caller-queue.js";
-import { fingerprintOf } from "./fingerprint.js";
+import { fingerprintOf, sharedBodyOf } from "./fingerprint.js";
 import { NO_BODY_STATUSES } from "./forward-attempt.js";
 import { breakAnswer } from "./forward-reply.js";
 import { limitReached, limitsOf, policyOf } from "./generate.js";
@@ -265,6 +265,7 @@
         workspace: call.workspace,
         body,
     });
+    const identity = { fingerprint, parts: sharedBodyOf(body) };
     host.metrics.open.inc();
     const driver: RequestDriver<PlainPiece> = new RequestDriver<PlainPiece>({
         cfg: {
@@ -282,10 +283,9 @@
             req: id,
             route: call.service,
             workspace: call.workspace,
-            fingerprint,
-            parts: [],
+            ...identity,
         }, endpoint => urlOf(host, call.directory, endpoint)),
-        withholdReason: attempt => host.guard.withhold({ fingerprint, parts: [] }, { attempt }),
+        withholdReason: attempt => host.guard.withhold(identity, { attempt }),
         reply,
         onGap: () => undefined,
         onDispatch: kind => host.metrics.countDispatch(kind),
--- a/packages/host/src/endpoints/crash-detector.ts
+++ b/packages/host/src/endpoints/crash-detector.ts
@@ -29,7 +29,7 @@
     readonly route: string;
     readonly workspace: string | undefined;
     readonly fingerprint: string;
-    /** Names of the parts of its prompt that other requests may share. */
+    /** Names of its parts that other requests may share: of the prompt, and the body. */
     readonly parts: readonly string[];
     /** How long it had been running there, in milliseconds. */
     readonly ranMs: number;
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -132,10 +132,14 @@
         return allEndingNews(this.state, this.deps.clock.now());
     }
 
-    /** All quarantined and suspected requests, for operators. */
+    /** All quarantined and suspected requests and parts, for operators; no parts that only shared the endings of culprits. */
     list(): readonly ListedRequest[] {
         const charges = [...this.state.assessments.values()].filter(({ endings }) => endings.length > 0);
-        return charges.map(charge => this.describe(charge));
+        const culprits = charges.filter(({ isCulprit }) => isCulprit);
+        const explained = new Set(culprits.flatMap(({ endings }) => endings.map(({ life }) => life)));
+        const isExplained = ({ kind, isCulprit, endings }: Assessment): boolean =>
+            kind === SuspectKind.Part && !isCulprit && endings.every(({ life }) => explained.has(life));
+        return charges.filter(charge => !isExplained(charge)).map(charge => this.describe(charge));
     }
 
     private describe({ fingerprint, endings, alternatives }: Assessment): ListedRequest {
@@ -258,13 +262,25 @@
         if (isSuspect(this.state, fingerprint)) this.clear(fingerprint, "whole");
     }
 
-    /** Drops all evidence against a request. */
+    /** Drops all evidence against a request or a part. */
     clear(fingerprint: string, reason: "whole" | "operator"): void {
         const charge = this.state.assessments.get(fingerprint);
         if (charge && (charge.isCulprit || reason === "operator")) {
             this.deps.log.warn({ fingerprint, reason }, "request_quarantine_lifted");
         }
-        this.applyStep(clearRequest(this.state, fingerprint, this.deps.clock.now()));
+        // Otherwise the parts of the request would be held to blame for the same endings instead.
+        const parts = charge && reason === "operator" ? this.partsExplainedBy(charge) : [];
+        for (const name of [fingerprint, ...parts]) {
+            this.applyStep(clearRequest(this.state, name, this.deps.clock.now()));
+        }
+    }
+
+    /** Parts that were at no other endings than a suspect. */
+    private partsExplainedBy({ endings }: Assessment): readonly string[] {
+        const lives = new Set(endings.map(({ life }) => life));
+        return [...this.state.assessments.values()]
+            .filter(other => other.kind === SuspectKind.Part && other.endings.every(({ life }) => lives.has(life)))
+            .map(other => other.fingerprint);
     }
 
     /** Called when an endpoint crashed while it ran calls of this host. */
@@ -432,8 +448,7 @@
 }
 
 function withheldAsPart(by: string, endings: number, evidencePendingMs: number): Withheld {
-    const detail = `requests with ${by} in their prompts were running at ${endings} endpoints when they ended, `
-        + "and are withheld for now";
+    const detail = `requests with ${by} were running at ${endings} endpoints when they ended, and are withheld for now`;
     return { code: FailCode.Quarantined, detail, by, evidencePendingMs };
 }
 
--- a/packages/host/test/fingerprint.test.ts
+++ b/packages/host/test/fingerprint.test.ts
@@ -1,6 +1,6 @@
 import type { PromptPart } from "@drumpaddle/protocol";
 import test from "ava";
-import { sharedMessagesOf, sharedPartsOf } from "../src/calls/fingerprint.js";
+import { sharedBodyOf, sharedMessagesOf, sharedPartsOf } from "../src/calls/fingerprint.js";
 
 const MAX_NAMED_PARTS = 32;
 
@@ -50,3 +50,11 @@
     t.deepEqual(sharedMessagesOf({ model: "m", messages: [question("a")] }), []);
     t.deepEqual(sharedMessagesOf({ model: "m", prompt: "a" }), []);
 });
+
+test("a body is named by its content alone, unless it is empty or long", t => {
+    const [name] = sharedBodyOf(Buffer.from("{}"));
+    t.regex(name!, /^body:[\w-]{22}$/);
+    t.deepEqual(sharedBodyOf(Buffer.from("{}")), [name]);
+    t.notDeepEqual(sharedBodyOf(Buffer.from("{ }")), [name]);
+    for (const body of [undefined, Buffer.alloc(0), Buffer.alloc(300_000)]) t.deepEqual(sharedBodyOf(body), []);
+});
