A part is tried again soon where nothing without it was answered

In the first second of the run three engines ended one after the other before any had answered anything; the part of all prompts was convicted, no host had seen it answered, and it was to be tried again after a minute. Where no comparable request without the part was answered since its first ending, the endpoints may be the cause: a trial comes after 0.5 s, then 1.5, 4.5 s and so on, hosts apart by up to half a second.

--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -102,6 +102,12 @@
 const PART_QUARANTINE_MS = [60_000, 240_000] as const;
 /** A part that was answered recently was probably at the endings by chance: it is tried as soon as these are known everywhere. */
 const PROVEN_PART_QUARANTINE_MS = 250;
+/**
+ * How long a quarantine of a part lasts if nothing without it was answered since its first ending, so that the endpoints rather than the
+ * part may be the cause; it grows by the factor with each further ending.
+ */
+const UNCONTROLLED_PART_QUARANTINE_MS = 500;
+const UNCONTROLLED_PART_FACTOR = 3;
 /** Endings that no quarantine is based on are forgotten after this. Repeated endings came within seconds, at most within minutes. */
 const EVIDENCE_RETENTION_MS = 10 * 60_000;
 /** Endings that a quarantine is based on are forgotten after this, which ends the quarantine. */
@@ -151,6 +157,10 @@
     readonly software?: readonly string[] | undefined;
     /** Whether requests with a part were answered recently. */
     readonly isProven?: ((part: string) => boolean) | undefined;
+    /** Whether a request without the part was answered after a time. */
+    readonly isControlled?: ((part: string, since: number) => boolean) | undefined;
+    /** How much later than other hosts this host tries a part again, so that not all do at once. */
+    readonly trialDelayMs?: number | undefined;
 }
 
 /**
@@ -171,7 +181,7 @@
     if (suspects.length === 0) return FREE;
     const culprit = suspects.find(assessment =>
         assessment.isCulprit
-        && now < quarantinedUntil(assessment, context.isProven?.(assessment.fingerprint) ?? false)
+        && now < quarantinedUntil(assessment, context)
         && assessment.alternatives.every(part => request.parts.includes(part))
         && !mayRunOnOtherSoftware(assessment, context.software)
     );
@@ -215,11 +225,18 @@
 }
 
 /** Returns when a trial may decide again. */
-function quarantinedUntil({ kind, endings, lastAt }: Assessment, isProven: boolean): number {
-    const trials = endings.length - ENDINGS_TO_QUARANTINE;
-    if (kind === SuspectKind.Request) return lastAt + quarantineMs(trials);
-    if (isProven && trials === 0) return lastAt + PROVEN_PART_QUARANTINE_MS;
-    return lastAt + (PART_QUARANTINE_MS[trials] ?? quarantineMs(trials - PART_QUARANTINE_MS.length));
+function quarantinedUntil(assessment: Assessment, context: VerdictContext): number {
+    const { kind, endings, lastAt } = assessment;
+    if (kind === SuspectKind.Request) return lastAt + quarantineMs(endings.length - ENDINGS_TO_QUARANTINE);
+    return lastAt + partQuarantineMs(assessment, context) + (context.trialDelayMs ?? 0);
+}
+
+function partQuarantineMs({ fingerprint, endings }: Assessment, { isProven, isControlled }: VerdictContext): number {
+    const failedTrials = endings.length - ENDINGS_TO_QUARANTINE;
+    if (failedTrials === 0 && isProven?.(fingerprint)) return PROVEN_PART_QUARANTINE_MS;
+    const knownMs = PART_QUARANTINE_MS[failedTrials] ?? quarantineMs(failedTrials - PART_QUARANTINE_MS.length);
+    if (isControlled?.(fingerprint, endings[0]!.at) !== false) return knownMs;
+    return Math.min(knownMs, UNCONTROLLED_PART_QUARANTINE_MS * UNCONTROLLED_PART_FACTOR ** failedTrials);
 }
 
 /** How long a quarantine lasts, by the number of trials that have failed. */
--- a/packages/hall/test/quarantine.test.ts
+++ b/packages/hall/test/quarantine.test.ts
@@ -285,6 +285,18 @@
     t.is(kindWith({ ...known, now: known.now + 20 * 60 * MINUTE_MS }, [PART]), "quarantined");
 });
 
+test("a part is tried again within a second where nothing without it was answered, as the endpoints may be the cause", t => {
+    let known = after(...THREE_ENDINGS);
+    for (const ms of [500, 1_500, 4_500, 13_500]) {
+        const until = known.now + ms;
+        t.is(kindWith({ ...known, now: until - 1 }, [PART], { isControlled: () => false }), "quarantined");
+        t.is(kindWith({ ...known, now: until }, [PART], { isControlled: () => false }), "suspect");
+        t.is(kindWith({ ...known, now: until }, [PART], { isControlled: () => false, trialDelayMs: 1 }), "quarantined");
+        t.is(kindWith({ ...known, now: until }, [PART], { isControlled: () => true }), "quarantined");
+        known = then({ ...known, now: until }, endingOf(`after ${ms}`, [PART], { wasSuspect: true }));
+    }
+});
+
 test("a part that most requests hold is not blamed for the endings of three culprits", t => {
     const lives = ["e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"];
     const culprits = ["part:m:x", "part:m:y", "part:m:z"];
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -97,6 +97,9 @@
 /** For how long an answer shows that a part is sound, and for how many parts that is remembered. */
 const PROVEN_MS = 10_000;
 const MAX_PROVEN = 4_096;
+const MAX_RECENT_ANSWERS = 64;
+/** Hosts try a part again at different times, as each hears only some milliseconds later that another one does. */
+const MAX_TRIAL_DELAY_MS = 500;
 /** Refusals of one request are logged at most this often, so that repeated calls cannot flood the log. */
 const REFUSAL_LOG_MS = 1_000;
 
@@ -109,6 +112,8 @@
     private readonly completedAt = new Map<string, number>();
     /** The last answer to a request with a part, by part, the oldest first. */
     private readonly lastAnswers = new Map<string, PartAnswer>();
+    /** The last answers to requests with parts, oldest first. */
+    private readonly recentAnswers: { readonly at: number; readonly parts: readonly string[] }[] = [];
     private readonly refusalLoggedAt = new Map<string, number>();
     /** By incarnation and fingerprint, the oldest first. */
     private readonly crashedCalls = new Map<string, CrashedCall>();
@@ -148,7 +153,8 @@
         const first = crashed.find(sighting => sighting !== undefined);
         return {
             fingerprint,
-            quarantined: verdictOf(this.state, { fingerprint, parts: alternatives }, now).kind === "quarantined",
+            quarantined: verdictOf(this.state, { fingerprint, parts: alternatives }, now, this.partContext).kind
+                === "quarantined",
             alternatives,
             route: first?.route,
             workspace: first?.workspace,
@@ -170,8 +176,7 @@
      * ```
      */
     withhold(request: RequestIdentity, asked: VerdictContext = {}): Withheld | undefined {
-        const context = { ...asked, isProven: (part: string) => this.isProven(part) };
-        const verdict = verdictOf(this.state, request, this.deps.clock.now(), context);
+        const verdict = verdictOf(this.state, request, this.deps.clock.now(), { ...asked, ...this.partContext });
         const probedEndpoints = Math.max(...this.suspectNames(request).map(name => this.probedEndpoints(name)));
         // Count crashes that are still under investigation: otherwise the request reaches the next endpoint before they are confirmed.
         if (probedEndpoints > 0 && crashCountOf(verdict) + probedEndpoints >= ENDINGS_TO_QUARANTINE) {
@@ -184,6 +189,14 @@
         return new Set(this.unresolved.get(name)?.values()).size;
     }
 
+    /** What this host knows of parts, for verdicts. */
+    private readonly partContext: Pick<VerdictContext, "isProven" | "isControlled" | "trialDelayMs"> = {
+        isProven: part => this.isProven(part),
+        isControlled: (part, since) =>
+            this.recentAnswers.some(({ at, parts }) => at > since && isComparable(parts, part)),
+        trialDelayMs: MAX_TRIAL_DELAY_MS * Math.random(),
+    };
+
     /** Whether a request with a part was answered recently. */
     private isProven(part: string): boolean {
         return this.deps.clock.now() - (this.lastAnswers.get(part)?.at ?? -Infinity) < PROVEN_MS;
@@ -236,6 +249,8 @@
     /** Called when the answer of an attempt has begun: its endpoint has survived the parts of the prompt. */
     answerBegan({ parts }: RequestIdentity, attempt: string, software: string | undefined): void {
         const at = this.deps.clock.now();
+        if (parts.length > 0) this.recentAnswers.push({ at, parts });
+        if (this.recentAnswers.length > MAX_RECENT_ANSWERS) this.recentAnswers.shift();
         for (const part of parts) {
             this.lastAnswers.delete(part);
             this.lastAnswers.set(part, { at, software });
@@ -428,6 +443,12 @@
 
 const NO_SUSPECTS: ReadonlySet<string> = new Set();
 
+/** Whether a request has parts of the same kind, and for the same model, as one that it lacks. */
+function isComparable(parts: readonly string[], lacking: string): boolean {
+    const kind = lacking.slice(0, lacking.lastIndexOf(":") + 1);
+    return !parts.includes(lacking) && parts.some(part => part.startsWith(kind));
+}
+
 /** The parts of a run's prompt that may have crashed its endpoint. */
 function partsAtRisk({ parts, wasAnswering }: InterruptedRun): readonly string[] {
     return wasAnswering ? [] : parts;
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -147,6 +147,20 @@
     t.true(guard.isHeldAgainst(PART));
 });
 
+test("a part is tried again soon if nothing without it was answered, and later if something was", async t => {
+    const only = createGuard(t, { kind: "refused" });
+    const beside = createGuard(t, { kind: "refused" });
+    for (const id of ["e1", "e2", "e3"]) {
+        await Promise.all([only, beside].map(fixture => crashUnder(fixture, id, [PART])));
+    }
+    only.guard.answerBegan(requestOf("plain", "body:b"), "a1", undefined);
+    beside.guard.answerBegan(requestOf("other", BESIDE), "a1", undefined);
+    t.is(only.guard.withhold(requestOf("new", PART))?.code, "request_quarantined");
+    await new Promise(resolve => setTimeout(resolve, 1_100));
+    t.is(only.guard.withhold(requestOf("new", PART)), undefined);
+    t.is(beside.guard.withhold(requestOf("new", PART))?.code, "request_quarantined");
+});
+
 test("a suspected part runs at one endpoint at a time until an answer begins, and one that was answered recently at several", async t => {
     const fixture = createGuard(t, { kind: "refused" });
     const { guard } = fixture;
