Assessing endings costs less: alternatives are sought among repeated parts only, digests by what changed

With all 256 lives kept, 24 runs of four shared parts each, beside other work (load 16): a verdict takes 14 us, news of an ending 73 ms (96 before); with 20 lives 4.3 ms. The verdict's bound is the share of a core for control at 1,000 calls a second.

--- a/packages/hall/src/assessment.ts
+++ b/packages/hall/src/assessment.ts
@@ -59,6 +59,14 @@
     readonly parts: readonly EndingPart[];
 }
 
+/** A part that was involved in enough endings to be a culprit. */
+interface RepeatedPart {
+    readonly fingerprint: string;
+    readonly parts: readonly EndingPart[];
+    /** Names of the lives that ended. */
+    readonly lives: ReadonlySet<string>;
+}
+
 /** Assessments by fingerprint or name of a part. */
 export type Assessments = ReadonlyMap<string, Assessment>;
 
@@ -76,10 +84,14 @@
     const suspects = [...suspectsOf(ordered, SuspectKind.Request), ...suspectsOf(ordered, SuspectKind.Part)]
         .map(suspect => withoutMassEndings(suspect, simultaneous));
     const assessments = markCulprits(suspects.map(assessmentOf));
-    const partsByName = new Map(
-        suspects.filter(({ kind }) => kind === SuspectKind.Part).map(suspect => [suspect.fingerprint, suspect]),
-    );
-    return new Map(assessments.map(item => [item.fingerprint, withAlternatives(item, partsByName)]));
+    const repeatedParts = suspects.filter(({ kind, parts }) =>
+        kind === SuspectKind.Part && parts.length >= ENDINGS_TO_QUARANTINE
+    ).map(({ fingerprint, parts }): RepeatedPart => ({
+        fingerprint,
+        parts,
+        lives: new Set(parts.map(({ ending }) => ending.life)),
+    }));
+    return new Map(assessments.map(item => [item.fingerprint, withAlternatives(item, repeatedParts)]));
 }
 
 /** Returns the endings at about the same time as one of them, including it. */
@@ -117,6 +129,7 @@
     const { fingerprint, kind, parts } = suspect;
     const isMassEnding = ({ ending }: EndingPart): boolean => {
         const all = simultaneous.get(ending)!;
+        if (all.length === 1) return false;
         const without = all.filter(other => !other[kind].has(fingerprint)).length;
         return without > all.length - without;
     };
@@ -160,11 +173,11 @@
         || (a.fingerprint < b.fingerprint ? -1 : 1);
 }
 
-function withAlternatives(assessment: Assessment, parts: ReadonlyMap<string, Suspect>): Assessment {
+function withAlternatives(assessment: Assessment, repeatedParts: readonly RepeatedPart[]): Assessment {
     const { fingerprint, kind, isCulprit } = assessment;
     if (!isCulprit || kind !== SuspectKind.Part) return assessment;
-    const own = parts.get(fingerprint)!;
-    const alternatives = [...parts.values()].filter(other => other !== own && mayExplain(other, own))
+    const own = repeatedParts.find(part => part.fingerprint === fingerprint)!;
+    const alternatives = repeatedParts.filter(other => other !== own && mayExplain(other, own))
         .map(other => other.fingerprint);
     return { ...assessment, alternatives };
 }
@@ -173,9 +186,8 @@
  * Whether another part may be to blame for the endings of a culpable one. One ending may be left over that the culprit met by chance,
  * unless the culprit ran on trial there, where little else ran.
  */
-function mayExplain(other: Suspect, { parts }: Suspect): boolean {
-    if (other.parts.length < ENDINGS_TO_QUARANTINE) return false;
-    const lives = new Set(other.parts.map(({ ending }) => ending.life));
+function mayExplain({ lives }: RepeatedPart, { parts }: RepeatedPart): boolean {
+    if (lives.size <= parts.length - MIN_UNEXPLAINED_ENDINGS) return false;
     const leftOver = parts.filter(({ ending }) => !lives.has(ending.life));
     return leftOver.length < MIN_UNEXPLAINED_ENDINGS && leftOver.every(({ wasSuspect }) => !wasSuspect);
 }
--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -211,15 +211,37 @@
 const FNV_BASIS = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
-/** Returns a digest by which two hosts compare the endings that they know. It does not depend on order or times. */
-export function digestOfEndings(endings: Endings): number {
+/**
+ * Returns the digest by which two hosts compare the endings that they know. It does not depend on order or times.
+ *
+ * @param before The endings of which `digest` is the digest; only what differs from them is read.
+ *
+ * @example
+ * ```ts
+ * digestOfEndings(endings, new Map(), 0);
+ * ```
+ */
+export function digestOfEndings(endings: Endings, before: Endings, digest: number): number {
+    let next = digest;
+    for (const ending of endings.values()) {
+        const known = before.get(ending.life);
+        if (known === ending) continue;
+        next ^= digestOfEnding(ending) ^ (known ? digestOfEnding(known) : 0);
+    }
+    for (const ending of before.values()) {
+        if (!endings.has(ending.life)) next ^= digestOfEnding(ending);
+    }
+    return next >>> 0;
+}
+
+function digestOfEnding({ life, requests, parts }: Ending): number {
     let digest = 0;
-    for (const { life, requests, parts } of endings.values()) {
-        for (const [fingerprint, { wasSuspect, cleared }] of [...requests, ...parts]) {
+    for (const involved of [requests, parts]) {
+        for (const [fingerprint, { wasSuspect, cleared }] of involved) {
             digest ^= fnv1a(`${life}/${fingerprint}/${wasSuspect}/${cleared}`);
         }
     }
-    return digest >>> 0;
+    return digest;
 }
 
 function fnv1a(text: string): number {
--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -327,7 +327,12 @@
 }
 
 function withEndings(state: Quarantine, endings: Endings): Quarantine {
-    return { ...state, endings, assessments: assessSuspects(endings), digest: digestOfEndings(endings) };
+    return {
+        ...state,
+        endings,
+        assessments: assessSuspects(endings),
+        digest: digestOfEndings(endings, state.endings, state.digest),
+    };
 }
 
 /** Drops endings above {@link MAX_ENDINGS}: first those that no quarantine is based on, the oldest first. */
