A conviction that nothing speaks against the endpoints for is provisional, and its callers are asked to come back

Without a control, that is an answer to a comparable request without the part since its first ending, callers now get 503 with the time of the trial. Hosts tell each other of the control, as a host that has just started or is idle sees no answers: it would try a bad part again.

--- a/packages/hall/src/assessment.ts
+++ b/packages/hall/src/assessment.ts
@@ -28,6 +28,9 @@
 /** Endings within this time count as simultaneous. Hosts notice one ending a few milliseconds apart, and news takes as long. */
 export const SIMULTANEOUS_MS = 250;
 
+/** Names of parts of prompts start with this. Other parts, such as bodies, are not held by nearly all requests. */
+const PROMPT_PART = "part:";
+
 /** What the known endings say of a request, or of a part of prompts. */
 export interface Assessment {
     /** Fingerprint of the request, or name of the part. */
@@ -41,6 +44,8 @@
     readonly ranMs: number;
     /** Whether it is to be quarantined. */
     readonly isCulprit: boolean;
+    /** Whether a request without the part was answered since its first ending; true also where that is not asked for. */
+    readonly isControlled: boolean;
     /** Other parts that explain the endings of a culpable part as well. */
     readonly alternatives: readonly string[];
 }
@@ -50,6 +55,7 @@
     readonly ending: Ending;
     readonly ranMs: number;
     readonly wasSuspect: boolean;
+    readonly controlled: boolean;
 }
 
 /** A suspect with all endings that it was involved in and not cleared of. */
@@ -107,10 +113,10 @@
 function suspectsOf(ordered: readonly Ending[], kind: SuspectKind): readonly Suspect[] {
     const found = new Map<string, EndingPart[]>();
     for (const ending of ordered) {
-        for (const [fingerprint, { ranMs, wasSuspect, cleared }] of ending[kind]) {
+        for (const [fingerprint, { ranMs, wasSuspect, cleared, controlled = false }] of ending[kind]) {
             if (cleared) continue;
             const known = found.get(fingerprint);
-            const part = { ending, ranMs, wasSuspect };
+            const part = { ending, ranMs, wasSuspect, controlled };
             if (known) known.push(part);
             else found.set(fingerprint, [part]);
         }
@@ -150,6 +156,7 @@
         lastAt,
         ranMs: counted.reduce((most, { ranMs }) => Math.max(most, ranMs), 0),
         isCulprit: false,
+        isControlled: !fingerprint.startsWith(PROMPT_PART) || parts.some(({ controlled }) => controlled),
         alternatives: [],
     };
 }
--- a/packages/hall/src/endings.ts
+++ b/packages/hall/src/endings.ts
@@ -18,6 +18,8 @@
     readonly wasSuspect: boolean;
     /** Whether it was cleared since: it ran to completion, a request with the part was answered, or an operator lifted its quarantine. */
     readonly cleared: boolean;
+    /** Of a part that is a culprit: whether a request without it was answered since, so that not the endpoints are to blame. */
+    readonly controlled?: boolean | undefined;
 }
 
 /** The end of one life of an endpoint. */
@@ -140,11 +142,15 @@
         ranMs: Math.max(a.ranMs, b.ranMs),
         wasSuspect: a.wasSuspect || b.wasSuspect,
         cleared: a.cleared || b.cleared,
+        ...(a.controlled || b.controlled ? { controlled: true } : {}),
     };
 }
 
 function isSameInvolvement(a: Involvement, b: Involvement): boolean {
-    return a.ranMs === b.ranMs && a.wasSuspect === b.wasSuspect && a.cleared === b.cleared;
+    return a.ranMs === b.ranMs
+        && a.wasSuspect === b.wasSuspect
+        && a.cleared === b.cleared
+        && a.controlled === b.controlled;
 }
 
 function dropLongestRunning(
@@ -237,8 +243,8 @@
 function digestOfEnding({ life, requests, parts }: Ending): number {
     let digest = 0;
     for (const involved of [requests, parts]) {
-        for (const [fingerprint, { wasSuspect, cleared }] of involved) {
-            digest ^= fnv1a(`${life}/${fingerprint}/${wasSuspect}/${cleared}`);
+        for (const [fingerprint, { wasSuspect, cleared, controlled }] of involved) {
+            digest ^= fnv1a(`${life}/${fingerprint}/${wasSuspect}/${cleared}${controlled ? "/controlled" : ""}`);
         }
     }
     return digest;
--- a/packages/hall/src/quarantine.ts
+++ b/packages/hall/src/quarantine.ts
@@ -70,6 +70,8 @@
     readonly trials: ReadonlyMap<string, Trial>;
     /** Derived from the endings. */
     readonly assessments: Assessments;
+    /** Culpable parts for which no request without them was answered since. */
+    readonly uncontrolled: readonly Assessment[];
     /** Digest of the endings. */
     readonly digest: number;
 }
@@ -85,6 +87,7 @@
     endings: new Map(),
     trials: new Map(),
     assessments: new Map(),
+    uncontrolled: [],
     digest: 0,
 };
 
@@ -133,7 +136,7 @@
     | { readonly kind: "free" }
     /** It was involved in endings. It may begin at an endpoint with little load. */
     | { readonly kind: "suspect"; readonly endings: number }
-    /** It is a suspect that is running elsewhere. It may begin after `trialEndsInMs` at the latest. */
+    /** It is a suspect that is running elsewhere, or is about to be tried. It may begin after `trialEndsInMs` at the latest. */
     | { readonly kind: "onTrial"; readonly trialEndsInMs: number }
     /**
      * It may not begin, because of the request itself or of the part `by`. For another `evidencePendingMs`, observations of its last
@@ -157,8 +160,6 @@
     readonly software?: readonly string[] | undefined;
     /** Whether requests with a part were answered recently. */
     readonly isProven?: ((part: string) => boolean) | undefined;
-    /** Whether a request without the part was answered after a time. */
-    readonly isControlled?: ((part: string, since: number) => boolean) | undefined;
     /** How much later than other hosts this host tries a part again, so that not all do at once. */
     readonly trialDelayMs?: number | undefined;
 }
@@ -179,27 +180,30 @@
 ): Verdict {
     const suspects = suspectsIn(state, request, context.isProven);
     if (suspects.length === 0) return FREE;
-    const culprit = suspects.find(assessment =>
+    const culprits = suspects.filter(assessment =>
         assessment.isCulprit
-        && now < quarantinedUntil(assessment, context)
         && assessment.alternatives.every(part => request.parts.includes(part))
         && !mayRunOnOtherSoftware(assessment, context.software)
     );
-    if (culprit) {
-        return {
-            kind: "quarantined",
-            by: culprit.fingerprint,
-            suspectKind: culprit.kind,
-            endings: culprit.endings.length,
-            evidencePendingMs: Math.max(0, culprit.lastAt + ENDING_SPREAD_MS - now),
-        };
-    }
+    const quarantines = culprits.map(culprit => ({ culprit, ...quarantineOf(culprit, context) }));
+    const certain = quarantines.find(({ until, isProvisional }) => now < until && !isProvisional);
+    if (certain) return quarantined(certain.culprit, now);
     const trialsEndInMs = suspects.map(({ fingerprint }) => remainingTrialMs(state, fingerprint, now, context.attempt));
-    const trialEndsInMs = Math.max(...trialsEndInMs);
+    const trialEndsInMs = Math.max(...trialsEndInMs, ...quarantines.map(({ until }) => until - now));
     if (trialEndsInMs > 0) return { kind: "onTrial", trialEndsInMs };
     return { kind: "suspect", endings: Math.max(...suspects.map(({ endings }) => endings.length)) };
 }
 
+function quarantined({ fingerprint, kind, endings, lastAt }: Assessment, now: number): Verdict {
+    return {
+        kind: "quarantined",
+        by: fingerprint,
+        suspectKind: kind,
+        endings: endings.length,
+        evidencePendingMs: Math.max(0, lastAt + ENDING_SPREAD_MS - now),
+    };
+}
+
 /** Returns the assessments that concern a request, without those of proven parts that are no culprits. */
 function suspectsIn(
     { assessments }: Quarantine,
@@ -224,19 +228,26 @@
     return endings.length <= ENDINGS_TO_QUARANTINE && ended.size > 0 && versions.some(version => !ended.has(version));
 }
 
-/** Returns when a trial may decide again. */
-function quarantinedUntil(assessment: Assessment, context: VerdictContext): number {
-    const { kind, endings, lastAt } = assessment;
-    if (kind === SuspectKind.Request) return lastAt + quarantineMs(endings.length - ENDINGS_TO_QUARANTINE);
-    return lastAt + partQuarantineMs(assessment, context) + (context.trialDelayMs ?? 0);
+/** A quarantine, until a trial may decide again. */
+interface QuarantinePeriod {
+    readonly until: number;
+    /** Whether the suspect is a part that may well be sound, so that callers may come back for the trial. */
+    readonly isProvisional: boolean;
 }
 
-function partQuarantineMs({ fingerprint, endings }: Assessment, { isProven, isControlled }: VerdictContext): number {
+function quarantineOf(assessment: Assessment, context: VerdictContext): QuarantinePeriod {
+    const { kind, fingerprint, endings, lastAt, isControlled } = assessment;
     const failedTrials = endings.length - ENDINGS_TO_QUARANTINE;
-    if (failedTrials === 0 && isProven?.(fingerprint)) return PROVEN_PART_QUARANTINE_MS;
+    if (kind === SuspectKind.Request) return { until: lastAt + quarantineMs(failedTrials), isProvisional: false };
+    const { isProven, trialDelayMs = 0 } = context;
+    const from = lastAt + trialDelayMs;
+    if (failedTrials === 0 && isProven?.(fingerprint)) {
+        return { until: from + PROVEN_PART_QUARANTINE_MS, isProvisional: true };
+    }
     const knownMs = PART_QUARANTINE_MS[failedTrials] ?? quarantineMs(failedTrials - PART_QUARANTINE_MS.length);
-    if (isControlled?.(fingerprint, endings[0]!.at) !== false) return knownMs;
-    return Math.min(knownMs, UNCONTROLLED_PART_QUARANTINE_MS * UNCONTROLLED_PART_FACTOR ** failedTrials);
+    const shortMs = UNCONTROLLED_PART_QUARANTINE_MS * UNCONTROLLED_PART_FACTOR ** failedTrials;
+    const isProvisional = !isControlled && shortMs < knownMs;
+    return { until: from + (isProvisional ? shortMs : knownMs), isProvisional };
 }
 
 /** How long a quarantine lasts, by the number of trials that have failed. */
@@ -293,6 +304,37 @@
     return mergeNews(state, { endings: clearingNews(state.endings, part, now, software), trials: [] }, now);
 }
 
+/** An answer to a request with some parts, and when it began. */
+export interface PartAnswer {
+    readonly at: number;
+    readonly parts: readonly string[];
+}
+
+/**
+ * Marks the culpable parts that an answer controls: one to a request with parts of the same kind, but without these.
+ *
+ * @example
+ * ```ts
+ * controlParts(quarantine, { at: now, parts: ["part:m:other"] }, now).news; // marks "part:m:bad", if that is a culprit
+ * ```
+ */
+export function controlParts(state: Quarantine, { at, parts }: PartAnswer, now: number): QuarantineStep {
+    const endings = state.uncontrolled
+        .filter(({ fingerprint, endings }) => at > endings[0]!.at && isComparable(parts, fingerprint))
+        .map(({ fingerprint, endings }): EndingNews => {
+            const { life, at: endedAt, software, parts } = endings.at(-1)!;
+            const involved = { fingerprint, ...parts.get(fingerprint)!, controlled: true };
+            return { life, agoMs: now - endedAt, software, requests: [], parts: [involved] };
+        });
+    return endings.length === 0 ? { state, news: undefined } : mergeNews(state, { endings, trials: [] }, now);
+}
+
+/** Whether a request has parts of the same kind as one that it lacks: their names are equal up to the last colon. */
+function isComparable(parts: readonly string[], lacking: string): boolean {
+    const kind = lacking.slice(0, lacking.lastIndexOf(":") + 1);
+    return !parts.includes(lacking) && parts.some(part => part.startsWith(kind));
+}
+
 /** Returns all known endings, for a host that starts or whose digest differs. Trials are left out: most are over before they could be sent again. */
 export function allEndingNews({ endings }: Quarantine, now: number): QuarantineNews {
     return { endings: [...endings.values()].map(ending => newsOfEnding(ending, now)), trials: [] };
@@ -327,12 +369,12 @@
 }
 
 function withEndings(state: Quarantine, endings: Endings): Quarantine {
-    return {
-        ...state,
-        endings,
-        assessments: assessSuspects(endings),
-        digest: digestOfEndings(endings, state.endings, state.digest),
-    };
+    const assessments = assessSuspects(endings);
+    const uncontrolled = [...assessments.values()].filter(({ kind, isCulprit, isControlled }) =>
+        kind === SuspectKind.Part && isCulprit && !isControlled
+    );
+    const digest = digestOfEndings(endings, state.endings, state.digest);
+    return { ...state, endings, assessments, uncontrolled, digest };
 }
 
 /** Drops endings above {@link MAX_ENDINGS}: first those that no quarantine is based on, the oldest first. */
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -9,6 +9,7 @@
     type Assessment,
     clearPart,
     clearRequest,
+    controlParts,
     dropExpired,
     EMPTY_QUARANTINE,
     ENDING_SPREAD_MS,
@@ -17,6 +18,7 @@
     isSuspect,
     mergeNews,
     nameOfEndedLife,
+    type PartAnswer,
     type Quarantine,
     type QuarantineNews,
     type QuarantineStep,
@@ -84,7 +86,7 @@
 /** Calls kept for operators' listings, by crash and suspect: enough for a day of crashes. */
 const MAX_CALLS = 4_096;
 /** When a request with a part was last answered, and by which software. */
-interface PartAnswer {
+interface LastAnswer {
     readonly at: number;
     readonly software: string | undefined;
 }
@@ -111,9 +113,9 @@
     /** When requests last completed, by fingerprint, the oldest first. */
     private readonly completedAt = new Map<string, number>();
     /** The last answer to a request with a part, by part, the oldest first. */
-    private readonly lastAnswers = new Map<string, PartAnswer>();
+    private readonly lastAnswers = new Map<string, LastAnswer>();
     /** The last answers to requests with parts, oldest first. */
-    private readonly recentAnswers: { readonly at: number; readonly parts: readonly string[] }[] = [];
+    private readonly recentAnswers: PartAnswer[] = [];
     private readonly refusalLoggedAt = new Map<string, number>();
     /** By incarnation and fingerprint, the oldest first. */
     private readonly crashedCalls = new Map<string, CrashedCall>();
@@ -190,10 +192,8 @@
     }
 
     /** What this host knows of parts, for verdicts. */
-    private readonly partContext: Pick<VerdictContext, "isProven" | "isControlled" | "trialDelayMs"> = {
+    private readonly partContext: Pick<VerdictContext, "isProven" | "trialDelayMs"> = {
         isProven: part => this.isProven(part),
-        isControlled: (part, since) =>
-            this.recentAnswers.some(({ at, parts }) => at > since && isComparable(parts, part)),
         trialDelayMs: MAX_TRIAL_DELAY_MS * Math.random(),
     };
 
@@ -249,8 +249,7 @@
     /** Called when the answer of an attempt has begun: its endpoint has survived the parts of the prompt. */
     answerBegan({ parts }: RequestIdentity, attempt: string, software: string | undefined): void {
         const at = this.deps.clock.now();
-        if (parts.length > 0) this.recentAnswers.push({ at, parts });
-        if (this.recentAnswers.length > MAX_RECENT_ANSWERS) this.recentAnswers.shift();
+        if (parts.length > 0) this.rememberAnswer({ at, parts });
         for (const part of parts) {
             this.lastAnswers.delete(part);
             this.lastAnswers.set(part, { at, software });
@@ -260,6 +259,17 @@
         this.endTrials(attempt, name => parts.includes(name));
     }
 
+    private rememberAnswer(answer: PartAnswer): void {
+        this.recentAnswers.push(answer);
+        if (this.recentAnswers.length > MAX_RECENT_ANSWERS) this.recentAnswers.shift();
+        this.applyControl(answer);
+    }
+
+    /** Records that an answer shows that the endpoints are sound, where parts are held to blame. */
+    private applyControl(answer: PartAnswer): void {
+        if (this.state.uncontrolled.length > 0) this.applyStep(controlParts(this.state, answer, this.deps.clock.now()));
+    }
+
     private clearAnsweredPart(part: string, software: string | undefined): void {
         const charge = this.state.assessments.get(part);
         if (charge?.isCulprit) {
@@ -408,6 +418,7 @@
             [...state.assessments.values()].filter(({ isCulprit }) => isCulprit).length,
         );
         this.deps.share(news);
+        if (state.uncontrolled.length > 0) { for (const answer of this.recentAnswers) this.applyControl(answer); }
     }
 
     private logQuarantine({ fingerprint, endings }: Assessment): void {
@@ -443,12 +454,6 @@
 
 const NO_SUSPECTS: ReadonlySet<string> = new Set();
 
-/** Whether a request has parts of the same kind, and for the same model, as one that it lacks. */
-function isComparable(parts: readonly string[], lacking: string): boolean {
-    const kind = lacking.slice(0, lacking.lastIndexOf(":") + 1);
-    return !parts.includes(lacking) && parts.some(part => part.startsWith(kind));
-}
-
 /** The parts of a run's prompt that may have crashed its endpoint. */
 function partsAtRisk({ parts, wasAnswering }: InterruptedRun): readonly string[] {
     return wasAnswering ? [] : parts;
--- a/packages/host/src/peers/peer-messages.ts
+++ b/packages/host/src/peers/peer-messages.ts
@@ -87,6 +87,7 @@
     ranMs: Age,
     wasSuspect: Type.Boolean(),
     cleared: Type.Boolean(),
+    controlled: Type.Optional(Type.Boolean()),
 });
 const CrashShape = Type.Object({
     life: Name,
--- a/packages/standins/src/quarantine-model.ts
+++ b/packages/standins/src/quarantine-model.ts
@@ -9,6 +9,7 @@
     allEndingNews,
     clearPart,
     clearRequest,
+    controlParts,
     EMPTY_QUARANTINE,
     isSuspect,
     mergeNews,
@@ -125,6 +126,8 @@
 const CONTACT_MS = 3_000;
 /** How long an answer shows that a part is sound. */
 const PROVEN_MS = 10_000;
+/** Hosts try a part again at different times. */
+const MAX_TRIAL_DELAY_MS = 500;
 
 interface Run {
     readonly fingerprint: string;
@@ -161,6 +164,7 @@
 interface Host {
     state: Quarantine;
     readonly answeredAt: Map<string, number>;
+    readonly trialDelayMs: number;
 }
 
 interface TimedEvent {
@@ -199,7 +203,11 @@
 
     constructor(private readonly day: QuarantineDayCfg) {
         this.random = xoroshiro128plus(day.seed);
-        this.hosts = Array.from({ length: day.hosts }, () => ({ state: EMPTY_QUARANTINE, answeredAt: new Map() }));
+        this.hosts = Array.from({ length: day.hosts }, () => ({
+            state: EMPTY_QUARANTINE,
+            answeredAt: new Map(),
+            trialDelayMs: this.uniform(0, MAX_TRIAL_DELAY_MS),
+        }));
         this.endpoints = Array.from({ length: day.endpoints }, () => this.newEndpoint());
     }
 
@@ -300,6 +308,7 @@
         const parts = this.judgedParts(request.parts);
         const verdict = verdictOf(host.state, { fingerprint, parts }, this.now, {
             isProven: part => this.isProven(host, part),
+            trialDelayMs: host.trialDelayMs,
         });
         if (this.day.isQuarantineOn && verdict.kind === "quarantined") {
             if (verdict.evidencePendingMs > 0) {
@@ -373,6 +382,7 @@
             host.answeredAt.set(part, this.now);
             if (isSuspect(host.state, part)) this.applyStep(host, clearPart(host.state, part, undefined, this.now));
         }
+        this.applyStep(host, controlParts(host.state, { at: this.now, parts }, this.now));
         this.recordTrials(run, parts.filter(part => run.suspects.has(part)), true);
     }
 
