--- a/packages/standins/src/endpoint-mutations.ts
+++ b/packages/standins/src/endpoint-mutations.ts
@@ -19,6 +19,7 @@
 const REST_POLICY = "packages/policy/test/rest.test.ts";
 const LEAVING = "platform/test/endpoint-leaving.test.ts";
 const LIMIT_SOURCE = "packages/policy/src/endpoint-limit.ts";
+const LOANS = "packages/policy/test/limit-loans.test.ts";
 const LIMIT = "packages/policy/test/endpoint-limit.test.ts";
 const LIMIT_FLEET = "packages/hall/test/limit.test.ts";
 const LIMITS = "platform/test/endpoint-limits.test.ts";
@@ -140,6 +141,34 @@
         replace: "void [maxHosts, notices];",
         tests: [LIMITS],
     },
+    {
+        promise: "limits: a host to which most callers come borrows shares",
+        file: "packages/policy/src/limit-demand.ts",
+        find: "return { ...state, refusedForLimits: new Map(state.refusedForLimits).set(model, [...recent, now]) };",
+        replace: "return recent.length < 0 ? state : { ...state };",
+        tests: [LOANS],
+    },
+    {
+        promise: "limits: a lender gives up what it lends",
+        file: "packages/policy/src/endpoint-limit.ts",
+        find: "const balance = loanedCount(borrowed, perS, now) - loanedCount(lent, perS, now);",
+        replace: "const balance = loanedCount(borrowed, perS, now) - 0 * lent.length;",
+        tests: [LOANS],
+    },
+    {
+        promise: "limits: a host lends only what it does not use",
+        file: "packages/policy/src/limit-demand.ts",
+        find: "return Math.max(0, Math.floor(share - Math.max(used, projected) - reserve));",
+        replace: "return Math.max(0, Math.floor(share - 0 * Math.max(used, projected, reserve)));",
+        tests: [LOANS],
+    },
+    {
+        promise: "limits: what a restarted lender had lent is no longer used",
+        file: "packages/policy/src/limit-loans.ts",
+        find: "borrowed: borrowed.filter(({ id }) => !isEnded(id))",
+        replace: "borrowed: borrowed.filter(({ id }) => id !== String(isEnded))",
+        tests: [LOANS],
+    },
     {
         promise: "limits: a stream goes on at its copy within them",
         file: "packages/policy/src/scheduler.ts",
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -33,6 +33,7 @@
 const QUARANTINE = "packages/hall/test/quarantine.test.ts";
 const VERDICT = "packages/hall/src/assessment.ts";
 const GUARD = "packages/host/src/endpoints/request-guard.ts";
+const GUARD_TEST = "packages/host/test/request-guard.test.ts";
 const JUDGE = "packages/host/src/calls/judge-answer.ts";
 const DECLARE = "packages/host/src/endpoints/declare-endpoints.ts";
 const STEP = "packages/request/src/step.ts";
@@ -379,8 +380,8 @@
     {
         promise: "quarantine: nobody is to blame where a rack fails",
         file: VERDICT,
-        find: "if (isMassEnding(fingerprint, part.ending, ordered)) continue;",
-        replace: "",
+        find: "parts: parts.filter(part => !isMassEnding(part)) };",
+        replace: "parts: parts.filter(part => isMassEnding(part) !== undefined) };",
         tests: [QUARANTINE],
     },
     {
@@ -404,6 +405,70 @@
         replace: "",
         tests: [QUARANTINE],
     },
+    {
+        promise: "quarantine: a part that crashes endpoints is withheld in any request",
+        file: "packages/host/src/calls/fingerprint.ts",
+        find: "return partNames(generation.model, generation.parts, ({ id }) => id.toLowerCase());",
+        replace: "return [];",
+        tests: ["packages/host/test/fingerprint.test.ts"],
+    },
+    {
+        promise: "quarantine: a body that crashes endpoints is withheld under any path",
+        file: "packages/host/src/calls/fingerprint.ts",
+        find: "if (!body || body.length === 0 || body.length > MAX_NAMED_BODY_BYTES) return [];",
+        replace: "if (body !== null) return [];",
+        tests: ["packages/host/test/fingerprint.test.ts"],
+    },
+    {
+        promise: "quarantine: an answer clears the parts of its request",
+        file: GUARD,
+        find: "if (isSuspect(this.state, part)) this.clearAnsweredPart(part, software);",
+        replace: "",
+        tests: [GUARD_TEST],
+    },
+    {
+        promise: "quarantine: parts of requests that were being answered are not suspected",
+        file: GUARD,
+        find: "return wasAnswering ? [] : parts;",
+        replace: "return wasAnswering === undefined ? [] : parts;",
+        tests: [GUARD_TEST],
+    },
+    {
+        promise: "quarantine: a part that was answered recently is not held back to one run at a time",
+        file: GUARD,
+        find: "return [fingerprint, ...parts.filter(part => !this.isProven(part))];",
+        replace: "return [fingerprint, ...parts];",
+        tests: [GUARD_TEST],
+    },
+    {
+        promise: "quarantine: of parts that always come together, one may be tried alone",
+        file: "packages/hall/src/quarantine.ts",
+        find: "&& assessment.alternatives.every(part => request.parts.includes(part))",
+        replace: "",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: an answer by other software clears no part",
+        file: "packages/hall/src/endings.ts",
+        find: "if (software !== undefined && ending.software !== undefined && ending.software !== software) continue;",
+        replace: "",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: a part is certain to be withheld only if others like it were answered",
+        file: "packages/hall/src/quarantine.ts",
+        find: "const isProvisional = !isControlled && shortMs < knownMs;",
+        replace: "const isProvisional = isControlled === undefined;",
+        tests: [QUARANTINE],
+    },
+    {
+        promise: "quarantine: hosts tell each other what controls a part",
+        file: GUARD,
+        find:
+            "if (this.state.uncontrolled.length > 0) this.applyStep(controlParts(this.state, answer, this.deps.clock.now()));",
+        replace: "void answer;",
+        tests: [GUARD_TEST],
+    },
     {
         promise: "quarantine: drawn bodies push none out",
         file: "packages/hall/src/quarantine.ts",
--- a/packages/standins/src/quarantine-model.ts
+++ b/packages/standins/src/quarantine-model.ts
@@ -215,7 +215,7 @@
         const { seconds, fatalRequests, badParts, crashes, rackFailures } = this.day;
         const end = seconds * 1_000;
         for (let i = 0; i < fatalRequests; i++) this.scheduleFatalRequest(`guilty-${i}`);
-        for (let i = 0; i < badParts; i++) this.scheduleBadPart(`bad-${i}`, 0);
+        for (let i = 0; i < badParts; i++) this.scheduleBadPart(`part:m:bad-${i}`, 0);
         for (let i = 0; i < crashes; i++) this.schedule(this.uniform(0, end), () => this.crashUpTo(1));
         for (let i = 0; i < rackFailures; i++) this.schedule(this.uniform(0, end), () => this.crashUpTo(RACK_SIZE));
         this.handleHarmlessArrival();
@@ -273,7 +273,7 @@
     /** Draws the parts of a stream: a first one that many share, and one whose popularity follows a skewed law. */
     private drawParts(): readonly string[] {
         const middle = Math.floor(MIDDLE_PARTS * uniformFloat64(this.random) ** SKEW);
-        return [`first-${Math.floor(this.uniform(0, FIRST_PARTS))}`, `middle-${middle}`];
+        return [`part:m:first-${Math.floor(this.uniform(0, FIRST_PARTS))}`, `part:m:middle-${middle}`];
     }
 
     private scheduleFatalRequest(fingerprint: string): void {
@@ -286,7 +286,7 @@
     private scheduleBadPart(badPart: string, sent: number): void {
         this.schedule(this.exponential(MEAN_BAD_PART_GAP_MS), () => {
             const [first, middle] = this.drawParts();
-            const companion = this.day.hasCompanions ? `middle-${Number(badPart.split("-")[1])}` : middle!;
+            const companion = this.day.hasCompanions ? `part:m:middle-${Number(badPart.split("-")[1])}` : middle!;
             const parts = [first!, badPart, companion];
             const fingerprint = `${badPart}-${sent}`;
             const host = this.pick(this.hosts);
