--- a/packages/policy/src/endpoint-limit.ts
+++ b/packages/policy/src/endpoint-limit.ts
@@ -100,7 +100,7 @@
     const learntMs = hearsMajority(fleet) ? FLEET_LEARN_MS : MINORITY_LEARN_MS;
     if (since === undefined || now - since < learntMs) return 0;
     const { maxRequests } = quotaOf(perS);
-    const each = maxRequests;
+    const each = Math.floor(maxRequests / hosts);
     return hearsMajority(fleet) && placeAtEndpoint(endpoint, fleet) < maxRequests % hosts ? each + 1 : each;
 }
 
