A part that was answered until it crashed three endpoints is tried at one endpoint at a time

Found by reading: while such a part counted as answered recently its requests were not recorded as trials, so that all of them would have run at once when its quarantine was over. The new test failed before.

--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -202,9 +202,10 @@
         return this.deps.clock.now() - (this.lastAnswers.get(part)?.at ?? -Infinity) < PROVEN_MS;
     }
 
-    /** The names under which a request may be a suspect: its fingerprint, and its parts that are not proven. */
+    /** The names under which a request may be a suspect: its fingerprint, and its parts that are not proven, or that are culprits. */
     private suspectNames({ fingerprint, parts }: RequestIdentity): readonly string[] {
-        return [fingerprint, ...parts.filter(part => !this.isProven(part))];
+        const isCulprit = (part: string): boolean => this.state.assessments.get(part)?.isCulprit === true;
+        return [fingerprint, ...parts.filter(part => !this.isProven(part) || isCulprit(part))];
     }
 
     /**
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -163,6 +163,18 @@
     t.is(beside.guard.withhold(requestOf("new", PART))?.code, "request_quarantined");
 });
 
+test("a part that was answered until it crashed three endpoints is tried at one endpoint at a time", async t => {
+    const fixture = createGuard(t, { kind: "refused" });
+    const { guard } = fixture;
+    guard.answerBegan(requestOf("before", PART), "a0", undefined);
+    for (const id of ["e1", "e2", "e3"]) await crashUnder(fixture, id, [PART]);
+    t.is(guard.withhold(requestOf("r1", PART))?.code, "request_on_trial");
+    await new Promise(resolve => setTimeout(resolve, 800));
+    t.is(guard.withhold(requestOf("r1", PART)), undefined);
+    t.deepEqual([...guard.attemptStarted(requestOf("r1", PART), "a1")], [PART]);
+    t.is(guard.withhold(requestOf("r2", PART))?.code, "request_on_trial");
+});
+
 test("a suspected part runs at one endpoint at a time until an answer begins, and one that was answered recently at several", async t => {
     const fixture = createGuard(t, { kind: "refused" });
     const { guard } = fixture;
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -436,8 +436,8 @@
     {
         promise: "quarantine: a part that was answered recently is not held back to one run at a time",
         file: GUARD,
-        find: "return [fingerprint, ...parts.filter(part => !this.isProven(part))];",
-        replace: "return [fingerprint, ...parts];",
+        find: "return [fingerprint, ...parts.filter(part => !this.isProven(part) || isCulprit(part))];",
+        replace: "return [fingerprint, ...parts.filter(part => part !== fingerprint || isCulprit(part))];",
         tests: [GUARD_TEST],
     },
     {
