--- a/packages/hall/src/assessment.ts
+++ b/packages/hall/src/assessment.ts
@@ -9,8 +9,9 @@
  * derives times from the age of the news, so only times that lie far apart are compared.
  *
  * A part that many requests share may be at every ending, whatever its cause. It differs from a culprit in that requests with it are
- * answered meanwhile, which clears it, and in that one of the requests with it had usually run for longer. Two parts that always come together cannot be told apart by endings: the culprit then names the
- * others as its alternatives, and a request with only some of them may be tried.
+ * answered meanwhile, which clears it, and in that one of the requests with it had usually run for longer. Two parts that always come
+ * together cannot be told apart by endings: the culprit then names the others as its alternatives, and a request with only some of them
+ * may be tried.
  *
  * All functions are pure: two hosts that know the same endings reach the same result. Times are in milliseconds.
  *
--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -1,6 +1,7 @@
 /**
- * Withholds requests that crash the endpoints that run them, by their content or by a part of their prompts. The guard records interrupted attempts of this host, answers before
- * each attempt whether it may start, and shares its findings with the peers. The rules stand in `quarantine` of the package `hall`.
+ * Withholds requests that crash the endpoints that run them, by their content or by a part that they share. The guard records
+ * interrupted attempts of this host, answers before each attempt whether it may start, and shares its findings with the peers. The
+ * rules stand in `quarantine` of the package `hall`.
  *
  * @module
  */
