Crashes of one part and probes for another no longer add up to a provisional refusal

Found by reading: the count of endings came from any suspect of a request, that of endpoints under investigation from any other. The new test failed before.

--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -84,14 +84,14 @@
 /** A call of this host that ran at an endpoint when the endpoint crashed. */
 type CrashedCall = Pick<InterruptedRun, "req" | "route" | "workspace">;
 
-/** Calls kept for operators' listings, by crash and suspect: enough for a day of crashes. */
-const MAX_CALLS = 4_096;
 /** When a request with a part was last answered, and by which software. */
 interface LastAnswer {
     readonly at: number;
     readonly software: string | undefined;
 }
 
+/** Calls kept for operators' listings, by crash and suspect: enough for a day of crashes. */
+const MAX_CALLS = 4_096;
 /** Interval at which expired state is dropped. */
 const FORGET_EVERY_MS = 10_000;
 /** How long completed requests are remembered, and how many: news of a crash arrives at most a few seconds late. */
@@ -180,16 +180,20 @@
      */
     withhold(request: RequestIdentity, asked: VerdictContext = {}): Withheld | undefined {
         const verdict = verdictOf(this.state, request, this.deps.clock.now(), { ...asked, ...this.partContext });
-        const probedEndpoints = Math.max(...this.suspectNames(request).map(name => this.probedEndpoints(name)));
-        // Count crashes that are still under investigation: otherwise the request reaches the next endpoint before they are confirmed.
-        if (probedEndpoints > 0 && crashCountOf(verdict) + probedEndpoints >= ENDINGS_TO_QUARANTINE) {
-            return withheldAsRequest(request.fingerprint, ENDINGS_TO_QUARANTINE, ENDING_SPREAD_MS);
-        }
+        const isPending = verdict.kind !== "onTrial"
+            && this.suspectNames(request).some(name => this.mayBeCulprit(name));
+        if (isPending) return withheldAsRequest(request.fingerprint, ENDINGS_TO_QUARANTINE, ENDING_SPREAD_MS);
         return WITHHELD_BY_VERDICT[verdict.kind](verdict as never);
     }
 
-    private probedEndpoints(name: string): number {
-        return new Set(this.unresolved.get(name)?.values()).size;
+    /**
+     * Whether crashes that are still under investigation may make a suspect a culprit. If these did not count, its requests would reach
+     * the next endpoint before they are confirmed.
+     */
+    private mayBeCulprit(name: string): boolean {
+        const probedEndpoints = new Set(this.unresolved.get(name)?.values()).size;
+        const crashes = this.state.assessments.get(name)?.endings.length ?? 0;
+        return probedEndpoints > 0 && crashes + probedEndpoints >= ENDINGS_TO_QUARANTINE;
     }
 
     /** What this host knows of parts, for verdicts. */
@@ -450,10 +454,6 @@
     }
 }
 
-function crashCountOf(verdict: Verdict): number {
-    return "endings" in verdict ? verdict.endings : 0;
-}
-
 const NO_SUSPECTS: ReadonlySet<string> = new Set();
 
 /** The parts of a run's prompt that may have crashed its endpoint. */
--- a/packages/host/test/request-guard.test.ts
+++ b/packages/host/test/request-guard.test.ts
@@ -149,6 +149,18 @@
     t.true(guard.isHeldAgainst(PART));
 });
 
+test("crashes of one part and crashes under investigation of another do not add up", async t => {
+    const crashed = createGuard(t, { kind: "refused" });
+    for (const id of ["e1", "e2"]) await crashUnder(crashed, id, [PART]);
+    crashed.interrupt("another request", "e3", { parts: [BESIDE] });
+    t.is(crashed.guard.withhold(requestOf("new", PART, BESIDE)), undefined);
+    crashed.interrupt("one more request", "e4", { parts: [PART] });
+    t.like(crashed.guard.withhold(requestOf("new", PART, BESIDE)), {
+        code: "request_quarantined",
+        evidencePendingMs: 50,
+    });
+});
+
 test("a part is tried again soon if nothing without it was answered, and later if something was", async t => {
     const only = createGuard(t, { kind: "refused" });
     const beside = createGuard(t, { kind: "refused" });
