--- a/packages/host/src/peers/limit-lending.ts
+++ b/packages/host/src/peers/limit-lending.ts
@@ -40,6 +40,8 @@
 /** Loans are logged at most this often. */
 const LOG_INTERVAL_MS = 1_000;
 
+const NOTHING_MOVED = { asked: 0, borrowed: 0, lent: 0, returned: 0 };
+
 /** Asks, lends and returns for this host. */
 export class LimitLending {
     private questions = 0;
@@ -48,7 +50,9 @@
     private readonly startedAt: number;
     /** Peers that were told that this host has started. */
     private readonly told = new Set<string>();
-    private readonly borrowed = { count: 0, loggedAt: -Infinity };
+    /** Requests within the limits' spans that were asked for, borrowed, lent and returned since the last log line. */
+    private moved = NOTHING_MOVED;
+    private loggedAt = -Infinity;
 
     constructor(private readonly deps: LimitLendingDeps) {
         this.startedAt = deps.clock.now();
@@ -64,7 +68,7 @@
         this.returnUnused();
         const wants = this.deps.placements.flatMap(placement => placement.limitShortfalls()).slice(0, MAX_ITEMS);
         if (wants.length > 0) this.ask(wants, now);
-        this.logBorrowed(now);
+        this.logMoved(now);
     }
 
     private ask(wants: readonly LimitShortfall[], now: number): void {
@@ -76,6 +80,7 @@
         this.askedAt.set(question, now);
         const each = wants.map(want => ({ ...want, count: Math.ceil(want.count / hosts.length) }));
         this.deps.send(hosts, { kind: "limitAsk", question, wants: each });
+        this.count("asked", wants);
     }
 
     private reset(): void {
@@ -87,7 +92,10 @@
 
     private returnUnused(): void {
         for (const placement of this.deps.placements) {
-            for (const { endpoint, loan: { id } } of placement.endUnusedLoans()) this.sendBack(id, [endpoint]);
+            for (const { endpoint, loan } of placement.endUnusedLoans()) {
+                this.sendBack(loan.id, [endpoint]);
+                this.count("returned", [loan]);
+            }
         }
     }
 
@@ -118,6 +126,7 @@
                 return count > 0 ? [{ ...want, count }] : [];
             });
             if (loans.length > 0) this.deps.send([from], { kind: "limitLend", question, loans });
+            this.count("lent", loans);
         },
         limitLend: (from, { question, loans }) => {
             const id = loanId(question, from);
@@ -126,8 +135,7 @@
                 askedAt === undefined || !this.deps.placements.some(placement => placement.borrow(id, loan, askedAt))
             );
             if (unused.length > 0) this.sendBack(id, unused.map(({ endpoint }) => endpoint));
-            const used = loans.filter(loan => !unused.includes(loan));
-            this.borrowed.count += used.reduce((sum, { count }) => sum + count, 0);
+            this.count("borrowed", loans.filter(loan => !unused.includes(loan)));
         },
         limitReset: from => {
             for (const placement of this.deps.placements) placement.endLoansOf(id => lenderOf(id) === from);
@@ -139,12 +147,17 @@
         },
     };
 
-    private logBorrowed(now: number): void {
-        const { count, loggedAt } = this.borrowed;
-        if (count === 0 || now - loggedAt < LOG_INTERVAL_MS) return;
-        this.borrowed.count = 0;
-        this.borrowed.loggedAt = now;
-        this.deps.log.info({ requests: count }, "limit_shares_borrowed");
+    private count(what: keyof typeof NOTHING_MOVED, shares: readonly { readonly count: number }[]): void {
+        const requests = shares.reduce((sum, { count }) => sum + count, 0);
+        this.moved = { ...this.moved, [what]: this.moved[what] + requests };
+    }
+
+    private logMoved(now: number): void {
+        const hasMoved = Object.values(this.moved).some(requests => requests > 0);
+        if (!hasMoved || now - this.loggedAt < LOG_INTERVAL_MS) return;
+        this.loggedAt = now;
+        this.deps.log.info(this.moved, "limit_shares_moved");
+        this.moved = NOTHING_MOVED;
     }
 }
 
