--- a/packages/host/src/endpoints/request-guard.ts
+++ b/packages/host/src/endpoints/request-guard.ts
@@ -36,6 +36,7 @@
 import type { Metrics } from "../runtime/metrics.js";
 import { repeat } from "../runtime/repeat.js";
 import type { EndpointCrash, EndpointIncarnation, InterruptedRun } from "./crash-detector.js";
+import { PartAnswers } from "./part-answers.js";
 
 /** Why an attempt may not start. */
 export interface Withheld {
@@ -84,12 +85,6 @@
 /** A call of this host that ran at an endpoint when the endpoint crashed. */
 type CrashedCall = Pick<InterruptedRun, "req" | "route" | "workspace">;
 
-/** When a request with a part was last answered, and by which software. */
-interface LastAnswer {
-    readonly at: number;
-    readonly software: string | undefined;
-}
-
 /** Calls kept for operators' listings, by crash and suspect: enough for a day of crashes. */
 const MAX_CALLS = 4_096;
 /** Interval at which expired state is dropped. */
@@ -97,10 +92,6 @@
 /** How long completed requests are remembered, and how many: news of a crash arrives at most a few seconds late. */
 const COMPLETED_KEPT_MS = 10_000;
 const MAX_COMPLETED = 4_096;
-/** For how long an answer shows that a part is sound, and for how many parts that is remembered. */
-const PROVEN_MS = 10_000;
-const MAX_PROVEN = 4_096;
-const MAX_RECENT_ANSWERS = 64;
 /** Hosts try a part again at different times, as each hears only some milliseconds later that another one does. */
 const MAX_TRIAL_DELAY_MS = 500;
 /** Refusals of one request are logged at most this often, so that repeated calls cannot flood the log. */
@@ -113,10 +104,7 @@
     private readonly unresolved = new Map<string, Map<InterruptedRun, string>>();
     /** When requests last completed, by fingerprint, the oldest first. */
     private readonly completedAt = new Map<string, number>();
-    /** The last answer to a request with a part, by part, the oldest first. */
-    private readonly lastAnswers = new Map<string, LastAnswer>();
-    /** The last answers to requests with parts, oldest first. */
-    private readonly recentAnswers: PartAnswer[] = [];
+    private readonly partAnswers = new PartAnswers();
     private readonly refusalLoggedAt = new Map<string, number>();
     /** By incarnation and fingerprint, the oldest first. */
     private readonly crashedCalls = new Map<string, CrashedCall>();
@@ -204,7 +192,7 @@
 
     /** Whether a request with a part was answered recently. */
     private isProven(part: string): boolean {
-        return this.deps.clock.now() - (this.lastAnswers.get(part)?.at ?? -Infinity) < PROVEN_MS;
+        return this.partAnswers.isProven(part, this.deps.clock.now());
     }
 
     /** The names under which a request may be a suspect: its fingerprint, and its parts that are not proven, or that are culprits. */
@@ -254,23 +242,15 @@
 
     /** Called when the answer of an attempt has begun: its endpoint has survived the parts of the prompt. */
     answerBegan({ parts }: RequestIdentity, attempt: string, software: string | undefined): void {
-        const at = this.deps.clock.now();
-        if (parts.length > 0) this.rememberAnswer({ at, parts });
+        const answer = { at: this.deps.clock.now(), parts };
+        this.partAnswers.add(answer, software);
+        this.applyControl(answer);
         for (const part of parts) {
-            this.lastAnswers.delete(part);
-            this.lastAnswers.set(part, { at, software });
-            if (this.lastAnswers.size > MAX_PROVEN) this.lastAnswers.delete(this.lastAnswers.keys().next().value!);
             if (isSuspect(this.state, part)) this.clearAnsweredPart(part, software);
         }
         this.endTrials(attempt, name => parts.includes(name));
     }
 
-    private rememberAnswer(answer: PartAnswer): void {
-        this.recentAnswers.push(answer);
-        if (this.recentAnswers.length > MAX_RECENT_ANSWERS) this.recentAnswers.shift();
-        this.applyControl(answer);
-    }
-
     /** Records that an answer shows that the endpoints are sound, where parts are held to blame. */
     private applyControl(answer: PartAnswer): void {
         if (this.state.uncontrolled.length > 0) this.applyStep(controlParts(this.state, answer, this.deps.clock.now()));
@@ -383,7 +363,7 @@
                 if (!cleared && isLater(this.completedAt.get(fingerprint))) this.clear(fingerprint, "whole");
             }
             for (const { fingerprint: part, cleared } of parts) {
-                const answer = this.lastAnswers.get(part);
+                const answer = this.partAnswers.lastTo(part);
                 if (!cleared && isLater(answer?.at)) this.clearAnsweredPart(part, answer!.software);
             }
         }
@@ -424,7 +404,7 @@
             [...state.assessments.values()].filter(({ isCulprit }) => isCulprit).length,
         );
         this.deps.share(news);
-        if (state.uncontrolled.length > 0) { for (const answer of this.recentAnswers) this.applyControl(answer); }
+        for (const answer of state.uncontrolled.length > 0 ? this.partAnswers.recent : []) this.applyControl(answer);
     }
 
     private logQuarantine({ fingerprint, endings }: Assessment): void {
@@ -447,10 +427,7 @@
         for (const [fingerprint, at] of this.refusalLoggedAt) {
             if (now - at >= REFUSAL_LOG_MS) this.refusalLoggedAt.delete(fingerprint);
         }
-        for (const [part, { at }] of this.lastAnswers) {
-            if (now - at < PROVEN_MS) break;
-            this.lastAnswers.delete(part);
-        }
+        this.partAnswers.dropExpired(now);
     }
 }
 
