--- a/review/3/check.js
+++ b/review/3/check.js
@@ -10,12 +10,12 @@
 const DEADLINE_MS = 39_000;
 /** The worker sends its answer in parts of this size. */
 const PART_BYTES = 32_768;
-const PART_MS = 15;
+const PART_MS = 5;
 const MOST_PARTS = 600;
 /** How long the daemon has to hold unread bytes before the worker ends its answer: the kernel's buffers are full then. */
 const SETTLED_MS = 400;
 /** The caller reads again this long after SIGTERM, well within GraceS. */
-const READS_AGAIN_MS = 5_000;
+const READS_AGAIN_MS = 4_000;
 const GRACE_MS = 8_000;
 const LAST_CHUNK = "0\r\n\r\n";
 
