review: case 3 answers with a fixed size

The worker no longer looks at the daemon's metric: the script finds the size with a first, longer answer.

--- a/review/3/check.js
+++ b/review/3/check.js
@@ -8,12 +8,15 @@
 import { hasTrouble, runTrial } from "../stand-in/trial.js";
 
 const DEADLINE_MS = 39_000;
-/** The worker sends its answer in parts of this size. */
+/** The worker sends its answers in parts of this size. */
 const PART_BYTES = 32_768;
 const PART_MS = 5;
-const MOST_PARTS = 600;
-/** How long the daemon has to hold unread bytes before the worker ends its answer: the kernel's buffers are full then. */
-const SETTLED_MS = 400;
+/** Size of an answer that is longer than what the connection to the caller holds. */
+const PROBE_BYTES = 12_000_000;
+/** An answer counts as delivered by its worker, and the kernel's buffers as full, after this time without a change. */
+const SETTLED_MS = 500;
+/** Answers of different sizes that are tried until the daemon holds only the last part. */
+const MAX_TRIES = 10;
 /** The caller reads again this long after SIGTERM, well within GraceS. */
 const READS_AGAIN_MS = 4_000;
 const GRACE_MS = 8_000;
@@ -25,32 +28,55 @@
     return Number(/^drumpaddle_held_bytes\{kind="unread"\} (\d+)/m.exec(await res.text())?.[1] ?? 0);
 }
 
+/** Sends a request for an answer of so many bytes, and reads nothing of it yet. */
+function callWithoutReading(port, id, bytes) {
+    const caller = { bytes: 0, tail: "", head: "", end: undefined, sentAt: performance.now() };
+    const socket = connect(port, LOOPBACK);
+    socket.pause();
+    socket.on("error", err => caller.end ??= err.code);
+    socket.on("end", () => caller.end ??= "the daemon closed the connection");
+    socket.write([
+        `POST /records/${bytes} HTTP/1.1`,
+        `Host: ${ROUTE_HOST}`,
+        `Attempt-Id: ${id}`,
+        `Deadline-Ms: ${DEADLINE_MS}`,
+        `Authorization: Token ${API_KEY}`,
+        "Content-Length: 2",
+        "\r\n{}",
+    ].join("\r\n"));
+    const read = () => {
+        socket.on("data", chunk => {
+            const text = chunk.toString("latin1");
+            caller.bytes += chunk.length;
+            if (caller.head.length < 1_000) caller.head += text;
+            caller.tail = (caller.tail + text).slice(-LAST_CHUNK.length);
+        });
+        socket.resume();
+    };
+    return { caller, read, leave: () => socket.destroy() };
+}
+
 await runTrial(dirname(fileURLToPath(import.meta.url)), async (record, onEnd) => {
     const store = new Store();
     await store.start();
     onEnd(() => store.stop());
     store.put("op/config", configOf([routeOf("records", "unsafe", "app")]));
-    const daemon = new Daemon("front-hall-a-1", store);
-    let answer;
-    // The answer is as long as what the connection to the caller holds, and one part more.
+    /** The answers that the worker has sent whole, by the id of the attempt. */
+    const sent = new Set();
     const worker = createServer(async (req, res) => {
         req.resume();
         const id = req.headers["attempt-id"];
         if (id === undefined) return void res.writeHead(200, { "Content-Length": 2 }).end("{}");
-        record.write(`${id}: the worker begins to answer`);
         res.writeHead(200, { "Attempt-Id": id, "Response-Seal": "s", "Content-Type": "application/octet-stream" });
-        let bytes = 0;
-        for (let part = 0; part < MOST_PARTS && !res.destroyed; part++) {
+        const parts = Math.ceil(Number(req.url.split("/").at(-1)) / PART_BYTES);
+        for (let part = 0; part < parts && !res.destroyed; part++) {
             res.write("x".repeat(PART_BYTES));
-            bytes += PART_BYTES;
             await pause(PART_MS);
-            if (await unreadBytes(daemon) === 0) continue;
-            await pause(SETTLED_MS);
-            if (await unreadBytes(daemon) > 0) break;
         }
+        if (res.destroyed) return;
         res.end(() => {
-            answer = { bytes, isWhole: !res.destroyed };
-            record.say(`${id}: the worker has sent its whole answer of ${bytes} bytes`);
+            sent.add(id);
+            record.write(`${id}: the worker has sent its whole answer of ${parts * PART_BYTES} bytes`);
         });
     });
     store.put("servers/i-0", registrationOf("app", await listen(worker)));
@@ -58,31 +84,36 @@
         worker.closeAllConnections();
         worker.close();
     });
+    const daemon = new Daemon("front-hall-a-1", store);
     onEnd(() => daemon.end());
     await daemon.start();
 
-    const sentAt = performance.now();
-    const socket = connect(daemon.ports.front, LOOPBACK);
-    socket.pause();
-    const caller = { bytes: 0, tail: "", head: "", end: undefined };
-    socket.on("error", err => caller.end ??= err.code);
-    socket.on("end", () => caller.end ??= "the daemon closed the connection");
-    socket.write([
-        "POST /records/x HTTP/1.1",
-        `Host: ${ROUTE_HOST}`,
-        "Attempt-Id: a1",
-        `Deadline-Ms: ${DEADLINE_MS}`,
-        `Authorization: Token ${API_KEY}`,
-        "Content-Length: 2",
-        "\r\n{}",
-    ].join("\r\n"));
-    record.write("a1: sent; the caller does not read yet");
-    await waitFor("the worker has answered", () => answer !== undefined, 30_000);
-    await pause(500);
-    const unread = await unreadBytes(daemon);
-    record.say(`the daemon holds ${unread} bytes of the answer for its caller`);
-    if (unread === 0) throw new Error("the kernel's buffers took the whole answer");
+    const call = async (id, bytes) => {
+        const calling = callWithoutReading(daemon.ports.front, id, bytes);
+        await waitFor("the worker has answered", () => sent.has(id), 20_000);
+        await pause(SETTLED_MS);
+        const held = await unreadBytes(daemon);
+        record.write(`${id}: the daemon holds ${held} of ${bytes} bytes`);
+        return { ...calling, held };
+    };
+    const probe = await call("probe", PROBE_BYTES);
+    probe.leave();
+    await waitFor("the daemon has dropped the answer", async () => await unreadBytes(daemon) === 0);
+    let bytes = (Math.floor((PROBE_BYTES - probe.held) / PART_BYTES) + 1) * PART_BYTES;
+    let last;
+    for (let attempt = 1; attempt <= MAX_TRIES; attempt++) {
+        last = await call(`a${attempt}`, bytes);
+        if (last.held > 0 && last.held < 2 * PART_BYTES) break;
+        last.leave();
+        await waitFor("the daemon has dropped the answer", async () => await unreadBytes(daemon) === 0);
+        bytes += last.held === 0 ? PART_BYTES : -PART_BYTES * Math.max(1, Math.floor(last.held / PART_BYTES) - 1);
+        last = undefined;
+    }
+    if (!last) throw new Error("no size was found of which the daemon holds only the last part");
+    record.say(`the worker has sent its whole answer of ${bytes} bytes; the daemon holds the last ${last.held} for its caller`);
 
+    const { caller, read, leave } = last;
+    onEnd(leave);
     const stoppedAt = performance.now();
     if (hasTrouble) {
         record.say("SIGTERM to the daemon");
@@ -93,17 +124,11 @@
     }
     await pause(READS_AGAIN_MS);
     record.say("the caller reads again");
-    socket.on("data", chunk => {
-        caller.bytes += chunk.length;
-        if (caller.head.length < 1_000) caller.head += chunk.toString("latin1");
-        caller.tail = (caller.tail + chunk.toString("latin1")).slice(-LAST_CHUNK.length);
-    });
-    socket.resume();
+    read();
     const isWhole = () => caller.tail === LAST_CHUNK;
     await waitFor("the answer has ended", () => isWhole() || caller.end !== undefined, GRACE_MS - READS_AGAIN_MS + 1_000);
-    const isInTime = performance.now() - sentAt < DEADLINE_MS;
-    socket.destroy();
-    record.say(`a1: ${caller.head.slice(9, 12)}, ${caller.bytes} bytes with head and chunks, ${isWhole() ? "whole" : `not whole: ${caller.end}`}`);
-    record.say(`a1: within its deadline and its route's timeout: ${isInTime ? "yes" : "no"}`);
-    return answer.isWhole && isInTime && !isWhole();
+    const isInTime = performance.now() - caller.sentAt < DEADLINE_MS;
+    record.say(`${caller.head.slice(9, 12)}, ${caller.bytes} bytes with head and chunks, ${isWhole() ? "whole" : `not whole: ${caller.end}`}`);
+    record.say(`within its deadline and its route's timeout: ${isInTime ? "yes" : "no"}`);
+    return isInTime && !isWhole();
 });
