--- a/review/3/check.js
+++ b/review/3/check.js
@@ -6,6 +6,7 @@
 import { fileURLToPath } from "node:url";
 import { API_KEY, configOf, Daemon, listen, LOOPBACK, pause, registrationOf, ROUTE_HOST, routeOf, Store, waitFor } from "../stand-in/deployment.js";
 import { hasTrouble, runTrial } from "../stand-in/trial.js";
+import { answerOther } from "../stand-in/worker.js";
 
 const DEADLINE_MS = 39_000;
 /** The worker sends its answers in parts of this size. */
@@ -53,7 +54,7 @@
         });
         socket.resume();
     };
-    return { caller, read, leave: () => socket.destroy() };
+    return { caller, read, isWhole: () => caller.tail === LAST_CHUNK, close: () => socket.destroy() };
 }
 
 await runTrial(dirname(fileURLToPath(import.meta.url)), async (record, onEnd) => {
@@ -64,9 +65,9 @@
     /** The answers that the worker has sent whole, by the id of the attempt. */
     const sent = new Set();
     const worker = createServer(async (req, res) => {
+        if (answerOther(req, res, "i-0")) return;
         req.resume();
         const id = req.headers["attempt-id"];
-        if (id === undefined) return void res.writeHead(200, { "Content-Length": 2 }).end("{}");
         res.writeHead(200, { "Attempt-Id": id, "Response-Seal": "s", "Content-Type": "application/octet-stream" });
         const parts = Math.ceil(Number(req.url.split("/").at(-1)) / PART_BYTES);
         for (let part = 0; part < parts && !res.destroyed; part++) {
@@ -96,36 +97,42 @@
         record.write(`${id}: the daemon holds ${held} of ${bytes} bytes`);
         return { ...calling, held };
     };
+    /** Reads an answer that showed the size, so that no client leaves early. */
+    const readToEnd = async ({ read, isWhole, close }) => {
+        read();
+        await waitFor("an answer has been read", isWhole);
+        close();
+        await waitFor("the daemon holds nothing", async () => await unreadBytes(daemon) === 0);
+    };
     const probe = await call("probe", PROBE_BYTES);
-    probe.leave();
-    await waitFor("the daemon has dropped the answer", async () => await unreadBytes(daemon) === 0);
+    await readToEnd(probe);
     let bytes = (Math.floor((PROBE_BYTES - probe.held) / PART_BYTES) + 1) * PART_BYTES;
     let last;
     for (let attempt = 1; attempt <= MAX_TRIES; attempt++) {
         last = await call(`a${attempt}`, bytes);
         if (last.held > 0 && last.held < 2 * PART_BYTES) break;
-        last.leave();
-        await waitFor("the daemon has dropped the answer", async () => await unreadBytes(daemon) === 0);
+        await readToEnd(last);
         bytes += last.held === 0 ? PART_BYTES : -PART_BYTES * Math.max(1, Math.floor(last.held / PART_BYTES) - 1);
         last = undefined;
     }
     if (!last) throw new Error("no size was found of which the daemon holds only the last part");
     record.say(`the worker has sent its whole answer of ${bytes} bytes; the daemon holds the last ${last.held} for its caller`);
 
-    const { caller, read, leave } = last;
-    onEnd(leave);
+    const { caller, read, isWhole, close } = last;
+    onEnd(close);
     const stoppedAt = performance.now();
     if (hasTrouble) {
         record.say("SIGTERM to the daemon");
         daemon.kill("SIGTERM");
-        void daemon.exited.then(({ code, signal }) =>
-            record.say(`the daemon has ended ${Math.round(performance.now() - stoppedAt)} ms after SIGTERM (${signal ?? code}); GraceS is ${GRACE_MS} ms`)
-        );
+        // The platform starts it again once it has ended.
+        void daemon.exited.then(({ code, signal }) => {
+            record.say(`the daemon has ended ${Math.round(performance.now() - stoppedAt)} ms after SIGTERM (${signal ?? code}); GraceS is ${GRACE_MS} ms`);
+            return daemon.start();
+        });
     }
     await pause(READS_AGAIN_MS);
     record.say("the caller reads again");
     read();
-    const isWhole = () => caller.tail === LAST_CHUNK;
     await waitFor("the answer has ended", () => isWhole() || caller.end !== undefined, GRACE_MS - READS_AGAIN_MS + 1_000);
     const isInTime = performance.now() - caller.sentAt < DEADLINE_MS;
     record.say(`${caller.head.slice(9, 12)}, ${caller.bytes} bytes with head and chunks, ${isWhole() ? "whole" : `not whole: ${caller.end}`}`);
