--- a/review/3/check.js
+++ b/review/3/check.js
@@ -21,6 +21,8 @@
 /** The caller reads again this long after SIGTERM, well within GraceS. */
 const READS_AGAIN_MS = 4_000;
 const GRACE_MS = 8_000;
+/** Daemons of the deployment, of which one is stopped. */
+const DAEMONS = 3;
 const LAST_CHUNK = "0\r\n\r\n";
 
 /** The bytes that the daemon holds for callers that have not read them, by its metrics. */
@@ -85,9 +87,15 @@
         worker.closeAllConnections();
         worker.close();
     });
-    const daemon = new Daemon("front-hall-a-1", store);
-    onEnd(() => daemon.end());
-    await daemon.start();
+    const daemons = [];
+    for (let at = 0; at < DAEMONS; at++) {
+        const seeds = daemons.map(({ ports }) => ports.control);
+        const started = new Daemon(`front-hall-a-${at + 1}`, store, { seeds });
+        onEnd(() => started.end());
+        daemons.push(started);
+        await started.start();
+    }
+    const [daemon] = daemons;
 
     const call = async (id, bytes) => {
         const calling = callWithoutReading(daemon.ports.front, id, bytes);
