A connection that is closed while its caller sends no longer discards its answer

What callers saw: a caller that sent further requests before it had read its answer got 128,512 of 3,000,000 bytes, or none, and a reset when its host was stopped. The same after the idle time of a connection, for refusals that are sent before a body was read, and for answers to bytes that are no request.

Cause: a system resets a connection that is closed while received bytes are unread, or that gets bytes after its close, and discards what it has yet to send. Node closes both directions after the last answer. Evidence: the host had written the whole answer (call_ended whole, stopping open=0), callers that send nothing more get all of it, and the error comes with the caller's next bytes.

Change: LingeringClose takes over these closes for all HTTP servers of a host: it ends the host's side, reads and discards until the other side has ended, for [callers] linger at most (RFC 9112, 9.6). A stop ends idle connections and waits for their callers until its grace ends; "stopped" tells how many it left. While descriptors are short these connections are closed at once. The completions interface answers unreadable requests itself, as Fastify's own handler destroys the connection; statuses are unchanged.

Tests: closed-connections.test 6 of 6 failed before (0 to 128,512 bytes, empty answers), and "a caller that still sends gets ..." of bad-input 2 of 2 (EPIPE, ECONNRESET); now 3 runs of both files pass. Seven mutations, all caught; one missed at first, for which the test of the idle time now also counts what ran.

--- a/packages/host/src/calls/callers-server.ts
+++ b/packages/host/src/calls/callers-server.ts
@@ -6,8 +6,10 @@
 import { FailCode } from "@drumpaddle/request";
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { randomUUID } from "node:crypto";
-import type { IncomingMessage } from "node:http";
+import { type IncomingMessage, STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
 import type { CallMemory } from "../runtime/call-memory.js";
+import { LingeringClose } from "../runtime/lingering-close.js";
 import type { Directory } from "../store/directory.js";
 import { type ApiError, errorBody, errorHeaders, writeError } from "./caller-answer.js";
 import { CallerConnection } from "./caller-connection.js";
@@ -57,6 +59,18 @@
     retryAfterMs: OTHER_CONNECTION_RETRY_MS,
 };
 
+/** Answers to requests that the HTTP parser refuses, by the code of its error. */
+const UNREADABLE: ApiError = { status: 400, code: "bad_request", message: "this is no HTTP request", ran: "no" };
+const UNREADABLE_BY_CODE: Readonly<Record<string, ApiError>> = {
+    ERR_HTTP_REQUEST_TIMEOUT: {
+        status: 408,
+        code: "request_timeout",
+        message: "the request did not come in time",
+        ran: "no",
+    },
+    HPE_HEADER_OVERFLOW: { status: 431, code: "head_too_large", message: "the head is too large", ran: "no" },
+};
+
 /** Thrown while a body is read for which the host has no memory left. Fastify reads `statusCode`. */
 class BodyMemoryError extends Error {
     readonly statusCode = MEMORY_FULL.status;
@@ -98,8 +112,14 @@
     });
 }
 
+/** The server for callers, and how it closes their connections. */
+export interface CallersServer {
+    readonly app: FastifyInstance;
+    readonly closing: LingeringClose;
+}
+
 /** Creates the server for callers; it does not listen yet. */
-export function createCallersServer(host: Host, tls: { cert: string; key: string } | undefined): FastifyInstance {
+export function createCallersServer(host: Host, tls: { cert: string; key: string } | undefined): CallersServer {
     const app = Fastify({
         bodyLimit: MAX_BODY_BYTES,
         requestTimeout: host.cfg["callers.body-timeout"],
@@ -113,7 +133,11 @@
             connectionsCheckingInterval: Math.min(LATE_REQUEST_CHECK_MS, host.cfg["callers.body-timeout"]),
         },
         forceCloseConnections: "idle",
+        clientErrorHandler: (err, socket) => {
+            if (err.code !== "ECONNRESET") refuseUnreadable(closing, err.code, socket);
+        },
     });
+    const closing = LingeringClose.of(app.server, host.cfg["callers.linger"]);
     accountMemory(app, host);
     app.removeAllContentTypeParsers();
     app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
@@ -146,7 +170,17 @@
         const caller = authenticateCaller(host, req, reply);
         if (caller) servePlain(host, { ...caller, id: req.id, service: req.params.service, req, out: reply.raw });
     });
-    return app;
+    return { app, closing };
+}
+
+/** Answers bytes that are no request, and ends their connection. */
+function refuseUnreadable(closing: LingeringClose, code: string, socket: Socket): void {
+    const err = UNREADABLE_BY_CODE[code] ?? UNREADABLE;
+    const body = JSON.stringify(errorBody(err));
+    const headers = { ...errorHeaders(err), "content-type": "application/json", "connection": "close" };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    const length = `content-length: ${Buffer.byteLength(body)}\r\n`;
+    closing.close(socket, `HTTP/1.1 ${err.status} ${STATUS_CODES[err.status]}\r\n${lines}${length}\r\n${body}`);
 }
 
 /** Checks the host's state and the caller's key; answers with an error if either does not pass. */
--- a/packages/host/src/calls/forward-server.ts
+++ b/packages/host/src/calls/forward-server.ts
@@ -6,6 +6,7 @@
 import type { CallerLimits } from "@drumpaddle/routes";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { LingeringClose } from "../runtime/lingering-close.js";
 import { CallerConnection } from "./caller-connection.js";
 import { breakAnswer } from "./forward-reply.js";
 
@@ -13,6 +14,8 @@
 export interface ForwardServerDeps {
     /** Time limit for a caller to send a complete request, in milliseconds. */
     readonly requestTimeoutMs: number;
+    /** How long the server still reads from a connection that it has ended, in milliseconds. */
+    readonly lingerMs: number;
     /** Aborts the answers that are still running when the host exits. */
     readonly signal: AbortSignal;
     onCall(req: IncomingMessage, target: string, out: ServerResponse): void;
@@ -27,8 +30,14 @@
 
 const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/** The server, and how it closes the connections of callers. */
+export interface ForwardServer {
+    readonly app: FastifyInstance;
+    readonly closing: LingeringClose;
+}
+
 /** Creates the server; it does not listen yet. */
-export function createForwardServer(deps: ForwardServerDeps): FastifyInstance {
+export function createForwardServer(deps: ForwardServerDeps): ForwardServer {
     const answering = new Set<ServerResponse>();
     deps.signal.addEventListener("abort", () => answering.forEach(breakAnswer), { once: true });
     const app = Fastify({
@@ -47,10 +56,10 @@
             // A 400 for invalid bytes behind a request that is being answered would end up within that answer.
             const brokenAnswers = [...answering].filter(({ req }) => req.socket === socket);
             if (brokenAnswers.length > 0) return brokenAnswers.forEach(breakAnswer);
-            if (!socket.writable) return void socket.destroy();
-            socket.end(BAD_REQUEST);
+            closing.close(socket, BAD_REQUEST);
         },
     });
+    const closing = LingeringClose.of(app.server, deps.lingerMs);
     app.addHook("onRequest", (req, reply, done) => {
         reply.hijack();
         CallerConnection.of(reply.raw).add(reply.raw);
@@ -60,7 +69,7 @@
         done();
     });
     app.all("/", () => undefined);
-    return app;
+    return { app, closing };
 }
 
 /** Applies a deployment's limits on callers. */
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -47,6 +47,8 @@
 const CONNECTIONS_PER_ENDPOINT = 512;
 const KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** How often a stopping host checks whether its callers have ended their connections. */
+const STOP_POLL_MS = 50;
 /** Plain services report no memory to plan with, so the endpoint with the fewest open calls is chosen. */
 const PLAIN_VARIANT = { ...DEFAULT_VARIANT, admission: "none", choice: "leastOutstanding" } as const;
 
@@ -121,7 +123,8 @@
     watchEndpoints(host);
     feed.onChange(() => host.peers?.announceSettings());
     const tls = readTls(cfg);
-    const servers = { callers: createCallersServer(host, tls), operators: createOperatorsServer(host, tls) };
+    const { app: callers, closing } = createCallersServer(host, tls);
+    const servers = { callers, operators: createOperatorsServer(host, tls) };
     const callersUrl = await listen(servers.callers, cfg["callers.listen"], tls !== undefined);
     const operatorsUrl = await listen(servers.operators, cfg["operators.listen"], tls !== undefined);
     const { capacity } = host.peers;
@@ -143,6 +146,8 @@
         log.info({ open: host.openRequests.size }, "stopping");
         host.peers?.leave();
         await Promise.all([host.openRequests.drain(), pause(cfg["callers.still-served"])]);
+        closing.closeIdle();
+        while (closing.size > 0) await pause(STOP_POLL_MS);
         await end();
         log.info({}, "stopped");
     };
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -42,6 +42,7 @@
 import { type HostCfg, memoryBudgetBytes } from "./runtime/config.js";
 import { DescriptorLimit } from "./runtime/descriptors.js";
 import { HostMemory } from "./runtime/host-memory.js";
+import { LingeringClose } from "./runtime/lingering-close.js";
 import type { Log } from "./runtime/log.js";
 import { watchLoopDelay } from "./runtime/loop-delay.js";
 import { Metrics } from "./runtime/metrics.js";
@@ -85,6 +86,8 @@
 /** How often a stopping host checks whether calls are still open, and how long it then leaves for sending its last refusals. */
 const STOP_POLL_MS = 50;
 const STOP_FLUSH_MS = 100;
+/** How long after that deadline, at most, a stopping host leaves callers to read their answers and end their connections. */
+const STOP_LINGER_MS = 200;
 /** How often the host reads the clock, so that it notices a suspension also while it has no calls. */
 const CLOCK_POLL_MS = 50;
 const SEED_RANGE = 1_000_000;
@@ -225,7 +228,10 @@
             endpoints: connections.size,
             peers: peers.connections + SOCKETS_PER_RELAY * links.relays.size,
         }),
-        closeIdle: () => connections.closeAllIdle(),
+        closeIdle: () => {
+            connections.closeAllIdle();
+            closing.destroyLingering();
+        },
     });
     const deps: GatewayContext = {
         wire: platformWire,
@@ -266,8 +272,9 @@
                 ? restartSuspicions.settleBeforeCall(endpoint)
                 : undefined,
     };
-    const callers = createForwardServer({
+    const { app: callers, closing } = createForwardServer({
         requestTimeoutMs: cfg["callers.body-timeout"],
+        lingerMs: cfg["callers.linger"],
         signal,
         onCall: (req, target, out) => serveForwardedCall(deps, req, target, out),
     });
@@ -303,6 +310,7 @@
     watchLoopDelay({ clock, log, metrics, signal });
     watchSpeeds({ clock, log, metrics, view: () => engines.view, signal });
     const operatorsServer = createOperatorsServer(
+        cfg["callers.linger"],
         () => feed.isReady && peers.hasCaughtUp && !openRequests.stopping,
         metrics,
     );
@@ -347,7 +355,7 @@
             peers.shareLoadNow();
         },
     });
-    const metricsServer = createMetricsServer(metrics);
+    const metricsServer = createMetricsServer(cfg["callers.linger"], metrics);
     const [operatorsPort, callersPort, metricsPort] = await Promise.all([
         listen(operatorsServer, cfg["operators.listen"]),
         listen(callers, cfg["callers.listen"]),
@@ -379,7 +387,9 @@
         // From here on the host refuses every call as not run; the pause leaves time to send these answers.
         exitsAt = clock.now();
         await pause(STOP_FLUSH_MS);
-        log.info({ open: openRequests.size }, "stopped");
+        closing.closeIdle();
+        while (closing.size > 0 && clock.now() < deadline + STOP_LINGER_MS) await pause(STOP_POLL_MS);
+        log.info({ open: openRequests.size, lingering: closing.size }, "stopped");
         await kill();
     };
     const peersPort = Number(peers.address.split(":").at(-1));
@@ -486,25 +496,21 @@
 }
 
 /** Creates the operators' server, with the platform's readiness check and the metrics. */
-function createOperatorsServer(isReady: () => boolean, metrics: Metrics): FastifyInstance {
-    const app = Fastify({ forceCloseConnections: true });
+function createOperatorsServer(lingerMs: number, isReady: () => boolean, metrics: Metrics): FastifyInstance {
+    const app = createMetricsServer(lingerMs, metrics);
     app.get(platformWire.readyPath, (_req, reply) => {
         const ready = isReady();
         return reply.code(ready ? 200 : 503).send({ ready });
     });
-    serveMetrics(app, metrics);
     return app;
 }
 
 /** Creates a server with the metrics only. */
-function createMetricsServer(metrics: Metrics): FastifyInstance {
+function createMetricsServer(lingerMs: number, metrics: Metrics): FastifyInstance {
     const app = Fastify({ forceCloseConnections: true });
-    serveMetrics(app, metrics);
-    return app;
-}
-
-function serveMetrics(app: FastifyInstance, metrics: Metrics): void {
+    LingeringClose.of(app.server, lingerMs);
     app.get("/metrics", async (_req, reply) => reply.type("text/plain; version=0.0.4").send(await metrics.text()));
+    return app;
 }
 
 /** Listens on `ip:port`; returns the port. */
--- a/packages/host/src/operators/operators.ts
+++ b/packages/host/src/operators/operators.ts
@@ -18,6 +18,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import type { Host } from "../calls/host.js";
+import { LingeringClose } from "../runtime/lingering-close.js";
 import { hashSecret, type Role } from "../store/directory.js";
 import type { EditResult } from "../store/settings-store.js";
 import { addQuarantineRoutes } from "./quarantine-api.js";
@@ -63,6 +64,7 @@
         forceCloseConnections: true,
         ...(tls ? { https: tls } as object : {}),
     });
+    LingeringClose.of(app.server, host.cfg["callers.linger"]);
     addHealthRoutes(host, app);
     addQuarantineRoutes(app, host.guard, (req, reply, role) => authorize(host, req, reply, role) !== undefined);
     addSettingsRoutes(host, app);
--- a/packages/host/src/runtime/config.ts
+++ b/packages/host/src/runtime/config.ts
@@ -70,6 +70,12 @@
         doc: "Minimum time that a stopping host still answers: a load balancer that checks readiness each second and needs "
             + "two failures sends callers until then.",
     },
+    "callers.linger": {
+        type: duration(0, 600_000),
+        fallback: "10s",
+        doc: "How long the host still reads from a connection that it has ended, unless the caller ends it too. A connection that is "
+            + "closed while its caller sends is reset, and what the caller has yet to read is lost.",
+    },
     "operators.listen": { type: address, fallback: "127.0.0.1:9080", doc: "Address for operators and metrics." },
     "operators.bootstrap-hash": {
         type: text(/^[a-f0-9]{64}$/, "a SHA-256 in 64 hexadecimal digits"),
--- a/packages/standins/src/connection-mutations.ts
+++ b/packages/standins/src/connection-mutations.ts
@@ -7,10 +7,63 @@
 
 const CONNECTION = "packages/host/src/calls/caller-connection.ts";
 const FORWARD = "packages/host/src/calls/forward.ts";
+const CLOSE = "packages/host/src/runtime/lingering-close.ts";
+const GATEWAY = "packages/host/src/gateway.ts";
+const CLOSED = "platform/test/closed-connections.test.ts";
+const BAD_INPUT = "packages/standins/test/bad-input.test.ts";
 const BEHIND = "platform/test/requests-behind.test.ts";
 
 /** Broken one at a time by `npm run test:mutations`. */
 export const CONNECTION_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "closes: an answer outlasts the close that follows it",
+        file: CLOSE,
+        find: "socket.destroySoon = () => this.close(socket);",
+        replace: "",
+        tests: [CLOSED],
+    },
+    {
+        promise: "closes: an answer outlasts the idle time of its connection",
+        file: CLOSE,
+        find: `server.on("timeout", (socket: Socket) => closing.close(socket));`,
+        replace: "",
+        tests: [CLOSED],
+    },
+    {
+        promise: "closes: what comes after the close is read",
+        file: CLOSE,
+        find: "        socket.resume();\n",
+        replace: "",
+        tests: [CLOSED, BAD_INPUT],
+    },
+    {
+        promise: "closes: what comes after the close is not run",
+        file: CLOSE,
+        find: `socket.removeAllListeners("data");`,
+        replace: "",
+        tests: [CLOSED],
+    },
+    {
+        promise: "closes: a caller that never ends its connection is not waited for",
+        file: CLOSE,
+        find: "setTimeout(() => socket.destroy(), this.maxMs)",
+        replace: "setTimeout(() => undefined, this.maxMs)",
+        tests: ["packages/host/test/lingering-close.test.ts"],
+    },
+    {
+        promise: "closes: a stop ends idle connections before the process ends",
+        file: GATEWAY,
+        find: "        closing.closeIdle();\n",
+        replace: "",
+        tests: [CLOSED],
+    },
+    {
+        promise: "closes: a stop waits for callers that have yet to read",
+        file: GATEWAY,
+        find: "while (closing.size > 0 && clock.now() < deadline + STOP_LINGER_MS)",
+        replace: "while (false)",
+        tests: [CLOSED],
+    },
     {
         promise: "requests behind others: all end when their caller leaves",
         file: CONNECTION,
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -362,8 +362,8 @@
     {
         promise: "suspended: connections that idled are not used",
         file: "packages/host/src/gateway.ts",
-        find: "connections.closeAllIdle();",
-        replace: "",
+        find: "connections.closeAllIdle();\n        feed.onWake(",
+        replace: "feed.onWake(",
         tests: [SUSPENDED],
     },
     {
--- a/packages/standins/test/bad-input.test.ts
+++ b/packages/standins/test/bad-input.test.ts
@@ -92,12 +92,24 @@
     t.regex(answer.choices[0]!.message.content, /^seen\.\S+\.0 seen\.\S+\.1 seen\.\S+\.2 $/);
 });
 
-/** Writes bytes to the callers' port and returns everything received until the connection closes. */
-function sendRaw(cluster: LocalCluster, bytes: string): Promise<string> {
+const MORE_PART = "x".repeat(100_000);
+
+/**
+ * Writes bytes to the callers' port and returns everything received until the connection closes. Reads nothing until it has sent
+ * `more` parts after them.
+ */
+function sendRaw(cluster: LocalCluster, bytes: string, more = 0): Promise<string> {
     const { port } = new URL(cluster.hosts[0]!.daemon.callersUrl);
     return new Promise((resolve, reject) => {
         let answer = "";
         const socket = connect(Number(port), "127.0.0.1", () => socket.write(bytes));
+        socket.pause();
+        let sent = 0;
+        const sendMore = (): void => {
+            if (sent++ < more) return void socket.write(MORE_PART, () => setTimeout(sendMore, 5));
+            socket.resume();
+        };
+        socket.once("connect", sendMore);
         socket.setTimeout(8_000, () => socket.destroy(new Error("no answer")));
         socket.on("data", chunk => answer += chunk.toString("latin1"));
         socket.on("error", reject);
@@ -123,6 +135,19 @@
     t.regex(await sendRaw(cluster, "no such protocol\r\n\r\n"), /^HTTP\/1\.1 400 /);
 });
 
+/** Requests that are refused before they are read, by status. */
+const UNREAD_REQUESTS: Readonly<Record<number, string>> = {
+    400: "no such protocol\r\n\r\n",
+    413: "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 200000000\r\n\r\n",
+};
+
+for (const [status, head] of Object.entries(UNREAD_REQUESTS)) {
+    test(`a caller that still sends gets the ${status} that refuses its request`, async t => {
+        const cluster = await startCluster(t);
+        t.regex(await sendRaw(cluster, head, 40), new RegExp(`^HTTP/1.1 ${status} `));
+    });
+}
+
 test("pipelined requests are answered in order", async t => {
     const cluster = await startCluster(t);
     const one = (tag: string, last: boolean): string => {
