An endpoint's answer is not cut off by its relay while the host still sends

Change: what comes for an endpoint that has ended is discarded, and the peer's server closes its streams by LingeringClose.

--- a/packages/host/src/relay/relay-server.ts
+++ b/packages/host/src/relay/relay-server.ts
@@ -9,6 +9,7 @@
 import { type Clock, errText, type PeerName } from "@drumpaddle/protocol";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { LingeringClose } from "../runtime/lingering-close.js";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import { wasReset } from "../runtime/socket-end.js";
@@ -51,6 +52,8 @@
 const HEAD_TIMEOUT_MS = 2_000;
 /** Bytes of an HTTP head; those of this protocol are much smaller. */
 const MAX_HEAD_BYTES = 4_096;
+/** How long a peer may take to read what is left of a relayed connection, and to end its own side. */
+const LINGER_MS = 5_000;
 
 /** Relays connections of peers. */
 export class RelayServer {
@@ -66,6 +69,7 @@
             // A relayed connection is one request, which may last as long as the endpoint's calls.
             requestTimeout: 0,
         }, (req, res) => void this.serve(req, res));
+        LingeringClose.of(this.server, LINGER_MS);
         deps.signal.addEventListener("abort", () => this.open.forEach(breakOff), { once: true });
     }
 
@@ -131,8 +135,13 @@
         res.flushHeaders();
         endpoint.on("data", () => relay.heardAt = this.deps.clock.now());
         endpoint.on("error", () => breakOff(relay));
-        // After both sides have ended, the system no longer knows the address of the other one either.
-        endpoint.on("end", () => req.readableEnded || !wasReset(endpoint) ? res.end() : breakOff(relay));
+        endpoint.on("end", () => {
+            // After both sides have ended, the system no longer knows the address of the other one either.
+            if (!req.readableEnded && wasReset(endpoint)) return breakOff(relay);
+            // The endpoint's end also ends what can be written to it.
+            req.unpipe(endpoint).resume();
+            res.end();
+        });
         endpoint.on("close", () => {
             if (!endpoint.readableEnded) breakOff(relay);
         });
--- a/packages/host/test/relay.test.ts
+++ b/packages/host/test/relay.test.ts
@@ -166,6 +166,21 @@
     t.is(socket.remoteAddress, undefined, "as a socket that was reset");
 });
 
+test("an endpoint that answers and ends while the host still sends is not cut off by its relay", async t => {
+    const answer = "x".repeat(6_000_000);
+    const endpoint = await startEndpoint(t, socket => void socket.once("data", () => socket.end(answer)));
+    const peer = await startPeer(t, "helper", [endpoint]);
+    const socket = await connectThrough(startClient(t, [peer]), endpoint);
+    const sending = setInterval(() => socket.writable && socket.write("b".repeat(10_000)), 1);
+    t.teardown(() => clearInterval(sending));
+    const read = socket.on("data", () => {
+        socket.pause();
+        setTimeout(() => socket.resume(), 2);
+    });
+    const { received, isOrderly } = await drain(read);
+    t.deepEqual({ bytes: received.length, isOrderly }, { bytes: answer.length, isOrderly: true });
+});
+
 test("a peer that ends in the middle of an answer without a length does not make it look complete", async t => {
     const endpoint = await startEndpoint(t, socket => socket.write("a part"));
     const peer = await startPeer(t, "helper", [endpoint]);
