A repeated SIGTERM no longer ends a stopping host at once

What callers saw: all open answers of a host were cut as soon as SIGTERM came to it again, with most of its grace left.

Cause: any second signal ended the process ("ending_at_once", exit 1); signals that came while it started did so as well, as they are kept and delivered one after another.

Change: a repeated SIGTERM is logged as already_stopping and changes nothing; only a second SIGINT ends the process at once.

Test: series of signals to a real process, once it listens and while it starts.

--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -5,7 +5,7 @@
  * @module
  */
 // Imported first, as signals may come while the other modules are loaded.
-import { handleSignals } from "./runtime/signals.js";
+import { handleSignals, type SignalHandlers } from "./runtime/signals.js";
 
 import { readFileSync } from "node:fs";
 import sade from "sade";
@@ -82,16 +82,27 @@
     const log = createLog(read.cfg["log.level"], process.stdout);
     if (read.cfg["tls.certificate"] === undefined) log.warn({}, "tls_is_off");
     const daemon = await STARTERS[read.cfg["callers.interface"]](read.cfg, log);
+    handleSignals({ onReload: () => reload(options, read.cfg, log), onStop: createStopHandler(daemon, log) });
+}
+
+/**
+ * Returns a handler that stops a daemon at the first signal. Only a second interrupt, which comes from a terminal, ends it at once:
+ * supervisors may repeat SIGTERM, and kill what they no longer wait for.
+ */
+function createStopHandler(daemon: { stop(): Promise<void> }, log: Log): SignalHandlers["onStop"] {
     let isStopping = false;
-    const onStop = (signal: string): void => {
-        if (isStopping) {
+    let wasInterrupted = false;
+    return signal => {
+        const isInterrupt = signal === "SIGINT";
+        if (isInterrupt && wasInterrupted) {
             log.warn({ signal }, "ending_at_once");
             process.exit(EXIT.failed);
         }
+        wasInterrupted ||= isInterrupt;
+        if (isStopping) return log.info({ signal }, "already_stopping");
         isStopping = true;
         void daemon.stop().then(() => process.exit(EXIT.done));
     };
-    handleSignals({ onReload: () => reload(options, read.cfg, log), onStop });
 }
 
 sade("drumpaddled", true)
--- a/packages/host/src/runtime/signals.ts
+++ b/packages/host/src/runtime/signals.ts
@@ -8,7 +8,7 @@
 export interface SignalHandlers {
     /** Reads the settings again. */
     readonly onReload: () => void;
-    /** Stops without cutting requests; a second signal ends the process at once. */
+    /** Stops without cutting requests. Called for each signal, also if the process is stopping. */
     readonly onStop: (signal: string) => void;
 }
 
--- a/packages/host/test/main.test.ts
+++ b/packages/host/test/main.test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from "ava";
-import { spawn, spawnSync } from "node:child_process";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -54,9 +55,15 @@
     t.regex(String(stderr), /EADDRINUSE/);
 });
 
-test.serial("a daemon whose settings file cannot be read again keeps its settings, and logs why", async t => {
-    const settings = settingsPath(t);
-    writeFileSync(settings, settingsOf(0));
+/** A daemon as a process of its own, with what it has logged. */
+interface RunningDaemon {
+    readonly process: ChildProcess;
+    readonly readLog: () => string;
+    readonly clearLog: () => void;
+    readonly logged: (pattern: RegExp) => Promise<void>;
+}
+
+function startProcess(t: ExecutionContext, settings: string): RunningDaemon {
     const daemon = spawn(process.execPath, [...PROGRAM, "--config", settings], {
         stdio: ["ignore", "pipe", "inherit"],
     });
@@ -69,13 +76,53 @@
             await new Promise(resolve => setTimeout(resolve, 10));
         }
     };
+    return { process: daemon, readLog: () => log, clearLog: () => log = "", logged };
+}
+
+/** How long a daemon of these tests keeps answering after the signal to stop, by its settings. */
+const STILL_SERVED_MS = 3_000;
+
+/** Signals in the order in which they are sent, from the start of a stop on, and how the process ends. */
+const SIGNAL_SERIES = [
+    { signals: ["SIGTERM", "SIGTERM", "SIGHUP", "SIGTERM"], code: 0 },
+    { signals: ["SIGINT", "SIGTERM", "SIGTERM"], code: 0 },
+    { signals: ["SIGTERM", "SIGINT"], code: 0 },
+    { signals: ["SIGINT", "SIGINT"], code: 1 },
+] as const;
+
+// Guards against a stop that cuts open answers because its signal comes twice, also while the daemon starts.
+for (const { signals, code } of SIGNAL_SERIES) {
+    for (const when of ["listening", "tls_is_off"]) {
+        test.serial(`${signals.join(", ")} from ${when} on end the process with ${code}`, async t => {
+            const settings = settingsPath(t);
+            writeFileSync(settings, settingsOf(0));
+            const daemon = startProcess(t, settings);
+            await daemon.logged(new RegExp(`event=${when}\\b`));
+            const exited = once(daemon.process, "exit");
+            for (const signal of signals) {
+                daemon.process.kill(signal);
+                // Signals of one kind that are pending at a time are delivered once.
+                await new Promise(resolve => setTimeout(resolve, 100));
+            }
+            const signalledAt = performance.now();
+            t.deepEqual(await exited, [code, null]);
+            const servedMs = performance.now() - signalledAt;
+            t.is(servedMs > STILL_SERVED_MS - 1_000, code === 0, `${servedMs} ms`);
+        });
+    }
+}
+
+test.serial("a daemon whose settings file cannot be read again keeps its settings, and logs why", async t => {
+    const settings = settingsPath(t);
+    writeFileSync(settings, settingsOf(0));
+    const daemon = startProcess(t, settings);
     const reloadLogs = async (pattern: RegExp): Promise<void> => {
-        log = "";
-        daemon.kill("SIGHUP");
-        await logged(pattern);
-        t.is(log.match(/event=settings_file_/g)?.length, 1);
+        daemon.clearLog();
+        daemon.process.kill("SIGHUP");
+        await daemon.logged(pattern);
+        t.is(daemon.readLog().match(/event=settings_file_/g)?.length, 1);
     };
-    await logged(/event=listening/);
+    await daemon.logged(/event=listening/);
     rmSync(settings);
     await reloadLogs(/event=settings_file_ignored .*host\.ini: ENOENT/);
     mkdirSync(settings);
--- a/packages/standins/src/connection-mutations.ts
+++ b/packages/standins/src/connection-mutations.ts
@@ -64,6 +64,13 @@
         replace: "while (false)",
         tests: [CLOSED],
     },
+    {
+        promise: "signals: a repeated SIGTERM cuts nothing",
+        file: "packages/host/src/main.ts",
+        find: `const isInterrupt = signal === "SIGINT";`,
+        replace: "const isInterrupt = true;",
+        tests: ["packages/host/test/main.test.ts"],
+    },
     {
         promise: "requests behind others: all end when their caller leaves",
         file: CONNECTION,
