The completions interface writes no 400 within an answer

What callers saw: bytes that are no request, sent behind a request that was being answered, put "HTTP/1.1 400" into its stream.

Cause: the answer to unreadable bytes went to the connection whatever was being written there. Fastify's own handler does the same by reading; that was not run.

Change: such an answer is broken off, as the gateway's is.

--- a/packages/host/src/calls/caller-connection.ts
+++ b/packages/host/src/calls/caller-connection.ts
@@ -37,6 +37,11 @@
         return connection;
     }
 
+    /** Whether an answer on a socket was begun and is open: nothing else may be written there. */
+    static hasBegunAnswer(socket: Socket): boolean {
+        return [...connections.get(socket)?.answers ?? []].some(({ headersSent }) => headersSent);
+    }
+
     /** Number of requests whose answers are open. */
     get size(): number {
         return this.answers.size;
--- a/packages/host/src/calls/callers-server.ts
+++ b/packages/host/src/calls/callers-server.ts
@@ -173,8 +173,9 @@
     return { app, closing };
 }
 
-/** Answers bytes that are no request, and ends their connection. */
+/** Answers bytes that are no request, unless they came behind a request that is being answered, and ends their connection. */
 function refuseUnreadable(closing: LingeringClose, code: string, socket: Socket): void {
+    if (CallerConnection.hasBegunAnswer(socket)) return void socket.destroy();
     const err = UNREADABLE_BY_CODE[code] ?? UNREADABLE;
     const body = JSON.stringify(errorBody(err));
     const headers = { ...errorHeaders(err), "content-type": "application/json", "connection": "close" };
--- a/packages/standins/test/bad-input.test.ts
+++ b/packages/standins/test/bad-input.test.ts
@@ -96,9 +96,9 @@
 
 /**
  * Writes bytes to the callers' port and returns everything received until the connection closes. Reads nothing until it has sent
- * `more` parts after them.
+ * `more` parts after them, or sends `more` when an answer has begun.
  */
-function sendRaw(cluster: LocalCluster, bytes: string, more = 0): Promise<string> {
+function sendRaw(cluster: LocalCluster, bytes: string, more: number | string = 0): Promise<string> {
     const { port } = new URL(cluster.hosts[0]!.daemon.callersUrl);
     return new Promise((resolve, reject) => {
         let answer = "";
@@ -106,11 +106,14 @@
         socket.pause();
         let sent = 0;
         const sendMore = (): void => {
-            if (sent++ < more) return void socket.write(MORE_PART, () => setTimeout(sendMore, 5));
+            if (typeof more === "number" && sent++ < more) {
+                return void socket.write(MORE_PART, () => setTimeout(sendMore, 5));
+            }
             socket.resume();
         };
         socket.once("connect", sendMore);
         socket.setTimeout(8_000, () => socket.destroy(new Error("no answer")));
+        socket.once("data", () => typeof more === "string" && socket.write(more));
         socket.on("data", chunk => answer += chunk.toString("latin1"));
         socket.on("error", reject);
         socket.on("close", () => resolve(answer));
@@ -148,6 +151,18 @@
     });
 }
 
+// Guards against a 400 that a caller takes for a part of its stream.
+test("bytes that are no request, behind one that is being answered, break its answer off and add nothing to it", async t => {
+    const cluster = await startCluster(t);
+    const body = JSON.stringify({ ...validRequest, x_output: 2_000, stream: true });
+    const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${
+        cluster.keyOf("members")
+    }\r\n`;
+    const answer = await sendRaw(cluster, `${head}content-length: ${body.length}\r\n\r\n${body}`, "no request\r\n\r\n");
+    t.regex(answer, /^HTTP\/1\.1 200 /);
+    t.notRegex(answer, /HTTP\/1\.1 400|\[DONE\]/);
+});
+
 test("pipelined requests are answered in order", async t => {
     const cluster = await startCluster(t);
     const one = (tag: string, last: boolean): string => {
