A host reads the rest of a relayed answer though it can write no more

The test "an endpoint that answers and ends while the host still sends ..." failed once in the suite, and 2 of 12 times alone beside load 24: 25 to 40 KB of 6 MB were missing.

Cause, by the peer's log (relay_ended whole=true) and the host's error ("Cannot call write after a stream was destroyed"): Node ends a request with its answer, and the failed write then destroyed the relay's socket with what it had yet to hand on.

Change: what is written after the answer has come in whole is discarded.

--- a/packages/host/src/relay/relay-socket.ts
+++ b/packages/host/src/relay/relay-socket.ts
@@ -55,10 +55,13 @@
     }
 
     override _write(chunk: Buffer, _encoding: BufferEncoding, done: (err?: Error | null) => void): void {
-        this.req.write(chunk, done);
+        // The request ends with its answer, of which a part may still wait here to be read.
+        if (this.res.complete) return done();
+        this.req.write(chunk, err => done(this.res.complete ? null : err));
     }
 
     override _final(done: (err?: Error | null) => void): void {
+        if (this.res.complete) return done();
         this.req.end(() => done());
     }
 
