LingeringClose keeps no count of open answers

CallerConnection knows already which answers of a connection are open, so the second count, a listener for each request, goes: closeAll asks. A stop's bound for slow callers is its grace also where that is longer than [callers] linger.

--- a/packages/host/src/calls/caller-connection.ts
+++ b/packages/host/src/calls/caller-connection.ts
@@ -37,6 +37,11 @@
         return connection;
     }
 
+    /** Whether no answer on a socket is open. */
+    static isIdle(this: void, socket: Socket): boolean {
+        return (connections.get(socket)?.size ?? 0) === 0;
+    }
+
     /** Whether an answer on a socket was begun and is open: nothing else may be written there. */
     static hasBegunAnswer(socket: Socket): boolean {
         return [...connections.get(socket)?.answers ?? []].some(({ headersSent }) => headersSent);
--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -11,6 +11,7 @@
 import { readFileSync } from "node:fs";
 import type { AddressInfo } from "node:net";
 import { Agent, buildConnector } from "undici";
+import { CallerConnection } from "./calls/caller-connection.js";
 import { createCallersServer } from "./calls/callers-server.js";
 import { type Host, OpenRequests, WorkspaceUsage } from "./calls/host.js";
 import { IdempotencyClaims } from "./calls/idempotency-claims.js";
@@ -146,7 +147,7 @@
         log.info({ open: host.openRequests.size }, "stopping");
         host.peers?.leave();
         await Promise.all([host.openRequests.drain(), pause(cfg["callers.still-served"])]);
-        closing.closeIdle();
+        closing.closeAll(CallerConnection.isIdle);
         while (closing.size > 0) await pause(STOP_POLL_MS);
         await end();
         log.info({}, "stopped");
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -19,6 +19,7 @@
 import { setMaxListeners } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
 import type { Agent } from "undici";
+import { CallerConnection } from "./calls/caller-connection.js";
 import type { GatewayContext } from "./calls/forward-call.js";
 import { applyCallerLimits, createForwardServer } from "./calls/forward-server.js";
 import { serveForwardedCall } from "./calls/forward.js";
@@ -274,7 +275,8 @@
     };
     const { app: callers, closing } = createForwardServer({
         requestTimeoutMs: cfg["callers.body-timeout"],
-        lingerMs: cfg["callers.linger"],
+        // What a caller reads slowly at a stop may take as long as the stop.
+        lingerMs: Math.max(cfg["callers.linger"], cfg["forward.stop-grace"]),
         signal,
         onCall: (req, target, out) => serveForwardedCall(deps, req, target, out),
     });
@@ -387,7 +389,7 @@
         // From here on the host refuses every call as not run; the pause leaves time to send these answers.
         exitsAt = clock.now();
         await pause(STOP_FLUSH_MS);
-        closing.closeIdle();
+        closing.closeAll(CallerConnection.isIdle);
         while (closing.size > 0 && clock.now() < deadline + STOP_LINGER_MS) await pause(STOP_POLL_MS);
         log.info({ open: openRequests.size, lingering: closing.size }, "stopped");
         await kill();
--- a/packages/host/src/runtime/lingering-close.ts
+++ b/packages/host/src/runtime/lingering-close.ts
@@ -5,14 +5,13 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { Server as TlsServer } from "node:tls";
 
 /** The connections of one server. */
 export class LingeringClose {
-    /** The open connections, with the number of their answers that are open. */
-    private readonly open = new Map<Socket, number>();
+    private readonly open = new Set<Socket>();
     /** Those that this host has ended, with the timers that bound how long it still reads from them. */
     private readonly lingering = new Map<Socket, NodeJS.Timeout>();
 
@@ -26,7 +25,7 @@
      * @example
      * ```ts
      * const closing = LingeringClose.of(server, 10_000);
-     * closing.closeIdle();
+     * closing.closeAll(socket => !isAnswering(socket));
      * while (closing.size > 0) await pause(50);
      * ```
      */
@@ -34,7 +33,6 @@
         const closing = new LingeringClose(maxMs);
         const connected = server instanceof TlsServer ? "secureConnection" : "connection";
         server.on(connected, (socket: Socket) => closing.add(socket));
-        server.on("request", (req, res) => closing.countAnswer(req, res));
         // With a listener, Node leaves it to the server to close connections whose idle time is over.
         server.on("timeout", (socket: Socket) => closing.close(socket));
         return closing;
@@ -56,9 +54,9 @@
         process.nextTick(discardInput, socket);
     }
 
-    /** Ends the connections that wait for no answer. */
-    closeIdle(): void {
-        for (const [socket, answers] of this.open) if (answers === 0) this.close(socket);
+    /** Ends all connections for which `isIdle` holds. */
+    closeAll(isIdle: (socket: Socket) => boolean): void {
+        for (const socket of this.open) if (isIdle(socket)) this.close(socket);
     }
 
     /** Gives up what lingers, so that its descriptors are free. */
@@ -67,7 +65,7 @@
     }
 
     private add(socket: Socket): void {
-        this.open.set(socket, 0);
+        this.open.add(socket);
         socket.destroySoon = () => this.close(socket);
         socket.once("close", () => {
             clearTimeout(this.lingering.get(socket));
@@ -75,15 +73,6 @@
             this.open.delete(socket);
         });
     }
-
-    private countAnswer({ socket }: IncomingMessage, res: ServerResponse): void {
-        const count = (change: number): void => {
-            const answers = this.open.get(socket);
-            if (answers !== undefined) this.open.set(socket, answers + change);
-        };
-        count(1);
-        res.once("close", () => count(-1));
-    }
 }
 
 /** Takes a socket from its HTTP parser, and discards what comes. */
--- a/packages/standins/src/connection-mutations.ts
+++ b/packages/standins/src/connection-mutations.ts
@@ -53,7 +53,7 @@
     {
         promise: "closes: a stop ends idle connections before the process ends",
         file: GATEWAY,
-        find: "        closing.closeIdle();\n",
+        find: "        closing.closeAll(CallerConnection.isIdle);\n",
         replace: "",
         tests: [CLOSED],
     },
