A stop ends no later than before, also while callers linger

A stop could last 100 to 150 ms longer than before, until 0.2 s before the end of the grace, which slow hosts may need to end.

--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -87,8 +87,6 @@
 /** How often a stopping host checks whether calls are still open, and how long it then leaves for sending its last refusals. */
 const STOP_POLL_MS = 50;
 const STOP_FLUSH_MS = 100;
-/** How long after that deadline, at most, a stopping host leaves callers to read their answers and end their connections. */
-const STOP_LINGER_MS = 200;
 /** How often the host reads the clock, so that it notices a suspension also while it has no calls. */
 const CLOCK_POLL_MS = 50;
 const SEED_RANGE = 1_000_000;
@@ -390,7 +388,7 @@
         exitsAt = clock.now();
         await pause(STOP_FLUSH_MS);
         closing.closeAll(CallerConnection.isIdle);
-        while (closing.size > 0 && clock.now() < deadline + STOP_LINGER_MS) await pause(STOP_POLL_MS);
+        while (closing.size > 0 && clock.now() < deadline + STOP_FLUSH_MS) await pause(STOP_POLL_MS);
         log.info({ open: openRequests.size, lingering: closing.size }, "stopped");
         await kill();
     };
--- a/packages/standins/src/connection-mutations.ts
+++ b/packages/standins/src/connection-mutations.ts
@@ -60,7 +60,7 @@
     {
         promise: "closes: a stop waits for callers that have yet to read",
         file: GATEWAY,
-        find: "while (closing.size > 0 && clock.now() < deadline + STOP_LINGER_MS)",
+        find: "while (closing.size > 0 && clock.now() < deadline + STOP_FLUSH_MS)",
         replace: "while (false)",
         tests: [CLOSED],
     },
