--- a/review/kit-2/worker.js
+++ b/review/kit-2/worker.js
@@ -3,6 +3,9 @@
  */
 import { createServer } from "node:http";
 
+/** After this it closes connections that carry no request, as its `Keep-Alive` tells. */
+const IDLE_MS = 60_000;
+
 export class Worker {
     /** Requests that arrived: when, by id and path, and whether they were run and answered. */
     arrivals = [];
@@ -12,17 +15,17 @@
         const worker = new Worker();
         Object.assign(worker, { id, service, zone, workMs });
         worker.server = createServer((req, res) => worker.handle(req, res));
-        worker.server.keepAliveTimeout = 5_000;
+        worker.server.keepAliveTimeout = IDLE_MS;
         await new Promise(resolve => worker.server.listen(0, "127.0.0.1", resolve));
         worker.address = `127.0.0.1:${worker.server.address().port}`;
         return worker;
     }
 
-    /** Its entry in the platform's store. */
+    /** Its entry in the platform's store, with the address of its link if it has one. */
     get entry() {
-        const { service, address, zone } = this;
+        const { service, address, link, zone } = this;
         const fixed = { Version: "v1", Slots: 6, State: "ready", ColdLeftMs: 0, Seq: 1 };
-        return { Service: service, Addr: address, Zone: zone, ...fixed };
+        return { Service: service, Addr: link?.address ?? address, Zone: zone, ...fixed };
     }
 
     get key() {
