--- a/review/5/run.js
+++ b/review/5/run.js
@@ -7,7 +7,7 @@
 import { connect } from "node:net";
 import { call } from "../kit-2/client.js";
 import { config, HOST, route } from "../kit-2/config.js";
-import { Link } from "../kit-2/path.js";
+import { Link } from "../kit-2/link.js";
 import { BOUNDS, Deployment, pause } from "../kit-2/platform.js";
 import { Store } from "../kit-2/store.js";
 import { Worker } from "../kit-2/worker.js";
--- a/review/kit-2/platform.js
+++ b/review/kit-2/platform.js
@@ -121,22 +121,22 @@
     /**
      * Starts daemons.
      *
-     * @param hosts Name and zone of each; its control port and its seeds may be given.
+     * @param hosts Name and zone of each.
      * @param store Address of the store for each host, by its number.
      */
     async start(hosts, store) {
         mkdirSync(this.folder, { recursive: true });
         const ports = [];
-        for (const { control } of hosts) {
+        for (let at = 0; at < hosts.length; at++) {
             ports.push({
                 front: await freePort(),
                 ready: await freePort(),
-                control: control ?? await freePort(),
+                control: await freePort(),
                 metrics: await freePort(),
             });
         }
         const zones = Object.fromEntries(hosts.map(({ zone }) => [zone, "region-1"]));
-        hosts.forEach(({ name, zone, seeds }, at) => {
+        hosts.forEach(({ name, zone }, at) => {
             const { front, ready, control, metrics } = ports[at];
             const local = port => `127.0.0.1:${port}`;
             const text = render({
@@ -144,7 +144,7 @@
                 Zone: zone,
                 Region: "region-1",
                 Ip: "127.0.0.1",
-                Seeds: seeds ?? ports.slice(0, 3).map(other => local(other.control)),
+                Seeds: ports.slice(0, 3).map(other => local(other.control)),
                 Zones: zones,
                 Listen: { Front: local(front), Ready: local(ready), Control: local(control) },
                 Limits: { CpuShare: 0.675, Cores: 1, MemoryMb: 350, MaxFds: 4100, LinkMbps: 1000 },
--- a/review/kit-2/store.js
+++ b/review/kit-2/store.js
@@ -10,32 +10,17 @@
     revision = 1;
     /** Waiting watches: the response and the function that answers it. */
     waiting = new Set();
-    /** Calls by path and status, for the record. */
-    calls = new Map();
-    doors = [];
+    /** Responses to calls that came while the machines were cut off; undefined unless they are. */
+    heldBack = undefined;
 
-    static async start(port = 0) {
+    static async start() {
         const store = new Store();
-        store.door = await store.addDoor(port);
-        store.port = store.door.port;
+        store.server = createServer((req, res) => store.handle(req, res));
+        await new Promise(resolve => store.server.listen(0, "127.0.0.1", resolve));
+        store.port = store.server.address().port;
         return store;
     }
 
-    /** Adds an address for a machine. Through a door that turns away, every call gets a 503 and waiting watches are answered with one. */
-    async addDoor(port = 0) {
-        const door = { turnsAway: false };
-        door.server = createServer((req, res) => this.handle(req, res, door));
-        await new Promise(resolve => door.server.listen(port, "127.0.0.1", resolve));
-        door.port = door.server.address().port;
-        door.turnAway = () => {
-            door.turnsAway = true;
-            for (const watch of [...this.waiting]) if (watch.door === door) watch.refuse();
-        };
-        door.letIn = () => door.turnsAway = false;
-        this.doors.push(door);
-        return door;
-    }
-
     /** Writes an item; returns when the store took it, in milliseconds of `performance.now()`. */
     put(key, value) {
         this.revision += 1;
@@ -74,16 +59,38 @@
         return cut.length;
     }
 
-    handle(req, res, door) {
+    /** Cuts the machines off from the store, without a sign. */
+    cutOff() {
+        this.heldBack = [...this.waiting].map(({ res, end }) => {
+            end();
+            return res;
+        });
+    }
+
+    /** Ends that; what was called meanwhile gets no answer. */
+    reconnect() {
+        for (const res of this.heldBack) res.destroy();
+        this.heldBack = undefined;
+    }
+
+    /** Forgets the history: watches that would need it get a 410. */
+    forget() {
+        this.history = [];
+        this.forgottenUntil = this.revision;
+    }
+
+    handle(req, res) {
+        if (this.heldBack) {
+            req.resume();
+            return void this.heldBack.push(res);
+        }
         const url = new URL(req.url, "http://store");
         req.resume();
         const reply = (status, body) => {
             res.writeHead(status, { "Content-Type": "application/json" });
             res.end(JSON.stringify(body));
         };
-        if (door.turnsAway) return reply(503, {});
         const { searchParams: query, pathname } = url;
-        this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
         if (pathname === "/drumpaddle/kv-key") {
             const item = this.items.get(query.get("Key"));
             return item ? reply(200, { ...item, at: this.revision }) : reply(404, {});
@@ -95,21 +102,17 @@
                 .sort((a, b) => a.Key < b.Key ? -1 : 1);
             return reply(200, { Items: found.slice(0, 500), more: found.length > 500, at: this.revision });
         }
-        if (pathname === "/drumpaddle/kv-watch") return this.watch(query, res, reply, door);
+        if (pathname === "/drumpaddle/kv-watch") return this.watch(query, res, reply);
         reply(404, {});
     }
 
-    watch(query, res, reply, door) {
+    watch(query, res, reply) {
         const prefix = query.get("PathPrefix");
         const after = Number(query.get("AfterRev"));
+        if (after < (this.forgottenUntil ?? 0)) return reply(410, {});
         const eventsNow = () => this.history.filter(({ Key, Revision }) => Revision > after && Key.startsWith(prefix));
         const watch = {
             res,
-            door,
-            refuse: () => {
-                watch.end();
-                reply(503, {});
-            },
             end: () => {
                 clearTimeout(timer);
                 this.waiting.delete(watch);
@@ -131,9 +134,7 @@
     }
 
     stop() {
-        for (const { server } of this.doors) {
-            server.closeAllConnections();
-            server.close();
-        }
+        this.server.closeAllConnections();
+        this.server.close();
     }
 }
