--- a/review/kit-2/client.js
+++ b/review/kit-2/client.js
@@ -35,7 +35,7 @@
 }
 
 /** Sends a request for a stream; resolves with its status, the ids of its events, and whether it came whole. */
-export function stream(port, { path, key, agent, promptTokens = 1460, mostTokens = 2184 }) {
+export function stream(port, { path, key, agent, promptTokens = 1460, mostTokens = 600 }) {
     sent += 1;
     const id = sent.toString(16).padStart(16, "0");
     const at = performance.now();
