--- a/packages/host/src/calls/call-progress.ts
+++ b/packages/host/src/calls/call-progress.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Continuation } from "@drumpaddle/protocol";
+import type { LossCause } from "@drumpaddle/request";
 import type { EndpointEntry } from "@drumpaddle/routes";
 import type { ConnectionUse } from "../endpoints/endpoint-connections.js";
 import type { CallMemory } from "../runtime/call-memory.js";
@@ -37,6 +38,10 @@
     standby: EndpointEntry | undefined;
     /** A copy that was made because the endpoint is leaving; preferred to the one at {@link standby}. */
     copy: Copy | undefined;
+    /** Why the connection of the latest attempt was lost after it was sent; undefined if it was not. */
+    lostBy: LossCause | undefined;
+    /** Whether the endpoint of the latest attempt has answered that it stopped the generation. */
+    isStopped: boolean;
     /** Id of the last event that was sent to the caller. */
     lastEventId: string | undefined;
     /** Whether each event's id was one above the id before it; undefined before the second id. */
@@ -78,6 +83,8 @@
         slowness: undefined,
         standby: undefined,
         copy: undefined,
+        lostBy: undefined,
+        isStopped: false,
         lastEventId: undefined,
         idsRiseByOne: undefined,
         framed: true,
@@ -152,6 +159,7 @@
         report: (event, piece) => {
             if (event.kind === "sending") progress.sentAt ??= now();
             if (event.kind === "failedAnswer") progress.failedAnswer = piece;
+            if (event.kind === "lost" && event.cause !== "connect") progress.lostBy = event.cause;
             const hasAdvanced = sink.report(event, piece);
             if (hasAdvanced && event.kind === "token" && piece) recordPiece(progress, event.index, piece);
             return hasAdvanced;
--- a/packages/host/src/calls/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -136,7 +136,9 @@
         this.pieces = attempt.alreadySent?.pieces ?? 0;
         this.pauses = new ReadPauses(attempt.now);
         const { silence, firstEvent } = attempt;
-        this.silence = silence && new SilenceWatch(silence, detail => this.reportLoss("idle", detail));
+        this.silence = silence && new SilenceWatch(silence, detail => {
+            if (!this.hasEnded) this.reportLoss("idle", detail);
+        });
         this.firstEvent = firstEvent && new FirstEventWatch(firstEvent, detail => this.reportLoss("reset", detail));
     }
 
@@ -192,11 +194,14 @@
 
     onEnd(orderly: boolean): void {
         if (this.hasEnded) return;
+        const stopKnown = this.silence?.whenStopKnown();
+        if (stopKnown) return void stopKnown.then(() => this.onEnd(orderly));
         if (!this.head) return this.reportLoss("reset", "the answer had no head");
         if (this.verdict?.kind === "refused") return this.reportRefusal();
         const isCutOff = !this.head.framed && !orderly && !NO_BODY_STATUSES.has(this.status);
         if (isCutOff) return this.reportLoss("reset", "the connection was reset before the answer's end was told");
         if (this.endsWithinEvent) return this.reportLoss("reset", "the answer ended within an event");
+        if (this.silence?.mayHaveStopped) return this.reportLoss("reset", "the endpoint may have stopped the stream");
         this.hasEnded = true;
         this.releaseConnection();
         this.finish();
--- a/packages/host/src/calls/forward-call.ts
+++ b/packages/host/src/calls/forward-call.ts
@@ -17,6 +17,7 @@
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
 import type { GenerationCopies } from "./generation-copies.js";
+import type { GenerationStops } from "./generation-stops.js";
 import type { OpenRequests } from "./host.js";
 
 /** State and services that the calls of one gateway share. */
@@ -34,6 +35,7 @@
     readonly plain: Placement;
     readonly openRequests: OpenRequests;
     readonly copies: GenerationCopies;
+    readonly stops: GenerationStops;
     /** Accounts for the memory that calls hold. */
     readonly memory: HostMemory;
     /** Receives the notices that endpoints add to their answers, such as a limit. */
--- a/packages/host/src/calls/forward-runner.ts
+++ b/packages/host/src/calls/forward-runner.ts
@@ -16,6 +16,7 @@
 import { guardAttempt } from "./guard-attempt.js";
 import type { AttemptRunner } from "./request-driver.js";
 import { settledRunner } from "./settled-runner.js";
+import { stopEarlierRun, stopSilentStream } from "./stop-elsewhere.js";
 
 /** Answers with this status or above come from endpoints that did not use the prompt. */
 const MIN_REFUSED_STATUS = 400;
@@ -36,6 +37,9 @@
             const endpoint = endpointOf(incarnation);
             const copy = progress.copy?.standby.incarnation === incarnation ? progress.copy : undefined;
             progress.copy = undefined;
+            progress.lostBy = undefined;
+            progress.isStopped = false;
+            deps.stops.cancel(head.id, incarnation);
             progress.attemptId = attempt;
             progress.bodyUnread = undefined;
             progress.connection = undefined;
@@ -82,7 +86,14 @@
                 },
                 body: progress.body,
                 alreadySent: sentBefore(progress, continueAt),
-                silence: silenceCfgOf(deps, call, endpoint, backUp, () => progress.connection?.route !== undefined),
+                silence: silenceCfgOf(
+                    deps,
+                    call,
+                    endpoint,
+                    backUp,
+                    () => progress.connection?.route !== undefined,
+                    () => stopSilentStream(deps, call, progress, endpoint),
+                ),
                 firstEvent: firstEventCfgOf(deps, call, endpoint),
                 sink: guardAttempt(recordProgress(sink, progress, () => deps.clock.now()), deps.guard, {
                     req: head.id,
@@ -123,11 +134,13 @@
                 cause: "resumeRefused",
                 detail: "calls are not resumed in place",
             }),
-        // Nothing to send: the driver aborts the attempt's signal, and the closed connection cancels the call at the endpoint.
+        // Nothing to send: the driver aborts the attempt's signal, and the closed connection cancels the call at most endpoints. Where
+        // the call is to run again, `stopEarlierRun` stops it at the others.
         cancel: () => undefined,
     };
-    return settledRunner(runner, incarnation => {
-        const endpoint = endpointOf(incarnation);
+    const stoppingRunner = settledRunner(runner, plan => stopEarlierRun(deps, call, progress, plan));
+    return settledRunner(stoppingRunner, plan => {
+        const endpoint = endpointOf(plan.endpoint);
         return endpoint && deps.settleRestart(endpoint);
     });
 }
--- a/packages/host/src/calls/forward-silence.ts
+++ b/packages/host/src/calls/forward-silence.ts
@@ -9,7 +9,7 @@
 import { probeByStatusCall } from "../endpoints/endpoint-probe.js";
 import type { FirstEventCfg } from "./first-event-watch.js";
 import type { ForwardCall, GatewayContext } from "./forward-call.js";
-import { EndpointSign, type SilenceCfg } from "./silence-watch.js";
+import { EndpointSign, type SilenceCfg, type StreamStop } from "./silence-watch.js";
 
 /**
  * The endpoint of a silent stream is probed after this share of the route's maximum gap, and has {@link
@@ -19,7 +19,7 @@
 /** Endpoints in the same region answer a probe within 10 ms, including the connection setup. */
 const PROBE_TIMEOUT_MS = 35;
 /**
- * A silent stream counts as lost after this many times the route's maximum gap, even if its endpoint is alive. For the
+ * A silent stream is stopped, to continue elsewhere, after this many times the route's maximum gap, even if its endpoint is alive. For the
  * streams that the system is designed for that is 1.1 s: the stream is late by then in any case, and callers leave
  * after two seconds or more.
  */
@@ -36,6 +36,7 @@
  * Returns when a stream counts as lost; undefined if no standby receives a copy of it or its route sets no maximum gap.
  *
  * @param isRelayed Whether the stream's connection goes through a peer.
+ * @param stop Has the endpoint stop the stream.
  */
 export function silenceCfgOf(
     deps: GatewayContext,
@@ -43,6 +44,7 @@
     endpoint: EndpointEntry,
     backUp: string | undefined,
     isRelayed: () => boolean,
+    stop: () => Promise<StreamStop>,
 ): SilenceCfg | undefined {
     if (backUp === undefined || gapMs === undefined) return undefined;
     const awakeMs = (): number => deps.clock.awakeMs();
@@ -52,6 +54,7 @@
         unsureAfterMs: patienceMs === undefined ? UNSURE_MS : patienceMs * UNSURE_PATIENCE_SHARE,
         awakeMs,
         probe: () => probeIncarnation(deps, endpoint, isRelayed()),
+        stop,
         canContinue: () => deps.engines.canContinue(head.id),
     };
 }
--- a/packages/host/src/calls/generation-copies.ts
+++ b/packages/host/src/calls/generation-copies.ts
@@ -84,6 +84,19 @@
         if (copy && !used) void this.dropAtSource(copy);
     }
 
+    /** Takes a copy that was made as its generation was stopped. */
+    adopt(job: string, copy: Copy): void {
+        const listener = this.listeners.get(job);
+        if (!listener) return this.drop(copy);
+        this.copies.set(job, copy);
+        listener.onCopied(copy);
+    }
+
+    /** Has the endpoint that made a copy delete it. */
+    drop(copy: Copy): void {
+        void this.dropAtSource(copy);
+    }
+
     /**
      * Starts to copy the generations that run on leaving endpoints and have no copy at a reachable endpoint that stays.
      */
@@ -124,10 +137,7 @@
             }
             log.info({ req: job, from, to, ms, copy: answer.copy }, "generation_copied");
             const copy = { standby, source, name: answer.copy };
-            const listener = this.listeners.get(job);
-            if (!listener) return void this.dropAtSource(copy);
-            this.copies.set(job, copy);
-            listener.onCopied(copy);
+            this.adopt(job, copy);
             await pause(REFRESH_MS);
         }
     }
--- a/packages/host/src/calls/silence-watch.ts
+++ b/packages/host/src/calls/silence-watch.ts
@@ -16,18 +16,32 @@
 /** One of {@link EndpointSign}. */
 export type EndpointSign = typeof EndpointSign[keyof typeof EndpointSign];
 
+/** What an endpoint did when it was told to stop a stream. */
+export const StreamStop = {
+    /** It has stopped. */
+    Stopped: "stopped",
+    /** It has answered that it did not, or that it does not run the stream. */
+    NotStopped: "notStopped",
+    /** It gave no answer. */
+    Unknown: "unknown",
+} as const;
+/** One of {@link StreamStop}. */
+export type StreamStop = typeof StreamStop[keyof typeof StreamStop];
+
 /** When a silent stream counts as lost. Times are milliseconds since its last event. */
 export interface SilenceCfg {
     /** The watch probes the endpoint for the first time after this time; if the endpoint is gone, the stream is lost. */
     readonly probeAfterMs: number;
-    /** The stream is lost after this time if its endpoint serves. */
+    /** The stream is stopped after this time if its endpoint serves. */
     readonly lostAfterMs: number;
-    /** The stream is lost after this time if it is not sure that its endpoint is gone. */
+    /** The stream is stopped after this time if it is not sure that its endpoint is gone. */
     readonly unsureAfterMs: number;
     /** The time for which the host was awake; a suspended host receives nothing. */
     awakeMs(): number;
     /** Probes the endpoint. */
     probe(): Promise<EndpointSign>;
+    /** Tells the endpoint to stop the stream. Unless it has, the stream may still run there and must not go on elsewhere. */
+    stop(): Promise<StreamStop>;
     /** Whether the stream can continue elsewhere now; if not, silence is no reason to end it. */
     canContinue(): boolean;
 }
@@ -59,16 +73,33 @@
     private lastEventAt = 0;
     private paused = false;
     private isProbing = false;
+    /** Settles when what an order to stop has shown was handled; undefined if none is under way. */
+    private stopping: Promise<void> | undefined;
+    private lastStop: StreamStop | undefined;
 
     constructor(private readonly cfg: SilenceCfg, private readonly onLost: (detail: string) => void) {}
 
     /** Restarts the watch after an event. */
     onEvent(): void {
         this.lastEventAt = this.cfg.awakeMs();
+        if (!this.stopping) this.lastStop = undefined;
         this.stop();
         this.schedule(this.cfg.probeAfterMs, () => this.probeEndpoint());
     }
 
+    /**
+     * Returns a promise that settles once it is known whether the endpoint has stopped the stream; undefined if nothing is awaited. The
+     * end of a stream that was stopped is not that of its answer.
+     */
+    whenStopKnown(): Promise<void> | undefined {
+        return this.stopping;
+    }
+
+    /** Whether the endpoint may have stopped the stream: it did not answer the order, and sent nothing since. */
+    get mayHaveStopped(): boolean {
+        return this.lastStop === StreamStop.Unknown;
+    }
+
     /** Suspends the watch while the host does not read the stream because the caller is slow. */
     pause(): void {
         this.stop();
@@ -136,25 +167,43 @@
     /** Each sign is only as old as the decision: an endpoint that answered may have been held up since. */
     private onSign(sign: EndpointSign): void {
         const { lostAfterMs, unsureAfterMs } = this.cfg;
-        const lostAt = {
-            [EndpointSign.Gone]: 0,
-            [EndpointSign.Serves]: lostAfterMs,
-            [EndpointSign.Unsure]: unsureAfterMs,
-        };
         this.isProbing = false;
-        if (this.silentMs >= lostAt[sign]) return this.reportLost(WHY_LOST[sign]);
-        const nextAt = Math.min(lostAt[sign], this.silentMs + lostAfterMs);
+        if (sign === EndpointSign.Gone) return this.reportGone();
+        const stopAt = sign === EndpointSign.Serves ? lostAfterMs : unsureAfterMs;
+        if (this.silentMs >= stopAt) return this.stopStream(WHY_LOST[sign]);
+        const nextAt = Math.min(stopAt, this.silentMs + lostAfterMs);
         this.schedule(nextAt - this.silentMs, () => this.probeEndpoint());
     }
 
+    /** Has the endpoint stop the stream, which is lost once it has, whatever came meanwhile. */
+    private stopStream(why: string): void {
+        // The copy may have disappeared, or become unusable, since the endpoint was probed.
+        if (this.stopping || !this.cfg.canContinue()) return this.probeLater();
+        const { lastEventAt, silentMs } = this;
+        this.isProbing = true;
+        this.stopping = this.cfg.stop().then(result => {
+            this.stopping = undefined;
+            this.lastStop = result;
+            if (result === StreamStop.Stopped) return this.endWatch(silentMs, why);
+            const isOver = !this.isProbing || this.lastEventAt !== lastEventAt;
+            if (isOver) return;
+            this.isProbing = false;
+            this.schedule(this.cfg.lostAfterMs, () => this.probeEndpoint());
+        });
+    }
+
     private probeLater(): void {
         this.schedule(this.cfg.probeAfterMs, () => this.probeEndpoint());
     }
 
-    private reportLost(why: string): void {
-        this.stop();
+    private reportGone(): void {
         // The copy may have disappeared, or become unusable, since the endpoint was probed.
         if (!this.cfg.canContinue()) return this.probeLater();
-        this.onLost(`no event for ${Math.round(this.silentMs)} ms, ${why}`);
+        this.endWatch(this.silentMs, WHY_LOST[EndpointSign.Gone]);
+    }
+
+    private endWatch(silentMs: number, why: string): void {
+        this.stop();
+        this.onLost(`no event for ${Math.round(silentMs)} ms, ${why}`);
     }
 }
--- a/packages/host/src/gateway.ts
+++ b/packages/host/src/gateway.ts
@@ -24,6 +24,7 @@
 import { applyCallerLimits, createForwardServer } from "./calls/forward-server.js";
 import { serveForwardedCall } from "./calls/forward.js";
 import { GenerationCopies } from "./calls/generation-copies.js";
+import { GenerationStops } from "./calls/generation-stops.js";
 import { OpenRequests } from "./calls/host.js";
 import { CrashDetector, type EndpointIncarnation } from "./endpoints/crash-detector.js";
 import { declareEndpoints } from "./endpoints/declare-endpoints.js";
@@ -159,6 +160,15 @@
         dispatcher: links.dispatchers.usual,
         endpoint: incarnation => feed.endpoint(incarnation),
     });
+    const stops = new GenerationStops({
+        clock,
+        engines,
+        wire: platformWire,
+        log,
+        signal,
+        dispatcher: links.dispatchers.usual,
+        dropCopy: copy => copies.drop(copy),
+    });
     const connections = new EndpointConnections(
         signal,
         clock,
@@ -244,6 +254,7 @@
         plain,
         openRequests,
         copies,
+        stops,
         dispatchers: links.dispatchers,
         memory,
         notices,
--- a/packages/host/test/forward-silence.test.ts
+++ b/packages/host/test/forward-silence.test.ts
@@ -6,7 +6,7 @@
 import { Agent } from "undici";
 import type { ForwardCall, GatewayContext } from "../src/calls/forward-call.js";
 import { silenceCfgOf } from "../src/calls/forward-silence.js";
-import { EndpointSign } from "../src/calls/silence-watch.js";
+import { EndpointSign, StreamStop } from "../src/calls/silence-watch.js";
 
 const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
 
@@ -58,6 +58,7 @@
         endpoint as Parameters<typeof silenceCfgOf>[2],
         "standby",
         () => isRelayed,
+        () => Promise.resolve(StreamStop.Stopped),
     );
     return cfg!.probe();
 }
--- a/packages/host/test/silence-watch.test.ts
+++ b/packages/host/test/silence-watch.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer } from "node:net";
-import { EndpointSign, SilenceWatch } from "../src/calls/silence-watch.js";
+import { EndpointSign, SilenceWatch, StreamStop } from "../src/calls/silence-watch.js";
 
 interface WatchTrial {
     readonly watch: SilenceWatch;
@@ -22,6 +22,7 @@
             probeCount += 1;
             return Promise.resolve(sign);
         },
+        stop: () => Promise.resolve(StreamStop.Stopped),
         canContinue,
     };
     return { watch: new SilenceWatch(cfg, detail => void lost.push(detail)), probeCount: () => probeCount, lost };
@@ -80,6 +81,7 @@
         unsureAfterMs: 60_000,
         awakeMs: () => performance.now(),
         probe: () => Promise.resolve(signs.shift()!),
+        stop: () => Promise.resolve(StreamStop.Stopped),
         canContinue: () => true,
     };
     const watch = new SilenceWatch(cfg, detail => void lost.push(detail));
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -70,6 +70,7 @@
     type PlatformWire,
     type PromptPart,
     type RawHeaders,
+    type StopAnswer,
 } from "./platform-wire.js";
 export { reportSending } from "./report-sending.js";
 export { TimeLimitError, withTimeLimit } from "./time-limit.js";
--- a/packages/protocol/src/platform-wire.ts
+++ b/packages/protocol/src/platform-wire.ts
@@ -131,6 +131,15 @@
     | { readonly kind: "copied"; readonly copy: string }
     | { readonly kind: "notMade"; readonly detail: string };
 
+/** An endpoint's response to the order to stop a running generation. */
+export type StopAnswer =
+    /** It has stopped and keeps the generation's state under the name `copy`; `isCopied`: the target of the order has it as well. */
+    | { readonly kind: "stopped"; readonly copy: string; readonly isCopied: boolean }
+    /** The endpoint runs no such generation. */
+    | { readonly kind: "notRunning" }
+    /** The generation may still run. */
+    | { readonly kind: "notStopped"; readonly detail: string };
+
 /** An endpoint's response to the question of whether it is leaving. */
 export type LeavingAnswer =
     | {
@@ -162,6 +171,9 @@
     /** Creates the request to copy a running generation to another endpoint (`ip:port`); the generation continues meanwhile. */
     copyCall(callId: string, target: string): EndpointCall;
     decodeCopyAnswer(status: number, body: string): CopyAnswer;
+    /** Creates the request to stop a running generation and to copy it to another endpoint (`ip:port`). */
+    stopCall(callId: string, target: string): EndpointCall;
+    decodeStopAnswer(status: number, body: string): StopAnswer;
     /** Creates the request to discard a copy, for the endpoint that made it. */
     dropCopyCall(copy: string): EndpointCall;
     /** Creates the request that asks an endpoint whether it is leaving. */
--- a/packages/standins/src/run-once-mutations.ts
+++ b/packages/standins/src/run-once-mutations.ts
@@ -9,6 +9,10 @@
 const DISPATCH_SOURCE = "packages/policy/src/dispatch.ts";
 const SCHEDULER_SOURCE = "packages/policy/src/scheduler.ts";
 const DRIVER_SOURCE = "packages/host/src/calls/request-driver.ts";
+const WATCH_SOURCE = "packages/host/src/calls/silence-watch.ts";
+const STOPS_SOURCE = "packages/host/src/calls/generation-stops.ts";
+const STOP_ELSEWHERE_SOURCE = "packages/host/src/calls/stop-elsewhere.ts";
+const PLATFORM_RUNS_ONCE = "platform/test/runs-once.test.ts";
 const SETTLED_SOURCE = "packages/host/src/calls/settled-runner.ts";
 const CLAIMS_SOURCE = "packages/host/src/calls/idempotency-claims.ts";
 const CLAIMS = "packages/host/test/idempotency-claims.test.ts";
@@ -22,6 +26,27 @@
 
 /** Broken one at a time by `npm run test:mutations`. */
 export const RUN_ONCE_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "runs once: a silent stream goes on elsewhere only once its endpoint has stopped it",
+        file: WATCH_SOURCE,
+        find: "if (result === StreamStop.Stopped) return this.endWatch(silentMs, why);",
+        replace: "return this.endWatch(silentMs, why);",
+        tests: [PLATFORM_RUNS_ONCE],
+    },
+    {
+        promise: "runs once: a stream whose connection is lost is stopped where it ran",
+        file: STOP_ELSEWHERE_SOURCE,
+        find: "lostBy === undefined || isStopped) return undefined;",
+        replace: "lostBy !== undefined || isStopped) return undefined;",
+        tests: [PLATFORM_RUNS_ONCE],
+    },
+    {
+        promise: "runs once: the order to stop a stream is repeated until it is followed",
+        file: STOPS_SOURCE,
+        find: "!isSettled(answer); waitMs",
+        replace: "false; waitMs",
+        tests: [PLATFORM_RUNS_ONCE],
+    },
     {
         promise: "runs once: an evacuation does not take the place of a continuation",
         file: SCHEDULER_SOURCE,
