--- a/packages/host/src/daemon.ts
+++ b/packages/host/src/daemon.ts
@@ -15,7 +15,7 @@
 import { createCallersServer } from "./calls/callers-server.js";
 import { type Host, OpenRequests, WorkspaceUsage } from "./calls/host.js";
 import { IdempotencyClaims } from "./calls/idempotency-claims.js";
-import { failOnReset } from "./endpoints/connector.js";
+import { failOnReset, resetOnDestroy } from "./endpoints/connector.js";
 import { CrashDetector } from "./endpoints/crash-detector.js";
 import { probeByConnecting } from "./endpoints/endpoint-probe.js";
 import { isLeaving, Placement } from "./endpoints/placement.js";
@@ -74,7 +74,7 @@
     const dispatcher = new Agent({
         connections: CONNECTIONS_PER_ENDPOINT,
         keepAliveTimeout: KEEP_ALIVE_MS,
-        connect: failOnReset(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
+        connect: failOnReset(resetOnDestroy(buildConnector({ timeout: CONNECT_TIMEOUT_MS }))),
         pipelining: 1,
     });
     const guard: RequestGuard = new RequestGuard({
--- a/packages/host/src/relay/relay-client.ts
+++ b/packages/host/src/relay/relay-client.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import type { Log } from "../runtime/log.js";
 import type { Metrics } from "../runtime/metrics.js";
+import { resetWhenDestroyed } from "../runtime/socket-end.js";
 import { raceStaggered } from "./race.js";
 import { decodeRelayRefusal, RELAY_ID_HEADER, RelayCode, RelayError, relayPath } from "./relay-protocol.js";
 import { RelaySocket } from "./relay-socket.js";
@@ -118,6 +119,8 @@
     route: RelaySocket["route"],
     signal: AbortSignal,
 ): Promise<RelaySocket> {
+    // What a cut link holds up must not reach the endpoint through the peer once the call was given up.
+    resetWhenDestroyed(socket);
     return new Promise((resolve, reject) => {
         const req = request({
             createConnection: () => socket,
--- a/packages/host/test/relay.test.ts
+++ b/packages/host/test/relay.test.ts
@@ -47,6 +47,8 @@
     readonly weight: number;
     readonly server: RelayServer;
     readonly errors: PeerError[];
+    /** Codes of the errors of the streams that it accepted. */
+    readonly streamErrors: string[];
     /** Ends the peer as a crash does. */
     readonly kill: () => void;
 }
@@ -77,6 +79,7 @@
         },
     });
     const errors: PeerError[] = [];
+    const streamErrors: string[] = [];
     const mesh = await PeerMesh.listen({
         name,
         listen: { ip: "127.0.0.1", port: 0 },
@@ -86,6 +89,7 @@
         onBytes: () => undefined,
         onStream: (from, socket) => {
             sockets.add(socket);
+            socket.on("error", (err: NodeJS.ErrnoException) => streamErrors.push(err.code ?? ""));
             server.accept(from, socket);
         },
         clock,
@@ -96,7 +100,7 @@
         for (const socket of sockets) socket.destroy();
     };
     t.teardown(kill);
-    return { name, address: mesh.at, weight: 1, server, errors, kill };
+    return { name, address: mesh.at, weight: 1, server, errors, streamErrors, kill };
 }
 
 function startClient(
@@ -207,6 +211,17 @@
     t.is(peer.server.size, 0);
 });
 
+// Guards against calls that reach an endpoint after they were given up: the system delivered what was on its way to the peer.
+test("when the host leaves, its stream to the peer is reset, so that nothing held up is delivered", async t => {
+    const endpoint = await startEndpoint(t, socket => void socket.resume());
+    const peer = await startPeer(t, "helper", [endpoint]);
+    const socket = await connectThrough(startClient(t, [peer]), endpoint);
+    socket.write("go");
+    socket.destroy();
+    while (peer.server.size > 0) await new Promise(resolve => setTimeout(resolve, 5));
+    t.deepEqual(peer.streamErrors, ["ECONNRESET"]);
+});
+
 test("an endpoint that does not read holds the writer up", async t => {
     const endpoint = await startEndpoint(t, socket => socket.pause());
     const peer = await startPeer(t, "helper", [endpoint]);
--- a/packages/standins/src/connection-mutations.ts
+++ b/packages/standins/src/connection-mutations.ts
@@ -1,5 +1,5 @@
 /**
- * Mutations of the promises on requests that callers send behind others on one connection.
+ * Mutations of the promises on requests that callers send behind others on one connection, and on the ends of connections.
  *
  * @module
  */
@@ -9,12 +9,30 @@
 const FORWARD = "packages/host/src/calls/forward.ts";
 const CLOSE = "packages/host/src/runtime/lingering-close.ts";
 const GATEWAY = "packages/host/src/gateway.ts";
+const CONNECTOR = "packages/host/src/endpoints/connector.ts";
+const RELAY = "packages/host/src/relay/relay-client.ts";
+const HELD_UP = "platform/test/held-up-calls.test.ts";
+const RELAY_TEST = "packages/host/test/relay.test.ts";
 const CLOSED = "platform/test/closed-connections.test.ts";
 const BAD_INPUT = "packages/standins/test/bad-input.test.ts";
 const BEHIND = "platform/test/requests-behind.test.ts";
 
 /** Broken one at a time by `npm run test:mutations`. */
 export const CONNECTION_MUTATIONS: readonly Mutation[] = [
+    {
+        promise: "given up: a call does not arrive later",
+        file: CONNECTOR,
+        find: "if (socket) resetWhenDestroyed(socket);",
+        replace: "",
+        tests: [HELD_UP],
+    },
+    {
+        promise: "given up: a relayed call does not arrive later",
+        file: RELAY,
+        find: "    resetWhenDestroyed(socket);\n",
+        replace: "",
+        tests: [RELAY_TEST],
+    },
     {
         promise: "closes: an answer outlasts the close that follows it",
         file: CLOSE,
