--- a/packages/host/src/calls/forward-attempt.ts
+++ b/packages/host/src/calls/forward-attempt.ts
@@ -177,8 +177,7 @@
     }
 
     onHead(status: number, headers: RawHeaders): void {
-        // Ignores informational responses.
-        if (this.hasEnded || status < 200) return;
+        if (this.hasEnded || isInterim(status)) return;
         const { id, send, sink, alreadySent, onAnswered, onSelfReport } = this.attempt;
         this.status = status;
         this.head = this.wire.decodeAnswerHead(headers);
--- a/packages/host/src/calls/judge-answer.ts
+++ b/packages/host/src/calls/judge-answer.ts
@@ -24,6 +24,10 @@
     | { readonly kind: "invalid"; readonly detail: string };
 
 const OK = 200;
+/** The statuses that HTTP has (RFC 9110, section 15), and the first that is not one of an interim answer. */
+const MIN_STATUS = 100;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 /** The status with which an endpoint refuses a call that names an earlier incarnation of it. */
 export const MISDIRECTED = 421;
 /**
@@ -32,6 +36,30 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/**
+ * Whether an answer with this status is followed by another one to the same call.
+ *
+ * @example
+ * ```ts
+ * isInterim(103); // true
+ * ```
+ */
+export function isInterim(status: number): boolean {
+    return status >= MIN_STATUS && status < MIN_FINAL_STATUS;
+}
+
+/**
+ * Whether a final answer may have this status. Clients may be unable to read any other, so an endpoint's is not forwarded.
+ *
+ * @example
+ * ```ts
+ * isFinalStatus(0); // false
+ * ```
+ */
+export function isFinalStatus(status: number): boolean {
+    return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+}
+
 /**
  * Whether an answer is a stream that is forwarded event by event.
  *
@@ -62,6 +90,7 @@
  * ```
  */
 export function judgeAnswer({ id, connectionCalls, before }: SentCall, status: number, head: AnswerHead): Verdict {
+    if (!isFinalStatus(status)) return invalid(`the status ${status}`);
     if (head.id !== undefined && head.id !== id) return invalid(`an answer to ${head.id}`);
     if (head.notRun || status === MISDIRECTED) {
         // It may be a surplus answer to an earlier call on the connection.
--- a/packages/host/src/calls/plain-service.ts
+++ b/packages/host/src/calls/plain-service.ts
@@ -28,6 +28,7 @@
 import { guardRunner } from "./guard-attempt.js";
 import type { Host } from "./host.js";
 import { callHash, MAX_RECORDED_BYTES, type Recorded } from "./idempotency-claims.js";
+import { isFinalStatus } from "./judge-answer.js";
 import { type AttemptRunner, type AttemptSink, type Reply, RequestDriver } from "./request-driver.js";
 
 /** A call, after its key was checked. */
@@ -421,6 +422,11 @@
             bodyTimeout: settings["idle-timeout"],
             signal,
         });
+        if (!isFinalStatus(res.statusCode)) {
+            res.body.on("error", () => undefined).destroy();
+            sink.report({ kind: "lost", attempt, cause: "invalid", detail: `the status ${res.statusCode}` });
+            return;
+        }
         if (res.statusCode >= 500 && res.headers["x-ran"] === "no") {
             await res.body.dump();
             sink.report({ kind: "endpointRefused", attempt, detail: `${res.statusCode}: refused` });
--- a/packages/standins/src/plain-server.ts
+++ b/packages/standins/src/plain-server.ts
@@ -23,6 +23,8 @@
     | "encoded"
     /** An answer with status 204 and no body. */
     | "noBody"
+    /** An answer with a status that HTTP does not have. */
+    | "oddStatus"
     /** An answer longer than the buffers of connections. */
     | "long";
 
@@ -69,6 +71,11 @@
                 req.socket.end(UNFRAMED_HEAD + answer);
                 return reply;
             }
+            if (fault === "oddStatus") {
+                reply.hijack();
+                req.socket.write("HTTP/1.1 999 Odd\r\ncontent-length: 3\r\n\r\nodd");
+                return reply;
+            }
             if (fault === "unframedHalf") {
                 reply.hijack();
                 req.socket.write(UNFRAMED_HEAD + answer.slice(0, answer.length / 2));
--- a/packages/standins/test/plain-answers.test.ts
+++ b/packages/standins/test/plain-answers.test.ts
@@ -131,3 +131,10 @@
     t.deepEqual(again.body, first.body);
     t.is((JSON.parse(gunzipSync(again.body).toString()) as { url: string }).url, "/holds");
 });
+
+// Guards against answers that clients may be unable to read: a status above 599 was passed on.
+test("an answer whose status HTTP does not have is not passed on", async t => {
+    const cluster = await startCluster(t);
+    cluster.plainServices[0]!.server.faults.push("oddStatus");
+    t.is((await callDesk(cluster, "POST")).status, 502);
+});
