--- a/packages/host/src/endpoints/received-bytes.ts
+++ b/packages/host/src/endpoints/received-bytes.ts
@@ -53,9 +53,9 @@
  * ```
  */
 export function onBytesRead(socket: Socket, onBytes: (bytes: number) => void): void {
-    const { read } = socket;
-    socket.read = function(this: Socket, size?: number) {
-        const chunk = read.call(this, size) as Buffer | null;
+    const read = socket.read.bind(socket);
+    socket.read = (size?: number) => {
+        const chunk = read(size) as Buffer | null;
         if (chunk !== null) onBytes(chunk.length);
         return chunk;
     };
@@ -80,11 +80,11 @@
 
 function limitSocket(socket: Socket, maxBytes: number): void {
     const received = new ReceivedBytes(maxBytes);
-    const { write } = socket;
-    socket.write = function(this: Socket, ...args: Parameters<typeof write>) {
+    const write = socket.write.bind(socket);
+    socket.write = (...args: Parameters<typeof write>) => {
         received.reset();
-        return write.apply(this, args);
-    } as typeof write;
+        return write(...args);
+    };
     onBytesRead(socket, bytes => destroyOnError(socket, received.add(bytes)));
 }
 
