--- a/packages/host/src/endpoints/received-bytes.ts
+++ b/packages/host/src/endpoints/received-bytes.ts
@@ -80,8 +80,8 @@
 
 function limitSocket(socket: Socket, maxBytes: number): void {
     const received = new ReceivedBytes(maxBytes);
-    const write = socket.write.bind(socket);
-    socket.write = (...args: Parameters<typeof write>) => {
+    const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
+    socket.write = (...args: unknown[]): boolean => {
         received.reset();
         return write(...args);
     };
