--- a/packages/routes/src/endpoint-list.ts
+++ b/packages/routes/src/endpoint-list.ts
@@ -22,6 +22,14 @@
 });
 const entryCheck = TypeCompiler.Compile(EndpointEntrySchema);
 
+const MAX_PORT = 65_535;
+
+/** Whether an address has a port that exists: an HTTP client throws where it is given another. */
+function hasPort(address: string): boolean {
+    const port = Number(address.slice(address.lastIndexOf(":") + 1));
+    return port > 0 && port <= MAX_PORT;
+}
+
 /** Why a list of endpoints cannot be decoded. */
 export type EndpointListError =
     | { readonly kind: "notJson"; readonly detail: string }
@@ -64,7 +72,11 @@
     const value: EndpointEntry[] = [];
     const bad: InvalidEndpoint[] = [];
     list.forEach((item: unknown, at) => {
-        if (entryCheck.Check(item)) return void value.push({ ...item, born: item.born, coldMs: item.coldMs });
+        if (entryCheck.Check(item)) {
+            if (hasPort(item.address)) value.push({ ...item, born: item.born, coldMs: item.coldMs });
+            else bad.push({ at: `/${at}/address`, detail: "no port to connect to" });
+            return;
+        }
         const firstError = entryCheck.Errors(item).First();
         bad.push({ at: `/${at}${firstError?.path ?? ""}`, detail: firstError?.message ?? "not as expected" });
     });
--- a/packages/routes/test/endpoint-list.test.ts
+++ b/packages/routes/test/endpoint-list.test.ts
@@ -38,6 +38,8 @@
     "an endpoint without an address": { item: { ...entryOf(), address: undefined }, at: "/1/address" },
     "an unknown state": { item: { ...entryOf(), state: "asleep" }, at: "/1/state" },
     "a start time that is not an integer": { item: { ...entryOf(), born: 1.5 }, at: "/1/born" },
+    "a port that does not exist": { item: { ...entryOf(), address: "10.0.0.1:99999" }, at: "/1/address" },
+    "port 0": { item: { ...entryOf(), address: "10.0.0.1:0" }, at: "/1/address" },
     "an entry that is not an object": { item: null, at: "/1" },
 };
 
