--- a/packages/host/src/calls/forward-server.ts
+++ b/packages/host/src/calls/forward-server.ts
@@ -29,6 +29,10 @@
 const IDLE_MARGIN_MS = 1_000;
 
 const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/** Says that the request has not run, so that the caller may send it again. */
+const REQUEST_TIMEOUT = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/** The error of a request, or of a connection without any, that takes longer than the server's timeouts. */
+const TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 
 /** The server, and how it closes the connections of callers. */
 export interface ForwardServer {
@@ -53,15 +57,21 @@
         forceCloseConnections: "idle",
         clientErrorHandler: (err, socket) => {
             if (err.code === "ECONNRESET" || socket.destroyed) return;
+            // Node counts the time for a head from when the connection was opened. One that only rests has its idle time, and the time
+            // for the head counts anew from its first byte.
+            if (err.code === TIMEOUT_CODE && socket.bytesRead === 0) return;
             // A 400 for invalid bytes behind a request that is being answered would end up within that answer.
             const brokenAnswers = [...answering].filter(({ req }) => req.socket === socket);
             if (brokenAnswers.length > 0) return brokenAnswers.forEach(breakAnswer);
-            closing.close(socket, BAD_REQUEST);
+            closing.close(socket, err.code === TIMEOUT_CODE ? REQUEST_TIMEOUT : BAD_REQUEST);
         },
     });
     const closing = LingeringClose.of(app.server, deps.lingerMs);
+    // Node sets the idle time after each answer only.
+    app.server.on("connection", socket => socket.setTimeout(app.server.keepAliveTimeout));
     app.addHook("onRequest", (req, reply, done) => {
         reply.hijack();
+        req.raw.socket.setTimeout(0);
         CallerConnection.of(reply.raw).add(reply.raw);
         answering.add(reply.raw);
         reply.raw.once("close", () => answering.delete(reply.raw));
