--- a/packages/host/src/store/deployment-feed.ts
+++ b/packages/host/src/store/deployment-feed.ts
@@ -209,7 +209,9 @@
     /** This host's whole state for a peer that is behind it; the deployment only where the peer's version is older. */
     private stateNewerThan(asker: StoreProgress): StoreState | undefined {
         if (this.position === undefined || !this.current || !isFurther(this.progress, asker)) return undefined;
-        const endpoints = writeEndpoints([...this.registry.endpoints.values()].map(({ entry }) => entry));
+        // Only what is registered: what this host keeps for a while is gone by the time at which the peer would have to learn that.
+        const registered = [...this.registry.endpoints.values()].filter(({ lapsedAt }) => lapsedAt === undefined);
+        const endpoints = writeEndpoints(registered.map(({ entry }) => entry));
         const evacuated = [...this.registry.halls.evacuated];
         const { table, text } = this.current;
         return {
--- a/packages/host/test/odd-registrations.test.ts
+++ b/packages/host/test/odd-registrations.test.ts
@@ -134,3 +134,29 @@
         { numRuns: RUNS },
     );
 });
+
+// Guards against requests to endpoints that have left: a host told a peer of a registration that it kept for two seconds only, as it may
+// have lapsed in an outage, and the peer kept it for good.
+test("a host tells its peers of no registration that it keeps only as it may have lapsed", async t => {
+    const own = new AbortController();
+    const store = await StandInStore.start();
+    t.teardown(() => store.stop());
+    t.teardown(() => own.abort());
+    store.put("op/config", configOf(1));
+    store.put("servers/i-1", registrationOf("app", "10.0.0.1:80"));
+    store.put("servers/i-2", registrationOf("app", "10.0.0.2:80"));
+    const feed = createFeed(store.url, own.signal);
+    feed.follower.setWatching("alone");
+    await waitUntil(() => endpointsKnownTo(feed).length === 2);
+    store.setOutage("reset");
+    await new Promise(resolve => setTimeout(resolve, OUTAGE_MS));
+    store.remove("servers/i-1");
+    store.put("servers/i-3", registrationOf("app", "10.0.0.3:80"));
+    store.setOutage(undefined);
+    await waitUntil(() => endpointsKnownTo(feed).some(text => text.includes('"i-3"')));
+    t.deepEqual(endpointsKnownTo(feed).map(text => (JSON.parse(text) as readonly string[])[0]), ["i-2", "i-3"]);
+    t.truthy(feed.endpoint("i-1"), "it stays in use for a while");
+});
+
+/** Long enough that registrations may lapse. */
+const OUTAGE_MS = 2_000;
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -112,11 +112,15 @@
 ): void {
     const known = endpoints.get(incarnation);
     if (!known || mayLapse && known.lapsedAt !== undefined) return;
-    const isKept = mayLapse && mayHaveLapsed(registry, now) && known.entry.state === EndpointState.Ready;
-    if (isKept) endpoints.set(incarnation, { ...known, lapsedAt: now });
+    if (mayLapse && isKeptWhenGone(registry, known, now)) endpoints.set(incarnation, { ...known, lapsedAt: now });
     else endpoints.delete(incarnation);
 }
 
+/** Whether an endpoint stays in use for a while although its registration is gone. */
+function isKeptWhenGone(registry: Registry, { entry }: RegisteredEndpoint, now: number): boolean {
+    return mayHaveLapsed(registry, now) && entry.state === EndpointState.Ready;
+}
+
 /** Replaces the endpoints; those that are missing from the new ones have departed. */
 function withEndpoints(
     registry: Registry,
@@ -163,8 +167,8 @@
 }
 
 /**
- * Adopts the endpoints of a peer that can reach the store, without a grace period of their own, since the peer has already
- * decided which have lapsed. Later incarnations that this host knows are kept.
+ * Adopts the registrations that a peer which can reach the store has read there. Those that the peer lacks have vanished, as in a
+ * read of this host. Later incarnations that this host knows are kept.
  */
 export function adoptPeerEndpoints(
     registry: Registry,
@@ -181,6 +185,12 @@
         const known = registry.endpoints.get(latest.incarnation);
         if (known && !draft.endpoints.has(latest.incarnation)) draft.endpoints.set(latest.incarnation, known);
     }
+    const present = new Set(contents.entries.map(({ id }) => id));
+    for (const [incarnation, known] of registry.endpoints) {
+        if (!present.has(known.entry.id) && isKeptWhenGone(registry, known, now)) {
+            draft.endpoints.set(incarnation, { ...known, lapsedAt: known.lapsedAt ?? now });
+        }
+    }
     return withEndpoints({ ...registry, halls, deferred: contents.deferred }, draft, now);
 }
 
