--- a/packages/host/src/store/deployment-feed.ts
+++ b/packages/host/src/store/deployment-feed.ts
@@ -190,7 +190,7 @@
         const known = this.position ?? NO_POSITION;
         if (!hears) {
             // Getting no updates does not show that the store is away; a watcher whose calls it does not answer does.
-            if (now - this.freshAt > WATCHER_REPORT_TTL_MS) this.setRegistry(storeFailed(this.registry));
+            if (now - this.freshAt > WATCHER_REPORT_TTL_MS) this.setRegistry(storeFailed(this.registry, this.freshAt));
             return isAfter({ epoch, revision }, known);
         }
         this.peersAnsweredAt = now;
@@ -438,7 +438,7 @@
     /** Handles a call that the store did not answer. The store counts as away only if it has lately answered no peer either. */
     private onStoreUnanswered(): void {
         if (this.deps.clock.now() - this.peersAnsweredAt > WATCHER_REPORT_TTL_MS) {
-            this.setRegistry(storeFailed(this.registry));
+            this.setRegistry(storeFailed(this.registry, this.freshAt));
         }
         this.setLastCallAnswered(false);
     }
--- a/packages/routes/src/registry-state.ts
+++ b/packages/routes/src/registry-state.ts
@@ -25,7 +25,9 @@
     readonly latest: ReadonlyMap<string, EndpointEntry>;
     /** Whether the last call to the store failed. */
     readonly isStoreAway: boolean;
-    /** When the store last answered again after a failure; undefined if it never failed. */
+    /** When the store had last answered before it failed; undefined if it never failed. */
+    readonly awaySince: number | undefined;
+    /** When the store last answered again after an outage in which registrations may have lapsed; undefined if there was none. */
     readonly storeBackAt: number | undefined;
     /** When the host last found the store restored from an older copy; undefined if it never was. */
     readonly restoredAt: number | undefined;
@@ -58,6 +60,7 @@
     departed: new Map(),
     latest: new Map(),
     isStoreAway: false,
+    awaySince: undefined,
     storeBackAt: undefined,
     restoredAt: undefined,
     deferred: [],
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -24,14 +24,26 @@
 /** How long departed endpoints are remembered: the time in which they may still finish their calls. */
 export const DEPARTED_TTL_MS = 30_000;
 
-/** Records that a call to the store failed. */
-export function storeFailed(registry: Registry): Registry {
-    return registry.isStoreAway ? registry : { ...registry, isStoreAway: true };
+/**
+ * No registration lapses while the store answers nobody for less than this. A waiting watch may be cut at any time, although the store
+ * answers the next call at once.
+ */
+const MIN_OUTAGE_MS = 1_400;
+
+/**
+ * Records that a call to the store failed.
+ *
+ * @param answeredAt When the store last answered; if it is not given, long ago.
+ */
+export function storeFailed(registry: Registry, answeredAt = -Infinity): Registry {
+    return registry.isStoreAway ? registry : { ...registry, isStoreAway: true, awaySince: answeredAt };
 }
 
 /** Records that the store answered. */
 export function storeAnswered(registry: Registry, now: number): Registry {
-    return registry.isStoreAway ? { ...registry, isStoreAway: false, storeBackAt: now } : registry;
+    if (!registry.isStoreAway) return registry;
+    const hasLapsing = now - (registry.awaySince ?? -Infinity) >= MIN_OUTAGE_MS;
+    return { ...registry, isStoreAway: false, storeBackAt: hasLapsing ? now : registry.storeBackAt };
 }
 
 /** Records that the store was restored from an older copy, which lacks what was written since. */
--- a/packages/routes/test/registry.test.ts
+++ b/packages/routes/test/registry.test.ts
@@ -135,6 +135,21 @@
     t.deepEqual(incarnationsOf(gone(back, "i-1", 1_000 + LAPSE_GRACE_MS)), []);
 });
 
+// Guards against requests to endpoints that have left: each watch that the store cut counted as an outage.
+test("an endpoint whose registration vanishes after a cut watch has departed, since the store had just answered", t => {
+    const back = storeAnswered(storeFailed(registryOf("i-1"), 900), 1_000);
+    t.deepEqual(incarnationsOf(gone(back, "i-1", 1_100)), []);
+});
+
+test("an endpoint that a peer does not name has vanished, by the same rules", t => {
+    const adopt = (registry: Registry, now: number): Registry =>
+        adoptPeerEndpoints(registry, [entryOf("i-2")], [], now);
+    t.deepEqual(incarnationsOf(adopt(registryOf("i-1", "i-2"), 5)), ["i-2"]);
+    const back = adopt(storeAnswered(storeFailed(registryOf("i-1", "i-2")), 1_000), 1_500);
+    t.deepEqual(incarnationsOf(back).toSorted(), ["i-1", "i-2"]);
+    t.deepEqual(incarnationsOf(expireGracePeriods(back, 1_000 + LAPSE_GRACE_MS)), ["i-2"]);
+});
+
 test("an endpoint that lapsed and registers again stays", t => {
     const lapsed = gone(storeFailed(registryOf("i-1")), "i-1", 0);
     const again = registered(storeAnswered(lapsed, 100), entryOf("i-1"), 200);
--- a/packages/standins/src/mutations.ts
+++ b/packages/standins/src/mutations.ts
@@ -229,8 +229,9 @@
     {
         promise: "only whole events are passed on",
         file: "packages/protocol/src/event-splitter.ts",
-        find: "if (lf < 0) return undefined;",
-        replace: "if (lf < 0) return bytes.length > start ? bytes.length : undefined;",
+        find: "        this.append(chunk.subarray(start));",
+        replace:
+            "        if (start < chunk.length) events.push({ bytes: chunk.subarray(start), id: undefined, hasData: true });",
         tests: [GATEWAY],
     },
     {
@@ -257,8 +258,8 @@
     {
         promise: "registrations that lapse in an outage are kept",
         file: "packages/routes/src/registry.ts",
-        find: "const isKept = mayLapse && mayHaveLapsed(registry, now) &&",
-        replace: "const isKept = mayLapse && now < 0 &&",
+        find: "return mayHaveLapsed(registry, now) && entry.state",
+        replace: "return now < 0 && entry.state",
         tests: [ROUTES],
     },
     {
