Only a waiting watch may be cut without an outage

A waiting watch may be cut while the store is stable; a read that is not answered shows an outage however short it is.

Change: the 1.4 s hold for waiting watches alone.

--- a/packages/host/src/store/deployment-feed.ts
+++ b/packages/host/src/store/deployment-feed.ts
@@ -365,7 +365,7 @@
                 delayMs = INITIAL_RETRY_DELAY_MS;
                 const ended = await this.watchFrom(position, signal);
                 if (signal.aborted) return;
-                if (isUnanswered(ended)) this.onStoreUnanswered();
+                if (isUnanswered(ended)) this.onStoreUnanswered(this.freshAt);
                 log.warn({ err: ended.kind, detail: ended.detail }, "store_watch_ended");
                 position = undefined;
                 continue;
@@ -436,9 +436,9 @@
     }
 
     /** Handles a call that the store did not answer. The store counts as away only if it has lately answered no peer either. */
-    private onStoreUnanswered(): void {
+    private onStoreUnanswered(answeredAt?: number): void {
         if (this.deps.clock.now() - this.peersAnsweredAt > WATCHER_REPORT_TTL_MS) {
-            this.setRegistry(storeFailed(this.registry, this.freshAt));
+            this.setRegistry(storeFailed(this.registry, answeredAt));
         }
         this.setLastCallAnswered(false);
     }
--- a/packages/routes/src/registry.ts
+++ b/packages/routes/src/registry.ts
@@ -25,18 +25,20 @@
 export const DEPARTED_TTL_MS = 30_000;
 
 /**
- * No registration lapses while the store answers nobody for less than this. A waiting watch may be cut at any time, although the store
- * answers the next call at once.
+ * A waiting watch may be cut at any time, although the store answers the next call at once. If it is all that got no answer, it is no
+ * outage unless nobody heard of the store for this long.
  */
 const MIN_OUTAGE_MS = 1_400;
 
 /**
  * Records that a call to the store failed.
  *
- * @param answeredAt When the store last answered; if it is not given, long ago.
+ * @param answeredAt When the store had last answered, if the call was a waiting watch. Any other failed call shows an outage.
  */
 export function storeFailed(registry: Registry, answeredAt = -Infinity): Registry {
-    return registry.isStoreAway ? registry : { ...registry, isStoreAway: true, awaySince: answeredAt };
+    const awaySince = registry.isStoreAway ? Math.min(registry.awaySince ?? -Infinity, answeredAt) : answeredAt;
+    const isKnown = registry.isStoreAway && awaySince === registry.awaySince;
+    return isKnown ? registry : { ...registry, isStoreAway: true, awaySince };
 }
 
 /** Records that the store answered. */
