Repeated orders to stop a stream are logged when their answer changes

Cause: an order to an engine that is not reached is repeated up to once a second until the call's deadline, and each wrote a line.

Change: only a result that differs from the one before is logged.

--- a/packages/host/src/calls/generation-stops.ts
+++ b/packages/host/src/calls/generation-stops.ts
@@ -61,16 +61,18 @@
     /**
      * Orders an endpoint once to stop a generation. While an earlier order to it is not answered, its answer is awaited instead.
      *
+     * @param before What an order to the same endpoint has shown before; only another result is logged.
+     *
      * @example
      * ```ts
      * if ((await stops.order({ call: "r1", source, standby })).kind === "stopped") continueAt(standby);
      * ```
      */
-    order(order: StopOrder, signal: AbortSignal = this.deps.signal): Promise<StopResult> {
+    order(order: StopOrder, signal: AbortSignal = this.deps.signal, before?: StopResult): Promise<StopResult> {
         const { call, source } = order;
         const known = this.pending.get(call);
         if (known?.source === source.incarnation) return known.answer;
-        const answer = this.send(order, signal).finally(() => {
+        const answer = this.send(order, signal, before).finally(() => {
             if (this.pending.get(call)?.answer === answer) this.pending.delete(call);
         });
         this.pending.set(call, { source: source.incarnation, answer });
@@ -110,18 +112,23 @@
         for (let waitMs = REPEAT_MS; !isSettled(answer); waitMs = Math.min(2 * waitMs, MAX_REPEAT_MS)) {
             await pause(waitMs);
             if (signal.aborted || this.deps.signal.aborted || this.deps.clock.now() >= until) return;
-            answer = await this.order(order, signal);
+            answer = await this.order(order, signal, answer);
             // The generation goes on from another copy already.
             if (answer.kind === "stopped") this.deps.dropCopy({ ...order, name: answer.copy });
         }
     }
 
-    private async send(order: StopOrder, signal: AbortSignal): Promise<StopResult> {
+    private async send(
+        order: StopOrder,
+        signal: AbortSignal,
+        before: StopResult | undefined,
+    ): Promise<StopResult> {
         const { deps } = this;
         const { call, source, standby } = order;
         const startedAt = deps.clock.now();
         const answer = await this.request(source, deps.wire.stopCall(call, standby.address), signal);
         const { kind, ...facts } = answer;
+        if (kind === before?.kind) return answer;
         const ms = Math.round(deps.clock.now() - startedAt);
         deps.log.info(
             { req: call, from: source.incarnation, to: standby.incarnation, answer: kind, ms, ...facts },
